--- /dev/null
+++ b/Makefile
@@ -0,0 +1,80 @@
+# make          build the programs
+# make demo     run a deployment of today on loopback, with an audit
+# make check    warnings as errors, formatter, linter, all tests
+# Packages are listed in .ci/packages; make deps installs what is missing.
+
+BUILD ?= build
+CC = gcc
+PKGS = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 json-glib-1.0 argtable2
+CFLAGS ?= -O2 -g
+WARN = -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
+  -Wmissing-prototypes -Wno-unused-parameter -Werror
+CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
+LIBS = $(shell pkg-config --libs $(PKGS)) -lnng -lxxhash -lm
+
+LIB_SRC = admin.c ask.c assignment.c capercrank.c clock.c config_api.c \
+  document.c findings.c follower.c holding.c job.c leader.c lease.c log.c \
+  mailbox.c metrics.c outcome.c platform.c queue.c server.c settings.c \
+  slicemap.c tenure.c upstream.c view.c wire.c
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+PROGRAMS = entry dispatch assign
+BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
+TEST_SRC = $(wildcard test/test_*.c)
+TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
+STAND_INS = platform upstream load demo
+TEST_LIB = harness records
+STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
+DEPLOYMENT ?= hradna
+
+all: $(BIN)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo '  CC $<'
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -MMD -c $< -o $@
+
+$(BUILD)/libcapercrank.a: $(LIB_OBJ)
+	@rm -f $@ && ar rcs $@ $^
+
+$(BUILD)/capercrank-%: $(BUILD)/%.o $(BUILD)/libcapercrank.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
+
+$(BUILD)/capercrankctl: $(BUILD)/ctl.o $(BUILD)/libcapercrank.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
+
+$(BUILD)/test/libtest.a: $(TEST_LIB:%=$(BUILD)/test/%.o)
+	@rm -f $@ && ar rcs $@ $^
+
+$(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/test/libtest.a $(BUILD)/libcapercrank.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcmocka
+
+-include $(wildcard $(BUILD)/*.d $(BUILD)/test/*.d)
+.SECONDARY:
+.PHONY: all deps demo check format lint test clean
+
+deps:
+	@sh .ci/deps
+
+build-all: $(BIN) $(STAND_BIN) $(TEST_BIN)
+
+demo: deps
+	@$(MAKE) -s build-all
+	@$(BUILD)/test/demo test/$(DEPLOYMENT).json
+
+SOURCES = $(wildcard *.c *.h test/*.c test/*.h examples/*.c)
+
+format:
+	@clang-format -i $(SOURCES)
+
+lint:
+	@clang-format --dry-run -Werror $(SOURCES)
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 8 -n 4 sh -c \
+	  'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
+
+test: build-all
+	@sh test/run_all.sh $(BUILD)
+
+check: build-all lint test
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/admin.h
@@ -0,0 +1,20 @@
+/* The HTTP port of a process for monitoring and operators. */
+#ifndef CC_ADMIN_H
+#define CC_ADMIN_H
+
+#include <libsoup/soup.h>
+
+/* Returns the reason why the process is not ready, or NULL if it is. */
+typedef const char *(*CcAdminReady) (gpointer data);
+
+SoupServer *cc_admin_listen (const char *address, CcAdminReady ready,
+                             gpointer data, char **message);
+gboolean cc_http_listen (SoupServer *server, const char *address,
+                         char **message);
+void cc_http_answer (SoupServerMessage *m, guint status, const char *type,
+                     const char *body);
+SoupSession *cc_http_client (const char *source, guint per_host);
+void cc_http_once (SoupMessage *m);
+void cc_run_until_signal (GSourceFunc stop, gpointer data);
+
+#endif
--- /dev/null
+++ b/assign.c
@@ -0,0 +1,420 @@
+/* capercrank-assign: decides which server owns which slice of keys and which
+ * dispatcher holds which server, and takes operators' documents.
+ *
+ * One per instance, one of them active by a lease row.  Serving never waits
+ * for it: without it ownership stays as it is. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admin.h"
+#include "assignment.h"
+#include "clock.h"
+#include "config_api.h"
+#include "follower.h"
+#include "leader.h"
+#include "log.h"
+#include "metrics.h"
+#include "settings.h"
+
+#define TICK_MS 50
+#define INSTANCES_PERIOD (500 * CC_MS)
+#define PLATFORM_TIMEOUT (700 * CC_MS)
+
+typedef struct
+{
+  CcMailbox *mailbox;
+  CcPlatform *platform;
+  CcFollower *follower;
+  CcLeader leader;
+  GHashTable *watches;  /* lease id to CcLeaseWatch */
+  GHashTable *reports;  /* pool to (server to CcServerReport) */
+  GHashTable *writing;  /* pools whose map is being written */
+  GHashTable *revoking; /* lease ids being deleted */
+  GPtrArray *listed;    /* of CcInstance, servers of the platform's list */
+  gboolean have_list;
+  gboolean listing;
+  gint64 list_due;
+  CcCounter *steps;
+  CcCounter *takeovers;
+} Assign;
+
+typedef struct
+{
+  Assign *assign;
+  char *name; /* pool or lease id */
+} Write;
+
+static void
+report_free (gpointer data)
+{
+  g_free (((CcServerReport *) data)->dispatcher);
+  g_free (data);
+}
+
+static GHashTable *
+reports_of (Assign *a, const char *pool)
+{
+  GHashTable *table = g_hash_table_lookup (a->reports, pool);
+
+  if (table != NULL)
+    return table;
+  table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, report_free);
+  g_hash_table_insert (a->reports, g_strdup (pool), table);
+  return table;
+}
+
+static void
+take_report (Assign *a, const CcMsgReport *r)
+{
+  CcServerReport *one = g_new0 (CcServerReport, 1);
+
+  one->applied = r->applied;
+  one->lost = r->state != 0;
+  one->dispatcher = g_strdup (r->instance);
+  g_hash_table_insert (reports_of (a, r->pool), g_strdup (r->server), one);
+}
+
+static void
+on_message (const CcMessage *m, gpointer data)
+{
+  Assign *a = data;
+
+  if (m->kind == CC_MSG_REPORT)
+    take_report (a, &m->u.report);
+  else if (m->kind == CC_MSG_ROWS)
+    cc_follower_receive (a->follower, m);
+}
+
+static void
+on_link (const char *address, gboolean up, gpointer data)
+{
+  (void) address, (void) up, (void) data;
+}
+
+static Write *
+write_new (Assign *a, const char *name)
+{
+  Write *w = g_new0 (Write, 1);
+
+  w->assign = a;
+  w->name = g_strdup (name);
+  return w;
+}
+
+static void
+write_free (Write *w)
+{
+  g_free (w->name);
+  g_free (w);
+}
+
+static void
+on_revoked (CcStatus status, guint64 version, gpointer data)
+{
+  Write *w = data;
+
+  (void) version;
+  g_hash_table_remove (w->assign->revoking, w->name);
+  if (status == CC_OK)
+    {
+      ++*w->assign->takeovers;
+      cc_log (CC_LOG_WARNING, "takeover", "lease of %s lapsed, deleted",
+              w->name);
+    }
+  cc_follower_poll (w->assign->follower);
+  write_free (w);
+}
+
+/* Deletes a lapsed lease.  The check on its version makes the deletion and a
+ * renewal that was just written exclude each other. */
+static void
+delete_lease (Assign *a, const char *id, const CcRow *row)
+{
+  CcTransaction *x = cc_transaction_new ();
+  g_autofree char *member = g_strconcat ("member/", id, NULL);
+
+  g_hash_table_add (a->revoking, g_strdup (id));
+  cc_transaction_check (x, row->key, row->version);
+  cc_transaction_put (x, row->key, NULL);
+  cc_transaction_put (x, member, NULL);
+  cc_platform_commit (a->platform, x, on_revoked, write_new (a, id));
+}
+
+static void
+watch_leases (Assign *a, gint64 now)
+{
+  g_autoptr (GPtrArray) rows = cc_view_list (&a->follower->view, "lease/");
+
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const CcRow *row = rows->pdata[i];
+      const char *id = row->key + strlen ("lease/");
+      CcLeaseWatch *w = g_hash_table_lookup (a->watches, id);
+
+      if (g_str_equal (id, "assign"))
+        continue;
+      if (w == NULL)
+        {
+          w = g_new0 (CcLeaseWatch, 1);
+          g_hash_table_insert (a->watches, g_strdup (id), w);
+        }
+      cc_lease_watch (w, row->version, now);
+      if (cc_leader_is_active (&a->leader, now) &&
+          cc_lease_watch_lapsed (w, now) &&
+          !g_hash_table_contains (a->revoking, id))
+        delete_lease (a, id, row);
+    }
+}
+
+static CcRoster *
+roster_of (Assign *a, const char *pool)
+{
+  CcRoster *r = cc_roster_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, a->follower->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CcMember *m = value;
+
+      cc_roster_add_dispatcher (r, m->id, m->zone, m->draining);
+    }
+  for (guint i = 0; i < a->listed->len; i++)
+    {
+      const CcInstance *one = a->listed->pdata[i];
+
+      if (g_str_equal (one->role, pool))
+        cc_roster_add_server (r, one->name, one->address, one->zone,
+                              one->leaving);
+    }
+  return r;
+}
+
+static void
+on_map_written (CcStatus status, guint64 version, gpointer data)
+{
+  Write *w = data;
+
+  (void) status, (void) version;
+  g_hash_table_remove (w->assign->writing, w->name);
+  cc_follower_poll (w->assign->follower);
+  write_free (w);
+}
+
+static void
+write_map (Assign *a, const CcSliceMap *m)
+{
+  CcTransaction *x = cc_transaction_new ();
+  g_autofree char *key = g_strconcat ("map/", m->pool, NULL);
+  g_autofree char *value = cc_slicemap_print (m);
+
+  ++*a->steps;
+  g_hash_table_add (a->writing, g_strdup (m->pool));
+  cc_transaction_check (x, key, m->version);
+  cc_transaction_put (x, key, value);
+  cc_platform_commit (a->platform, x, on_map_written, write_new (a, m->pool));
+}
+
+static void
+plan_pool (Assign *a, const CcPool *pool)
+{
+  g_autofree char *key = g_strconcat ("map/", pool->name, NULL);
+  const CcRow *row = cc_view_get (&a->follower->view, key);
+  CcRoster *roster;
+  CcSliceMap *m;
+
+  if (g_hash_table_contains (a->writing, pool->name))
+    return;
+  m = row != NULL ? cc_slicemap_parse (pool->name, row->version, row->value)
+                  : cc_slicemap_new (pool->name, pool->slices);
+  roster = roster_of (a, pool->name);
+  if (m != NULL &&
+      cc_assignment_step (m, pool, roster, reports_of (a, pool->name)) > 0)
+    write_map (a, m);
+  cc_roster_free (roster);
+  cc_slicemap_free (m);
+}
+
+static void
+plan (Assign *a)
+{
+  const CcDocument *d = a->follower->document;
+
+  for (guint i = 0; d != NULL && i < d->pools->len; i++)
+    plan_pool (a, d->pools->pdata[i]);
+}
+
+static CcInstance *
+copy_instance (const CcInstance *from)
+{
+  CcInstance *i = g_new0 (CcInstance, 1);
+
+  i->name = g_strdup (from->name);
+  i->role = g_strdup (from->role);
+  i->zone = g_strdup (from->zone);
+  i->address = g_strdup (from->address);
+  i->leaving = from->leaving;
+  return i;
+}
+
+static void
+instance_free (gpointer data)
+{
+  CcInstance *i = data;
+
+  g_free (i->name);
+  g_free (i->role);
+  g_free (i->zone);
+  g_free (i->address);
+  g_free (i);
+}
+
+static void
+on_instances (CcStatus status, GPtrArray *instances, gpointer data)
+{
+  Assign *a = data;
+
+  a->listing = FALSE;
+  if (status != CC_OK)
+    return;
+  a->have_list = TRUE;
+  g_ptr_array_set_size (a->listed, 0);
+  for (guint i = 0; i < instances->len; i++)
+    g_ptr_array_add (a->listed, copy_instance (instances->pdata[i]));
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  Assign *a = data;
+  gint64 now = cc_clock_now ();
+  gboolean active;
+
+  cc_leader_tick (&a->leader, &a->follower->view, now);
+  active = cc_leader_is_active (&a->leader, now);
+  cc_metrics_gauge ("capercrank_assigner_active", "", active);
+  watch_leases (a, now);
+  if (active && !a->listing && now >= a->list_due)
+    {
+      a->listing = TRUE;
+      a->list_due = now + INSTANCES_PERIOD;
+      cc_platform_instances (a->platform, on_instances, a);
+    }
+  if (active && a->have_list)
+    plan (a);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+on_view_changed (CcFollower *f, gpointer data)
+{
+  (void) f, (void) data;
+}
+
+static gboolean
+on_leave (gpointer data)
+{
+  (void) data;
+  exit (0);
+}
+
+static gboolean
+on_stop (gpointer data)
+{
+  Assign *a = data;
+
+  cc_leader_resign (&a->leader);
+  g_timeout_add (300, on_leave, a);
+  return G_SOURCE_REMOVE;
+}
+
+static const char *
+why_not_ready (gpointer data)
+{
+  Assign *a = data;
+  gint64 now = cc_clock_now ();
+
+  return a->follower->platform_ok > 0 &&
+                 now - a->follower->platform_ok < 2 * CC_SECOND
+             ? NULL
+             : "the platform does not answer\n";
+}
+
+static gboolean
+open_ports (Assign *a, const CcSetting *settings, guint64 incarnation)
+{
+  g_autofree char *message = NULL;
+  SoupServer *admin = NULL;
+
+  a->mailbox = cc_mailbox_new (cc_setting (settings, "listen"),
+                               cc_setting_advertised (settings), incarnation,
+                               on_message, on_link, a, &message);
+  if (a->mailbox != NULL)
+    admin = cc_admin_listen (cc_setting (settings, "admin"), why_not_ready, a,
+                             &message);
+  if (admin == NULL)
+    {
+      fprintf (stderr, "capercrank-assign: %s\n", message);
+      return FALSE;
+    }
+  a->follower = cc_follower_new (a->mailbox, a->platform, "",
+                                 (char *[]){ NULL }, TRUE, on_view_changed, a);
+  cc_config_api_add (admin, a->follower, a->platform);
+  return TRUE;
+}
+
+int
+main (int argc, char **argv)
+{
+  CcSetting settings[] = {
+    { CC_SETTING_STRING, "instance", NULL, "name of this instance", 0, 0,
+      NULL },
+    { CC_SETTING_STRING, "zone", NULL, "its availability zone", 0, 0, NULL },
+    { CC_SETTING_ADDRESS, "listen", NULL, "mailbox for other processes", 0, 0,
+      NULL },
+    { CC_SETTING_ADDRESSES, "advertise", "",
+      "address by which others reach the mailbox, if another", 0, 0, NULL },
+    { CC_SETTING_ADDRESS, "admin", NULL, "operators, metrics, readiness", 0, 0,
+      NULL },
+    { CC_SETTING_ADDRESS, "platform", NULL, "the platform's service", 0, 0,
+      NULL },
+    { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
+  };
+  Assign a = { 0 };
+  guint64 incarnation = cc_clock_incarnation ();
+  g_autofree char *id = NULL;
+
+  switch (cc_settings_read (settings, "capercrank-assign",
+                            "Decides ownership; takes operators' documents.",
+                            argc, argv))
+    {
+    case CC_START_STOP:
+      return 0;
+    case CC_START_FAIL:
+      return 2;
+    case CC_START_RUN:
+      break;
+    }
+  a.platform =
+      cc_platform_new (cc_setting (settings, "platform"),
+                       cc_setting (settings, "listen"), PLATFORM_TIMEOUT);
+  a.watches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  a.reports = g_hash_table_new (g_str_hash, g_str_equal);
+  a.writing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  a.revoking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  a.listed = g_ptr_array_new_with_free_func (instance_free);
+  a.steps = cc_metrics_counter ("capercrank_assignment_steps", "");
+  a.takeovers = cc_metrics_counter ("capercrank_takeovers", "");
+  if (!open_ports (&a, settings, incarnation))
+    return 1;
+  id = g_strdup_printf ("%s.%" G_GINT64_MODIFIER "x",
+                        cc_setting (settings, "instance"), incarnation);
+  cc_leader_init (&a.leader, a.platform, id, cc_setting_advertised (settings),
+                  incarnation);
+  cc_follower_start (a.follower);
+  g_timeout_add (TICK_MS, on_tick, &a);
+  cc_run_until_signal (on_stop, &a);
+  return 0;
+}
--- /dev/null
+++ b/config_api.c
@@ -0,0 +1,308 @@
+/* PUT /v1/config   submit a document; If-Match names the version it replaces
+ * GET /v1/config   the document in force and its version
+ * GET /v1/view     all rows known here, for capercrankctl's tables
+ *
+ * Two operators who submit at once both name the version they read; the
+ * platform's compare-and-set accepts one, the other is told the new version.
+ * An accepted document is a row of the table, so it survives all of us. */
+#include "config_api.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-glib/json-glib.h>
+
+#include "admin.h"
+#include "log.h"
+
+#define DOCUMENT_MAX (256 * 1024) /* bytes */
+#define HEAD "config/head"
+#define STATUS_PRECONDITION_REQUIRED 428 /* RFC 6585; libsoup has no name */
+
+typedef struct
+{
+  CcFollower *follower;
+  CcPlatform *platform;
+} Api;
+
+typedef struct
+{
+  Api *api;
+  SoupServerMessage *message;
+  char *document;
+  guint64 base; /* version it replaces */
+} Submit;
+
+static void
+answer_json (SoupServerMessage *m, guint status, JsonBuilder *b)
+{
+  g_autoptr (JsonNode) root = json_builder_get_root (b);
+  g_autofree char *text = json_to_string (root, TRUE);
+
+  cc_http_answer (m, status, "application/json", text);
+}
+
+static void
+answer_error (SoupServerMessage *m, guint status, const char *text,
+              guint64 version)
+{
+  g_autoptr (JsonBuilder) b = json_builder_new ();
+
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "error");
+  json_builder_add_string_value (b, text);
+  json_builder_set_member_name (b, "version");
+  json_builder_add_int_value (b, (gint64) version);
+  json_builder_end_object (b);
+  answer_json (m, status, b);
+}
+
+static void
+answer_findings (SoupServerMessage *m, const CcFindings *f)
+{
+  g_autoptr (JsonBuilder) b = json_builder_new ();
+
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "error");
+  json_builder_add_string_value (b, "the document is not valid");
+  json_builder_set_member_name (b, "findings");
+  json_builder_begin_array (b);
+  for (guint i = 0; i < f->list->len; i++)
+    {
+      const CcFinding *one = f->list->pdata[i];
+
+      json_builder_begin_object (b);
+      json_builder_set_member_name (b, "place");
+      json_builder_add_string_value (b, one->place);
+      json_builder_set_member_name (b, "text");
+      json_builder_add_string_value (b, one->text);
+      json_builder_end_object (b);
+    }
+  json_builder_end_array (b);
+  json_builder_end_object (b);
+  answer_json (m, SOUP_STATUS_UNPROCESSABLE_ENTITY, b);
+}
+
+static void
+submit_free (Submit *s)
+{
+  soup_server_message_unpause (s->message);
+  g_object_unref (s->message);
+  g_free (s->document);
+  g_free (s);
+}
+
+static void
+answer_accepted (Submit *s, guint64 version)
+{
+  g_autoptr (JsonBuilder) b = json_builder_new ();
+
+  cc_log (CC_LOG_INFO, "configuration",
+          "version %" G_GUINT64_FORMAT " was accepted", version);
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "version");
+  json_builder_add_int_value (b, (gint64) version);
+  json_builder_end_object (b);
+  answer_json (s->message, SOUP_STATUS_OK, b);
+  cc_follower_poll (s->api->follower);
+}
+
+/* After a lost answer: the row tells whether the document was written. */
+static void
+on_read_back (CcStatus status, guint64 since, guint64 upto, GVariant *rows,
+              gpointer data)
+{
+  Submit *s = data;
+  const char *key, *value;
+  guint64 version = 0;
+  GVariantIter iter;
+
+  (void) since, (void) upto;
+  if (status == CC_OK)
+    {
+      g_variant_iter_init (&iter, rows);
+      if (g_variant_iter_next (&iter, "(&st&s)", &key, &version, &value) &&
+          version > s->base && g_str_equal (value, s->document))
+        {
+          answer_accepted (s, version);
+          submit_free (s);
+          return;
+        }
+    }
+  answer_error (s->message, SOUP_STATUS_GATEWAY_TIMEOUT,
+                "the platform's answer was lost; it is not known whether the "
+                "document was accepted, ask again",
+                version);
+  submit_free (s);
+}
+
+static void
+on_committed (CcStatus status, guint64 version, gpointer data)
+{
+  Submit *s = data;
+
+  if (status == CC_UNKNOWN)
+    {
+      cc_platform_rows (s->api->platform, HEAD, on_read_back, s);
+      return;
+    }
+  if (status == CC_OK)
+    answer_accepted (s, version);
+  else if (status == CC_CONFLICT)
+    answer_error (s->message, SOUP_STATUS_CONFLICT,
+                  "another document was accepted meanwhile; read it, then "
+                  "submit against its version",
+                  s->api->follower->document_version);
+  else
+    answer_error (s->message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                  "the platform can't be reached; nothing was changed", 0);
+  submit_free (s);
+}
+
+static void
+commit (Api *api, SoupServerMessage *m, const char *document, guint64 base)
+{
+  Submit *s = g_new0 (Submit, 1);
+  CcTransaction *x = cc_transaction_new ();
+
+  s->api = api;
+  s->message = g_object_ref (m);
+  s->document = g_strdup (document);
+  s->base = base;
+  cc_transaction_check (x, HEAD, base);
+  cc_transaction_put (x, HEAD, document);
+  soup_server_message_pause (m);
+  cc_platform_commit (api->platform, x, on_committed, s);
+}
+
+static gboolean
+check_document (Api *api, SoupServerMessage *m, const char *text, gsize size)
+{
+  CcFindings f;
+  CcDocument *d;
+  gboolean good;
+
+  cc_findings_init (&f);
+  if (size > DOCUMENT_MAX || !g_utf8_validate (text, (gssize) size, NULL))
+    cc_findings_add (&f, "document", "must be UTF-8 of at most %d bytes",
+                     DOCUMENT_MAX);
+  else
+    {
+      d = cc_document_parse (text, (gssize) size, &f);
+      if (d != NULL && api->follower->document != NULL)
+        cc_document_compare (api->follower->document, d, &f);
+      cc_document_free (d);
+    }
+  good = cc_findings_count (&f) == 0;
+  if (!good)
+    answer_findings (m, &f);
+  cc_findings_clear (&f);
+  return good;
+}
+
+static void
+submit (Api *api, SoupServerMessage *m, gboolean check_only)
+{
+  const char *match = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (m), "If-Match");
+  g_autoptr (GBytes) body =
+      soup_message_body_flatten (soup_server_message_get_request_body (m));
+  gsize size;
+  const char *data = g_bytes_get_data (body, &size);
+  g_autofree char *text = g_strndup (data != NULL ? data : "", size);
+  guint64 base = 0;
+
+  if (match != NULL &&
+      !g_ascii_string_to_unsigned (match, 10, 0, G_MAXINT64, &base, NULL))
+    {
+      answer_error (m, SOUP_STATUS_BAD_REQUEST, "If-Match must be a version",
+                    0);
+      return;
+    }
+  if (match == NULL && !check_only)
+    {
+      answer_error (m, STATUS_PRECONDITION_REQUIRED,
+                    "If-Match must name the version to replace, 0 for none",
+                    api->follower->document_version);
+      return;
+    }
+  if (!check_document (api, m, text, size))
+    return;
+  if (check_only)
+    cc_http_answer (m, SOUP_STATUS_OK, "application/json", "{}\n");
+  else
+    commit (api, m, text, base);
+}
+
+static void
+on_config (SoupServer *server, SoupServerMessage *m, const char *path,
+           GHashTable *query, gpointer data)
+{
+  Api *api = data;
+  const CcRow *head = cc_view_get (&api->follower->view, HEAD);
+  const char *method = soup_server_message_get_method (m);
+  g_autofree char *version = NULL;
+
+  (void) server, (void) path;
+  if (g_str_equal (method, "PUT"))
+    {
+      submit (api, m, query != NULL && g_hash_table_contains (query, "check"));
+      return;
+    }
+  if (!g_str_equal (method, "GET"))
+    {
+      answer_error (m, SOUP_STATUS_METHOD_NOT_ALLOWED, "use GET or PUT", 0);
+      return;
+    }
+  version =
+      g_strdup_printf ("%" G_GUINT64_FORMAT, head != NULL ? head->version : 0);
+  soup_message_headers_replace (soup_server_message_get_response_headers (m),
+                                "ETag", version);
+  cc_http_answer (m, SOUP_STATUS_OK, "application/json",
+                  head != NULL ? head->value : "{}");
+}
+
+static void
+add_row (JsonBuilder *b, const CcRow *row)
+{
+  g_autoptr (JsonNode) value = json_from_string (row->value, NULL);
+
+  json_builder_set_member_name (b, row->key);
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "version");
+  json_builder_add_int_value (b, (gint64) row->version);
+  json_builder_set_member_name (b, "value");
+  if (value != NULL)
+    json_builder_add_value (b, g_steal_pointer (&value));
+  else
+    json_builder_add_null_value (b);
+  json_builder_end_object (b);
+}
+
+static void
+on_view (SoupServer *server, SoupServerMessage *m, const char *path,
+         GHashTable *query, gpointer data)
+{
+  Api *api = data;
+  g_autoptr (GPtrArray) rows = cc_view_list (&api->follower->view, "");
+  g_autoptr (JsonBuilder) b = json_builder_new ();
+
+  (void) server, (void) path, (void) query;
+  json_builder_begin_object (b);
+  for (guint i = 0; i < rows->len; i++)
+    add_row (b, rows->pdata[i]);
+  json_builder_end_object (b);
+  answer_json (m, SOUP_STATUS_OK, b);
+}
+
+/* Adds the interface to ADMIN.  F and P must outlive it. */
+void
+cc_config_api_add (SoupServer *admin, CcFollower *f, CcPlatform *p)
+{
+  Api *api = g_new0 (Api, 1);
+
+  api->follower = f;
+  api->platform = p;
+  soup_server_add_handler (admin, "/v1/config", on_config, api, NULL);
+  soup_server_add_handler (admin, "/v1/view", on_view, api, g_free);
+}
--- /dev/null
+++ b/config_api.h
@@ -0,0 +1,12 @@
+/* The operators' HTTP interface: configuration and status. */
+#ifndef CC_CONFIG_API_H
+#define CC_CONFIG_API_H
+
+#include <libsoup/soup.h>
+
+#include "follower.h"
+#include "platform.h"
+
+void cc_config_api_add (SoupServer *admin, CcFollower *f, CcPlatform *p);
+
+#endif
--- /dev/null
+++ b/dispatch.c
@@ -0,0 +1,584 @@
+/* capercrank-dispatch: the only process that sends work to the servers whose
+ * lease it holds.
+ *
+ * One per instance.  It follows the platform's table, keeps its lease, takes
+ * on the servers that the slice maps give it, and runs entries' requests on
+ * them.  All state stands in this main loop; the parts talk by calls within it
+ * and by messages with other processes. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <json-glib/json-glib.h>
+
+#include "admin.h"
+#include "clock.h"
+#include "follower.h"
+#include "log.h"
+#include "metrics.h"
+#include "server.h"
+#include "settings.h"
+
+#define TICK_MS 20
+#define REPORT_PERIOD (200 * CC_MS)
+#define PLATFORM_TIMEOUT (700 * CC_MS) /* three tries within a lease term */
+#define MOVED_WAIT_MS 20
+#define DRAIN_LIMIT (20 * CC_SECOND) /* SIGTERM: then leave all the same */
+
+/* Under which owner this process last held a slice. */
+typedef struct
+{
+  char *server;
+  guint64 epoch;
+  guint64 term;
+} LastHeld;
+
+typedef struct
+{
+  CcSetting *settings;
+  CcMailbox *mailbox;
+  CcFollower *follower;
+  CcTenure *tenure;
+  CcServerShared shared;
+  GHashTable *servers;   /* "pool/server" to CcServer */
+  GHashTable *last_held; /* "pool/slice" to LastHeld */
+  gint64 stop_at;        /* while stopping: when to leave at the latest, us */
+  CcCounter *refused;    /* requests for what is not held here */
+  CcCounter *repeats;    /* once-only requests answered from memory */
+  CcCounter *cancelled;
+} Dispatch;
+
+static void
+refuse (Dispatch *d, const CcMessage *m, CcOutcome outcome, const char *reason,
+        guint32 wait_ms, gboolean reroute)
+{
+  CcMsgReply r = { .outcome = outcome,
+                   .reroute = reroute,
+                   .reason = reason,
+                   .retry_after = wait_ms };
+
+  ++*d->refused;
+  cc_reply_send (d->mailbox, m->reply_to, m->from, m->id, &r);
+}
+
+static void
+answer_again (Dispatch *d, const CcMessage *m, const CcRemembered *kept)
+{
+  CcMsgReply r = { .outcome = kept->outcome,
+                   .reason = "repeat",
+                   .status = kept->status,
+                   .headers = kept->headers,
+                   .body = kept->body };
+
+  ++*d->repeats;
+  cc_reply_send (d->mailbox, m->reply_to, m->from, m->id, &r);
+}
+
+static void
+join_first (Dispatch *d, const CcMessage *m, const char *pool, guint slice)
+{
+  g_autofree char *name =
+      cc_first_attempt_name (pool, slice, m->u.request.idempotency);
+  CcJob *first = g_hash_table_lookup (d->shared.first_attempts, name);
+
+  if (first != NULL)
+    cc_job_add_waiter (first, m);
+  else
+    refuse (d, m, CC_OUTCOME_UNKNOWN, "repeat", 0, FALSE);
+}
+
+static void
+start_job (Dispatch *d, const CcMessage *m, CcServer *s, const CcClass *class,
+           guint slice)
+{
+  CcJob *j = cc_job_new (m, class->pool, class->once_only, slice);
+
+  if (class->once_only)
+    {
+      g_hash_table_insert (
+          d->shared.first_attempts,
+          cc_first_attempt_name (class->pool, slice, j->idempotency), j);
+      cc_outcomes_start (d->shared.outcomes, class->pool, slice, j->idempotency,
+                         cc_clock_wall ());
+    }
+  cc_server_take (s, j);
+}
+
+static void
+take_once_only (Dispatch *d, const CcMessage *m, CcServer *s,
+                const CcClass *class, guint slice)
+{
+  const CcRemembered *kept = NULL;
+
+  switch (cc_outcomes_ask (d->shared.outcomes, class->pool, slice,
+                           m->u.request.idempotency, cc_clock_wall (), &kept))
+    {
+    case CC_REPEAT_NEW:
+      start_job (d, m, s, class, slice);
+      break;
+    case CC_REPEAT_RUNNING:
+      join_first (d, m, class->pool, slice);
+      break;
+    case CC_REPEAT_DONE:
+      answer_again (d, m, kept);
+      break;
+    case CC_REPEAT_TOO_OLD:
+      refuse (d, m, CC_OUTCOME_UNKNOWN, "forgotten", 0, FALSE);
+      break;
+    case CC_REPEAT_AHEAD:
+    case CC_REPEAT_MALFORMED:
+      refuse (d, m, CC_OUTCOME_NOT_RUN, "idempotency-key", 0, FALSE);
+      break;
+    }
+}
+
+static CcServer *
+find_server (Dispatch *d, const char *pool, const char *name)
+{
+  g_autofree char *key = g_strconcat (pool, "/", name, NULL);
+
+  return g_hash_table_lookup (d->servers, key);
+}
+
+static void
+take_request (Dispatch *d, const CcMessage *m)
+{
+  const CcMsgRequest *r = &m->u.request;
+  const CcClass *class = NULL;
+  CcSliceMap *map = NULL;
+  const CcMapServer *owner = NULL;
+  CcServer *s = NULL;
+  guint slice = 0;
+
+  if (d->follower->document != NULL)
+    class = cc_document_class (d->follower->document, r->class_name);
+  if (class != NULL)
+    map = cc_follower_map (d->follower, class->pool);
+  if (map != NULL)
+    {
+      slice =
+          cc_slicemap_slice (map, cc_key_hash (g_bytes_get_data (r->key, NULL),
+                                               g_bytes_get_size (r->key)));
+      owner = cc_slicemap_owner (map, slice);
+    }
+  if (owner != NULL)
+    s = find_server (d, class->pool, owner->name);
+  if (s == NULL || !cc_holding_owns (s->holding, slice))
+    refuse (d, m, CC_OUTCOME_NOT_RUN, "moved", MOVED_WAIT_MS, TRUE);
+  else if (s->holding->lost)
+    refuse (d, m, CC_OUTCOME_NOT_RUN, "server-lost", 1000, FALSE);
+  else if (!cc_tenure_is_valid (d->tenure, cc_clock_now ()))
+    refuse (d, m, CC_OUTCOME_NOT_RUN, "no-lease", 500, TRUE);
+  else if (class->once_only)
+    take_once_only (d, m, s, class, slice);
+  else
+    start_job (d, m, s, class, slice);
+}
+
+static void
+take_cancel (Dispatch *d, const CcMessage *m)
+{
+  GHashTableIter iter;
+  gpointer server;
+
+  ++*d->cancelled;
+  g_hash_table_iter_init (&iter, d->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &server))
+    if (cc_server_cancel (server, m->from, m->u.cancel.request))
+      return;
+}
+
+static void
+on_message (const CcMessage *m, gpointer data)
+{
+  Dispatch *d = data;
+
+  switch (m->kind)
+    {
+    case CC_MSG_SYNC:
+    case CC_MSG_ROWS:
+      cc_follower_receive (d->follower, m);
+      break;
+    case CC_MSG_REQUEST:
+      take_request (d, m);
+      break;
+    case CC_MSG_CANCEL:
+      take_cancel (d, m);
+      break;
+    case CC_MSG_REPLY:
+    case CC_MSG_REPORT:
+    case CC_MSG_OUTCOMES:
+    case CC_MSG_VOTE:
+    case CC_MSG_RELAY:
+      break;
+    }
+}
+
+static void
+on_link (const char *address, gboolean up, gpointer data)
+{
+  (void) address, (void) up, (void) data;
+}
+
+static void
+last_held_free (gpointer data)
+{
+  g_free (((LastHeld *) data)->server);
+  g_free (data);
+}
+
+/* Whether this process has seen every attempt in the slice since it last held
+ * it: the same owner under the same grant, or the next owner after a move
+ * between two servers that were both held here all along. */
+static gboolean
+held_throughout (const CcSliceMap *m, const LastHeld *last,
+                 const CcMapServer *owner, guint64 epoch)
+{
+  const CcMapServer *before =
+      cc_slicemap_server (m, cc_slicemap_find (m, last->server));
+
+  if (before == NULL || before->term != last->term ||
+      !g_str_equal (before->dispatcher, owner->dispatcher))
+    return FALSE;
+  return epoch == last->epoch ? before == owner : epoch == last->epoch + 1;
+}
+
+/* Sets the horizon of a slice that is newly held: attempts before it may have
+ * been made by others (outcome.h). */
+static void
+note_held (Dispatch *d, const CcSliceMap *m, guint slice,
+           const CcMapServer *owner)
+{
+  guint64 epoch = cc_slicemap_at (m, slice)->epoch;
+  g_autofree char *key = g_strdup_printf ("%s/%u", m->pool, slice);
+  LastHeld *last = g_hash_table_lookup (d->last_held, key);
+  gboolean first_ever = epoch == 1 && owner->term == 1;
+
+  if (last == NULL || !held_throughout (m, last, owner, epoch))
+    cc_outcomes_set_horizon (d->shared.outcomes, m->pool, slice,
+                             first_ever ? 0 : cc_clock_wall () + CC_SKEW_MAX);
+  last = g_new0 (LastHeld, 1);
+  last->server = g_strdup (owner->name);
+  last->epoch = epoch;
+  last->term = owner->term;
+  g_hash_table_insert (d->last_held, g_steal_pointer (&key), last);
+}
+
+static void
+note_slices (Dispatch *d, const CcSliceMap *m)
+{
+  for (guint i = 0; i < m->slices->len; i++)
+    {
+      const CcMapServer *owner = cc_slicemap_owner (m, i);
+
+      if (owner != NULL && owner->from[0] == '\0' &&
+          g_str_equal (owner->dispatcher, d->tenure->id))
+        note_held (d, m, i, owner);
+    }
+}
+
+static CcServer *
+take_server (Dispatch *d, const CcSliceMap *m, const CcMapServer *one)
+{
+  const CcPool *pool = d->follower->document != NULL
+                           ? cc_document_pool (d->follower->document, m->pool)
+                           : NULL;
+  gboolean checks = pool != NULL && pool->checks_grants;
+  gint64 quiet_at = one->term == 1 ? 0 : cc_clock_wall () + CC_SKEW_MAX;
+  CcServer *s;
+
+  if (one->term > 1 && pool != NULL)
+    quiet_at += cc_document_longest (d->follower->document, m->pool);
+  s = cc_server_new (&d->shared, cc_holding_new (m->pool, one, checks,
+                                                 cc_clock_now (), quiet_at));
+  g_hash_table_insert (d->servers, g_strconcat (m->pool, "/", one->name, NULL),
+                       s);
+  cc_log (CC_LOG_INFO, "server", "%s/%s is held here, term %" G_GUINT64_FORMAT,
+          m->pool, one->name, one->term);
+  return s;
+}
+
+static void
+drop_server (Dispatch *d, CcServer *s)
+{
+  g_autofree char *key =
+      g_strconcat (s->holding->pool, "/", s->holding->name, NULL);
+
+  cc_log (CC_LOG_INFO, "server", "%s is no longer held here", key);
+  g_hash_table_remove (d->servers, key);
+}
+
+static void
+update_server (Dispatch *d, const CcSliceMap *m, gint32 index)
+{
+  const CcMapServer *one = cc_slicemap_server (m, index);
+  const char *me = d->tenure->id;
+  gboolean mine = g_str_equal (one->dispatcher, me) && one->from[0] == '\0';
+  gboolean leaving = g_str_equal (one->from, me);
+  CcServer *s = find_server (d, m->pool, one->name);
+
+  if (s == NULL && mine)
+    s = take_server (d, m, one);
+  if (s == NULL)
+    return;
+  if (!mine && !leaving)
+    {
+      drop_server (d, s);
+      return;
+    }
+  if (m->version <= s->holding->map_version)
+    return;
+  cc_holding_update (s->holding, m, index, me);
+  cc_server_updated (s);
+}
+
+static void
+drop_unlisted (Dispatch *d, const CcSliceMap *m)
+{
+  GList *all = g_hash_table_get_values (d->servers);
+
+  for (GList *l = all; l != NULL; l = l->next)
+    {
+      CcServer *s = l->data;
+
+      if (g_str_equal (s->holding->pool, m->pool) &&
+          cc_slicemap_find (m, s->holding->name) < 0)
+        drop_server (d, s);
+    }
+  g_list_free (all);
+}
+
+static void
+on_view_changed (CcFollower *f, gpointer data)
+{
+  Dispatch *d = data;
+  GHashTableIter iter;
+  gpointer map;
+
+  if (f->document == NULL)
+    return;
+  g_hash_table_iter_init (&iter, f->maps);
+  while (g_hash_table_iter_next (&iter, NULL, &map))
+    {
+      const CcSliceMap *m = map;
+
+      drop_unlisted (d, m);
+      for (guint i = 0; i < m->servers->len; i++)
+        update_server (d, m, (gint32) i);
+      note_slices (d, m);
+    }
+}
+
+static void
+on_tenure (CcTenure *t, gboolean held, gpointer data)
+{
+  Dispatch *d = data;
+
+  (void) t;
+  if (held)
+    on_view_changed (d->follower, d);
+}
+
+static guint64
+assigner (Dispatch *d, char **address)
+{
+  const CcRow *row = cc_view_get (&d->follower->view, "assign/active");
+  g_autoptr (JsonNode) root =
+      row != NULL ? json_from_string (row->value, NULL) : NULL;
+  JsonObject *o;
+
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return 0;
+  o = json_node_get_object (root);
+  *address =
+      g_strdup (json_object_get_string_member_with_default (o, "address", ""));
+  return (guint64) json_object_get_int_member_with_default (o, "incarnation",
+                                                            0);
+}
+
+static void
+send_report (Dispatch *d, CcServer *s, guint64 applied)
+{
+  g_autofree char *address = NULL;
+  CcMessage m = { .kind = CC_MSG_REPORT };
+
+  m.to = assigner (d, &address);
+  if (m.to == 0)
+    return;
+  m.id = cc_mailbox_next_id (d->mailbox);
+  m.expires = cc_clock_wall () + 2 * CC_SECOND;
+  m.u.report.instance = d->tenure->id;
+  m.u.report.pool = s->holding->pool;
+  m.u.report.server = s->holding->name;
+  m.u.report.applied = applied;
+  m.u.report.state = s->holding->lost;
+  m.u.report.running = s->holding->running;
+  m.u.report.queued = cc_queue_length (&s->queue);
+  cc_mailbox_send (d->mailbox, address, &m);
+}
+
+static void
+report_if_due (Dispatch *d, CcServer *s, gint64 now)
+{
+  guint64 applied = cc_holding_applied (s->holding, now, cc_clock_wall ());
+
+  if (applied == s->reported && now < s->report_due)
+    return;
+  s->reported = applied;
+  s->report_due = now + REPORT_PERIOD;
+  send_report (d, s, applied);
+}
+
+static void
+go_on_stopping (Dispatch *d, gint64 now)
+{
+  if (d->stop_at == 0)
+    return;
+  if (g_hash_table_size (d->servers) == 0 && !d->tenure->closing)
+    cc_tenure_close (d->tenure);
+  if (!d->tenure->closed && now < d->stop_at)
+    return;
+  cc_log (CC_LOG_INFO, "stopped", "%u servers still held",
+          g_hash_table_size (d->servers));
+  exit (0);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  Dispatch *d = data;
+  gint64 now = cc_clock_now ();
+  GHashTableIter iter;
+  gpointer server;
+
+  g_hash_table_iter_init (&iter, d->servers);
+  while (g_hash_table_iter_next (&iter, NULL, &server))
+    {
+      cc_server_tick (server, now);
+      report_if_due (d, server, now);
+    }
+  cc_metrics_gauge ("capercrank_servers_held", "",
+                    g_hash_table_size (d->servers));
+  cc_metrics_gauge ("capercrank_outcomes", "",
+                    cc_outcomes_count (d->shared.outcomes));
+  go_on_stopping (d, now);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_stop (gpointer data)
+{
+  Dispatch *d = data;
+
+  if (d->stop_at != 0)
+    return G_SOURCE_CONTINUE;
+  cc_log (CC_LOG_INFO, "draining", "handing over %u servers",
+          g_hash_table_size (d->servers));
+  d->stop_at = cc_clock_now () + DRAIN_LIMIT;
+  cc_tenure_drain (d->tenure);
+  return G_SOURCE_CONTINUE;
+}
+
+static const char *
+why_not_ready (gpointer data)
+{
+  Dispatch *d = data;
+
+  if (d->stop_at != 0)
+    return "draining\n";
+  if (d->follower->document == NULL)
+    return "no configuration yet\n";
+  return cc_tenure_is_valid (d->tenure, cc_clock_now ()) ? NULL : "no lease\n";
+}
+
+static void
+server_free (gpointer data)
+{
+  cc_server_free (data);
+}
+
+static void
+init_shared (Dispatch *d)
+{
+  d->shared.mailbox = d->mailbox;
+  d->shared.upstream = cc_upstream_new (cc_setting (d->settings, "listen"));
+  d->shared.tenure = d->tenure;
+  d->shared.outcomes = cc_outcomes_new ();
+  d->shared.first_attempts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  d->servers =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
+  d->last_held =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, last_held_free);
+  d->refused = cc_metrics_counter ("capercrank_requests_refused", "");
+  d->repeats = cc_metrics_counter ("capercrank_repeats_answered", "");
+  d->cancelled = cc_metrics_counter ("capercrank_requests_cancelled", "");
+}
+
+static gboolean
+open_ports (Dispatch *d, guint64 incarnation)
+{
+  g_autofree char *message = NULL;
+
+  d->mailbox = cc_mailbox_new (cc_setting (d->settings, "listen"),
+                               cc_setting_advertised (d->settings), incarnation,
+                               on_message, on_link, d, &message);
+  if (d->mailbox != NULL &&
+      cc_admin_listen (cc_setting (d->settings, "admin"), why_not_ready, d,
+                       &message) != NULL)
+    return TRUE;
+  fprintf (stderr, "capercrank-dispatch: %s\n", message);
+  return FALSE;
+}
+
+int
+main (int argc, char **argv)
+{
+  CcSetting settings[] = {
+    { CC_SETTING_STRING, "instance", NULL, "name of this instance", 0, 0,
+      NULL },
+    { CC_SETTING_STRING, "zone", NULL, "its availability zone", 0, 0, NULL },
+    { CC_SETTING_ADDRESS, "listen", NULL, "mailbox for other processes", 0, 0,
+      NULL },
+    { CC_SETTING_ADDRESSES, "advertise", "",
+      "address by which others reach the mailbox, if another", 0, 0, NULL },
+    { CC_SETTING_ADDRESS, "admin", NULL, "metrics and readiness", 0, 0, NULL },
+    { CC_SETTING_ADDRESS, "platform", NULL, "the platform's service", 0, 0,
+      NULL },
+    { CC_SETTING_ADDRESSES, "peers", "", "mailboxes of peers to start from", 0,
+      0, NULL },
+    { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
+  };
+  Dispatch d = { .settings = settings };
+  guint64 incarnation = cc_clock_incarnation ();
+  CcPlatform *platform;
+  g_auto (GStrv) peers = NULL;
+
+  switch (cc_settings_read (settings, "capercrank-dispatch",
+                            "Sends work to the servers it holds.", argc, argv))
+    {
+    case CC_START_STOP:
+      return 0;
+    case CC_START_FAIL:
+      return 2;
+    case CC_START_RUN:
+      break;
+    }
+  if (!open_ports (&d, incarnation))
+    return 1;
+  platform =
+      cc_platform_new (cc_setting (settings, "platform"),
+                       cc_setting (settings, "listen"), PLATFORM_TIMEOUT);
+  peers = cc_setting_list (settings, "peers");
+  d.follower = cc_follower_new (d.mailbox, platform, "lease/", peers, TRUE,
+                                on_view_changed, &d);
+  d.tenure = cc_tenure_new (platform, cc_setting (settings, "instance"),
+                            cc_setting (settings, "zone"),
+                            cc_setting_advertised (settings), incarnation,
+                            on_tenure, &d);
+  init_shared (&d);
+  cc_follower_start (d.follower);
+  cc_tenure_start (d.tenure);
+  g_timeout_add (TICK_MS, on_tick, &d);
+  cc_run_until_signal (on_stop, &d);
+  return 0;
+}
--- /dev/null
+++ b/entry.c
@@ -0,0 +1,527 @@
+/* capercrank-entry: takes callers' HTTP requests, checks them, passes them to
+ * the dispatcher of their key and hands the answers back. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admin.h"
+#include "ask.h"
+#include "clock.h"
+#include "follower.h"
+#include "log.h"
+#include "metrics.h"
+#include "outcome.h"
+#include "settings.h"
+
+#define DRAIN_QUIET (3 * CC_SECOND) /* until the balancer sends no more */
+#define DRAIN_LIMIT (30 * CC_SECOND)
+#define TENANT_DEFAULT "anonymous"
+
+typedef struct
+{
+  CcFollower *follower;
+  CcMailbox *mailbox;
+  CcRouter *router;
+  SoupServer *callers;
+  GHashTable *stats; /* class name to Stats */
+  gint64 stop_at;    /* 0: not stopping */
+} Entry;
+
+/* Counters of one class, looked up once. */
+typedef struct
+{
+  CcCounter *outcomes[3];
+  CcCounter *in_target;
+  CcHistogram *latency;
+} Stats;
+
+/* One caller's request and its open connection. */
+typedef struct
+{
+  Entry *entry;
+  SoupServerMessage *message;
+  CcAsk *ask;
+  Stats *stats;
+  gint64 within; /* the class's target, us */
+  gint64 started;
+  gulong disconnected;
+  gboolean answered;
+} Caller;
+
+/* A request's faults, with the place of each. */
+typedef struct
+{
+  SoupServerMessage *message;
+  SoupMessageHeaders *headers;
+  CcFindings findings;
+} Check;
+
+static void
+answer_outcome (SoupServerMessage *m, guint status, CcOutcome outcome,
+                const char *reason, const char *text, guint32 wait_ms)
+{
+  SoupMessageHeaders *h = soup_server_message_get_response_headers (m);
+  g_autofree char *body = g_strdup_printf (
+      "{\"outcome\":\"%s\",\"reason\":\"%s\",\"retry_after_ms\":%u,"
+      "\"message\":\"%s\"}\n",
+      cc_outcome_name (outcome), reason, wait_ms, text);
+
+  soup_message_headers_replace (h, CC_HDR_OUTCOME, cc_outcome_name (outcome));
+  soup_message_headers_replace (h, CC_HDR_REASON, reason);
+  if (wait_ms > 0)
+    {
+      g_autofree char *seconds = g_strdup_printf ("%u", (wait_ms + 999) / 1000);
+
+      g_autofree char *ms = g_strdup_printf ("%u", wait_ms);
+
+      soup_message_headers_replace (h, "Retry-After", seconds);
+      soup_message_headers_replace (h, CC_HDR_RETRY_MS, ms);
+    }
+  cc_http_answer (m, status, "application/json", body);
+}
+
+static Stats *
+find_stats (Entry *e, const char *class)
+{
+  Stats *s = g_hash_table_lookup (e->stats, class);
+  g_autofree char *label = NULL;
+
+  if (s != NULL)
+    return s;
+  s = g_new0 (Stats, 1);
+  label = g_strdup_printf ("class=\"%s\"", class);
+  for (guint i = 0; i < 3; i++)
+    {
+      g_autofree char *with_outcome = g_strdup_printf (
+          "%s,outcome=\"%s\"", label, cc_outcome_name ((CcOutcome) i));
+
+      s->outcomes[i] = cc_metrics_counter ("capercrank_requests", with_outcome);
+    }
+  s->in_target = cc_metrics_counter ("capercrank_requests_in_target", label);
+  s->latency = cc_metrics_histogram ("capercrank_request_seconds", label);
+  g_hash_table_insert (e->stats, g_strdup (class), s);
+  return s;
+}
+
+static void
+count (Caller *c, CcOutcome outcome)
+{
+  gint64 took = cc_clock_now () - c->started;
+
+  ++*c->stats->outcomes[outcome];
+  cc_histogram_add (c->stats->latency, took);
+  if (outcome == CC_OUTCOME_RUN && took <= c->within)
+    ++*c->stats->in_target;
+}
+
+static void
+answer_run (SoupServerMessage *m, const CcMsgReply *r)
+{
+  SoupMessageHeaders *h = soup_server_message_get_response_headers (m);
+  const char *name, *value;
+  GVariantIter iter;
+  gsize size = 0;
+  gconstpointer body =
+      r->body != NULL ? g_bytes_get_data (r->body, &size) : NULL;
+
+  soup_server_message_set_status (m, r->status, NULL);
+  if (r->headers != NULL)
+    {
+      g_variant_iter_init (&iter, r->headers);
+      while (g_variant_iter_next (&iter, "(&s&s)", &name, &value))
+        soup_message_headers_append (h, name, value);
+    }
+  soup_message_headers_replace (h, CC_HDR_OUTCOME, "run");
+  if (r->reason != NULL && r->reason[0] != '\0')
+    soup_message_headers_replace (h, CC_HDR_REASON, r->reason);
+  if (size > 0)
+    soup_message_body_append (soup_server_message_get_response_body (m),
+                              SOUP_MEMORY_COPY, body, size);
+}
+
+static void
+on_outcome (const CcMsgReply *r, gpointer data)
+{
+  Caller *c = data;
+
+  c->ask = NULL;
+  c->answered = TRUE;
+  count (c, r->outcome);
+  switch (r->outcome)
+    {
+    case CC_OUTCOME_RUN:
+      answer_run (c->message, r);
+      break;
+    case CC_OUTCOME_NOT_RUN:
+      answer_outcome (c->message, SOUP_STATUS_SERVICE_UNAVAILABLE, r->outcome,
+                      r->reason, "the request was not run", r->retry_after);
+      break;
+    case CC_OUTCOME_UNKNOWN:
+      answer_outcome (c->message, SOUP_STATUS_GATEWAY_TIMEOUT, r->outcome,
+                      r->reason, "the request may have been run", 0);
+      break;
+    }
+  soup_server_message_unpause (c->message);
+}
+
+static void
+on_finished (SoupServerMessage *m, gpointer data)
+{
+  Caller *c = data;
+
+  (void) m;
+  if (c->ask != NULL)
+    cc_router_cancel (c->entry->router, c->ask);
+  c->ask = NULL;
+  g_signal_handlers_disconnect_by_data (c->message, c);
+  g_object_unref (c->message);
+  g_free (c);
+}
+
+static void
+check_name (Check *c, const char *header, gboolean required)
+{
+  const char *value = soup_message_headers_get_one (c->headers, header);
+
+  if (value == NULL || value[0] == '\0')
+    {
+      if (required)
+        cc_findings_add (&c->findings, header, "is required");
+      return;
+    }
+  if (strlen (value) > CC_NAME_MAX || !g_utf8_validate (value, -1, NULL) ||
+      strpbrk (value, "\"\\") != NULL)
+    cc_findings_add (&c->findings, header,
+                     "must be UTF-8 of at most %d bytes without quotes",
+                     CC_NAME_MAX);
+}
+
+static void
+check_key (Check *c)
+{
+  const char *key = soup_message_headers_get_one (c->headers, CC_HDR_KEY);
+
+  if (key == NULL || key[0] == '\0')
+    cc_findings_add (&c->findings, CC_HDR_KEY, "is required");
+  else if (strlen (key) > CC_KEY_MAX)
+    cc_findings_add (&c->findings, CC_HDR_KEY, "has over %d bytes", CC_KEY_MAX);
+}
+
+static const CcClass *
+check_class (Check *c, const CcDocument *d)
+{
+  const char *name = soup_message_headers_get_one (c->headers, CC_HDR_CLASS);
+  const CcClass *class = name != NULL ? cc_document_class (d, name) : NULL;
+
+  check_name (c, CC_HDR_CLASS, TRUE);
+  if (class == NULL && name != NULL && name[0] != '\0')
+    cc_findings_add (&c->findings, CC_HDR_CLASS,
+                     "no class of that name is configured");
+  return class;
+}
+
+static void
+check_idempotency (Check *c, const CcClass *class)
+{
+  const char *key =
+      soup_message_headers_get_one (c->headers, CC_HDR_IDEMPOTENCY);
+  gint64 wall;
+
+  if (class == NULL || !class->once_only)
+    return;
+  if (key == NULL || !cc_idempotency_time (key, &wall))
+    cc_findings_add (&c->findings, CC_HDR_IDEMPOTENCY,
+                     "a UUID of version 7 is required for this class");
+  else if (wall > cc_clock_wall () + CC_SKEW_MAX)
+    cc_findings_add (&c->findings, CC_HDR_IDEMPOTENCY,
+                     "its time is in the future, set the caller's clock");
+}
+
+/* The time left in us; 0 or less if the deadline is past. */
+static gint64
+check_timeout (Check *c, const CcClass *class)
+{
+  const char *text = soup_message_headers_get_one (c->headers, CC_HDR_TIMEOUT);
+  gint64 most = class != NULL ? class->timeout : CC_SECOND;
+  gint64 ms;
+
+  if (text == NULL)
+    return most;
+  if (!g_ascii_string_to_signed (text, 10, G_MININT32, G_MAXINT32, &ms, NULL))
+    {
+      cc_findings_add (&c->findings, CC_HDR_TIMEOUT,
+                       "must be a whole number of milliseconds");
+      return most;
+    }
+  return MIN (ms * CC_MS, most);
+}
+
+static GVariant *
+copy_headers (Check *c)
+{
+  SoupMessageHeadersIter iter;
+  const char *name, *value;
+  GVariantBuilder b;
+  gsize size = 0;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(ss)"));
+  soup_message_headers_iter_init (&iter, c->headers);
+  while (soup_message_headers_iter_next (&iter, &name, &value))
+    {
+      size += strlen (name) + strlen (value);
+      if (!g_utf8_validate (value, -1, NULL))
+        cc_findings_add (&c->findings, name, "is not UTF-8");
+      else
+        g_variant_builder_add (&b, "(ss)", name, value);
+    }
+  if (size > CC_HEADERS_MAX)
+    cc_findings_add (&c->findings, "headers", "have over %d bytes",
+                     CC_HEADERS_MAX);
+  return g_variant_ref_sink (g_variant_builder_end (&b));
+}
+
+static void
+refuse_findings (SoupServerMessage *m, const CcFindings *f)
+{
+  g_autofree char *text = cc_findings_text (f);
+  g_autofree char *flat = g_strdelimit (g_strdup (text), "\n\"\\", ' ');
+
+  answer_outcome (m, SOUP_STATUS_BAD_REQUEST, CC_OUTCOME_NOT_RUN, "malformed",
+                  g_strstrip (flat), 0);
+}
+
+static char *
+path_of (SoupServerMessage *m)
+{
+  GUri *uri = soup_server_message_get_uri (m);
+  const char *query = g_uri_get_query (uri);
+
+  if (query == NULL)
+    return g_strdup (g_uri_get_path (uri));
+  return g_strconcat (g_uri_get_path (uri), "?", query, NULL);
+}
+
+static const char *
+header_or (SoupMessageHeaders *h, const char *name, const char *fallback)
+{
+  const char *value = soup_message_headers_get_one (h, name);
+
+  return value != NULL && value[0] != '\0' ? value : fallback;
+}
+
+static void
+pass_on (Entry *e, Check *check, const CcClass *class, GVariant *headers,
+         gint64 left)
+{
+  SoupServerMessage *m = check->message;
+  Caller *c = g_new0 (Caller, 1);
+  const char *key = soup_message_headers_get_one (check->headers, CC_HDR_KEY);
+  g_autofree char *path = path_of (m);
+  g_autoptr (GBytes) key_bytes = g_bytes_new (key, strlen (key));
+  g_autoptr (GBytes) body =
+      soup_message_body_flatten (soup_server_message_get_request_body (m));
+  CcWish w = { .class = class,
+               .tenant =
+                   header_or (check->headers, CC_HDR_TENANT, TENANT_DEFAULT),
+               .idempotency =
+                   header_or (check->headers, CC_HDR_IDEMPOTENCY, ""),
+               .method = soup_server_message_get_method (m),
+               .path = path,
+               .headers = headers,
+               .key = key_bytes,
+               .body = body,
+               .deadline = cc_clock_wall () + left };
+
+  c->entry = e;
+  c->message = g_object_ref (m);
+  c->stats = find_stats (e, class->name);
+  c->within = class->within;
+  c->started = cc_clock_now ();
+  g_signal_connect (m, "finished", G_CALLBACK (on_finished), c);
+  soup_server_message_pause (m);
+  c->ask = cc_router_ask (e->router, &w, on_outcome, c);
+  if (c->answered)
+    c->ask = NULL;
+}
+
+static void
+on_request (SoupServer *server, SoupServerMessage *m, const char *path,
+            GHashTable *query, gpointer data)
+{
+  Entry *e = data;
+  Check c = { .message = m,
+              .headers = soup_server_message_get_request_headers (m) };
+  const CcClass *class;
+  g_autoptr (GVariant) headers = NULL;
+  gint64 left;
+
+  (void) server, (void) path, (void) query;
+  if (e->follower->document == NULL)
+    {
+      answer_outcome (m, SOUP_STATUS_SERVICE_UNAVAILABLE, CC_OUTCOME_NOT_RUN,
+                      "starting", "no configuration yet", 1000);
+      return;
+    }
+  cc_findings_init (&c.findings);
+  class = check_class (&c, e->follower->document);
+  check_key (&c);
+  check_name (&c, CC_HDR_TENANT, FALSE);
+  check_idempotency (&c, class);
+  left = check_timeout (&c, class);
+  headers = copy_headers (&c);
+  if (cc_findings_count (&c.findings) > 0)
+    refuse_findings (m, &c.findings);
+  else if (left <= 0)
+    answer_outcome (m, SOUP_STATUS_GATEWAY_TIMEOUT, CC_OUTCOME_NOT_RUN,
+                    "deadline", "the deadline is in the past", 0);
+  else
+    pass_on (e, &c, class, headers, left);
+  cc_findings_clear (&c.findings);
+}
+
+/* Refuses a body that is too large before reading it. */
+static void
+on_headers (SoupServer *server, SoupServerMessage *m, const char *path,
+            GHashTable *query, gpointer data)
+{
+  SoupMessageHeaders *h = soup_server_message_get_request_headers (m);
+
+  (void) server, (void) path, (void) query, (void) data;
+  if (soup_message_headers_get_encoding (h) != SOUP_ENCODING_CONTENT_LENGTH ||
+      soup_message_headers_get_content_length (h) <= CC_BODY_MAX)
+    return;
+  soup_message_headers_replace (soup_server_message_get_response_headers (m),
+                                "Connection", "close");
+  answer_outcome (m, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, CC_OUTCOME_NOT_RUN,
+                  "malformed", "the body is too large", 0);
+}
+
+static void
+on_view_changed (CcFollower *f, gpointer data)
+{
+  Entry *e = data;
+
+  (void) f;
+  cc_router_view_changed (e->router);
+}
+
+static void
+on_message (const CcMessage *m, gpointer data)
+{
+  Entry *e = data;
+
+  if (m->kind == CC_MSG_REPLY)
+    cc_router_reply (e->router, m);
+  else if (m->kind == CC_MSG_ROWS)
+    cc_follower_receive (e->follower, m);
+}
+
+static void
+on_link (const char *address, gboolean up, gpointer data)
+{
+  Entry *e = data;
+
+  cc_router_link (e->router, address, up);
+}
+
+static const char *
+why_not_ready (gpointer data)
+{
+  Entry *e = data;
+
+  if (e->stop_at != 0)
+    return "draining\n";
+  if (e->follower->document == NULL)
+    return "no configuration yet\n";
+  return g_hash_table_size (e->follower->maps) == 0 ? "no servers yet\n" : NULL;
+}
+
+static gboolean
+on_draining (gpointer data)
+{
+  Entry *e = data;
+  gint64 now = cc_clock_now ();
+  gboolean quiet = now >= e->stop_at - DRAIN_LIMIT + DRAIN_QUIET;
+
+  if (now < e->stop_at && (!quiet || cc_router_pending (e->router) > 0))
+    return G_SOURCE_CONTINUE;
+  cc_log (CC_LOG_INFO, "stopped", "%u requests unanswered",
+          cc_router_pending (e->router));
+  exit (0);
+}
+
+static gboolean
+on_stop (gpointer data)
+{
+  Entry *e = data;
+
+  if (e->stop_at != 0)
+    return G_SOURCE_CONTINUE;
+  cc_log (CC_LOG_INFO, "draining", "no longer ready");
+  e->stop_at = cc_clock_now () + DRAIN_LIMIT;
+  g_timeout_add (50, on_draining, e);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+open_ports (Entry *e, const CcSetting *settings, guint64 incarnation)
+{
+  g_autofree char *message = NULL;
+
+  e->callers = soup_server_new ("server-header", "capercrank", NULL);
+  soup_server_add_early_handler (e->callers, NULL, on_headers, e, NULL);
+  soup_server_add_handler (e->callers, NULL, on_request, e, NULL);
+  e->mailbox = cc_mailbox_new (cc_setting (settings, "listen"),
+                               cc_setting_advertised (settings), incarnation,
+                               on_message, on_link, e, &message);
+  if (e->mailbox != NULL &&
+      cc_http_listen (e->callers, cc_setting (settings, "callers"), &message) &&
+      cc_admin_listen (cc_setting (settings, "admin"), why_not_ready, e,
+                       &message) != NULL)
+    return TRUE;
+  fprintf (stderr, "capercrank-entry: %s\n", message);
+  return FALSE;
+}
+
+int
+main (int argc, char **argv)
+{
+  CcSetting settings[] = {
+    { CC_SETTING_STRING, "instance", NULL, "name of this instance", 0, 0,
+      NULL },
+    { CC_SETTING_STRING, "zone", NULL, "its availability zone", 0, 0, NULL },
+    { CC_SETTING_ADDRESS, "callers", NULL, "where callers connect", 0, 0,
+      NULL },
+    { CC_SETTING_ADDRESS, "listen", NULL, "mailbox for other processes", 0, 0,
+      NULL },
+    { CC_SETTING_ADDRESSES, "advertise", "",
+      "address by which others reach the mailbox, if another", 0, 0, NULL },
+    { CC_SETTING_ADDRESS, "admin", NULL, "metrics and readiness", 0, 0, NULL },
+    { CC_SETTING_ADDRESSES, "dispatchers", NULL,
+      "mailboxes to learn from, this instance's first", 0, 0, NULL },
+    { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
+  };
+  Entry e = { 0 };
+  g_auto (GStrv) seeds = NULL;
+
+  switch (cc_settings_read (settings, "capercrank-entry",
+                            "Takes callers' requests.", argc, argv))
+    {
+    case CC_START_STOP:
+      return 0;
+    case CC_START_FAIL:
+      return 2;
+    case CC_START_RUN:
+      break;
+    }
+  e.stats = g_hash_table_new (g_str_hash, g_str_equal);
+  if (!open_ports (&e, settings, cc_clock_incarnation ()))
+    return 1;
+  seeds = cc_setting_list (settings, "dispatchers");
+  e.follower =
+      cc_follower_new (e.mailbox, NULL, "", seeds, FALSE, on_view_changed, &e);
+  e.router = cc_router_new (e.follower, e.mailbox);
+  cc_follower_start (e.follower);
+  cc_run_until_signal (on_stop, &e);
+  return 0;
+}
--- /dev/null
+++ b/follower.c
@@ -0,0 +1,323 @@
+/* Rows come from the platform by polling for changes, and from peers by SYNC
+ * and ROWS; the view takes whichever is newer.  A process that starts in a
+ * zone cut off from the platform thus gets the newest rows its peers hold.
+ *
+ * Load: one small read a poll.  Entries ask their own instance's dispatcher
+ * and never the platform, so the platform sees one reader per instance. */
+#include "follower.h"
+
+#include <json-glib/json-glib.h>
+
+#include "clock.h"
+#include "log.h"
+#include "metrics.h"
+
+#define TICK_MS 100    /* how often the rest is looked at */
+#define POLL_TICKS 2   /* platform asked every 200 ms: 5 reads/s each */
+#define GOSSIP_TICKS 5 /* a peer asked every 500 ms */
+#define LISTENER_KEPT (2 * CC_SECOND) /* without a SYNC it is forgotten */
+
+typedef struct
+{
+  guint64 incarnation; /* who asked */
+  guint64 upto;        /* sent to it so far */
+  gint64 heard;        /* when it last asked, us */
+} Listener;
+
+static void
+member_free (gpointer data)
+{
+  CcMember *m = data;
+
+  g_free (m->id);
+  g_free (m->instance);
+  g_free (m->address);
+  g_free (m->zone);
+  g_free (m);
+}
+
+static void
+map_free (gpointer data)
+{
+  cc_slicemap_free (data);
+}
+
+/* A follower that talks through BOX.  SEEDS are copied; SKIP must last.
+ * CHANGED is called after the view has news. */
+CcFollower *
+cc_follower_new (CcMailbox *box, CcPlatform *platform, const char *skip,
+                 char **seeds, gboolean gossips, CcFollowerChanged changed,
+                 gpointer data)
+{
+  CcFollower *f = g_new0 (CcFollower, 1);
+
+  cc_view_init (&f->view);
+  f->maps = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, map_free);
+  f->members =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, member_free);
+  f->listeners =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  f->mailbox = box;
+  f->platform = platform;
+  f->skip = skip;
+  f->seeds = g_strdupv (seeds);
+  f->gossips = gossips;
+  f->changed = changed;
+  f->data = data;
+  return f;
+}
+
+static void
+take_document (CcFollower *f, const CcRow *row)
+{
+  CcFindings findings;
+  CcDocument *d;
+
+  cc_findings_init (&findings);
+  d = cc_document_parse (row->value, -1, &findings);
+  if (d != NULL)
+    {
+      cc_document_free (f->document);
+      f->document = d;
+      f->document_version = row->version;
+      cc_log (CC_LOG_INFO, "configuration",
+              "version %" G_GUINT64_FORMAT " is in force", row->version);
+      cc_metrics_gauge ("capercrank_configuration_version", "",
+                        (double) row->version);
+    }
+  else
+    cc_log (CC_LOG_ERROR, "configuration",
+            "row of version %" G_GUINT64_FORMAT " is damaged, kept the old",
+            row->version);
+  cc_findings_clear (&findings);
+}
+
+static void
+take_map (CcFollower *f, const CcRow *row)
+{
+  const char *pool = row->key + strlen ("map/");
+  CcSliceMap *old = g_hash_table_lookup (f->maps, pool);
+  CcSliceMap *m;
+
+  if (old != NULL && old->version >= row->version)
+    return;
+  m = cc_slicemap_parse (pool, row->version, row->value);
+  if (m != NULL)
+    g_hash_table_insert (f->maps, g_strdup (pool), m);
+}
+
+static void
+take_member (CcFollower *f, const CcRow *row)
+{
+  g_autoptr (JsonNode) root = json_from_string (row->value, NULL);
+  JsonObject *o;
+  CcMember *m;
+
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return;
+  o = json_node_get_object (root);
+  m = g_new0 (CcMember, 1);
+  m->id = g_strdup (row->key + strlen ("member/"));
+  m->instance =
+      g_strdup (json_object_get_string_member_with_default (o, "instance", ""));
+  m->address =
+      g_strdup (json_object_get_string_member_with_default (o, "address", ""));
+  m->zone =
+      g_strdup (json_object_get_string_member_with_default (o, "zone", ""));
+  m->incarnation =
+      (guint64) json_object_get_int_member_with_default (o, "incarnation", 0);
+  m->draining =
+      json_object_get_boolean_member_with_default (o, "draining", FALSE);
+  g_hash_table_replace (f->members, m->id, m);
+  if (m->address[0] != '\0')
+    cc_mailbox_connect (f->mailbox, m->address);
+}
+
+static void
+read_view (CcFollower *f)
+{
+  const CcRow *head = cc_view_get (&f->view, "config/head");
+  g_autoptr (GPtrArray) maps = cc_view_list (&f->view, "map/");
+  g_autoptr (GPtrArray) members = cc_view_list (&f->view, "member/");
+
+  if (head != NULL && head->version > f->document_version)
+    take_document (f, head);
+  for (guint i = 0; i < maps->len; i++)
+    take_map (f, maps->pdata[i]);
+  g_hash_table_remove_all (f->members);
+  for (guint i = 0; i < members->len; i++)
+    take_member (f, members->pdata[i]);
+}
+
+static void
+send_rows (CcFollower *f, const char *address, Listener *l)
+{
+  CcMessage m = { .kind = CC_MSG_ROWS };
+
+  m.to = l->incarnation;
+  m.id = cc_mailbox_next_id (f->mailbox);
+  m.expires = cc_clock_wall () + CC_SECOND + CC_SKEW_MAX;
+  m.u.rows.since = l->upto;
+  m.u.rows.upto = f->view.upto;
+  m.u.rows.rows = cc_view_since (&f->view, l->upto);
+  if (cc_mailbox_send (f->mailbox, address, &m) == CC_OK)
+    l->upto = f->view.upto;
+}
+
+static void
+tell_listeners (CcFollower *f)
+{
+  GHashTableIter iter;
+  gpointer address, listener;
+  gint64 now = cc_clock_now ();
+
+  g_hash_table_iter_init (&iter, f->listeners);
+  while (g_hash_table_iter_next (&iter, &address, &listener))
+    {
+      if (((Listener *) listener)->heard < now - LISTENER_KEPT)
+        g_hash_table_iter_remove (&iter);
+      else
+        send_rows (f, address, listener);
+    }
+}
+
+static void
+take_rows (CcFollower *f, guint64 since, guint64 upto, GVariant *rows)
+{
+  if (cc_view_apply (&f->view, since, upto, rows) == 0)
+    return;
+  read_view (f);
+  f->changed (f, f->data);
+  tell_listeners (f);
+}
+
+static void
+on_polled (CcStatus status, guint64 since, guint64 upto, GVariant *rows,
+           gpointer data)
+{
+  CcFollower *f = data;
+
+  f->polling = FALSE;
+  if (status != CC_OK)
+    return;
+  f->platform_ok = cc_clock_now ();
+  take_rows (f, since, upto, rows);
+}
+
+/* Asks the platform for changes now, unless a call is in progress. */
+void
+cc_follower_poll (CcFollower *f)
+{
+  if (f->platform == NULL || f->polling)
+    return;
+  f->polling = TRUE;
+  cc_platform_changes (f->platform, f->view.upto, f->skip, on_polled, f);
+}
+
+static void
+ask_peer (CcFollower *f, const char *address)
+{
+  CcMessage m = { .kind = CC_MSG_SYNC };
+
+  m.id = cc_mailbox_next_id (f->mailbox);
+  m.expires = cc_clock_wall () + CC_SECOND + CC_SKEW_MAX;
+  m.u.sync.upto = f->view.upto;
+  if (cc_mailbox_is_up (f->mailbox, address))
+    cc_mailbox_send (f->mailbox, address, &m);
+}
+
+static void
+ask_any_member (CcFollower *f)
+{
+  guint n = g_hash_table_size (f->members);
+  guint pick = n > 0 ? g_random_int_range (0, (gint32) n) : 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, f->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (pick-- == 0)
+      ask_peer (f, ((CcMember *) value)->address);
+}
+
+/* The first seed that is up is asked each tick; if none is, any member. */
+static void
+ask_seeds (CcFollower *f)
+{
+  for (guint i = 0; f->seeds[i] != NULL; i++)
+    if (cc_mailbox_is_up (f->mailbox, f->seeds[i]))
+      {
+        ask_peer (f, f->seeds[i]);
+        return;
+      }
+  ask_any_member (f);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  CcFollower *f = data;
+
+  f->turn++;
+  if (f->turn % POLL_TICKS == 0)
+    cc_follower_poll (f);
+  if (!f->gossips)
+    ask_seeds (f);
+  else if (f->turn % GOSSIP_TICKS == 0)
+    {
+      ask_any_member (f);
+      ask_seeds (f);
+    }
+  cc_metrics_gauge ("capercrank_view_version", "", (double) f->view.upto);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Begins to follow. */
+void
+cc_follower_start (CcFollower *f)
+{
+  for (guint i = 0; f->seeds[i] != NULL; i++)
+    cc_mailbox_connect (f->mailbox, f->seeds[i]);
+  cc_follower_poll (f);
+  g_timeout_add (TICK_MS, on_tick, f);
+}
+
+static void
+answer_sync (CcFollower *f, const CcMessage *m)
+{
+  Listener *l = g_hash_table_lookup (f->listeners, m->reply_to);
+
+  if (l == NULL)
+    {
+      l = g_new0 (Listener, 1);
+      g_hash_table_insert (f->listeners, g_strdup (m->reply_to), l);
+    }
+  l->incarnation = m->from;
+  l->heard = cc_clock_now ();
+  l->upto = m->u.sync.upto;
+  send_rows (f, m->reply_to, l);
+}
+
+/* Handles a SYNC or ROWS message. */
+void
+cc_follower_receive (CcFollower *f, const CcMessage *m)
+{
+  if (m->kind == CC_MSG_SYNC)
+    answer_sync (f, m);
+  else if (m->kind == CC_MSG_ROWS)
+    take_rows (f, m->u.rows.since, m->u.rows.upto, m->u.rows.rows);
+}
+
+/* The newest map of POOL, or NULL.  Valid until the view changes. */
+CcSliceMap *
+cc_follower_map (const CcFollower *f, const char *pool)
+{
+  return g_hash_table_lookup (f->maps, pool);
+}
+
+/* The registered dispatcher ID, or NULL.  Valid until the view changes. */
+const CcMember *
+cc_follower_member (const CcFollower *f, const char *id)
+{
+  return g_hash_table_lookup (f->members, id);
+}
--- /dev/null
+++ b/mailbox.c
@@ -0,0 +1,361 @@
+/* nng PUSH and PULL sockets: one PULL that all peers push to, one PUSH per
+ * peer.  PUSH was chosen over nng's other patterns for what it does not do:
+ *
+ *  - REQ sends a request again to another replier when the first is gone, so
+ *    work that must run at most once would run twice;
+ *  - PAIR in its many-peers mode drops silently past two queued messages;
+ *  - PUSH never sends a message twice, blocks when the peer is slow (here:
+ *    CC_FULL, nothing sent), and tells by a pipe event when the peer is gone.
+ *
+ * What PUSH does do: it keeps a message while no peer is there and hands it to
+ * whoever comes later.  So a message names the incarnation it is meant for and
+ * a time after which it is dropped; both are checked and counted here.
+ *
+ * nng calls back on threads of its own.  They hand over through a locked queue
+ * and wake the main loop once for many messages.
+ */
+#include "mailbox.h"
+
+#include <string.h>
+
+#include <gio/gio.h>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include "clock.h"
+#include "log.h"
+#include "metrics.h"
+#include "settings.h"
+
+#define LINK_QUEUE 512       /* messages; a burst of 50 ms at 10,000/s */
+#define RECONNECT_MIN_MS 20  /* a restarted peer is found at once */
+#define RECONNECT_MAX_MS 200 /* and a lost one costs 5 packets a second */
+
+typedef struct
+{
+  CcMailbox *box;
+  char *address;
+  nng_socket socket;
+  nng_dialer dialer;
+  gint up;       /* set on nng's thread, read atomically */
+  gint reported; /* what the main loop was told last */
+} Link;
+
+struct CcMailbox
+{
+  char *address;       /* IP:PORT others reply to */
+  nng_sockaddr source; /* where outgoing connections come from */
+  guint64 incarnation; /* of this process */
+  guint64 last_id;     /* ids count up and are never reused */
+  nng_socket pull;
+  nng_aio *aio;       /* the one receive in progress */
+  GHashTable *links;  /* address to Link */
+  GMutex lock;        /* guards the next three */
+  GQueue arrived;     /* of nng_msg, in order */
+  GQueue changed;     /* of Link whose state changed */
+  gboolean scheduled; /* the main loop will look */
+  CcMailboxReceive receive;
+  CcMailboxLink link;
+  gpointer data;
+  CcCounter *received;
+  CcCounter *damaged; /* refused by the codec */
+  CcCounter *stale;   /* expired, or for an earlier incarnation */
+  CcCounter *refused; /* not sent: link full or down */
+};
+
+static gboolean deliver (gpointer data);
+
+/* Called on nng's threads.  A source is attached in place of
+ * g_main_context_invoke, which before the main loop runs would call deliver
+ * here, on this thread and under the lock: a process that got a message while
+ * starting then hung for good. */
+static void
+wake (CcMailbox *box)
+{
+  GSource *source;
+
+  if (box->scheduled)
+    return;
+  box->scheduled = TRUE;
+  source = g_idle_source_new ();
+  g_source_set_priority (source, G_PRIORITY_DEFAULT);
+  g_source_set_callback (source, deliver, box, NULL);
+  g_source_attach (source, NULL);
+  g_source_unref (source);
+}
+
+/* Runs on nng's thread. */
+static void
+on_receive (void *arg)
+{
+  CcMailbox *box = arg;
+
+  if (nng_aio_result (box->aio) == NNG_ECLOSED)
+    return;
+  if (nng_aio_result (box->aio) == 0)
+    {
+      g_mutex_lock (&box->lock);
+      g_queue_push_tail (&box->arrived, nng_aio_get_msg (box->aio));
+      wake (box);
+      g_mutex_unlock (&box->lock);
+    }
+  nng_recv_aio (box->pull, box->aio);
+}
+
+static void
+release_message (gpointer msg)
+{
+  nng_msg_free (msg);
+}
+
+static void
+take_message (CcMailbox *box, nng_msg *msg)
+{
+  g_autoptr (GBytes) bytes = g_bytes_new_with_free_func (
+      nng_msg_body (msg), nng_msg_len (msg), release_message, msg);
+  CcMessage m;
+
+  ++*box->received;
+  if (cc_wire_decode (bytes, &m) != CC_OK)
+    {
+      ++*box->damaged;
+      return;
+    }
+  if ((m.to != 0 && m.to != box->incarnation) ||
+      (m.expires != 0 && m.expires < cc_clock_wall ()))
+    ++*box->stale;
+  else
+    box->receive (&m, box->data);
+  cc_message_clear (&m);
+}
+
+static void
+tell_link (Link *l)
+{
+  gboolean up = g_atomic_int_get (&l->up);
+
+  if (up == l->reported)
+    return;
+  l->reported = up;
+  l->box->link (l->address, up, l->box->data);
+}
+
+static gboolean
+deliver (gpointer data)
+{
+  CcMailbox *box = data;
+  GQueue arrived, changed;
+  nng_msg *msg;
+  Link *l;
+
+  g_mutex_lock (&box->lock);
+  arrived = box->arrived;
+  changed = box->changed;
+  g_queue_init (&box->arrived);
+  g_queue_init (&box->changed);
+  box->scheduled = FALSE;
+  g_mutex_unlock (&box->lock);
+  while ((msg = g_queue_pop_head (&arrived)) != NULL)
+    take_message (box, msg);
+  while ((l = g_queue_pop_head (&changed)) != NULL)
+    tell_link (l);
+  return G_SOURCE_REMOVE;
+}
+
+/* Runs on nng's thread. */
+static void
+on_pipe (nng_pipe pipe, nng_pipe_ev event, void *arg)
+{
+  Link *l = arg;
+
+  (void) pipe;
+  g_atomic_int_set (&l->up, event == NNG_PIPE_EV_ADD_POST);
+  g_mutex_lock (&l->box->lock);
+  g_queue_push_tail (&l->box->changed, l);
+  wake (l->box);
+  g_mutex_unlock (&l->box->lock);
+}
+
+static void
+link_free (gpointer data)
+{
+  Link *l = data;
+
+  nng_close (l->socket);
+  g_free (l->address);
+  g_free (l);
+}
+
+static void
+init_counters (CcMailbox *box)
+{
+  box->received = cc_metrics_counter ("capercrank_messages_received", "");
+  box->damaged = cc_metrics_counter ("capercrank_messages_damaged", "");
+  box->stale = cc_metrics_counter ("capercrank_messages_stale", "");
+  box->refused = cc_metrics_counter ("capercrank_messages_refused", "");
+}
+
+/* Outgoing connections come from the address that the process listens on, so
+ * that peers and firewalls see an instance under one address. */
+static void
+set_source (CcMailbox *box, const char *listen)
+{
+  g_autofree char *ip = NULL;
+  g_autoptr (GInetAddress) address = NULL;
+
+  cc_address_parse (listen, &ip, NULL);
+  address = g_inet_address_new_from_string (ip);
+  if (g_inet_address_get_family (address) != G_SOCKET_FAMILY_IPV4)
+    return;
+  box->source.s_in.sa_family = NNG_AF_INET;
+  memcpy (&box->source.s_in.sa_addr, g_inet_address_to_bytes (address), 4);
+}
+
+static int
+listen_at (CcMailbox *box, const char *listen)
+{
+  g_autofree char *url = g_strconcat ("tcp://", listen, NULL);
+  int rv = nng_pull0_open (&box->pull);
+
+  if (rv != 0)
+    return rv;
+  nng_socket_set_size (box->pull, NNG_OPT_RECVMAXSZ, CC_WIRE_MAX);
+  rv = nng_listen (box->pull, url, NULL, 0);
+  if (rv != 0)
+    {
+      nng_close (box->pull);
+      return rv;
+    }
+  rv = nng_aio_alloc (&box->aio, on_receive, box);
+  if (rv == 0)
+    nng_recv_aio (box->pull, box->aio);
+  return rv;
+}
+
+/* Opens a mailbox at LISTEN (IP:PORT), which peers reach at ADVERTISE.  Returns
+ * NULL with *MESSAGE set, to be freed, if the port is taken or the address is
+ * not this machine's. */
+CcMailbox *
+cc_mailbox_new (const char *listen, const char *advertise, guint64 incarnation,
+                CcMailboxReceive receive, CcMailboxLink link, gpointer data,
+                char **message)
+{
+  CcMailbox *box = g_new0 (CcMailbox, 1);
+  int rv;
+
+  box->address = g_strdup (advertise);
+  box->incarnation = incarnation;
+  box->receive = receive;
+  box->link = link;
+  box->data = data;
+  box->links = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, link_free);
+  g_mutex_init (&box->lock);
+  init_counters (box);
+  set_source (box, listen);
+  rv = listen_at (box, listen);
+  if (rv == 0)
+    return box;
+  *message =
+      g_strdup_printf ("can't listen at %s: %s", listen, nng_strerror (rv));
+  g_hash_table_unref (box->links);
+  g_free (box->address);
+  g_free (box);
+  return NULL;
+}
+
+static Link *
+find_link (CcMailbox *box, const char *address)
+{
+  Link *l = g_hash_table_lookup (box->links, address);
+  g_autofree char *url = NULL;
+
+  if (l != NULL)
+    return l;
+  l = g_new0 (Link, 1);
+  l->box = box;
+  l->address = g_strdup (address);
+  url = g_strconcat ("tcp://", address, NULL);
+  nng_push0_open (&l->socket);
+  nng_socket_set_int (l->socket, NNG_OPT_SENDBUF, LINK_QUEUE);
+  nng_socket_set_ms (l->socket, NNG_OPT_RECONNMINT, RECONNECT_MIN_MS);
+  nng_socket_set_ms (l->socket, NNG_OPT_RECONNMAXT, RECONNECT_MAX_MS);
+  nng_pipe_notify (l->socket, NNG_PIPE_EV_ADD_POST, on_pipe, l);
+  nng_pipe_notify (l->socket, NNG_PIPE_EV_REM_POST, on_pipe, l);
+  if (nng_dialer_create (&l->dialer, l->socket, url) == 0)
+    {
+      if (box->source.s_family == NNG_AF_INET)
+        nng_dialer_set_addr (l->dialer, NNG_OPT_LOCADDR, &box->source);
+      nng_dialer_start (l->dialer, NNG_FLAG_NONBLOCK);
+    }
+  g_hash_table_insert (box->links, l->address, l);
+  return l;
+}
+
+/* Starts connecting to ADDRESS (IP:PORT), so that later sends find it up. */
+void
+cc_mailbox_connect (CcMailbox *box, const char *address)
+{
+  find_link (box, address);
+}
+
+/* Whether the link to ADDRESS stands right now, as far as TCP can tell. */
+gboolean
+cc_mailbox_is_up (CcMailbox *box, const char *address)
+{
+  return g_atomic_int_get (&find_link (box, address)->up);
+}
+
+static gboolean
+waits_for_link (CcMessageKind kind)
+{
+  return kind != CC_MSG_REQUEST;
+}
+
+/* Sends M, filling in its envelope except for `to`, `id` and `expires`.
+ * CC_UNREACHABLE and CC_FULL both mean that nothing left the process.  Only a
+ * request needs a link that is up: the others may wait for it a while. */
+CcStatus
+cc_mailbox_send (CcMailbox *box, const char *address, CcMessage *m)
+{
+  Link *l = find_link (box, address);
+  g_autoptr (GBytes) bytes = NULL;
+  gsize size;
+  gconstpointer data;
+  int rv;
+
+  if (!waits_for_link (m->kind) && !g_atomic_int_get (&l->up))
+    {
+      ++*box->refused;
+      return CC_UNREACHABLE;
+    }
+  m->from = box->incarnation;
+  m->reply_to = box->address;
+  bytes = cc_wire_encode (m);
+  data = g_bytes_get_data (bytes, &size);
+  rv = nng_send (l->socket, (void *) data, size, NNG_FLAG_NONBLOCK);
+  if (rv == 0)
+    return CC_OK;
+  ++*box->refused;
+  return CC_FULL;
+}
+
+/* An id that this process has not used before. */
+guint64
+cc_mailbox_next_id (CcMailbox *box)
+{
+  return ++box->last_id;
+}
+
+/* Closes all links.  Messages not yet sent are lost. */
+void
+cc_mailbox_free (CcMailbox *box)
+{
+  nng_close (box->pull);
+  nng_aio_stop (box->aio);
+  nng_aio_free (box->aio);
+  g_hash_table_unref (box->links);
+  g_mutex_clear (&box->lock);
+  g_free (box->address);
+  g_free (box);
+}
--- /dev/null
+++ b/metrics.c
@@ -0,0 +1,204 @@
+/* One registry per process, touched by its main loop only.
+ *
+ * A caller looks its counter up once and keeps the pointer: counting then
+ * allocates nothing.  Labels come preformatted, class="book once", and their
+ * number is bounded here, since a tenant's name comes from outside: past
+ * SERIES_MAX a name's further labels share one series, labelled "other".
+ */
+#include "metrics.h"
+
+#include <math.h>
+#include <string.h>
+
+#define SERIES_MAX 4096 /* keeps a flood of tenant names under 20 MB */
+#define STEP_BITS 4     /* 16 linear steps in a power of two */
+
+typedef enum
+{
+  SERIES_COUNTER,
+  SERIES_GAUGE,
+  SERIES_HISTOGRAM
+} SeriesKind;
+
+typedef struct
+{
+  SeriesKind kind;
+  char *name;
+  char *labels;
+  union
+  {
+    CcCounter counter;
+    double gauge;
+    CcHistogram *histogram;
+  } u;
+} Series;
+
+static GTree *registry; /* "name{labels}" to Series, in order for printing */
+
+static guint
+bucket_of (guint64 value)
+{
+  guint top, index;
+
+  if (value < 16)
+    return (guint) value;
+  top = 63 - (guint) __builtin_clzll (value);
+  index = ((top - STEP_BITS + 1) << STEP_BITS) +
+          (guint) ((value >> (top - STEP_BITS)) & 15);
+  return MIN (index, CC_HISTOGRAM_BUCKETS - 1);
+}
+
+static gint64
+bucket_top (guint index)
+{
+  guint shift;
+
+  if (index < 16)
+    return index;
+  shift = (index >> STEP_BITS) - 1;
+  return (gint64) (((guint64) (16 + (index & 15)) + 1) << shift) - 1;
+}
+
+/* Adds VALUE, in microseconds; below zero counts as zero. */
+void
+cc_histogram_add (CcHistogram *h, gint64 value)
+{
+  guint64 v = value < 0 ? 0 : (guint64) value;
+
+  h->counts[bucket_of (v)]++;
+  h->total++;
+  h->sum += v;
+}
+
+/* The value below which SHARE (0 to 1) of the values lie, as the upper edge of
+ * its bucket in microseconds; 0 if H is empty. */
+gint64
+cc_histogram_quantile (const CcHistogram *h, double share)
+{
+  guint64 rank = (guint64) ceil (share * (double) h->total);
+  guint64 seen = 0;
+
+  if (h->total == 0)
+    return 0;
+  for (guint i = 0; i < CC_HISTOGRAM_BUCKETS; i++)
+    {
+      seen += h->counts[i];
+      if (seen >= MAX (rank, 1))
+        return bucket_top (i);
+    }
+  return bucket_top (CC_HISTOGRAM_BUCKETS - 1);
+}
+
+/* Adds FROM's values to INTO. */
+void
+cc_histogram_merge (CcHistogram *into, const CcHistogram *from)
+{
+  for (guint i = 0; i < CC_HISTOGRAM_BUCKETS; i++)
+    into->counts[i] += from->counts[i];
+  into->total += from->total;
+  into->sum += from->sum;
+}
+
+static gint
+compare_names (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  (void) unused;
+  return strcmp (a, b);
+}
+
+static Series *
+find_series (SeriesKind kind, const char *name, const char *labels)
+{
+  g_autofree char *id = g_strdup_printf ("%s{%s}", name, labels);
+  Series *s;
+
+  if (registry == NULL)
+    registry = g_tree_new_full (compare_names, NULL, g_free, NULL);
+  s = g_tree_lookup (registry, id);
+  if (s != NULL)
+    return s;
+  if (g_tree_nnodes (registry) >= SERIES_MAX &&
+      !g_str_equal (labels, "other=\"1\""))
+    return find_series (kind, name, "other=\"1\"");
+  s = g_new0 (Series, 1);
+  s->kind = kind;
+  s->name = g_strdup (name);
+  s->labels = g_strdup (labels);
+  if (kind == SERIES_HISTOGRAM)
+    s->u.histogram = g_new0 (CcHistogram, 1);
+  g_tree_insert (registry, g_steal_pointer (&id), s);
+  return s;
+}
+
+/* The counter NAME with LABELS, made at first use.  Valid for ever. */
+CcCounter *
+cc_metrics_counter (const char *name, const char *labels)
+{
+  return &find_series (SERIES_COUNTER, name, labels)->u.counter;
+}
+
+/* The histogram NAME with LABELS, made at first use.  Valid for ever. */
+CcHistogram *
+cc_metrics_histogram (const char *name, const char *labels)
+{
+  return find_series (SERIES_HISTOGRAM, name, labels)->u.histogram;
+}
+
+/* Sets the gauge NAME with LABELS to VALUE. */
+void
+cc_metrics_gauge (const char *name, const char *labels, double value)
+{
+  find_series (SERIES_GAUGE, name, labels)->u.gauge = value;
+}
+
+static void
+print_histogram (GString *out, const Series *s)
+{
+  static const double shares[] = { 0.5, 0.9, 0.99, 0.999 };
+  const CcHistogram *h = s->u.histogram;
+  const char *comma = s->labels[0] != '\0' ? "," : "";
+
+  for (guint i = 0; i < G_N_ELEMENTS (shares); i++)
+    g_string_append_printf (
+        out, "%s{%s%squantile=\"%g\"} %.6f\n", s->name, s->labels, comma,
+        shares[i], (double) cc_histogram_quantile (h, shares[i]) / 1e6);
+  g_string_append_printf (out, "%s_sum{%s} %.6f\n", s->name, s->labels,
+                          (double) h->sum / 1e6);
+  g_string_append_printf (out, "%s_count{%s} %" G_GUINT64_FORMAT "\n", s->name,
+                          s->labels, h->total);
+}
+
+static gboolean
+print_series (gpointer key, gpointer value, gpointer data)
+{
+  GString *out = data;
+  const Series *s = value;
+
+  (void) key;
+  switch (s->kind)
+    {
+    case SERIES_COUNTER:
+      g_string_append_printf (out, "%s{%s} %" G_GUINT64_FORMAT "\n", s->name,
+                              s->labels, s->u.counter);
+      break;
+    case SERIES_GAUGE:
+      g_string_append_printf (out, "%s{%s} %g\n", s->name, s->labels,
+                              s->u.gauge);
+      break;
+    case SERIES_HISTOGRAM:
+      print_histogram (out, s);
+      break;
+    }
+  return FALSE;
+}
+
+/* Every series as text, times in seconds.  The caller frees it. */
+char *
+cc_metrics_text (void)
+{
+  GString *out = g_string_new (NULL);
+
+  if (registry != NULL)
+    g_tree_foreach (registry, print_series, out);
+  return g_string_free (out, FALSE);
+}
--- /dev/null
+++ b/metrics.h
@@ -0,0 +1,29 @@
+/* Counters and histograms, printed in the text format of monitoring systems. */
+#ifndef CC_METRICS_H
+#define CC_METRICS_H
+
+#include <glib.h>
+
+/* Log-linear: 16 linear steps in each power of two, 6% wide at most, from 1 us
+ * to 2^40 us (12 days). */
+#define CC_HISTOGRAM_BUCKETS (16 * 38)
+
+typedef struct
+{
+  guint64 counts[CC_HISTOGRAM_BUCKETS]; /* values in each bucket */
+  guint64 total;                        /* values in all */
+  guint64 sum;                          /* of the values, us */
+} CcHistogram;
+
+typedef guint64 CcCounter;
+
+void cc_histogram_add (CcHistogram *h, gint64 value);
+gint64 cc_histogram_quantile (const CcHistogram *h, double share);
+void cc_histogram_merge (CcHistogram *into, const CcHistogram *from);
+
+CcCounter *cc_metrics_counter (const char *name, const char *labels);
+CcHistogram *cc_metrics_histogram (const char *name, const char *labels);
+void cc_metrics_gauge (const char *name, const char *labels, double value);
+char *cc_metrics_text (void);
+
+#endif
--- /dev/null
+++ b/outcome.h
@@ -0,0 +1,50 @@
+/* What became of recent once-only requests, so that a repeat is not run. */
+#ifndef CC_OUTCOME_H
+#define CC_OUTCOME_H
+
+#include "capercrank.h"
+
+/* How long an outcome is remembered.  Callers repeat within minutes. */
+#define CC_OUTCOME_KEPT (10 * 60 * CC_SECOND)
+
+/* Outcomes kept at most, and bytes of answers among them. */
+#define CC_OUTCOMES_MAX 50000
+#define CC_OUTCOME_BYTES_MAX (32 * 1024 * 1024)
+
+typedef enum
+{
+  CC_REPEAT_NEW,      /* never seen: run it */
+  CC_REPEAT_RUNNING,  /* the first attempt is under way: wait for it */
+  CC_REPEAT_DONE,     /* its outcome is known: give it again */
+  CC_REPEAT_TOO_OLD,  /* it may have run before this memory began */
+  CC_REPEAT_AHEAD,    /* its time is in the future */
+  CC_REPEAT_MALFORMED /* it is no UUID of version 7 */
+} CcRepeat;
+
+typedef struct
+{
+  CcOutcome outcome;
+  guint status;      /* HTTP status of the server's answer */
+  GVariant *headers; /* a(ss); NULL if none */
+  GBytes *body;      /* NULL if it was too large to keep */
+} CcRemembered;
+
+typedef struct CcOutcomes CcOutcomes;
+
+CcOutcomes *cc_outcomes_new (void);
+void cc_outcomes_free (CcOutcomes *o);
+gboolean cc_idempotency_time (const char *key, gint64 *wall);
+void cc_outcomes_set_horizon (CcOutcomes *o, const char *pool, guint slice,
+                              gint64 wall);
+CcRepeat cc_outcomes_ask (CcOutcomes *o, const char *pool, guint slice,
+                          const char *id, gint64 wall,
+                          const CcRemembered **found);
+void cc_outcomes_start (CcOutcomes *o, const char *pool, guint slice,
+                        const char *id, gint64 wall);
+void cc_outcomes_finish (CcOutcomes *o, const char *pool, guint slice,
+                         const char *id, const CcRemembered *r);
+void cc_outcomes_forget (CcOutcomes *o, const char *pool, guint slice,
+                         const char *id);
+guint cc_outcomes_count (const CcOutcomes *o);
+
+#endif
--- /dev/null
+++ b/platform.c
@@ -0,0 +1,372 @@
+/* HTTP with JSON to the platform, asynchronous, every call bounded by a
+ * timeout.  A write whose answer is lost is reported as CC_UNKNOWN and never
+ * sent again from here: who asked reads the row and sees whether it holds what
+ * they wrote.  Each call opens a connection of its own, so that a connection
+ * gone silent costs one call and not all later ones. */
+#include "platform.h"
+
+#include <string.h>
+
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+
+#include "admin.h"
+#include "clock.h"
+#include "metrics.h"
+
+struct CcPlatform
+{
+  char *base;     /* http://IP:PORT */
+  gint64 timeout; /* of one call, us */
+  SoupSession *session;
+  CcCounter *calls;
+  CcCounter *failures;
+};
+
+typedef struct
+{
+  CcPlatform *platform;
+  SoupMessage *message;
+  GCancellable *cancel;
+  guint timer;
+  gboolean started; /* bytes may have left the process */
+  guint64 since;
+  CcCommitDone commit;
+  CcChangesDone changes;
+  CcInstancesDone instances;
+  gpointer data;
+} Call;
+
+/* A client of the platform at ADDRESS (IP:PORT) whose connections come from
+ * the IP of SOURCE (IP:PORT); TIMEOUT in us per call. */
+CcPlatform *
+cc_platform_new (const char *address, const char *source, gint64 timeout)
+{
+  CcPlatform *p = g_new0 (CcPlatform, 1);
+
+  p->base = g_strconcat ("http://", address, NULL);
+  p->timeout = timeout;
+  p->session = cc_http_client (source, 64);
+  p->calls = cc_metrics_counter ("capercrank_platform_calls", "");
+  p->failures = cc_metrics_counter ("capercrank_platform_failures", "");
+  return p;
+}
+
+/* Drops all calls in progress; their callbacks still run, with a failure. */
+void
+cc_platform_free (CcPlatform *p)
+{
+  soup_session_abort (p->session);
+  g_object_unref (p->session);
+  g_free (p->base);
+  g_free (p);
+}
+
+/* An empty transaction, consumed by cc_platform_commit. */
+CcTransaction *
+cc_transaction_new (void)
+{
+  CcTransaction *t = g_new0 (CcTransaction, 1);
+
+  t->checks = g_string_new (NULL);
+  t->writes = g_string_new (NULL);
+  return t;
+}
+
+static void
+append_string (GString *s, const char *text)
+{
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_VALUE);
+  g_autofree char *quoted = NULL;
+
+  json_node_set_string (node, text);
+  quoted = json_to_string (node, FALSE);
+  g_string_append (s, quoted);
+}
+
+/* The transaction holds only if KEY has VERSION (0: there is no such row). */
+void
+cc_transaction_check (CcTransaction *t, const char *key, guint64 version)
+{
+  g_string_append (t->checks, t->checks->len > 0 ? ",[" : "[");
+  append_string (t->checks, key);
+  g_string_append_printf (t->checks, ",%" G_GUINT64_FORMAT "]", version);
+}
+
+/* Writes VALUE at KEY; NULL deletes the row. */
+void
+cc_transaction_put (CcTransaction *t, const char *key, const char *value)
+{
+  g_string_append (t->writes, t->writes->len > 0 ? ",[" : "[");
+  append_string (t->writes, key);
+  g_string_append_c (t->writes, ',');
+  if (value != NULL)
+    append_string (t->writes, value);
+  else
+    g_string_append (t->writes, "null");
+  g_string_append_c (t->writes, ']');
+}
+
+/* The transaction as JSON, to be freed by the caller; consumes T. */
+char *
+cc_transaction_take (CcTransaction *t)
+{
+  char *body = g_strdup_printf ("{\"checks\":[%s],\"writes\":[%s]}",
+                                t->checks->str, t->writes->str);
+
+  g_string_free (t->checks, TRUE);
+  g_string_free (t->writes, TRUE);
+  g_free (t);
+  return body;
+}
+
+static gboolean
+on_timeout (gpointer data)
+{
+  Call *c = data;
+
+  c->timer = 0;
+  g_cancellable_cancel (c->cancel);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_starting (SoupMessage *message, gpointer data)
+{
+  Call *c = data;
+
+  (void) message;
+  c->started = TRUE;
+}
+
+static Call *
+call_new (CcPlatform *p, const char *method, const char *path, gpointer data)
+{
+  g_autofree char *url = g_strconcat (p->base, path, NULL);
+  Call *c = g_new0 (Call, 1);
+
+  c->platform = p;
+  c->data = data;
+  c->message = soup_message_new (method, url);
+  cc_http_once (c->message);
+  c->cancel = g_cancellable_new ();
+  c->timer = g_timeout_add ((guint) (p->timeout / CC_MS), on_timeout, c);
+  g_signal_connect (c->message, "starting", G_CALLBACK (on_starting), c);
+  ++*p->calls;
+  return c;
+}
+
+static void
+call_free (Call *c)
+{
+  if (c->timer != 0)
+    g_source_remove (c->timer);
+  g_object_unref (c->message);
+  g_object_unref (c->cancel);
+  g_free (c);
+}
+
+/* The answer's JSON object, or NULL with *STATUS saying what went wrong. */
+static JsonNode *
+call_finish (Call *c, GAsyncResult *result, CcStatus *status)
+{
+  g_autoptr (GBytes) bytes = NULL;
+  g_autofree char *text = NULL;
+  JsonNode *root = NULL;
+  guint code;
+  gsize size;
+  gconstpointer body;
+
+  bytes =
+      soup_session_send_and_read_finish (c->platform->session, result, NULL);
+  code = soup_message_get_status (c->message);
+  *status = c->started ? CC_UNKNOWN : CC_UNREACHABLE;
+  if (bytes != NULL && code == SOUP_STATUS_CONFLICT)
+    *status = CC_CONFLICT;
+  if (bytes == NULL || code != SOUP_STATUS_OK)
+    {
+      *c->platform->failures += *status != CC_CONFLICT ? 1 : 0;
+      return NULL;
+    }
+  body = g_bytes_get_data (bytes, &size);
+  text = g_strndup (body, size);
+  root = json_from_string (text, NULL);
+  if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
+    {
+      *status = CC_OK;
+      return root;
+    }
+  g_clear_pointer (&root, json_node_unref);
+  return NULL;
+}
+
+static void
+on_committed (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Call *c = data;
+  CcStatus status;
+  g_autoptr (JsonNode) root = call_finish (c, result, &status);
+  guint64 version = 0;
+
+  (void) source;
+  if (root != NULL)
+    version = (guint64) json_object_get_int_member_with_default (
+        json_node_get_object (root), "version", 0);
+  c->commit (status, version, c->data);
+  call_free (c);
+}
+
+/* Sends T, which it consumes.  DONE is called once, from the main loop. */
+void
+cc_platform_commit (CcPlatform *p, CcTransaction *t, CcCommitDone done,
+                    gpointer data)
+{
+  Call *c = call_new (p, "POST", "/v1/transaction", data);
+  char *body = cc_transaction_take (t);
+  g_autoptr (GBytes) bytes = g_bytes_new_take (body, strlen (body));
+
+  c->commit = done;
+  soup_message_set_request_body_from_bytes (c->message, "application/json",
+                                            bytes);
+  soup_session_send_and_read_async (p->session, c->message, G_PRIORITY_DEFAULT,
+                                    c->cancel, on_committed, c);
+}
+
+static GVariant *
+read_rows (JsonObject *o)
+{
+  JsonArray *list = json_object_get_array_member (o, "rows");
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(sts)"));
+  for (guint i = 0; i < json_array_get_length (list); i++)
+    {
+      JsonArray *row = json_array_get_array_element (list, i);
+      const char *value = json_array_get_null_element (row, 2)
+                              ? ""
+                              : json_array_get_string_element (row, 2);
+
+      g_variant_builder_add (
+          &b, "(sts)", json_array_get_string_element (row, 0),
+          (guint64) json_array_get_int_element (row, 1), value);
+    }
+  return g_variant_ref_sink (g_variant_builder_end (&b));
+}
+
+static void
+on_changes (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Call *c = data;
+  CcStatus status;
+  g_autoptr (JsonNode) root = call_finish (c, result, &status);
+  g_autoptr (GVariant) rows = NULL;
+  guint64 upto = 0;
+
+  (void) source;
+  if (root != NULL &&
+      json_object_has_member (json_node_get_object (root), "rows"))
+    {
+      upto = (guint64) json_object_get_int_member (json_node_get_object (root),
+                                                   "upto");
+      rows = read_rows (json_node_get_object (root));
+    }
+  else if (root != NULL)
+    status = CC_INVALID;
+  c->changes (status, c->since, upto, rows, c->data);
+  call_free (c);
+}
+
+/* Asks for the rows written after SINCE, without those whose keys start with
+ * SKIP ("" for none).  DONE is called once. */
+void
+cc_platform_changes (CcPlatform *p, guint64 since, const char *skip,
+                     CcChangesDone done, gpointer data)
+{
+  g_autofree char *path = g_strdup_printf (
+      "/v1/changes?since=%" G_GUINT64_FORMAT "&skip=%s", since, skip);
+  Call *c = call_new (p, "GET", path, data);
+
+  c->changes = done;
+  c->since = since;
+  soup_session_send_and_read_async (p->session, c->message, G_PRIORITY_DEFAULT,
+                                    c->cancel, on_changes, c);
+}
+
+/* Asks for the rows whose keys start with PREFIX, as they are now. */
+void
+cc_platform_rows (CcPlatform *p, const char *prefix, CcChangesDone done,
+                  gpointer data)
+{
+  g_autofree char *quoted = g_uri_escape_string (prefix, NULL, FALSE);
+  g_autofree char *path =
+      g_strconcat ("/v1/changes?since=0&prefix=", quoted, NULL);
+  Call *c = call_new (p, "GET", path, data);
+
+  c->changes = done;
+  soup_session_send_and_read_async (p->session, c->message, G_PRIORITY_DEFAULT,
+                                    c->cancel, on_changes, c);
+}
+
+static void
+instance_free (gpointer data)
+{
+  CcInstance *i = data;
+
+  g_free (i->name);
+  g_free (i->role);
+  g_free (i->zone);
+  g_free (i->address);
+  g_free (i);
+}
+
+static CcInstance *
+read_instance (JsonObject *o)
+{
+  CcInstance *i = g_new0 (CcInstance, 1);
+
+  i->name =
+      g_strdup (json_object_get_string_member_with_default (o, "name", ""));
+  i->role =
+      g_strdup (json_object_get_string_member_with_default (o, "role", ""));
+  i->zone =
+      g_strdup (json_object_get_string_member_with_default (o, "zone", ""));
+  i->address =
+      g_strdup (json_object_get_string_member_with_default (o, "address", ""));
+  i->leaving = g_str_equal (
+      json_object_get_string_member_with_default (o, "state", ""), "leaving");
+  return i;
+}
+
+static void
+on_instances (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Call *c = data;
+  CcStatus status;
+  g_autoptr (JsonNode) root = call_finish (c, result, &status);
+  g_autoptr (GPtrArray) list = g_ptr_array_new_with_free_func (instance_free);
+  JsonArray *array = NULL;
+
+  (void) source;
+  if (root != NULL &&
+      json_object_has_member (json_node_get_object (root), "instances"))
+    array =
+        json_object_get_array_member (json_node_get_object (root), "instances");
+  for (guint i = 0; array != NULL && i < json_array_get_length (array); i++)
+    g_ptr_array_add (list,
+                     read_instance (json_array_get_object_element (array, i)));
+  if (root != NULL && array == NULL)
+    status = CC_INVALID;
+  c->instances (status, list, c->data);
+  call_free (c);
+}
+
+/* Asks for the list of live and leaving instances, which lags. */
+void
+cc_platform_instances (CcPlatform *p, CcInstancesDone done, gpointer data)
+{
+  Call *c = call_new (p, "GET", "/v1/instances", data);
+
+  c->instances = done;
+  soup_session_send_and_read_async (p->session, c->message, G_PRIORITY_DEFAULT,
+                                    c->cancel, on_instances, c);
+}
--- /dev/null
+++ b/platform.h
@@ -0,0 +1,51 @@
+/* The client of the platform's table service and instance list. */
+#ifndef CC_PLATFORM_H
+#define CC_PLATFORM_H
+
+#include "view.h"
+
+typedef struct CcPlatform CcPlatform;
+
+/* One transaction: all checks hold and all writes happen, or nothing does. */
+typedef struct
+{
+  GString *checks; /* JSON, without the enclosing brackets */
+  GString *writes;
+} CcTransaction;
+
+typedef struct
+{
+  char *name;
+  char *role; /* "entry", or the pool of a server */
+  char *zone;
+  char *address;    /* IP:PORT */
+  gboolean leaving; /* it is to be drained */
+} CcInstance;
+
+/* STATUS: CC_OK with the table's VERSION of the transaction; CC_CONFLICT: a
+ * check failed, nothing written; CC_UNREACHABLE: not sent; CC_UNKNOWN: sent,
+ * may have taken effect. */
+typedef void (*CcCommitDone) (CcStatus status, guint64 version, gpointer data);
+/* ROWS (a(sts)) is complete from SINCE to UPTO if STATUS is CC_OK. */
+typedef void (*CcChangesDone) (CcStatus status, guint64 since, guint64 upto,
+                               GVariant *rows, gpointer data);
+/* INSTANCES (of CcInstance) is valid during the call, if STATUS is CC_OK. */
+typedef void (*CcInstancesDone) (CcStatus status, GPtrArray *instances,
+                                 gpointer data);
+
+CcPlatform *cc_platform_new (const char *address, const char *source,
+                             gint64 timeout);
+void cc_platform_free (CcPlatform *p);
+CcTransaction *cc_transaction_new (void);
+void cc_transaction_check (CcTransaction *t, const char *key, guint64 version);
+void cc_transaction_put (CcTransaction *t, const char *key, const char *value);
+char *cc_transaction_take (CcTransaction *t);
+void cc_platform_commit (CcPlatform *p, CcTransaction *t, CcCommitDone done,
+                         gpointer data);
+void cc_platform_changes (CcPlatform *p, guint64 since, const char *skip,
+                          CcChangesDone done, gpointer data);
+void cc_platform_rows (CcPlatform *p, const char *prefix, CcChangesDone done,
+                       gpointer data);
+void cc_platform_instances (CcPlatform *p, CcInstancesDone done, gpointer data);
+
+#endif
--- /dev/null
+++ b/settings.c
@@ -0,0 +1,236 @@
+/* Reads a table of settings with argtable2, fills gaps from the environment,
+ * checks every value and reports all faults together with their place. */
+#include "settings.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <gio/gio.h>
+
+#include "capercrank.h"
+#include "log.h"
+
+#define FIXED 6 /* help, version, check, log-level, log-format, end */
+
+static CcSetting log_settings[] = {
+  { CC_SETTING_STRING, "log-level", "info", "debug, info, warning or error", 0,
+    0, NULL },
+  { CC_SETTING_STRING, "log-format", "plain", "plain or json", 0, 0, NULL }
+};
+
+static char *
+env_name (const char *flag)
+{
+  g_autofree char *upper = g_ascii_strup (flag, -1);
+
+  return g_strconcat ("CAPERCRANK_", g_strdelimit (upper, "-", '_'), NULL);
+}
+
+/* Splits "IP:PORT".  The IP must be a number.  Frees nothing on failure. */
+gboolean
+cc_address_parse (const char *text, char **ip, guint16 *port)
+{
+  const char *colon = strrchr (text, ':');
+  g_autofree char *host = NULL;
+  guint64 number;
+
+  if (colon == NULL)
+    return FALSE;
+  host = g_strndup (text, (gsize) (colon - text));
+  if (!g_hostname_is_ip_address (host) ||
+      !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &number, NULL))
+    return FALSE;
+  if (ip != NULL)
+    *ip = g_steal_pointer (&host);
+  if (port != NULL)
+    *port = (guint16) number;
+  return TRUE;
+}
+
+static void
+check_addresses (const CcSetting *s, const char *place, CcFindings *f)
+{
+  g_auto (GStrv) parts = g_strsplit (s->value, ",", -1);
+
+  for (guint i = 0; parts[i] != NULL; i++)
+    if (!cc_address_parse (parts[i], NULL, NULL))
+      cc_findings_add (f, place, "\"%s\" is not IP:PORT", parts[i]);
+}
+
+static void
+check_value (const CcSetting *s, CcFindings *f)
+{
+  g_autofree char *place = g_strconcat ("--", s->flag, NULL);
+  gint64 number;
+
+  switch (s->kind)
+    {
+    case CC_SETTING_STRING:
+      break;
+    case CC_SETTING_ADDRESS:
+      if (!cc_address_parse (s->value, NULL, NULL))
+        cc_findings_add (f, place, "\"%s\" is not IP:PORT", s->value);
+      break;
+    case CC_SETTING_ADDRESSES:
+      check_addresses (s, place, f);
+      break;
+    case CC_SETTING_NUMBER:
+      if (!g_ascii_string_to_signed (s->value, 10, s->least, s->most, &number,
+                                     NULL))
+        cc_findings_add (f, place,
+                         "\"%s\" is not a whole number from %" G_GINT64_FORMAT
+                         " to %" G_GINT64_FORMAT,
+                         s->value, s->least, s->most);
+      break;
+    }
+}
+
+/* The flag wins, then the environment, then the fallback. */
+static void
+settle_value (CcSetting *s, const struct arg_str *arg, CcFindings *f)
+{
+  g_autofree char *env = env_name (s->flag);
+  const char *value = s->fallback;
+
+  if (g_getenv (env) != NULL)
+    value = g_getenv (env);
+  if (arg->count > 0)
+    value = arg->sval[0];
+  if (value == NULL)
+    {
+      g_autofree char *place = g_strconcat ("--", s->flag, NULL);
+
+      cc_findings_add (f, place, "is required (or %s)", env);
+      return;
+    }
+  s->value = g_strdup (value);
+  check_value (s, f);
+}
+
+static void
+setup_log (CcSetting *table, const char *program, CcFindings *f)
+{
+  CcLogLevel level = CC_LOG_INFO;
+  const char *format = log_settings[1].value;
+  const char *instance = cc_setting (table, "instance");
+
+  if (!cc_log_parse_level (log_settings[0].value, &level))
+    cc_findings_add (f, "--log-level", "\"%s\" is no level",
+                     log_settings[0].value);
+  if (!g_str_equal (format, "plain") && !g_str_equal (format, "json"))
+    cc_findings_add (f, "--log-format", "\"%s\" is neither plain nor json",
+                     format);
+  cc_log_setup (program, instance, level, g_str_equal (format, "json"));
+}
+
+static void
+print_help (const char *program, const char *summary, void **args)
+{
+  printf ("Usage: %s", program);
+  arg_print_syntax (stdout, args, "\n");
+  printf ("%s\n\n", summary);
+  arg_print_glossary (stdout, args, "  %-28s %s\n");
+  printf ("\nEach flag may be given as CAPERCRANK_ and its name in capitals; "
+          "the flag wins.\n");
+}
+
+static CcStart
+report (const CcFindings *f, const char *program)
+{
+  g_autofree char *text = cc_findings_text (f);
+
+  if (cc_findings_count (f) == 0)
+    return CC_START_RUN;
+  fprintf (stderr, "%s: %u faults in the settings\n%s", program,
+           cc_findings_count (f), text);
+  return CC_START_FAIL;
+}
+
+/* Reads ARGV and the environment into TABLE, which ends with a NULL flag.
+ * Prints help, version or all findings as asked. */
+CcStart
+cc_settings_read (CcSetting *table, const char *program, const char *summary,
+                  int argc, char **argv)
+{
+  CcSetting *all[64];
+  void *args[64 + FIXED];
+  struct arg_str *strings[64];
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this and leave");
+  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
+  struct arg_lit *check = arg_lit0 (NULL, "check", "check settings and leave");
+  struct arg_end *end = arg_end (20);
+  CcFindings f;
+  CcStart start;
+  guint n = 0;
+  int faults;
+
+  for (; table[n].flag != NULL && n < 60; n++)
+    all[n] = &table[n];
+  all[n++] = &log_settings[0];
+  all[n++] = &log_settings[1];
+  for (guint i = 0; i < n; i++)
+    args[i] = strings[i] = arg_str0 (NULL, all[i]->flag, NULL, all[i]->help);
+  args[n] = help;
+  args[n + 1] = version;
+  args[n + 2] = check;
+  args[n + 3] = end;
+  faults = arg_parse (argc, argv, args);
+  if (help->count > 0)
+    print_help (program, summary, args);
+  if (version->count > 0)
+    printf ("%s %s\n", program, CC_VERSION);
+  if (help->count > 0 || version->count > 0)
+    return CC_START_STOP;
+  cc_findings_init (&f);
+  if (faults > 0)
+    {
+      arg_print_errors (stderr, end, program);
+      cc_findings_add (&f, "command line", "see above; --help lists the flags");
+    }
+  for (guint i = 0; i < n; i++)
+    settle_value (all[i], strings[i], &f);
+  setup_log (table, program, &f);
+  start = report (&f, program);
+  cc_findings_clear (&f);
+  if (start == CC_START_RUN && check->count > 0)
+    {
+      printf ("%s: settings are valid\n", program);
+      start = CC_START_STOP;
+    }
+  arg_freetable (args, n + 4);
+  return start;
+}
+
+/* The value of FLAG in TABLE, or NULL if there is no such setting. */
+const char *
+cc_setting (const CcSetting *table, const char *flag)
+{
+  for (guint i = 0; table[i].flag != NULL; i++)
+    if (g_str_equal (table[i].flag, flag))
+      return table[i].value;
+  return NULL;
+}
+
+/* The value of the number FLAG, checked before by cc_settings_read. */
+gint64
+cc_setting_number (const CcSetting *table, const char *flag)
+{
+  return g_ascii_strtoll (cc_setting (table, flag), NULL, 10);
+}
+
+/* The addresses of FLAG as a vector, maybe empty.  The caller frees it. */
+char **
+cc_setting_list (const CcSetting *table, const char *flag)
+{
+  return g_strsplit (cc_setting (table, flag), ",", -1);
+}
+
+/* Where others reach this process: --advertise, or --listen without it. */
+const char *
+cc_setting_advertised (const CcSetting *table)
+{
+  const char *other = cc_setting (table, "advertise");
+
+  return other[0] != '\0' ? other : cc_setting (table, "listen");
+}
--- /dev/null
+++ b/settings.h
@@ -0,0 +1,42 @@
+/* Settings of a program: a flag, or a CAPERCRANK_ environment variable. */
+#ifndef CC_SETTINGS_H
+#define CC_SETTINGS_H
+
+#include <glib.h>
+
+#include "findings.h"
+
+typedef enum
+{
+  CC_SETTING_STRING,    /* any text */
+  CC_SETTING_ADDRESS,   /* IP:PORT by number */
+  CC_SETTING_ADDRESSES, /* comma-separated IP:PORT, may be empty */
+  CC_SETTING_NUMBER     /* a whole number from least to most */
+} CcSettingKind;
+
+typedef struct
+{
+  CcSettingKind kind;
+  const char *flag;     /* long flag without dashes; NULL ends a table */
+  const char *fallback; /* value if neither is given; NULL: required */
+  const char *help;     /* one line for --help */
+  gint64 least, most;   /* bounds of a number */
+  char *value;          /* filled in */
+} CcSetting;
+
+typedef enum
+{
+  CC_START_RUN,  /* go on */
+  CC_START_STOP, /* --help, --version or --check: leave with 0 */
+  CC_START_FAIL  /* findings were printed: leave with 2 */
+} CcStart;
+
+CcStart cc_settings_read (CcSetting *table, const char *program,
+                          const char *summary, int argc, char **argv);
+const char *cc_setting (const CcSetting *table, const char *flag);
+gint64 cc_setting_number (const CcSetting *table, const char *flag);
+char **cc_setting_list (const CcSetting *table, const char *flag);
+const char *cc_setting_advertised (const CcSetting *table);
+gboolean cc_address_parse (const char *text, char **ip, guint16 *port);
+
+#endif
--- /dev/null
+++ b/slicemap.c
@@ -0,0 +1,268 @@
+/* The slice map of one pool, an aggregate with these rules:
+ *
+ *  - a key belongs to one slice for the life of the pool (xxh3 of its bytes);
+ *  - a slice has one owner.  While `from` is set nobody may start to own it:
+ *    the server it leaves works on until its dispatcher has stopped, and only
+ *    a later version of the map, without `from`, lets the new one begin;
+ *  - the epoch of a slice, and the term of a server, only go up.
+ *
+ * The map is one row of the platform's table, replaced whole by compare and
+ * set on its version.
+ */
+#include "slicemap.h"
+
+#include <json-glib/json-glib.h>
+#include <xxhash.h>
+
+static void
+server_free (gpointer data)
+{
+  CcMapServer *s = data;
+
+  g_free (s->name);
+  g_free (s->address);
+  g_free (s->zone);
+  g_free (s->dispatcher);
+  g_free (s->from);
+  g_free (s);
+}
+
+/* A map of POOL with SLICES slices that nobody owns. */
+CcSliceMap *
+cc_slicemap_new (const char *pool, guint slices)
+{
+  CcSliceMap *m = g_new0 (CcSliceMap, 1);
+
+  m->pool = g_strdup (pool);
+  m->servers = g_ptr_array_new_with_free_func (server_free);
+  m->slices = g_array_sized_new (FALSE, TRUE, sizeof (CcMapSlice), slices);
+  m->reason = g_strdup ("");
+  for (guint i = 0; i < slices; i++)
+    {
+      CcMapSlice s = { -1, -1, 0 };
+
+      g_array_append_val (m->slices, s);
+    }
+  return m;
+}
+
+/* Frees M; NULL is fine. */
+void
+cc_slicemap_free (CcSliceMap *m)
+{
+  if (m == NULL)
+    return;
+  g_free (m->pool);
+  g_free (m->reason);
+  g_ptr_array_unref (m->servers);
+  g_array_unref (m->slices);
+  g_free (m);
+}
+
+static void
+parse_server (JsonArray *a, CcSliceMap *m)
+{
+  CcMapServer *s = g_new0 (CcMapServer, 1);
+
+  s->name = g_strdup (json_array_get_string_element (a, 0));
+  s->address = g_strdup (json_array_get_string_element (a, 1));
+  s->zone = g_strdup (json_array_get_string_element (a, 2));
+  s->dispatcher = g_strdup (json_array_get_string_element (a, 3));
+  s->from = g_strdup (json_array_get_string_element (a, 4));
+  s->term = (guint64) json_array_get_int_element (a, 5);
+  s->state = (CcServerState) json_array_get_int_element (a, 6);
+  g_ptr_array_add (m->servers, s);
+}
+
+/* Reads a row that cc_slicemap_print wrote.  Returns NULL if it is none. */
+CcSliceMap *
+cc_slicemap_parse (const char *pool, guint64 version, const char *json)
+{
+  g_autoptr (JsonNode) root = json_from_string (json, NULL);
+  JsonObject *o;
+  JsonArray *servers, *slices;
+  CcSliceMap *m;
+
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return NULL;
+  o = json_node_get_object (root);
+  if (!json_object_has_member (o, "servers") ||
+      !json_object_has_member (o, "slices"))
+    return NULL;
+  servers = json_object_get_array_member (o, "servers");
+  slices = json_object_get_array_member (o, "slices");
+  m = cc_slicemap_new (pool, json_array_get_length (slices) / 3);
+  m->version = version;
+  g_free (m->reason);
+  m->reason =
+      g_strdup (json_object_get_string_member_with_default (o, "reason", ""));
+  for (guint i = 0; i < json_array_get_length (servers); i++)
+    parse_server (json_array_get_array_element (servers, i), m);
+  for (guint i = 0; i < m->slices->len; i++)
+    {
+      CcMapSlice *s = cc_slicemap_at (m, i);
+
+      s->server = (gint32) json_array_get_int_element (slices, i * 3);
+      s->from = (gint32) json_array_get_int_element (slices, i * 3 + 1);
+      s->epoch = (guint64) json_array_get_int_element (slices, i * 3 + 2);
+    }
+  return m;
+}
+
+static void
+print_server (JsonBuilder *b, const CcMapServer *s)
+{
+  json_builder_begin_array (b);
+  json_builder_add_string_value (b, s->name);
+  json_builder_add_string_value (b, s->address);
+  json_builder_add_string_value (b, s->zone);
+  json_builder_add_string_value (b, s->dispatcher);
+  json_builder_add_string_value (b, s->from);
+  json_builder_add_int_value (b, (gint64) s->term);
+  json_builder_add_int_value (b, s->state);
+  json_builder_end_array (b);
+}
+
+/* The row of M as JSON.  The caller frees it. */
+char *
+cc_slicemap_print (const CcSliceMap *m)
+{
+  g_autoptr (JsonBuilder) b = json_builder_new ();
+  g_autoptr (JsonNode) root = NULL;
+
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "reason");
+  json_builder_add_string_value (b, m->reason);
+  json_builder_set_member_name (b, "servers");
+  json_builder_begin_array (b);
+  for (guint i = 0; i < m->servers->len; i++)
+    print_server (b, m->servers->pdata[i]);
+  json_builder_end_array (b);
+  json_builder_set_member_name (b, "slices");
+  json_builder_begin_array (b);
+  for (guint i = 0; i < m->slices->len; i++)
+    {
+      const CcMapSlice *s = cc_slicemap_at (m, i);
+
+      json_builder_add_int_value (b, s->server);
+      json_builder_add_int_value (b, s->from);
+      json_builder_add_int_value (b, (gint64) s->epoch);
+    }
+  json_builder_end_array (b);
+  json_builder_end_object (b);
+  root = json_builder_get_root (b);
+  return json_to_string (root, FALSE);
+}
+
+/* The hash of a key, the same in every process and release. */
+guint64
+cc_key_hash (const void *key, gsize length)
+{
+  return XXH3_64bits (key, length);
+}
+
+/* The slice of a key with HASH: equal ranges of the hash. */
+guint
+cc_slicemap_slice (const CcSliceMap *m, guint64 hash)
+{
+  return (guint) (((hash >> 32) * m->slices->len) >> 32);
+}
+
+/* The server at INDEX, or NULL if INDEX is none. */
+CcMapServer *
+cc_slicemap_server (const CcSliceMap *m, gint32 index)
+{
+  if (index < 0 || (guint) index >= m->servers->len)
+    return NULL;
+  return m->servers->pdata[index];
+}
+
+/* The index of the server named SERVER, or -1. */
+gint32
+cc_slicemap_find (const CcSliceMap *m, const char *server)
+{
+  for (guint i = 0; i < m->servers->len; i++)
+    {
+      const CcMapServer *s = m->servers->pdata[i];
+
+      if (g_str_equal (s->name, server))
+        return (gint32) i;
+    }
+  return -1;
+}
+
+/* The slice's entry; SLICE must be below the number of slices. */
+CcMapSlice *
+cc_slicemap_at (const CcSliceMap *m, guint slice)
+{
+  return &g_array_index (m->slices, CcMapSlice, slice);
+}
+
+/* The server that owns SLICE now, or NULL while it moves or has none. */
+const CcMapServer *
+cc_slicemap_owner (const CcSliceMap *m, guint slice)
+{
+  const CcMapSlice *s = cc_slicemap_at (m, slice);
+
+  return s->from < 0 ? cc_slicemap_server (m, s->server) : NULL;
+}
+
+/* Adds a server without dispatcher or slices.  Returns its index. */
+gint32
+cc_slicemap_add (CcSliceMap *m, const char *name, const char *address,
+                 const char *zone)
+{
+  CcMapServer *s = g_new0 (CcMapServer, 1);
+
+  s->name = g_strdup (name);
+  s->address = g_strdup (address);
+  s->zone = g_strdup (zone);
+  s->dispatcher = g_strdup ("");
+  s->from = g_strdup ("");
+  g_ptr_array_add (m->servers, s);
+  return (gint32) m->servers->len - 1;
+}
+
+/* How many slices are, or are coming to, SERVER. */
+guint
+cc_slicemap_owned (const CcSliceMap *m, gint32 server)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < m->slices->len; i++)
+    n += cc_slicemap_at (m, i)->server == server ? 1 : 0;
+  return n;
+}
+
+static gboolean
+is_referenced (const CcSliceMap *m, gint32 server)
+{
+  for (guint i = 0; i < m->slices->len; i++)
+    if (cc_slicemap_at (m, i)->server == server ||
+        cc_slicemap_at (m, i)->from == server)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+remove_server (CcSliceMap *m, gint32 server)
+{
+  g_ptr_array_remove_index (m->servers, (guint) server);
+  for (guint i = 0; i < m->slices->len; i++)
+    {
+      CcMapSlice *s = cc_slicemap_at (m, i);
+
+      s->server -= s->server > server ? 1 : 0;
+      s->from -= s->from > server ? 1 : 0;
+    }
+}
+
+/* Drops servers that are lost and that no slice refers to. */
+void
+cc_slicemap_compact (CcSliceMap *m)
+{
+  for (gint32 i = (gint32) m->servers->len - 1; i >= 0; i--)
+    if (cc_slicemap_server (m, i)->state == CC_SERVER_LOST &&
+        !is_referenced (m, i))
+      remove_server (m, i);
+}
--- /dev/null
+++ b/slicemap.h
@@ -0,0 +1,57 @@
+/* Which server owns which slice of a pool's keys, and who dispatches to it. */
+#ifndef CC_SLICEMAP_H
+#define CC_SLICEMAP_H
+
+#include "capercrank.h"
+
+typedef enum
+{
+  CC_SERVER_LIVE,    /* may own slices */
+  CC_SERVER_LEAVING, /* its slices move away; no new ones */
+  CC_SERVER_LOST     /* silent or gone: as LEAVING, without waiting for it */
+} CcServerState;
+
+typedef struct
+{
+  char *name;
+  char *address; /* IP:PORT */
+  char *zone;
+  char *dispatcher; /* id that holds, or will hold, the server; "" if none */
+  char *from;       /* id that is handing it over; "" if settled */
+  guint64 term;     /* counts its dispatchers; a fence */
+  CcServerState state;
+} CcMapServer;
+
+typedef struct
+{
+  gint32 server; /* index of the owner, or of the coming owner; -1: none */
+  gint32 from;   /* index of the server it moves away from; -1: settled */
+  guint64 epoch; /* counts its owners; a fence */
+} CcMapSlice;
+
+typedef struct
+{
+  char *pool;
+  guint64 version;    /* of the row it was read from; 0: new */
+  GPtrArray *servers; /* of CcMapServer */
+  GArray *slices;     /* of CcMapSlice, indexed by slice */
+  char *reason;       /* why the last change was made, for operators */
+} CcSliceMap;
+
+CcSliceMap *cc_slicemap_new (const char *pool, guint slices);
+CcSliceMap *cc_slicemap_parse (const char *pool, guint64 version,
+                               const char *json);
+char *cc_slicemap_print (const CcSliceMap *m);
+void cc_slicemap_free (CcSliceMap *m);
+guint64 cc_key_hash (const void *key, gsize length);
+guint cc_slicemap_slice (const CcSliceMap *m, guint64 hash);
+CcMapServer *cc_slicemap_server (const CcSliceMap *m, gint32 index);
+gint32 cc_slicemap_find (const CcSliceMap *m, const char *server);
+CcMapSlice *cc_slicemap_at (const CcSliceMap *m, guint slice);
+const CcMapServer *cc_slicemap_owner (const CcSliceMap *m, guint slice);
+gint32 cc_slicemap_add (CcSliceMap *m, const char *name, const char *address,
+                        const char *zone);
+guint cc_slicemap_owned (const CcSliceMap *m, gint32 server);
+void cc_slicemap_compact (CcSliceMap *m);
+
+#endif
--- /dev/null
+++ b/test/harness.c
@@ -0,0 +1,421 @@
+/* Each process gets an address of its own in 127.NET.0.0/16, NET being one
+ * that no other run uses.  Children die with this process, however it ends
+ * (PR_SET_PDEATHSIG). */
+#include "harness.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+
+#define PLATFORM_PORT 7900
+#define SERVER_PORT 9000
+
+static gboolean
+net_is_free (guint net)
+{
+  g_autofree char *ip = g_strdup_printf ("127.%u.0.2", net);
+  g_autoptr (GSocketAddress) address =
+      g_inet_socket_address_new_from_string (ip, PLATFORM_PORT);
+  g_autoptr (GSocket) s = g_socket_new (
+      G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+
+  return g_socket_bind (s, address, FALSE, NULL);
+}
+
+static guint
+choose_net (void)
+{
+  for (guint i = 0; i < 200; i++)
+    {
+      guint net = 20 + ((guint) getpid () + i * 7) % 200;
+
+      if (net_is_free (net))
+        return net;
+    }
+  g_error ("no free loopback network");
+}
+
+static void
+child_setup (int parent, int log)
+{
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid () != parent)
+    _exit (1);
+  dup2 (log, 2);
+}
+
+/* Starts ARGV with its standard error appended to LOG in the run's folder
+ * (NULL: inherited).  Returns its process id. */
+int
+cluster_spawn (Cluster *c, char **argv, const char *log)
+{
+  g_autofree char *path =
+      log != NULL ? g_strconcat (c->folder, "/", log, ".log", NULL) : NULL;
+  int parent = getpid ();
+  int fd = path != NULL ? open (path, O_WRONLY | O_CREAT | O_APPEND, 0644) : 2;
+  int pid = fork ();
+
+  if (pid == 0)
+    {
+      child_setup (parent, fd);
+      execv (argv[0], argv);
+      _exit (127);
+    }
+  if (path != NULL)
+    close (fd);
+  return pid;
+}
+
+/* Waits for PID to end.  Returns its exit code, or 128 and its signal. */
+int
+cluster_wait (int pid)
+{
+  int status = 0;
+
+  while (waitpid (pid, &status, 0) < 0 && errno == EINTR)
+    ;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : 128 + WTERMSIG (status);
+}
+
+static Process *
+add_process (Cluster *c, const char *name, const char *zone, const char *pool,
+             const char *ip, const char *binary)
+{
+  Process *p = g_new0 (Process, 1);
+
+  p->name = g_strdup (name);
+  p->zone = g_strdup (zone);
+  p->pool = g_strdup (pool);
+  p->ip = g_strdup (ip);
+  p->argv = g_ptr_array_new ();
+  g_ptr_array_add (p->argv, g_strconcat (c->bin, "/", binary, NULL));
+  g_ptr_array_add (c->processes, p);
+  return p;
+}
+
+static void
+flag (Process *p, const char *name, const char *format, ...)
+{
+  va_list args;
+  char *value;
+
+  va_start (args, format);
+  value = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_ptr_array_add (p->argv, g_strdup_printf ("--%s=%s", name, value));
+  g_free (value);
+}
+
+static void
+start_process (Cluster *c, Process *p)
+{
+  g_autoptr (GPtrArray) argv = g_ptr_array_new ();
+
+  for (guint i = 0; i < p->argv->len; i++)
+    g_ptr_array_add (argv, p->argv->pdata[i]);
+  g_ptr_array_add (argv, NULL);
+  p->pid = cluster_spawn (c, (char **) argv->pdata, p->name);
+}
+
+static void
+add_instance (Cluster *c, guint i, const char *zone, const char *seeds)
+{
+  g_autofree char *ip = g_strdup_printf ("127.%u.1.%u", c->net, i);
+  g_autofree char *entry = g_strdup_printf ("entry-%u", i);
+  g_autofree char *dispatch = g_strdup_printf ("dispatch-%u", i);
+  g_autofree char *assign = g_strdup_printf ("assign-%u", i);
+  Process *e = add_process (c, entry, zone, NULL, ip, "capercrank-entry");
+  Process *d = add_process (c, dispatch, zone, NULL, ip, "capercrank-dispatch");
+  Process *a = add_process (c, assign, zone, NULL, ip, "capercrank-assign");
+  Process *all[] = { e, d, a };
+
+  for (guint k = 0; k < 3; k++)
+    {
+      flag (all[k], "instance", "i%u", i);
+      flag (all[k], "zone", "%s", zone);
+      flag (all[k], "listen", "%s:%u", ip, 7001 + k);
+      flag (all[k], "admin", "%s:%u", ip, 8081 + k);
+    }
+  flag (e, "callers", "%s:8080", ip);
+  flag (e, "dispatchers", "%s:7002,%s", ip, seeds);
+  flag (d, "peers", "%s", seeds);
+  flag (d, "platform", "127.%u.0.2:%u", c->net, PLATFORM_PORT);
+  flag (a, "platform", "127.%u.0.2:%u", c->net, PLATFORM_PORT);
+}
+
+static void
+add_servers (Cluster *c, JsonObject *o, JsonArray *zones, guint *next)
+{
+  const char *pool = json_object_get_string_member (o, "pool");
+  gint64 count = json_object_get_int_member (o, "count");
+
+  for (gint64 i = 1; i <= count; i++)
+    {
+      const char *zone = json_array_get_string_element (
+          zones, (guint) i % json_array_get_length (zones));
+      g_autofree char *name = g_strdup_printf ("%s-%" G_GINT64_FORMAT, pool, i);
+      g_autofree char *ip = g_strdup_printf ("127.%u.2.%u", c->net, ++*next);
+      Process *p = add_process (c, name, zone, pool, ip, "test/upstream");
+
+      flag (p, "instance", "%s", name);
+      flag (p, "pool", "%s", pool);
+      flag (p, "listen", "%s:%u", ip, SERVER_PORT);
+      flag (p, "records", "%s/%s.records", c->folder, name);
+      flag (p, "work-us", "%" G_GINT64_FORMAT,
+            json_object_get_int_member (o, "work_us"));
+      flag (p, "checks", "%d",
+            json_object_get_boolean_member (o, "checks_grants"));
+    }
+}
+
+static void
+add_all (Cluster *c, JsonObject *root)
+{
+  JsonArray *zones = json_object_get_array_member (root, "zones");
+  JsonArray *servers = json_object_get_array_member (root, "servers");
+  g_autofree char *ip = g_strdup_printf ("127.%u.0.2", c->net);
+  g_autofree char *seeds =
+      g_strdup_printf ("127.%u.1.1:7002,127.%u.1.2:7002,127.%u.1.3:7002",
+                       c->net, c->net, c->net);
+  Process *platform =
+      add_process (c, "platform", "", NULL, ip, "test/platform");
+  guint next = 0;
+
+  flag (platform, "listen", "%s:%u", ip, PLATFORM_PORT);
+  for (guint i = 0; i < json_array_get_length (servers); i++)
+    add_servers (c, json_array_get_object_element (servers, i), zones, &next);
+  for (guint i = 1; i <= c->instances; i++)
+    add_instance (c, i,
+                  json_array_get_string_element (
+                      zones, i % json_array_get_length (zones)),
+                  seeds);
+}
+
+static char *
+list_servers (Cluster *c)
+{
+  GString *s = g_string_new ("{\"instances\":[");
+  const char *comma = "";
+
+  for (guint i = 0; i < c->processes->len; i++)
+    {
+      const Process *p = c->processes->pdata[i];
+
+      if (p->pool == NULL)
+        continue;
+      g_string_append_printf (s,
+                              "%s{\"name\":\"%s\",\"role\":\"%s\",\"zone\":"
+                              "\"%s\",\"address\":\"%s:%u\",\"state\":"
+                              "\"live\"}",
+                              comma, p->name, p->pool, p->zone, p->ip,
+                              SERVER_PORT);
+      comma = ",";
+    }
+  g_string_append (s, "]}");
+  return g_string_free (s, FALSE);
+}
+
+/* One HTTP call.  Returns the status, 0 if there was no answer. */
+guint
+cluster_http (const char *method, const char *url, const char *body,
+              const char *if_match, char **answer)
+{
+  g_autoptr (SoupSession) s =
+      soup_session_new_with_options ("timeout", 5, NULL);
+  g_autoptr (SoupMessage) m = soup_message_new (method, url);
+  g_autoptr (GBytes) got = NULL;
+
+  if (body != NULL)
+    {
+      g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
+
+      soup_message_set_request_body_from_bytes (m, "application/json", bytes);
+    }
+  if (if_match != NULL)
+    soup_message_headers_append (soup_message_get_request_headers (m),
+                                 "If-Match", if_match);
+  got = soup_session_send_and_read (s, m, NULL, NULL);
+  if (answer != NULL)
+    *answer = got != NULL ? g_strndup (g_bytes_get_data (got, NULL),
+                                       g_bytes_get_size (got))
+                          : g_strdup ("");
+  return got != NULL ? soup_message_get_status (m) : 0;
+}
+
+static gboolean
+submit_until_accepted (Cluster *c)
+{
+  g_autofree char *admin = cluster_admin (c, "assign", 1);
+  g_autofree char *url = g_strconcat ("http://", admin, "/v1/config", NULL);
+
+  for (guint i = 0; i < 100; i++)
+    {
+      g_autofree char *answer = NULL;
+      guint status = cluster_http ("PUT", url, c->document, "0", &answer);
+
+      if (status == 200)
+        return TRUE;
+      if (status == 422)
+        g_error ("%s", answer);
+      g_usleep (100000);
+    }
+  return FALSE;
+}
+
+/* Starts all of DEPLOYMENT (a file), programs taken from BIN, and submits its
+ * document. */
+Cluster *
+cluster_start (const char *bin, const char *deployment)
+{
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  g_autofree char *servers = NULL;
+  g_autofree char *url = NULL;
+  JsonObject *root;
+  Cluster *c = g_new0 (Cluster, 1);
+
+  if (!json_parser_load_from_file (parser, deployment, NULL))
+    g_error ("can't read %s", deployment);
+  root = json_node_get_object (json_parser_get_root (parser));
+  c->file = g_strdup (deployment);
+  c->bin = g_strdup (bin);
+  c->document =
+      json_to_string (json_object_get_member (root, "document"), TRUE);
+  c->net = choose_net ();
+  c->instances = (guint) json_object_get_int_member (root, "instances");
+  c->folder = g_strdup_printf ("%s/run/%u-%u", bin, c->net, (guint) getpid ());
+  g_mkdir_with_parents (c->folder, 0755);
+  c->processes = g_ptr_array_new ();
+  add_all (c, root);
+  for (guint i = 0; i < c->processes->len; i++)
+    start_process (c, c->processes->pdata[i]);
+  servers = list_servers (c);
+  url = g_strdup_printf ("http://127.%u.0.2:%u/test/instances", c->net,
+                         PLATFORM_PORT);
+  for (guint i = 0; i < 50; i++)
+    {
+      if (cluster_http ("PUT", url, servers, NULL, NULL) == 200)
+        break;
+      g_usleep (100000);
+    }
+  if (!submit_until_accepted (c))
+    fprintf (stderr, "the document was not accepted\n");
+  return c;
+}
+
+static gboolean
+entry_serves (Cluster *c, guint i)
+{
+  g_autofree char *admin = cluster_admin (c, "entry", i);
+  g_autofree char *url = g_strconcat ("http://", admin, "/readyz", NULL);
+
+  return cluster_http ("GET", url, NULL, NULL, NULL) == 200;
+}
+
+/* Waits until all entries are ready.  Returns FALSE after SECONDS. */
+gboolean
+cluster_wait_ready (Cluster *c, guint seconds)
+{
+  guint ready = 0;
+
+  for (guint t = 0; t < seconds * 10; t++)
+    {
+      ready = 0;
+      for (guint i = 1; i <= c->instances; i++)
+        ready += entry_serves (c, i) ? 1 : 0;
+      if (ready == c->instances)
+        {
+          g_usleep (1500000); /* grants settle */
+          return TRUE;
+        }
+      g_usleep (100000);
+    }
+  fprintf (stderr, "%u of %u entries are ready\n", ready, c->instances);
+  return FALSE;
+}
+
+/* Ends all that was started. */
+void
+cluster_stop (Cluster *c)
+{
+  for (guint i = 0; i < c->processes->len; i++)
+    {
+      Process *p = c->processes->pdata[i];
+
+      if (p->pid == 0)
+        continue;
+      kill (p->pid, SIGKILL);
+      waitpid (p->pid, NULL, 0);
+      p->pid = 0;
+    }
+}
+
+/* The process NAME, or NULL. */
+Process *
+cluster_find (Cluster *c, const char *name)
+{
+  for (guint i = 0; i < c->processes->len; i++)
+    {
+      Process *p = c->processes->pdata[i];
+
+      if (g_str_equal (p->name, name))
+        return p;
+    }
+  return NULL;
+}
+
+/* Sends SIGNAL to NAME; after SIGKILL it can be restarted. */
+void
+cluster_signal (Cluster *c, const char *name, int sig)
+{
+  Process *p = cluster_find (c, name);
+
+  if (p == NULL || p->pid == 0)
+    return;
+  kill (p->pid, sig);
+  if (sig != SIGKILL)
+    return;
+  waitpid (p->pid, NULL, 0);
+  p->pid = 0;
+}
+
+/* Starts NAME again after it ended. */
+void
+cluster_restart (Cluster *c, const char *name)
+{
+  Process *p = cluster_find (c, name);
+
+  if (p != NULL && p->pid == 0)
+    start_process (c, p);
+}
+
+/* Addresses of all entries, separated by commas. */
+char *
+cluster_entries (const Cluster *c)
+{
+  GString *s = g_string_new (NULL);
+
+  for (guint i = 1; i <= c->instances; i++)
+    g_string_append_printf (s, "%s127.%u.1.%u:8080", i > 1 ? "," : "", c->net,
+                            i);
+  return g_string_free (s, FALSE);
+}
+
+/* The admin address of PROGRAM ("entry", "dispatch", "assign"). */
+char *
+cluster_admin (const Cluster *c, const char *program, guint instance)
+{
+  guint port = g_str_equal (program, "entry")      ? 8081
+               : g_str_equal (program, "dispatch") ? 8082
+                                                   : 8083;
+
+  return g_strdup_printf ("127.%u.1.%u:%u", c->net, instance, port);
+}
--- /dev/null
+++ b/test/harness.h
@@ -0,0 +1,41 @@
+/* Starts a deployment as real processes on loopback, and ends it. */
+#ifndef TEST_HARNESS_H
+#define TEST_HARNESS_H
+
+#include <glib.h>
+
+typedef struct
+{
+  char *name; /* "entry-3", "dispatch-3", "assign-3", "catalogue-7" */
+  char *zone;
+  char *pool; /* of a server; NULL for ours */
+  char *ip;
+  GPtrArray *argv;
+  int pid; /* 0: not running */
+} Process;
+
+typedef struct
+{
+  char *file;     /* of the deployment */
+  char *document; /* JSON */
+  char *folder;   /* logs and records of this run */
+  char *bin;      /* folder of the programs */
+  guint net;      /* 127.NET.x.y */
+  guint instances;
+  GPtrArray *processes; /* of Process, platform first */
+} Cluster;
+
+Cluster *cluster_start (const char *bin, const char *deployment);
+gboolean cluster_wait_ready (Cluster *c, guint seconds);
+void cluster_stop (Cluster *c);
+Process *cluster_find (Cluster *c, const char *name);
+void cluster_signal (Cluster *c, const char *name, int signal);
+void cluster_restart (Cluster *c, const char *name);
+char *cluster_entries (const Cluster *c);
+char *cluster_admin (const Cluster *c, const char *program, guint instance);
+guint cluster_http (const char *method, const char *url, const char *body,
+                    const char *if_match, char **answer);
+int cluster_spawn (Cluster *c, char **argv, const char *log);
+int cluster_wait (int pid);
+
+#endif
--- /dev/null
+++ b/test/load.c
@@ -0,0 +1,470 @@
+/* Load generator: open-loop arrivals from a deployment's request patterns,
+ * spread over the entries as a balancer would, and the audit at the end. */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+
+#include "admin.h"
+#include "clock.h"
+#include "document.h"
+#include "metrics.h"
+#include "records.h"
+#include "settings.h"
+
+#define SETTLE_MS 1500 /* after the last answer, for servers to end */
+
+typedef struct
+{
+  const CcClass *class;
+  double rate;
+  char *method;
+  char *path;
+  char *key;
+  guint keys;
+  guint tenants;
+  guint body;
+} Pattern;
+
+typedef struct
+{
+  const CcClass *class;
+  guint asked;
+  guint told[3];
+  guint in_target;
+  CcHistogram latency;
+  GHashTable *failing; /* key to when its first failure was asked, us */
+  gint64 longest;      /* a key was unavailable, us */
+} Tally;
+
+typedef struct
+{
+  CcDocument *document;
+  GPtrArray *patterns;
+  GPtrArray *tallies;
+  GPtrArray *told;
+  char **entries;
+  SoupSession *session;
+  GRand *rand;
+  GMainLoop *loop;
+  gint64 until;
+  guint pending;
+  guint repeats;
+  gboolean over;
+  double scale;
+} Load;
+
+typedef struct
+{
+  Load *load;
+  Told *told;
+  Tally *tally;
+  SoupMessage *message;
+  const Pattern *pattern;
+  char *key;
+  char *url_path;
+  gint64 asked;
+  guint body_seed;
+  guint tries;
+} Ask;
+
+static char *
+uuid_v7 (GRand *rand)
+{
+  guint64 ms = (guint64) (cc_clock_wall () / CC_MS);
+
+  return g_strdup_printf ("%08x-%04x-7%03x-%04x-%08x%04x", (guint) (ms >> 16),
+                          (guint) (ms & 0xffff), g_rand_int (rand) & 0xfff,
+                          0x8000 | (g_rand_int (rand) & 0x3fff),
+                          g_rand_int (rand), g_rand_int (rand) & 0xffff);
+}
+
+static GBytes *
+make_body (const Ask *a)
+{
+  guint8 *data = g_malloc (a->pattern->body);
+
+  for (guint i = 0; i < a->pattern->body; i++)
+    data[i] = (guint8) (a->body_seed + i * 31);
+  return g_bytes_new_take (data, a->pattern->body);
+}
+
+static gboolean
+body_matches (const Ask *a, GBytes *got)
+{
+  g_autoptr (GBytes) sent = make_body (a);
+
+  return g_bytes_equal (sent, got);
+}
+
+static CcOutcome
+outcome_of (SoupMessage *m, GBytes *body)
+{
+  const char *text = soup_message_headers_get_one (
+      soup_message_get_response_headers (m), CC_HDR_OUTCOME);
+
+  if (body == NULL || text == NULL)
+    return CC_OUTCOME_UNKNOWN;
+  if (g_str_equal (text, "run"))
+    return CC_OUTCOME_RUN;
+  return g_str_equal (text, "not-run") ? CC_OUTCOME_NOT_RUN
+                                       : CC_OUTCOME_UNKNOWN;
+}
+
+static void
+note_availability (Ask *a, CcOutcome outcome, gint64 now)
+{
+  gint64 *since = g_hash_table_lookup (a->tally->failing, a->key);
+
+  if (outcome == CC_OUTCOME_RUN && since != NULL)
+    {
+      a->tally->longest = MAX (a->tally->longest, now - *since);
+      g_hash_table_remove (a->tally->failing, a->key);
+    }
+  else if (outcome != CC_OUTCOME_RUN && since == NULL)
+    g_hash_table_insert (a->tally->failing, g_strdup (a->key),
+                         g_memdup2 (&a->asked, sizeof a->asked));
+}
+
+static void send_ask (Ask *a);
+
+static gboolean
+on_again (gpointer data)
+{
+  send_ask (data);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+end_ask (Ask *a)
+{
+  Load *l = a->load;
+
+  l->pending--;
+  g_free (a->key);
+  g_free (a->url_path);
+  g_free (a);
+  if (l->over && l->pending == 0)
+    g_main_loop_quit (l->loop);
+}
+
+static void
+check_answer (Ask *a, GBytes *body)
+{
+  const char *marker = soup_message_headers_get_one (
+      soup_message_get_response_headers (a->message), "X-Marker");
+  const char *reason = soup_message_headers_get_one (
+      soup_message_get_response_headers (a->message), CC_HDR_REASON);
+
+  if (marker == NULL && reason != NULL && g_str_equal (reason, "repeat"))
+    return; /* an outcome remembered without its body */
+  if (marker == NULL || !g_str_equal (marker, a->told->marker) ||
+      !body_matches (a, body))
+    a->told->crossed = TRUE;
+}
+
+static guint
+retry_after (Ask *a)
+{
+  const char *text = soup_message_headers_get_one (
+      soup_message_get_response_headers (a->message), CC_HDR_RETRY_MS);
+
+  return text != NULL ? (guint) atoi (text) : 100;
+}
+
+static void
+on_answer (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Ask *a = data;
+  g_autoptr (GBytes) body =
+      soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  CcOutcome outcome = outcome_of (a->message, body);
+  gint64 now = cc_clock_now ();
+  gboolean again = outcome != CC_OUTCOME_RUN && a->tries < a->load->repeats;
+
+  a->told->told[outcome]++;
+  note_availability (a, outcome, now);
+  if (outcome == CC_OUTCOME_RUN)
+    check_answer (a, body);
+  if (again)
+    g_timeout_add (retry_after (a), on_again, a);
+  g_object_unref (a->message);
+  if (again)
+    return;
+  a->tally->told[outcome]++;
+  cc_histogram_add (&a->tally->latency, now - a->asked);
+  if (outcome == CC_OUTCOME_RUN && now - a->asked <= a->tally->class->within)
+    a->tally->in_target++;
+  end_ask (a);
+}
+
+static void
+send_ask (Ask *a)
+{
+  Load *l = a->load;
+  guint pick =
+      g_rand_int_range (l->rand, 0, (gint32) g_strv_length (l->entries));
+  g_autofree char *url =
+      g_strconcat ("http://", l->entries[pick], a->url_path, NULL);
+  g_autofree char *tenant = NULL;
+  SoupMessageHeaders *h;
+
+  a->tries++;
+  a->message = soup_message_new (a->pattern->method, url);
+  h = soup_message_get_request_headers (a->message);
+  if (a->pattern->body > 0)
+    cc_http_once (a->message);
+  tenant = g_strdup_printf (
+      "tenant-%u", g_rand_int_range (l->rand, 0, (gint32) a->pattern->tenants));
+  soup_message_headers_append (h, CC_HDR_CLASS, a->pattern->class->name);
+  soup_message_headers_append (h, CC_HDR_KEY, a->key);
+  soup_message_headers_append (h, CC_HDR_TENANT, tenant);
+  soup_message_headers_append (h, "X-Marker", a->told->marker);
+  if (a->told->once_only)
+    soup_message_headers_append (h, CC_HDR_IDEMPOTENCY, a->told->marker);
+  if (a->pattern->body > 0)
+    {
+      g_autoptr (GBytes) body = make_body (a);
+
+      soup_message_set_request_body_from_bytes (
+          a->message, "application/octet-stream", body);
+    }
+  soup_session_send_and_read_async (l->session, a->message, G_PRIORITY_DEFAULT,
+                                    NULL, on_answer, a);
+}
+
+static Tally *
+tally_of (Load *l, const CcClass *class)
+{
+  for (guint i = 0; i < l->tallies->len; i++)
+    if (((Tally *) l->tallies->pdata[i])->class == class)
+      return l->tallies->pdata[i];
+  return NULL;
+}
+
+static void
+new_ask (Load *l, const Pattern *p)
+{
+  Ask *a = g_new0 (Ask, 1);
+  guint number = (guint) g_rand_int_range (l->rand, 0, (gint32) p->keys);
+  g_auto (GStrv) key = g_strsplit (p->key, "%u", 2);
+  g_auto (GStrv) path = g_strsplit (p->path, "%u", 2);
+  g_autofree char *digits = g_strdup_printf ("%u", number);
+
+  a->load = l;
+  a->pattern = p;
+  a->tally = tally_of (l, p->class);
+  a->key = g_strjoinv (digits, key);
+  a->url_path = g_strjoinv (digits, path);
+  a->asked = cc_clock_now ();
+  a->body_seed = g_rand_int (l->rand);
+  a->told = g_new0 (Told, 1);
+  a->told->marker = uuid_v7 (l->rand);
+  a->told->once_only = p->class->once_only;
+  g_ptr_array_add (l->told, a->told);
+  a->tally->asked++;
+  l->pending++;
+  send_ask (a);
+}
+
+typedef struct
+{
+  Load *load;
+  const Pattern *pattern;
+  gint64 next; /* arrival, us */
+} Arrivals;
+
+static gboolean
+on_arrivals (gpointer data)
+{
+  Arrivals *r = data;
+  Load *l = r->load;
+  gint64 now = cc_clock_now ();
+
+  while (r->next <= now && now < l->until)
+    {
+      double gap =
+          -log (1.0 - g_rand_double (l->rand)) / (r->pattern->rate * l->scale);
+
+      new_ask (l, r->pattern);
+      r->next += (gint64) (gap * 1e6);
+    }
+  if (now < l->until)
+    return G_SOURCE_CONTINUE;
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_progress (gpointer data)
+{
+  Load *l = data;
+  gint64 left = (l->until - cc_clock_now ()) / CC_SECOND;
+
+  fprintf (stderr, "\r%u asked, %u pending, %" G_GINT64_FORMAT " s left   ",
+           l->told->len, l->pending, MAX (left, 0));
+  if (cc_clock_now () < l->until)
+    return G_SOURCE_CONTINUE;
+  l->over = TRUE;
+  fprintf (stderr, "\n");
+  if (l->pending == 0)
+    g_main_loop_quit (l->loop);
+  return G_SOURCE_REMOVE;
+}
+
+static const char *
+text_in (JsonObject *o, const char *name)
+{
+  return json_object_get_string_member_with_default (o, name, "");
+}
+
+static void
+read_pattern (Load *l, JsonObject *o)
+{
+  Pattern *p = g_new0 (Pattern, 1);
+
+  p->class = cc_document_class (l->document, text_in (o, "class"));
+  p->rate = json_object_get_double_member_with_default (o, "rate", 1);
+  p->method = g_strdup (text_in (o, "method"));
+  p->path = g_strdup (text_in (o, "path"));
+  p->key = g_strdup (text_in (o, "key"));
+  p->keys = (guint) json_object_get_int_member_with_default (o, "keys", 1);
+  p->tenants =
+      (guint) json_object_get_int_member_with_default (o, "tenants", 1);
+  p->body = (guint) json_object_get_int_member_with_default (o, "body", 0);
+  if (p->class == NULL)
+    g_error ("no class \"%s\" in the document", text_in (o, "class"));
+  g_ptr_array_add (l->patterns, p);
+}
+
+static void
+read_deployment (Load *l, const char *file)
+{
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  g_autofree char *document = NULL;
+  g_autofree char *findings = NULL;
+  JsonObject *root;
+  JsonArray *requests;
+  CcFindings f;
+
+  if (!json_parser_load_from_file (parser, file, NULL))
+    g_error ("can't read %s", file);
+  root = json_node_get_object (json_parser_get_root (parser));
+  document = json_to_string (json_object_get_member (root, "document"), FALSE);
+  cc_findings_init (&f);
+  l->document = cc_document_parse (document, -1, &f);
+  findings = cc_findings_text (&f);
+  if (l->document == NULL)
+    g_error ("%s", findings);
+  for (guint i = 0; i < l->document->classes->len; i++)
+    {
+      Tally *t = g_new0 (Tally, 1);
+
+      t->class = l->document->classes->pdata[i];
+      t->failing =
+          g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      g_ptr_array_add (l->tallies, t);
+    }
+  requests = json_object_get_array_member (root, "requests");
+  for (guint i = 0; i < json_array_get_length (requests); i++)
+    read_pattern (l, json_array_get_object_element (requests, i));
+}
+
+static void
+print_table (const Load *l)
+{
+  printf ("\n%-16s %8s %8s %8s %8s %8s %8s %8s %10s  %s\n", "class", "asked",
+          "run", "not-run", "unknown", "p50 ms", "p99 ms", "p99.9", "unavail",
+          "target");
+  for (guint i = 0; i < l->tallies->len; i++)
+    {
+      const Tally *t = l->tallies->pdata[i];
+      double asked = MAX (t->asked, 1);
+      gboolean met = t->in_target / asked >= t->class->share &&
+                     t->told[CC_OUTCOME_RUN] / asked >= t->class->reliability;
+
+      printf ("%-16s %8u %8u %8u %8u %8.1f %8.1f %8.1f %8" G_GINT64_FORMAT
+              "ms  %s\n",
+              t->class->name, t->asked, t->told[0], t->told[1], t->told[2],
+              (double) cc_histogram_quantile (&t->latency, 0.5) / 1e3,
+              (double) cc_histogram_quantile (&t->latency, 0.99) / 1e3,
+              (double) cc_histogram_quantile (&t->latency, 0.999) / 1e3,
+              t->longest / CC_MS, met ? "met" : "MISSED");
+    }
+}
+
+static int
+print_audit (Load *l, const char *folder)
+{
+  GString *details = g_string_new (NULL);
+  Audit a = audit_records (folder, l->told, details);
+
+  printf ("%s", details->str);
+  printf ("audit: %u asked, %u lost, %u doubled, %u crossed, "
+          "%u run twice owned\n",
+          a.asked, a.lost, a.doubled, a.crossed, a.twice_owned);
+  g_string_free (details, TRUE);
+  return a.lost + a.doubled + a.crossed + a.twice_owned > 0;
+}
+
+static gboolean
+on_settled (gpointer data)
+{
+  g_main_loop_quit (data);
+  return G_SOURCE_REMOVE;
+}
+
+int
+main (int argc, char **argv)
+{
+  CcSetting settings[] = {
+    { CC_SETTING_STRING, "instance", "load", "name in logs", 0, 0, NULL },
+    { CC_SETTING_ADDRESSES, "entries", NULL, "where to send", 0, 0, NULL },
+    { CC_SETTING_STRING, "deployment", NULL, "file with requests", 0, 0, NULL },
+    { CC_SETTING_STRING, "records", NULL, "folder of servers' records", 0, 0,
+      NULL },
+    { CC_SETTING_ADDRESS, "source", "127.0.0.1:1", "where callers are", 0, 0,
+      NULL },
+    { CC_SETTING_NUMBER, "seconds", "20", "how long", 1, 3600, NULL },
+    { CC_SETTING_NUMBER, "seed", "1", "of the arrivals", 0, G_MAXINT32, NULL },
+    { CC_SETTING_NUMBER, "percent", "100", "of the patterns' rates", 1, 10000,
+      NULL },
+    { CC_SETTING_NUMBER, "repeats", "1", "tries until run", 1, 1000, NULL },
+    { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
+  };
+  Load l = { 0 };
+
+  if (cc_settings_read (settings, "load", "Load generator and audit.", argc,
+                        argv) != CC_START_RUN)
+    return 2;
+  l.patterns = g_ptr_array_new ();
+  l.tallies = g_ptr_array_new ();
+  l.told = g_ptr_array_new ();
+  l.entries = cc_setting_list (settings, "entries");
+  l.rand =
+      g_rand_new_with_seed ((guint32) cc_setting_number (settings, "seed"));
+  l.scale = (double) cc_setting_number (settings, "percent") / 100;
+  l.repeats = (guint) cc_setting_number (settings, "repeats");
+  l.loop = g_main_loop_new (NULL, FALSE);
+  read_deployment (&l, cc_setting (settings, "deployment"));
+  l.session = cc_http_client (cc_setting (settings, "source"), 4000);
+  l.until =
+      cc_clock_now () + cc_setting_number (settings, "seconds") * CC_SECOND;
+  for (guint i = 0; i < l.patterns->len; i++)
+    {
+      Arrivals *r = g_new0 (Arrivals, 1);
+
+      r->load = &l;
+      r->pattern = l.patterns->pdata[i];
+      r->next = cc_clock_now ();
+      g_timeout_add (1, on_arrivals, r);
+    }
+  g_timeout_add (1000, on_progress, &l);
+  g_main_loop_run (l.loop);
+  g_timeout_add (SETTLE_MS, on_settled, l.loop);
+  g_main_loop_run (l.loop);
+  print_table (&l);
+  return print_audit (&l, cc_setting (settings, "records"));
+}
--- /dev/null
+++ b/test/run_all.sh
@@ -0,0 +1,38 @@
+#!/bin/sh
+# Runs every test program, and closes with "N passed, N failed".  A failure
+# whose test is named in KNOWN-RED.txt is printed and does not fail the run.
+bin=$1
+out=$(mktemp)
+trap 'rm -f "$out"' EXIT
+CMOCKA_MESSAGE_OUTPUT=TAP
+export CMOCKA_MESSAGE_OUTPUT
+for t in "$bin"/test/test_*; do
+  case $t in *.o | *.d) continue ;; esac
+  [ -x "$t" ] || continue
+  "$t" >"$out.one" 2>&1
+  code=$?
+  cat "$out.one" >>"$out"
+  grep -E '^not ok|^# ' "$out.one" | grep -v 'Total tests\|cleanup\|skipped' | head -40
+  if [ "$code" -ne 0 ] && ! grep -q '^not ok' "$out.one"; then
+    echo "not ok - $(basename "$t") ended with $code" | tee -a "$out"
+    tail -5 "$out.one"
+  fi
+done
+rm -f "$out.one"
+passed=$(grep -c '^ok' "$out")
+failed=0
+known=0
+while read -r line; do
+  name=${line##* - }
+  if [ -f KNOWN-RED.txt ] && grep -q "^$name" KNOWN-RED.txt; then
+    echo "known red: $(grep "^$name" KNOWN-RED.txt)"
+    known=$((known + 1))
+  else
+    failed=$((failed + 1))
+  fi
+done <<EOF
+$(grep '^not ok' "$out")
+EOF
+[ "$(grep -c '^not ok' "$out")" -eq 0 ] && failed=0
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/test/test_wire.c
@@ -0,0 +1,80 @@
+/* The codec refuses whatever is not a whole, well-formed message. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "wire.h"
+
+static GBytes *
+sample (void)
+{
+  CcMessage m = { .kind = CC_MSG_REQUEST, .from = 7, .id = 9 };
+  g_autoptr (GBytes) key = g_bytes_new_static ("castle-7", 8);
+
+  m.u.request.class_name = "browse";
+  m.u.request.tenant = "t";
+  m.u.request.method = "GET";
+  m.u.request.path = "/";
+  m.u.request.key = key;
+  return cc_wire_encode (&m);
+}
+
+static void
+test_round_trip (void **state)
+{
+  g_autoptr (GBytes) bytes = sample ();
+  CcMessage m;
+
+  assert_int_equal (cc_wire_decode (bytes, &m), CC_OK);
+  assert_int_equal (m.kind, CC_MSG_REQUEST);
+  assert_int_equal (m.id, 9);
+  assert_string_equal (m.u.request.class_name, "browse");
+  assert_int_equal (g_bytes_get_size (m.u.request.key), 8);
+  cc_message_clear (&m);
+}
+
+/* Every single byte damaged in three ways, and every shorter length: decoding
+ * must end, and what it takes must be a message of a known kind. */
+static void
+test_damage (void **state)
+{
+  g_autoptr (GBytes) bytes = sample ();
+  gsize size;
+  const guint8 *good = g_bytes_get_data (bytes, &size);
+  static const guint8 flips[] = { 0x01, 0x80, 0xff };
+
+  for (gsize i = 0; i < size; i++)
+    for (guint k = 0; k < G_N_ELEMENTS (flips); k++)
+      {
+        g_autofree guint8 *bad = g_memdup2 (good, size);
+        g_autoptr (GBytes) wrapped = NULL;
+        CcMessage m;
+
+        bad[i] ^= flips[k];
+        wrapped = g_bytes_new (bad, size);
+        if (cc_wire_decode (wrapped, &m) == CC_OK)
+          assert_in_range (m.kind, CC_MSG_SYNC, CC_MSG_RELAY);
+        cc_message_clear (&m);
+      }
+  for (gsize i = 0; i < size; i++)
+    {
+      g_autoptr (GBytes) cut = g_bytes_new (good, i);
+      CcMessage m;
+
+      if (cc_wire_decode (cut, &m) == CC_OK)
+        cc_message_clear (&m);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_round_trip),
+                                      cmocka_unit_test (test_damage) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/upstream.h
@@ -0,0 +1,60 @@
+/* HTTP to the servers: attempts, grants and probes. */
+#ifndef CC_UPSTREAM_H
+#define CC_UPSTREAM_H
+
+#include "capercrank.h"
+#include "holding.h"
+
+/* Open connections to one server; the servers accept 130. */
+#define CC_CONNECTIONS_MAX 130
+
+typedef struct CcUpstream CcUpstream;
+typedef struct CcAttempt CcAttempt;
+
+typedef struct
+{
+  const char *address; /* IP:PORT of the server */
+  const char *method;
+  const char *path;
+  GVariant *headers; /* a(ss), as the caller sent them */
+  GBytes *body;
+  gint64 deadline; /* wall clock, us */
+  guint64 term;
+  guint slice;
+  guint64 epoch;
+  const char *run_id;
+  gboolean once_only;
+} CcOrder;
+
+typedef enum
+{
+  CC_ATTEMPT_ANSWERED, /* the server ran it and answered */
+  CC_ATTEMPT_FENCED,   /* refused for its grant: not run */
+  CC_ATTEMPT_SHED,     /* refused for its load: not run */
+  CC_ATTEMPT_UNSENT,   /* nothing left this process: not run */
+  CC_ATTEMPT_LOST      /* sent, no answer: unknown */
+} CcAttemptEnd;
+
+typedef struct
+{
+  CcAttemptEnd end;
+  guint status;
+  GVariant *headers; /* a(ss) */
+  GBytes *body;
+} CcAttemptResult;
+
+typedef void (*CcAttemptDone) (const CcAttemptResult *r, gpointer data);
+/* STATUS: CC_OK; CC_CONFLICT: the server knows a higher term; CC_UNKNOWN. */
+typedef void (*CcGrantDone) (CcStatus status, guint64 serial, gint64 sent,
+                             gpointer data);
+
+CcUpstream *cc_upstream_new (const char *source);
+CcAttempt *cc_upstream_send (CcUpstream *u, const CcOrder *o,
+                             CcAttemptDone done, gpointer data);
+void cc_attempt_cancel (CcAttempt *a);
+void cc_upstream_grant (CcUpstream *u, const CcHolding *h, const char *holder,
+                        CcGrantDone done, gpointer data);
+void cc_upstream_probe (CcUpstream *u, const CcHolding *h, CcGrantDone done,
+                        gpointer data);
+
+#endif
--- /dev/null
+++ b/view.c
@@ -0,0 +1,159 @@
+/* A process never steps back to an older row: a row is taken only if its
+ * version is higher than the one held, whoever sends it and in whatever order.
+ * Without that rule an answer delayed in a queue, or a peer cut off for an
+ * hour, would bring back a configuration that operators have replaced.
+ *
+ * `upto` says how far the view is complete.  It moves only when the giver
+ * listed all changes since a version that this view had already reached.
+ */
+#include "view.h"
+
+#include <string.h>
+
+static void
+row_free (gpointer data)
+{
+  CcRow *row = data;
+
+  g_free (row->key);
+  g_free (row->value);
+  g_free (row);
+}
+
+static gint
+compare_keys (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  (void) unused;
+  return strcmp (a, b);
+}
+
+/* Makes V an empty view, complete up to version 0. */
+void
+cc_view_init (CcView *v)
+{
+  v->rows = g_tree_new_full (compare_keys, NULL, NULL, row_free);
+  v->upto = 0;
+}
+
+/* Frees what V holds. */
+void
+cc_view_clear (CcView *v)
+{
+  g_clear_pointer (&v->rows, g_tree_unref);
+}
+
+/* Takes a row if it is newer than the one held.  VALUE NULL or "" deletes.
+ * Returns TRUE if the view changed. */
+gboolean
+cc_view_put (CcView *v, const char *key, guint64 version, const char *value)
+{
+  CcRow *row = g_tree_lookup (v->rows, key);
+
+  if (row != NULL && row->version >= version)
+    return FALSE;
+  if (row == NULL)
+    {
+      row = g_new0 (CcRow, 1);
+      row->key = g_strdup (key);
+      g_tree_insert (v->rows, row->key, row);
+    }
+  g_free (row->value);
+  row->version = version;
+  row->value = value != NULL && value[0] != '\0' ? g_strdup (value) : NULL;
+  return TRUE;
+}
+
+/* Notes that all rows from SINCE to UPTO were put.  Returns FALSE, with no
+ * change, if that leaves a gap or brings nothing new. */
+gboolean
+cc_view_advance (CcView *v, guint64 since, guint64 upto)
+{
+  if (since > v->upto || upto <= v->upto)
+    return FALSE;
+  v->upto = upto;
+  return TRUE;
+}
+
+/* The row at KEY, or NULL if there is none or it was deleted. */
+const CcRow *
+cc_view_get (const CcView *v, const char *key)
+{
+  const CcRow *row = g_tree_lookup (v->rows, key);
+
+  return row != NULL && row->value != NULL ? row : NULL;
+}
+
+typedef struct
+{
+  const char *prefix;
+  GPtrArray *found;
+} ListWalk;
+
+static gboolean
+list_row (gpointer key, gpointer value, gpointer data)
+{
+  ListWalk *walk = data;
+  CcRow *row = value;
+
+  if (row->value != NULL && g_str_has_prefix (key, walk->prefix))
+    g_ptr_array_add (walk->found, row);
+  return FALSE;
+}
+
+/* The rows whose keys start with PREFIX, in order of keys.  They belong to the
+ * view; the caller unrefs the array. */
+GPtrArray *
+cc_view_list (const CcView *v, const char *prefix)
+{
+  ListWalk walk = { prefix, g_ptr_array_new () };
+
+  g_tree_foreach (v->rows, list_row, &walk);
+  return walk.found;
+}
+
+typedef struct
+{
+  guint64 since;
+  GVariantBuilder builder;
+} SinceWalk;
+
+static gboolean
+add_newer (gpointer key, gpointer value, gpointer data)
+{
+  SinceWalk *walk = data;
+  const CcRow *row = value;
+
+  if (row->version > walk->since)
+    g_variant_builder_add (&walk->builder, "(sts)", (const char *) key,
+                           row->version, row->value ? row->value : "");
+  return FALSE;
+}
+
+/* All rows written after version SINCE, deleted ones too, as a(sts).  The
+ * result is floating. */
+GVariant *
+cc_view_since (const CcView *v, guint64 since)
+{
+  SinceWalk walk = { .since = since };
+
+  g_variant_builder_init (&walk.builder, G_VARIANT_TYPE ("a(sts)"));
+  g_tree_foreach (v->rows, add_newer, &walk);
+  return g_variant_builder_end (&walk.builder);
+}
+
+/* Takes a peer's ROWS (a(sts)), complete from SINCE to UPTO.  Returns how many
+ * were news. */
+guint
+cc_view_apply (CcView *v, guint64 since, guint64 upto, GVariant *rows)
+{
+  GVariantIter iter;
+  const char *key, *value;
+  guint64 version;
+  guint news = 0;
+
+  g_variant_iter_init (&iter, rows);
+  while (g_variant_iter_next (&iter, "(&st&s)", &key, &version, &value))
+    news += cc_view_put (v, key, version, value) ? 1 : 0;
+  cc_view_advance (v, since, upto);
+  return news;
+}
--- /dev/null
+++ b/view.h
@@ -0,0 +1,32 @@
+/* The newest rows of the platform's table that a process knows. */
+#ifndef CC_VIEW_H
+#define CC_VIEW_H
+
+#include <glib.h>
+
+#include "capercrank.h"
+
+typedef struct
+{
+  char *key;       /* "config/head", "map/catalogue", "member/a1" */
+  guint64 version; /* number of the transaction that wrote it */
+  char *value;     /* JSON; NULL: deleted */
+} CcRow;
+
+typedef struct
+{
+  GTree *rows;  /* key to CcRow */
+  guint64 upto; /* every row written up to this transaction is held */
+} CcView;
+
+void cc_view_init (CcView *v);
+void cc_view_clear (CcView *v);
+gboolean cc_view_put (CcView *v, const char *key, guint64 version,
+                      const char *value);
+gboolean cc_view_advance (CcView *v, guint64 since, guint64 upto);
+const CcRow *cc_view_get (const CcView *v, const char *key);
+GPtrArray *cc_view_list (const CcView *v, const char *prefix);
+GVariant *cc_view_since (const CcView *v, guint64 since);
+guint cc_view_apply (CcView *v, guint64 since, guint64 upto, GVariant *rows);
+
+#endif
