--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,10 @@
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
-STAND_INS = platform upstream load demo
-TEST_LIB = harness records
+STAND_INS = platform upstream relay load demo prove
+TEST_LIB = harness records scenarios_lease scenarios_outcome
+SCENARIO ?= check
+SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
 DEPLOYMENT ?= hradna
 
@@ -50,7 +52,7 @@
 
 -include $(wildcard $(BUILD)/*.d $(BUILD)/test/*.d)
 .SECONDARY:
-.PHONY: all deps demo check format lint test clean
+.PHONY: all build-all prove deps demo check format lint test clean
 
 deps:
 	@sh .ci/deps
@@ -61,6 +63,10 @@
 	@$(MAKE) -s build-all
 	@$(BUILD)/test/demo test/$(DEPLOYMENT).json
 
+# make prove SCENARIO=kill-dispatcher SEED=7; SCENARIO=list names them all
+prove: build-all
+	@$(BUILD)/test/prove $(SCENARIO) $(SEED)
+
 SOURCES = $(wildcard *.c *.h test/*.c test/*.h examples/*.c)
 
 format:
--- a/test/demo.c
+++ b/test/demo.c
@@ -5,19 +5,10 @@
 
 #include "harness.h"
 
-static int
-run_load (Cluster *c, const char *seconds, const char *percent)
+static guint
+number (int argc, char **argv, int at, guint fallback)
 {
-  g_autofree char *binary = g_strconcat (c->bin, "/test/load", NULL);
-  g_autofree char *list = cluster_entries (c);
-  g_autofree char *entries = g_strconcat ("--entries=", list, NULL);
-  g_autofree char *records = g_strconcat ("--records=", c->folder, NULL);
-  g_autofree char *file = g_strconcat ("--deployment=", c->file, NULL);
-  g_autofree char *length = g_strconcat ("--seconds=", seconds, NULL);
-  g_autofree char *rate = g_strconcat ("--percent=", percent, NULL);
-  char *argv[] = { binary, entries, records, file, length, rate, NULL };
-
-  return cluster_wait (cluster_spawn (c, argv, NULL));
+  return argc > at ? (guint) atoi (argv[at]) : fallback;
 }
 
 int
@@ -33,11 +24,12 @@
       fprintf (stderr, "usage: demo DEPLOYMENT [SECONDS [PERCENT]]\n");
       return 2;
     }
-  c = cluster_start (bin, argv[1]);
+  c = cluster_start (bin, argv[1], FALSE);
   fprintf (stderr, "%u processes, logs and records in %s\n", c->processes->len,
            c->folder);
   if (cluster_wait_ready (c, 30))
-    code = run_load (c, argc > 2 ? argv[2] : "20", argc > 3 ? argv[3] : "100");
+    code = cluster_wait (cluster_load (c, number (argc, argv, 2, 20),
+                                       number (argc, argv, 3, 100), 1, 1));
   cluster_stop (c);
   return code;
 }
--- a/test/harness.c
+++ b/test/harness.c
@@ -18,6 +18,7 @@
 
 #define PLATFORM_PORT 7900
 #define SERVER_PORT 9000
+#define RELAY_PORT 7901
 
 static gboolean
 net_is_free (guint net)
@@ -126,6 +127,18 @@
   p->pid = cluster_spawn (c, (char **) argv->pdata, p->name);
 }
 
+/* The address by which others reach IP:PORT: in a relayed run its front, the
+ * same with 100 added to the third number. */
+static char *
+front (const Cluster *c, const char *ip, guint port)
+{
+  guint a = 0, b = 0, d = 0, e = 0;
+
+  if (!c->relayed || sscanf (ip, "%u.%u.%u.%u", &a, &b, &d, &e) != 4)
+    return g_strdup_printf ("%s:%u", ip, port);
+  return g_strdup_printf ("%u.%u.%u.%u:%u", a, b, d + 100, e, port);
+}
+
 static void
 add_instance (Cluster *c, guint i, const char *zone, const char *seeds)
 {
@@ -137,19 +150,26 @@
   Process *d = add_process (c, dispatch, zone, NULL, ip, "capercrank-dispatch");
   Process *a = add_process (c, assign, zone, NULL, ip, "capercrank-assign");
   Process *all[] = { e, d, a };
+  g_autofree char *platform_ip = g_strdup_printf ("127.%u.0.2", c->net);
+  g_autofree char *platform = front (c, platform_ip, PLATFORM_PORT);
+  g_autofree char *front_e = front (c, ip, 7001);
+  g_autofree char *front_d = front (c, ip, 7002);
+  g_autofree char *front_a = front (c, ip, 7003);
+  const char *fronts[] = { front_e, front_d, front_a };
 
   for (guint k = 0; k < 3; k++)
     {
       flag (all[k], "instance", "i%u", i);
       flag (all[k], "zone", "%s", zone);
       flag (all[k], "listen", "%s:%u", ip, 7001 + k);
+      flag (all[k], "advertise", "%s", fronts[k]);
       flag (all[k], "admin", "%s:%u", ip, 8081 + k);
     }
   flag (e, "callers", "%s:8080", ip);
-  flag (e, "dispatchers", "%s:7002,%s", ip, seeds);
+  flag (e, "dispatchers", "%s,%s", front_d, seeds);
   flag (d, "peers", "%s", seeds);
-  flag (d, "platform", "127.%u.0.2:%u", c->net, PLATFORM_PORT);
-  flag (a, "platform", "127.%u.0.2:%u", c->net, PLATFORM_PORT);
+  flag (d, "platform", "%s", platform);
+  flag (a, "platform", "%s", platform);
 }
 
 static void
@@ -183,9 +203,10 @@
   JsonArray *zones = json_object_get_array_member (root, "zones");
   JsonArray *servers = json_object_get_array_member (root, "servers");
   g_autofree char *ip = g_strdup_printf ("127.%u.0.2", c->net);
+  guint third = c->relayed ? 101 : 1;
   g_autofree char *seeds =
-      g_strdup_printf ("127.%u.1.1:7002,127.%u.1.2:7002,127.%u.1.3:7002",
-                       c->net, c->net, c->net);
+      g_strdup_printf ("127.%u.%u.1:7002,127.%u.%u.2:7002,127.%u.%u.3:7002",
+                       c->net, third, c->net, third, c->net, third);
   Process *platform =
       add_process (c, "platform", "", NULL, ip, "test/platform");
   guint next = 0;
@@ -209,15 +230,18 @@
   for (guint i = 0; i < c->processes->len; i++)
     {
       const Process *p = c->processes->pdata[i];
+      const char *state =
+          p->pool ? g_hash_table_lookup (c->states, p->name) : "gone";
+      g_autofree char *address = front (c, p->ip, SERVER_PORT);
 
-      if (p->pool == NULL)
+      if (state == NULL)
+        state = "live";
+      if (g_str_equal (state, "gone"))
         continue;
       g_string_append_printf (s,
                               "%s{\"name\":\"%s\",\"role\":\"%s\",\"zone\":"
-                              "\"%s\",\"address\":\"%s:%u\",\"state\":"
-                              "\"live\"}",
-                              comma, p->name, p->pool, p->zone, p->ip,
-                              SERVER_PORT);
+                              "\"%s\",\"address\":\"%s\",\"state\":\"%s\"}",
+                              comma, p->name, p->pool, p->zone, address, state);
       comma = ",";
     }
   g_string_append (s, "]}");
@@ -271,14 +295,66 @@
   return FALSE;
 }
 
+static void
+write_relay_map (Cluster *c, const char *file)
+{
+  GString *s = g_string_new (NULL);
+
+  for (guint i = 0; i < c->processes->len; i++)
+    {
+      const Process *p = c->processes->pdata[i];
+      guint port = p->pool != NULL                          ? SERVER_PORT
+                   : g_str_has_prefix (p->name, "entry")    ? 7001
+                   : g_str_has_prefix (p->name, "dispatch") ? 7002
+                   : g_str_has_prefix (p->name, "assign")   ? 7003
+                                                            : PLATFORM_PORT;
+      g_autofree char *at = front (c, p->ip, port);
+      const char *zone = p->zone[0] != '\0' ? p->zone : "platform";
+
+      g_string_append_printf (s, "front %s %s:%u %s %s\n", at, p->ip, port,
+                              zone, p->name);
+      if (port == 7002)
+        g_string_append_printf (s, "from %s %s instance-%s\n", p->ip, zone,
+                                p->name + strlen ("dispatch-"));
+    }
+  g_file_set_contents (file, s->str, -1, NULL);
+  g_string_free (s, TRUE);
+}
+
+static void
+add_relay (Cluster *c)
+{
+  g_autofree char *map = g_strconcat (c->folder, "/relay.map", NULL);
+  g_autofree char *ip = g_strdup_printf ("127.%u.0.3", c->net);
+  Process *p;
+
+  write_relay_map (c, map);
+  p = add_process (c, "relay", "", NULL, ip, "test/relay");
+  flag (p, "control", "%s:%u", ip, RELAY_PORT);
+  flag (p, "map", "%s", map);
+}
+
+static void
+publish_servers (Cluster *c)
+{
+  g_autofree char *servers = list_servers (c);
+  g_autofree char *url = g_strdup_printf ("http://127.%u.0.2:%u/test/instances",
+                                          c->net, PLATFORM_PORT);
+
+  for (guint i = 0; i < 50; i++)
+    {
+      if (cluster_http ("PUT", url, servers, NULL, NULL) == 200)
+        break;
+      g_usleep (100000);
+    }
+}
+
 /* Starts all of DEPLOYMENT (a file), programs taken from BIN, and submits its
- * document. */
+ * document.  If RELAYED, every link can be cut by cluster_relay. */
 Cluster *
-cluster_start (const char *bin, const char *deployment)
+cluster_start (const char *bin, const char *deployment, gboolean relayed)
 {
   g_autoptr (JsonParser) parser = json_parser_new ();
-  g_autofree char *servers = NULL;
-  g_autofree char *url = NULL;
   JsonObject *root;
   Cluster *c = g_new0 (Cluster, 1);
 
@@ -287,6 +363,8 @@
   root = json_node_get_object (json_parser_get_root (parser));
   c->file = g_strdup (deployment);
   c->bin = g_strdup (bin);
+  c->relayed = relayed;
+  c->states = g_hash_table_new (g_str_hash, g_str_equal);
   c->document =
       json_to_string (json_object_get_member (root, "document"), TRUE);
   c->net = choose_net ();
@@ -295,22 +373,81 @@
   g_mkdir_with_parents (c->folder, 0755);
   c->processes = g_ptr_array_new ();
   add_all (c, root);
+  if (relayed)
+    add_relay (c);
   for (guint i = 0; i < c->processes->len; i++)
     start_process (c, c->processes->pdata[i]);
-  servers = list_servers (c);
-  url = g_strdup_printf ("http://127.%u.0.2:%u/test/instances", c->net,
-                         PLATFORM_PORT);
-  for (guint i = 0; i < 50; i++)
-    {
-      if (cluster_http ("PUT", url, servers, NULL, NULL) == 200)
-        break;
-      g_usleep (100000);
-    }
+  publish_servers (c);
   if (!submit_until_accepted (c))
     fprintf (stderr, "the document was not accepted\n");
   return c;
 }
 
+/* Sets a rule of the relay: "cut", "heal" or "silence" between A and B, each a
+ * zone, "platform", "instance-3", or a process ("*": any).  Returns how many
+ * open connections, or rules, it touched. */
+guint
+cluster_relay (Cluster *c, const char *verb, const char *a, const char *b)
+{
+  g_autofree char *url = g_strdup_printf ("http://127.%u.0.3:%u/%s?a=%s&b=%s",
+                                          c->net, RELAY_PORT, verb, a, b);
+  g_autofree char *answer = NULL;
+
+  cluster_http ("PUT", url, "", NULL, &answer);
+  return (guint) g_ascii_strtoull (answer, NULL, 10);
+}
+
+/* Sets the platform's fault: "up", "down", "slow" or "lose". */
+void
+cluster_platform (Cluster *c, const char *mode, guint ms)
+{
+  g_autofree char *url =
+      g_strdup_printf ("http://127.%u.0.2:%u/test/fault?mode=%s&ms=%u", c->net,
+                       PLATFORM_PORT, mode, ms);
+
+  cluster_http ("PUT", url, "", NULL, NULL);
+}
+
+/* Changes a server's state in the platform's list: "live", "leaving", "gone".
+ */
+void
+cluster_list (Cluster *c, const char *server, const char *state)
+{
+  g_hash_table_insert (c->states, g_strdup (server), g_strdup (state));
+  publish_servers (c);
+}
+
+/* Changes how a server behaves, "work_us=50000" or "shed=1". */
+void
+cluster_behave (Cluster *c, const char *server, const char *query)
+{
+  Process *p = cluster_find (c, server);
+  g_autofree char *url = g_strdup_printf ("http://%s:%u/test/behave?%s", p->ip,
+                                          SERVER_PORT, query);
+
+  cluster_http ("PUT", url, "", NULL, NULL);
+}
+
+/* Starts the load generator; cluster_wait gives the audit's verdict. */
+int
+cluster_load (Cluster *c, guint seconds, guint percent, guint repeats,
+              guint seed)
+{
+  g_autofree char *binary = g_strconcat (c->bin, "/test/load", NULL);
+  g_autofree char *list = cluster_entries (c);
+  g_autofree char *entries = g_strconcat ("--entries=", list, NULL);
+  g_autofree char *records = g_strconcat ("--records=", c->folder, NULL);
+  g_autofree char *file = g_strconcat ("--deployment=", c->file, NULL);
+  g_autofree char *length = g_strdup_printf ("--seconds=%u", seconds);
+  g_autofree char *rate = g_strdup_printf ("--percent=%u", percent);
+  g_autofree char *tries = g_strdup_printf ("--repeats=%u", repeats);
+  g_autofree char *start = g_strdup_printf ("--seed=%u", seed);
+  char *argv[] = { binary, entries, records, file, length,
+                   rate,   tries,   start,   NULL };
+
+  return cluster_spawn (c, argv, NULL);
+}
+
 static gboolean
 entry_serves (Cluster *c, guint i)
 {
--- a/test/harness.h
+++ b/test/harness.h
@@ -16,16 +16,26 @@
 
 typedef struct
 {
-  char *file;     /* of the deployment */
-  char *document; /* JSON */
-  char *folder;   /* logs and records of this run */
-  char *bin;      /* folder of the programs */
-  guint net;      /* 127.NET.x.y */
+  char *file;         /* of the deployment */
+  char *document;     /* JSON */
+  char *folder;       /* logs and records of this run */
+  char *bin;          /* folder of the programs */
+  guint net;          /* 127.NET.x.y */
+  gboolean relayed;   /* all links go through the relay */
+  GHashTable *states; /* server to its state in the platform's list */
   guint instances;
   GPtrArray *processes; /* of Process, platform first */
 } Cluster;
 
-Cluster *cluster_start (const char *bin, const char *deployment);
+Cluster *cluster_start (const char *bin, const char *deployment,
+                        gboolean relayed);
+guint cluster_relay (Cluster *c, const char *verb, const char *a,
+                     const char *b);
+void cluster_platform (Cluster *c, const char *mode, guint ms);
+void cluster_list (Cluster *c, const char *server, const char *state);
+void cluster_behave (Cluster *c, const char *server, const char *query);
+int cluster_load (Cluster *c, guint seconds, guint percent, guint repeats,
+                  guint seed);
 gboolean cluster_wait_ready (Cluster *c, guint seconds);
 void cluster_stop (Cluster *c);
 Process *cluster_find (Cluster *c, const char *name);
--- /dev/null
+++ b/test/prove.c
@@ -0,0 +1,70 @@
+/* prove SCENARIO [SEED]: starts a relayed deployment, drives it, provokes the
+ * failure and judges by the audit.  prove list names the scenarios; prove
+ * check runs the few that belong to make check. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "prove.h"
+
+#define DEPLOYMENT "test/small.json"
+#define LOAD_PERCENT 100
+
+static const Scenario *const groups[] = { lease_scenarios, outcome_scenarios };
+
+/* Waits while the deployment runs. */
+void
+pause_ms (guint ms)
+{
+  g_usleep ((gulong) ms * 1000);
+}
+
+static gboolean
+prove (const char *bin, const Scenario *s, guint seed)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+  Cluster *c = cluster_start (bin, DEPLOYMENT, TRUE);
+  gboolean good = cluster_wait_ready (c, 30);
+  guint hits = 0;
+  int load = 0;
+
+  fprintf (stderr, "%s, seed %u, in %s\n", s->name, seed, c->folder);
+  if (good)
+    {
+      load = cluster_load (c, s->seconds, LOAD_PERCENT, s->repeats, seed);
+      pause_ms (2000);
+      hits = s->run (c, rand);
+      good = cluster_wait (load) == 0;
+    }
+  cluster_stop (c);
+  if (hits == 0)
+    fprintf (stderr, "the fault did not fall inside its window\n");
+  printf ("%s 1 - prove_%s\n", good && hits > 0 ? "ok" : "not ok", s->name);
+  fflush (stdout);
+  return good && hits > 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autofree char *tests = g_path_get_dirname (argv[0]);
+  g_autofree char *bin = g_path_get_dirname (tests);
+  const char *wanted = argc > 1 ? argv[1] : "list";
+  guint seed = argc > 2 ? (guint) atoi (argv[2]) : 1;
+  guint matched = 0, failed = 0;
+
+  for (guint g = 0; g < G_N_ELEMENTS (groups); g++)
+    for (const Scenario *s = groups[g]; s->name != NULL; s++)
+      {
+        if (g_str_equal (wanted, "list"))
+          printf ("%-26s %s\n", s->name, s->tells);
+        else if (g_str_equal (wanted, s->name) || g_str_equal (wanted, "all") ||
+                 (g_str_equal (wanted, "check") && s->in_check))
+          {
+            matched++;
+            failed += prove (bin, s, seed) ? 0 : 1;
+          }
+      }
+  if (matched == 0 && !g_str_equal (wanted, "list"))
+    fprintf (stderr, "no scenario \"%s\"\n", wanted);
+  return failed > 0 || (matched == 0 && !g_str_equal (wanted, "list"));
+}
--- /dev/null
+++ b/test/prove.h
@@ -0,0 +1,26 @@
+/* Scenarios of failure, run against the real processes. */
+#ifndef TEST_PROVE_H
+#define TEST_PROVE_H
+
+#include "harness.h"
+
+/* Runs while the load does, from two seconds after its start.  Returns how
+ * often the fault was seen to fall inside its window; 0 fails the proof. */
+typedef guint (*ScenarioRun) (Cluster *c, GRand *rand);
+
+typedef struct
+{
+  const char *name;
+  const char *tells; /* what callers see, what happens, why */
+  guint seconds;     /* of load */
+  guint repeats;     /* tries of each request until run */
+  ScenarioRun run;
+  gboolean in_check; /* part of make check */
+} Scenario;
+
+extern const Scenario lease_scenarios[];   /* leases, epochs, moves, cuts */
+extern const Scenario outcome_scenarios[]; /* repeats, silence, drains */
+
+void pause_ms (guint ms);
+
+#endif
--- /dev/null
+++ b/test/relay.c
@@ -0,0 +1,407 @@
+/* A TCP relay in front of every mailbox, server and the platform, by which
+ * tests cut links.
+ *
+ * Its map file has two kinds of lines:
+ *   front FRONT REAL ZONE NAME   connections to FRONT (IP:PORT) go to REAL
+ *   from  IP ZONE NAME           connections from IP come from there
+ * A rule names two ends, each a zone or a name.
+ *   PUT /cut?a=X&b=Y     what passes between X and Y stops, nothing is closed;
+ *                        after /heal it flows on, as TCP's repeats would
+ *   PUT /heal            all cuts end
+ *   PUT /silence?a=X&b=Y open connections between X and Y swallow everything
+ *                        for good, new ones work
+ * Each answers with the number of connections it touched. */
+#define _GNU_SOURCE
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib-unix.h>
+
+#include "admin.h"
+#include "settings.h"
+
+#define BUFFER 65536
+
+typedef struct
+{
+  char *zone;
+  char *name;
+} End;
+
+typedef struct
+{
+  char *a, *b;
+} Rule;
+
+typedef struct
+{
+  GSocketAddress *real;
+  End end;
+} Front;
+
+typedef struct Link Link;
+
+typedef struct
+{
+  Link *link;
+  int from, to; /* files */
+  char *data;
+  gsize filled, written;
+  guint watch;
+} Flow;
+
+struct Link
+{
+  End source;
+  Front *front;
+  int fd[2];
+  Flow flow[2];
+  gboolean silent;
+  gboolean connected;
+};
+
+static GPtrArray *links;
+static GPtrArray *rules;
+static GHashTable *sources; /* IP to End */
+
+static void arm (Flow *f);
+
+static gboolean
+is_at (const End *e, const char *where)
+{
+  return g_str_equal (where, "*") || g_str_equal (e->zone, where) ||
+         g_str_equal (e->name, where);
+}
+
+static gboolean
+is_between (const Link *l, const char *a, const char *b)
+{
+  const End *s = &l->source, *t = &l->front->end;
+
+  return (is_at (s, a) && is_at (t, b)) || (is_at (s, b) && is_at (t, a));
+}
+
+static gboolean
+is_cut (const Link *l)
+{
+  for (guint i = 0; i < rules->len; i++)
+    {
+      const Rule *r = rules->pdata[i];
+
+      if (is_between (l, r->a, r->b))
+        return TRUE;
+    }
+  return l->silent;
+}
+
+static void
+link_close (Link *l)
+{
+  for (guint i = 0; i < 2; i++)
+    {
+      if (l->flow[i].watch != 0)
+        g_source_remove (l->flow[i].watch);
+      g_free (l->flow[i].data);
+      if (l->fd[i] >= 0)
+        close (l->fd[i]);
+    }
+  g_ptr_array_remove_fast (links, l);
+  g_free (l);
+}
+
+static gboolean
+read_some (Flow *f)
+{
+  gssize n = read (f->from, f->data, BUFFER);
+
+  if (n <= 0)
+    return n < 0 && errno == EAGAIN;
+  f->filled = (gsize) n;
+  f->written = 0;
+  return TRUE;
+}
+
+static gboolean
+write_some (Flow *f)
+{
+  gssize n =
+      send (f->to, f->data + f->written, f->filled - f->written, MSG_NOSIGNAL);
+
+  if (n < 0)
+    return errno == EAGAIN;
+  f->written += (gsize) n;
+  if (f->written == f->filled)
+    f->filled = f->written = 0;
+  return TRUE;
+}
+
+static gboolean
+on_flow (gint fd, GIOCondition condition, gpointer data)
+{
+  Flow *f = data;
+  gboolean good;
+
+  (void) fd, (void) condition;
+  f->watch = 0;
+  if (is_cut (f->link))
+    return G_SOURCE_REMOVE;
+  good = f->filled > 0 ? write_some (f) : read_some (f);
+  if (good && f->filled > f->written)
+    good = write_some (f);
+  if (good)
+    arm (f);
+  else
+    link_close (f->link);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+arm (Flow *f)
+{
+  if (f->watch != 0 || is_cut (f->link) || f->link->fd[1] < 0)
+    return;
+  if (f->filled > 0)
+    f->watch = g_unix_fd_add (f->to, G_IO_OUT | G_IO_ERR, on_flow, f);
+  else
+    f->watch =
+        g_unix_fd_add (f->from, G_IO_IN | G_IO_HUP | G_IO_ERR, on_flow, f);
+}
+
+static int
+connect_real (const Link *l, const char *source)
+{
+  guint8 raw[128];
+  gssize size = g_socket_address_get_native_size (l->front->real);
+  g_autoptr (GSocketAddress) local =
+      g_inet_socket_address_new_from_string (source, 0);
+  guint8 own[128];
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  g_socket_address_to_native (l->front->real, raw, sizeof raw, NULL);
+  g_socket_address_to_native (local, own, sizeof own, NULL);
+  if (bind (fd, (struct sockaddr *) own, (socklen_t) size) != 0 ||
+      connect (fd, (struct sockaddr *) raw, (socklen_t) size) != 0)
+    {
+      close (fd);
+      return -1;
+    }
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  return fd;
+}
+
+static void
+link_open (Link *l)
+{
+  l->connected = TRUE;
+  l->fd[1] = connect_real (l, "127.0.0.1");
+  if (l->fd[1] < 0)
+    {
+      link_close (l);
+      return;
+    }
+  for (guint i = 0; i < 2; i++)
+    {
+      l->flow[i].link = l;
+      l->flow[i].from = l->fd[i];
+      l->flow[i].to = l->fd[1 - i];
+      arm (&l->flow[i]);
+    }
+}
+
+static gboolean
+on_accept (gint fd, GIOCondition condition, gpointer data)
+{
+  Front *front = data;
+  struct sockaddr_storage peer;
+  socklen_t size = sizeof peer;
+  int one = accept4 (fd, (struct sockaddr *) &peer, &size,
+                     SOCK_CLOEXEC | SOCK_NONBLOCK);
+  g_autoptr (GSocketAddress) address = NULL;
+  g_autofree char *ip = NULL;
+  static End nowhere = { (char *) "-", (char *) "-" };
+  End *source;
+  Link *l;
+
+  (void) condition;
+  if (one < 0)
+    return G_SOURCE_CONTINUE;
+  address = g_socket_address_new_from_native (&peer, size);
+  ip = g_inet_address_to_string (
+      g_inet_socket_address_get_address (G_INET_SOCKET_ADDRESS (address)));
+  source = g_hash_table_lookup (sources, ip);
+  l = g_new0 (Link, 1);
+  l->source = source != NULL ? *source : nowhere;
+  l->front = front;
+  l->fd[0] = one;
+  l->fd[1] = -1;
+  l->flow[0].data = g_malloc (BUFFER);
+  l->flow[1].data = g_malloc (BUFFER);
+  g_ptr_array_add (links, l);
+  if (!is_cut (l))
+    link_open (l);
+  return G_SOURCE_CONTINUE;
+}
+
+static GSocketAddress *
+parse_address (const char *text)
+{
+  g_autofree char *ip = NULL;
+  guint16 port = 0;
+
+  cc_address_parse (text, &ip, &port);
+  return g_inet_socket_address_new_from_string (ip, port);
+}
+
+static void
+open_front (char **f)
+{
+  Front *front = g_new0 (Front, 1);
+  g_autoptr (GSocketAddress) at = parse_address (f[1]);
+  g_autoptr (GError) error = NULL;
+  GSocket *s = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                             G_SOCKET_PROTOCOL_TCP, NULL);
+
+  front->real = parse_address (f[2]);
+  front->end.zone = g_strdup (f[3]);
+  front->end.name = g_strdup (f[4]);
+  g_socket_set_listen_backlog (s, 1024);
+  g_socket_set_blocking (s, FALSE);
+  if (!g_socket_bind (s, at, TRUE, &error) || !g_socket_listen (s, &error))
+    g_error ("relay: %s: %s", f[1], error->message);
+  g_unix_fd_add (g_socket_get_fd (s), G_IO_IN, on_accept, front);
+}
+
+static void
+read_map (const char *file)
+{
+  g_autofree char *text = NULL;
+  g_auto (GStrv) lines = NULL;
+
+  if (!g_file_get_contents (file, &text, NULL, NULL))
+    g_error ("relay: can't read %s", file);
+  lines = g_strsplit (text, "\n", -1);
+  for (guint i = 0; lines[i] != NULL; i++)
+    {
+      g_auto (GStrv) f = g_strsplit (lines[i], " ", -1);
+
+      if (g_strv_length (f) == 5)
+        open_front (f);
+      if (g_strv_length (f) == 4)
+        {
+          End *e = g_new0 (End, 1);
+
+          e->zone = g_strdup (f[2]);
+          e->name = g_strdup (f[3]);
+          g_hash_table_insert (sources, g_strdup (f[1]), e);
+        }
+    }
+}
+
+static void
+answer_count (SoupServerMessage *m, guint n)
+{
+  g_autofree char *text = g_strdup_printf ("%u\n", n);
+
+  cc_http_answer (m, SOUP_STATUS_OK, "text/plain", text);
+}
+
+static void
+on_cut (SoupServer *server, SoupServerMessage *m, const char *path,
+        GHashTable *query, gpointer data)
+{
+  Rule *r = g_new0 (Rule, 1);
+  guint n = 0;
+
+  (void) server, (void) path, (void) data;
+  r->a = g_strdup (g_hash_table_lookup (query, "a"));
+  r->b = g_strdup (g_hash_table_lookup (query, "b"));
+  for (guint i = 0; i < links->len; i++)
+    n += is_between (links->pdata[i], r->a, r->b);
+  g_ptr_array_add (rules, r);
+  answer_count (m, n);
+}
+
+static void
+on_heal (SoupServer *server, SoupServerMessage *m, const char *path,
+         GHashTable *query, gpointer data)
+{
+  g_autoptr (GPtrArray) all = g_ptr_array_new ();
+  guint n = rules->len;
+
+  (void) server, (void) path, (void) query, (void) data;
+  g_ptr_array_set_size (rules, 0);
+  for (guint i = 0; i < links->len; i++)
+    g_ptr_array_add (all, links->pdata[i]);
+  for (guint i = 0; i < all->len; i++)
+    {
+      Link *l = all->pdata[i];
+
+      if (l->silent)
+        continue;
+      if (!l->connected)
+        link_open (l);
+      else
+        {
+          arm (&l->flow[0]);
+          arm (&l->flow[1]);
+        }
+    }
+  answer_count (m, n);
+}
+
+static void
+on_silence (SoupServer *server, SoupServerMessage *m, const char *path,
+            GHashTable *query, gpointer data)
+{
+  guint n = 0;
+
+  (void) server, (void) path, (void) data;
+  for (guint i = 0; i < links->len; i++)
+    {
+      Link *l = links->pdata[i];
+
+      if (!is_between (l, g_hash_table_lookup (query, "a"),
+                       g_hash_table_lookup (query, "b")))
+        continue;
+      l->silent = TRUE;
+      n++;
+    }
+  answer_count (m, n);
+}
+
+int
+main (int argc, char **argv)
+{
+  CcSetting settings[] = {
+    { CC_SETTING_STRING, "instance", "relay", "name in logs", 0, 0, NULL },
+    { CC_SETTING_ADDRESS, "control", NULL, "where rules are set", 0, 0, NULL },
+    { CC_SETTING_STRING, "map", NULL, "file of fronts and sources", 0, 0,
+      NULL },
+    { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
+  };
+  g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
+  g_autoptr (SoupServer) control = soup_server_new (NULL, NULL);
+  g_autofree char *message = NULL;
+
+  if (cc_settings_read (settings, "relay", "Cuts links between zones.", argc,
+                        argv) != CC_START_RUN)
+    return 2;
+  links = g_ptr_array_new ();
+  rules = g_ptr_array_new ();
+  sources = g_hash_table_new (g_str_hash, g_str_equal);
+  read_map (cc_setting (settings, "map"));
+  soup_server_add_handler (control, "/cut", on_cut, NULL, NULL);
+  soup_server_add_handler (control, "/heal", on_heal, NULL, NULL);
+  soup_server_add_handler (control, "/silence", on_silence, NULL, NULL);
+  if (!cc_http_listen (control, cc_setting (settings, "control"), &message))
+    {
+      fprintf (stderr, "relay: %s\n", message);
+      return 1;
+    }
+  g_main_loop_run (loop);
+  return 0;
+}
--- a/test/run_all.sh
+++ b/test/run_all.sh
@@ -18,7 +18,10 @@
     tail -5 "$out.one"
   fi
 done
-rm -f "$out.one"
+"$bin/test/prove" check 1 >"$out.one" 2>"$out.log"
+cat "$out.one" >>"$out"
+grep -q '^not ok' "$out.one" && cat "$out.log"
+rm -f "$out.one" "$out.log"
 passed=$(grep -c '^ok' "$out")
 failed=0
 known=0
