Horizon after a takeover covers both clocks' bounds

Cause: the horizon added only the callers' bound of 500 ms. Change: CC_INSTANCE_SKEW_MAX (100 ms) apart from CC_SKEW_MAX, both added in cc_outcomes_taken; the horizon is asked before the clock; an entry refuses only what no dispatcher can have taken.

--- a/capercrank.h
+++ b/capercrank.h
@@ -70,12 +70,15 @@
 #define CC_HEADERS_MAX (32 * 1024)    /* bytes of all headers of a request */
 #define CC_TIMEOUT_MAX_MS 60000       /* longest deadline of any class */
 
-/* Greatest difference between two instances' wall clocks, and how far a
- * caller's clock may be ahead.  Instances keep time by NTP (a few ms); callers
- * are tills and phones, so the bound is generous.  It delays the first
- * once-only request after a takeover by as much, see outcome.h. */
+/* How far a caller's clock may be ahead of ours.  Callers are tills and
+ * phones, so the bound is generous.  It delays the first once-only request
+ * after a takeover by as much, see outcome.h. */
 #define CC_SKEW_MAX (500 * CC_MS)
 
+/* Greatest difference between two instances' wall clocks, which are kept by
+ * NTP within a few ms. */
+#define CC_INSTANCE_SKEW_MAX (100 * CC_MS)
+
 /* Returns the name of OUTCOME as it stands in the answer's header. */
 const char *cc_outcome_name (CcOutcome outcome);
 
--- a/dispatch.c
+++ b/dispatch.c
@@ -254,8 +254,8 @@
   gboolean first_ever = epoch == 1 && owner->term == 1;
 
   if (last == NULL || !held_throughout (m, last, owner, epoch))
-    cc_outcomes_set_horizon (d->shared.outcomes, m->pool, slice,
-                             first_ever ? 0 : cc_clock_wall () + CC_SKEW_MAX);
+    cc_outcomes_taken (d->shared.outcomes, m->pool, slice, cc_clock_wall (),
+                       first_ever);
   last = g_new0 (LastHeld, 1);
   last->server = g_strdup (owner->name);
   last->epoch = epoch;
--- a/entry.c
+++ b/entry.c
@@ -232,7 +232,8 @@
   if (key == NULL || !cc_idempotency_time (key, &wall))
     cc_findings_add (&c->findings, CC_HDR_IDEMPOTENCY,
                      "a UUID of version 7 is required for this class");
-  else if (wall > cc_clock_wall () + CC_SKEW_MAX)
+  /* By this clock; the dispatcher's may be ahead of it and have run the key. */
+  else if (wall > cc_clock_wall () + CC_SKEW_MAX + CC_INSTANCE_SKEW_MAX)
     cc_findings_add (&c->findings, CC_HDR_IDEMPOTENCY,
                      "its time is in the future, set the caller's clock");
 }
--- a/outcome.c
+++ b/outcome.c
@@ -37,6 +37,8 @@
   GHashTable *horizons; /* "pool/slice" to gint64, wall clock */
   GQueue by_age;        /* of Entry, oldest arrival first */
   gsize bytes;          /* of bodies kept */
+  guint count_max;      /* entries */
+  gsize bytes_max;      /* of bodies */
 };
 
 static void
@@ -72,9 +74,19 @@
   o->entries =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
   o->horizons = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  o->count_max = CC_OUTCOMES_MAX;
+  o->bytes_max = CC_OUTCOME_BYTES_MAX;
   return o;
 }
 
+/* Keeps at most COUNT outcomes, and BYTES of answers among them. */
+void
+cc_outcomes_set_limits (CcOutcomes *o, guint count, gsize bytes)
+{
+  o->count_max = count;
+  o->bytes_max = bytes;
+}
+
 /* Frees O. */
 void
 cc_outcomes_free (CcOutcomes *o)
@@ -132,6 +144,21 @@
   g_hash_table_insert (o->horizons, name, g_memdup2 (&wall, sizeof wall));
 }
 
+/* At WALL the slice was taken over from others, whose attempts this memory has
+ * not seen; FIRST_EVER if there were none.  A predecessor whose clock was ahead
+ * of ours took keys whose makers' clocks were ahead of its own, so both bounds
+ * add up: with the callers' alone, such a key was run again here once our clock
+ * had reached it. */
+void
+cc_outcomes_taken (CcOutcomes *o, const char *pool, guint slice, gint64 wall,
+                   gboolean first_ever)
+{
+  cc_outcomes_set_horizon (o, pool, slice,
+                           first_ever ? 0
+                                      : wall + CC_SKEW_MAX +
+                                            CC_INSTANCE_SKEW_MAX);
+}
+
 static void
 drop (CcOutcomes *o, Entry *e)
 {
@@ -206,9 +233,11 @@
       *found = &e->kept;
       return CC_REPEAT_DONE;
     }
-  if (made > wall + CC_SKEW_MAX)
-    return CC_REPEAT_AHEAD;
-  return is_behind (o, pool, slice, made) ? CC_REPEAT_TOO_OLD : CC_REPEAT_NEW;
+  /* The horizon first: a key that is ahead of our clock may have been in time
+   * by a predecessor's, and "ahead" is answered with not-run. */
+  if (is_behind (o, pool, slice, made))
+    return CC_REPEAT_TOO_OLD;
+  return made > wall + CC_SKEW_MAX ? CC_REPEAT_AHEAD : CC_REPEAT_NEW;
 }
 
 /* Notes that the first attempt of ID begins.  Must follow CC_REPEAT_NEW. */
@@ -219,7 +248,7 @@
   Entry *e = g_new0 (Entry, 1);
 
   expire (o, wall);
-  if (g_hash_table_size (o->entries) >= CC_OUTCOMES_MAX)
+  if (g_hash_table_size (o->entries) >= o->count_max)
     evict_oldest (o);
   e->id = g_strdup (id);
   e->slice = slice_name (pool, slice);
@@ -248,7 +277,7 @@
       e->kept.body = g_bytes_ref (r->body);
       o->bytes += g_bytes_get_size (r->body);
     }
-  while (o->bytes > CC_OUTCOME_BYTES_MAX && evict_oldest (o))
+  while (o->bytes > o->bytes_max && evict_oldest (o))
     ;
 }
 
--- a/outcome.h
+++ b/outcome.h
@@ -32,10 +32,13 @@
 typedef struct CcOutcomes CcOutcomes;
 
 CcOutcomes *cc_outcomes_new (void);
+void cc_outcomes_set_limits (CcOutcomes *o, guint count, gsize bytes);
 void cc_outcomes_free (CcOutcomes *o);
 gboolean cc_idempotency_time (const char *key, gint64 *wall);
 void cc_outcomes_set_horizon (CcOutcomes *o, const char *pool, guint slice,
                               gint64 wall);
+void cc_outcomes_taken (CcOutcomes *o, const char *pool, guint slice,
+                        gint64 wall, gboolean first_ever);
 CcRepeat cc_outcomes_ask (CcOutcomes *o, const char *pool, guint slice,
                           const char *id, gint64 wall,
                           const CcRemembered **found);
