Outcomes listed by slice, horizon kept in two parts

Cause: a slice's memory has to be passed on when the slice moves, and a memory that arrives whole must lower the takeover's horizon but never the one raised by eviction. Ruled out: one pass over all 50000 entries for each moved slice. Change: Slice holds both horizons and its entries; lower, import and each.

--- a/outcome.c
+++ b/outcome.c
@@ -10,7 +10,9 @@
  * predecessor: it is not run, and its outcome is said to be unknown.
  *
  * Forgetting an outcome, for its age or for want of room, raises the horizon
- * in the same way, so no path leads from "forgotten" to "run again".  A key
+ * in the same way, so no path leads from "forgotten" to "run again".  The two
+ * are kept apart, since a predecessor's memory that arrives whole lowers the
+ * first (outcome_transfer.h) and must not touch the second.  A key
  * whose time is ahead of ours by more than the skew is refused: it would
  * outlive a horizon that it should have fallen behind.
  */
@@ -23,22 +25,31 @@
 
 typedef struct
 {
+  gint64 taken;   /* attempts made before by others are not known here; us */
+  gint64 evicted; /* an outcome was forgotten whose key is older; us */
+  GQueue entries; /* of Entry */
+} Slice;
+
+typedef struct
+{
+  char *name; /* "pool/slice/id" */
   char *id;
-  char *slice; /* "pool/slice" */
+  Slice *slice;
   gint64 wall; /* time in the key */
   gboolean done;
   CcRemembered kept; /* if done */
   GList link;        /* in the list by arrival */
+  GList in_slice;    /* in the slice's list */
 } Entry;
 
 struct CcOutcomes
 {
-  GHashTable *entries;  /* "pool/slice/id" to Entry */
-  GHashTable *horizons; /* "pool/slice" to gint64, wall clock */
-  GQueue by_age;        /* of Entry, oldest arrival first */
-  gsize bytes;          /* of bodies kept */
-  guint count_max;      /* entries */
-  gsize bytes_max;      /* of bodies */
+  GHashTable *entries; /* "pool/slice/id" to Entry */
+  GHashTable *slices;  /* "pool/slice" to Slice */
+  GQueue by_age;       /* of Entry, oldest arrival first */
+  gsize bytes;         /* of bodies kept */
+  guint count_max;     /* entries */
+  gsize bytes_max;     /* of bodies */
 };
 
 static void
@@ -46,8 +57,8 @@
 {
   Entry *e = data;
 
+  g_free (e->name);
   g_free (e->id);
-  g_free (e->slice);
   g_clear_pointer (&e->kept.headers, g_variant_unref);
   g_clear_pointer (&e->kept.body, g_bytes_unref);
   g_free (e);
@@ -72,8 +83,8 @@
   CcOutcomes *o = g_new0 (CcOutcomes, 1);
 
   o->entries =
-      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
-  o->horizons = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  o->slices = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   o->count_max = CC_OUTCOMES_MAX;
   o->bytes_max = CC_OUTCOME_BYTES_MAX;
   return o;
@@ -92,7 +103,7 @@
 cc_outcomes_free (CcOutcomes *o)
 {
   g_hash_table_unref (o->entries);
-  g_hash_table_unref (o->horizons);
+  g_hash_table_unref (o->slices);
   g_free (o);
 }
 
@@ -127,21 +138,20 @@
   return TRUE;
 }
 
-/* From WALL (us since 1970) on, this memory knows every attempt in the slice.
- * A horizon never moves back. */
-void
-cc_outcomes_set_horizon (CcOutcomes *o, const char *pool, guint slice,
-                         gint64 wall)
+/* The slice, made without knowledge of any attempt in it if it is new. */
+static Slice *
+find_slice (CcOutcomes *o, const char *pool, guint slice)
 {
-  char *name = slice_name (pool, slice);
-  gint64 *old = g_hash_table_lookup (o->horizons, name);
-
-  if (old != NULL && *old >= wall)
-    {
-      g_free (name);
-      return;
-    }
-  g_hash_table_insert (o->horizons, name, g_memdup2 (&wall, sizeof wall));
+  g_autofree char *name = slice_name (pool, slice);
+  Slice *s = g_hash_table_lookup (o->slices, name);
+
+  if (s != NULL)
+    return s;
+  s = g_new0 (Slice, 1);
+  s->taken = G_MAXINT64;
+  g_queue_init (&s->entries);
+  g_hash_table_insert (o->slices, g_steal_pointer (&name), s);
+  return s;
 }
 
 /* At WALL the slice was taken over from others, whose attempts this memory has
@@ -153,21 +163,43 @@
 cc_outcomes_taken (CcOutcomes *o, const char *pool, guint slice, gint64 wall,
                    gboolean first_ever)
 {
-  cc_outcomes_set_horizon (o, pool, slice,
-                           first_ever ? 0
-                                      : wall + CC_SKEW_MAX +
-                                            CC_INSTANCE_SKEW_MAX);
+  Slice *s = find_slice (o, pool, slice);
+
+  s->taken = first_ever ? 0 : wall + CC_SKEW_MAX + CC_INSTANCE_SKEW_MAX;
+}
+
+/* The memory of all who had the slice before has arrived whole: what they
+ * didn't remember lies before HORIZON.  What was forgotten here stays so. */
+void
+cc_outcomes_lower_horizon (CcOutcomes *o, const char *pool, guint slice,
+                           gint64 horizon)
+{
+  Slice *s = find_slice (o, pool, slice);
+
+  s->taken = MIN (s->taken, horizon);
+}
+
+static gint64
+horizon_of (const Slice *s)
+{
+  return MAX (s->taken, s->evicted);
+}
+
+/* From when on (us since 1970) every attempt in the slice is known. */
+gint64
+cc_outcomes_horizon (CcOutcomes *o, const char *pool, guint slice)
+{
+  return horizon_of (find_slice (o, pool, slice));
 }
 
 static void
 drop (CcOutcomes *o, Entry *e)
 {
-  g_autofree char *name = g_strconcat (e->slice, "/", e->id, NULL);
-
   g_queue_unlink (&o->by_age, &e->link);
+  g_queue_unlink (&e->slice->entries, &e->in_slice);
   if (e->kept.body != NULL)
     o->bytes -= g_bytes_get_size (e->kept.body);
-  g_hash_table_remove (o->entries, name);
+  g_hash_table_remove (o->entries, e->name);
 }
 
 /* Forgets the oldest finished entry and raises its slice's horizon past it. */
@@ -175,18 +207,13 @@
 evict_oldest (CcOutcomes *o)
 {
   Entry *e = NULL;
-  gint64 raised, *old;
 
   for (GList *l = o->by_age.head; l != NULL && e == NULL; l = l->next)
     if (((Entry *) l->data)->done)
       e = l->data;
   if (e == NULL)
     return FALSE;
-  raised = e->wall + CC_MS;
-  old = g_hash_table_lookup (o->horizons, e->slice);
-  if (old == NULL || *old < raised)
-    g_hash_table_insert (o->horizons, g_strdup (e->slice),
-                         g_memdup2 (&raised, sizeof raised));
+  e->slice->evicted = MAX (e->slice->evicted, e->wall + CC_MS);
   drop (o, e);
   return TRUE;
 }
@@ -203,15 +230,6 @@
     }
 }
 
-static gboolean
-is_behind (CcOutcomes *o, const char *pool, guint slice, gint64 made)
-{
-  g_autofree char *name = slice_name (pool, slice);
-  const gint64 *horizon = g_hash_table_lookup (o->horizons, name);
-
-  return horizon == NULL || made < *horizon;
-}
-
 /* What to do with a request whose Idempotency-Key is ID, at WALL.  With
  * CC_REPEAT_DONE, *FOUND is its outcome, valid until the next call. */
 CcRepeat
@@ -235,39 +253,45 @@
     }
   /* The horizon first: a key that is ahead of our clock may have been in time
    * by a predecessor's, and "ahead" is answered with not-run. */
-  if (is_behind (o, pool, slice, made))
+  if (made < cc_outcomes_horizon (o, pool, slice))
     return CC_REPEAT_TOO_OLD;
   return made > wall + CC_SKEW_MAX ? CC_REPEAT_AHEAD : CC_REPEAT_NEW;
 }
 
-/* Notes that the first attempt of ID begins.  Must follow CC_REPEAT_NEW. */
-void
-cc_outcomes_start (CcOutcomes *o, const char *pool, guint slice, const char *id,
-                   gint64 wall)
+static Entry *
+add_entry (CcOutcomes *o, const char *pool, guint slice, const char *id,
+           gint64 made)
 {
   Entry *e = g_new0 (Entry, 1);
 
-  expire (o, wall);
   if (g_hash_table_size (o->entries) >= o->count_max)
     evict_oldest (o);
+  e->name = entry_name (pool, slice, id);
   e->id = g_strdup (id);
-  e->slice = slice_name (pool, slice);
-  cc_idempotency_time (id, &e->wall);
-  e->link.data = e;
+  e->slice = find_slice (o, pool, slice);
+  e->wall = made;
+  e->link.data = e->in_slice.data = e;
   g_queue_push_tail_link (&o->by_age, &e->link);
-  g_hash_table_insert (o->entries, entry_name (pool, slice, id), e);
+  g_queue_push_tail_link (&e->slice->entries, &e->in_slice);
+  g_hash_table_insert (o->entries, e->name, e);
+  return e;
 }
 
-/* The attempt of ID ended in R, which is copied. */
+/* Notes that the first attempt of ID begins.  Must follow CC_REPEAT_NEW. */
 void
-cc_outcomes_finish (CcOutcomes *o, const char *pool, guint slice,
-                    const char *id, const CcRemembered *r)
+cc_outcomes_start (CcOutcomes *o, const char *pool, guint slice, const char *id,
+                   gint64 wall)
 {
-  g_autofree char *name = entry_name (pool, slice, id);
-  Entry *e = g_hash_table_lookup (o->entries, name);
+  gint64 made = 0;
+
+  expire (o, wall);
+  cc_idempotency_time (id, &made);
+  add_entry (o, pool, slice, id, made);
+}
 
-  if (e == NULL || e->done)
-    return;
+static void
+keep (CcOutcomes *o, Entry *e, const CcRemembered *r)
+{
   e->done = TRUE;
   e->kept.outcome = r->outcome;
   e->kept.status = r->status;
@@ -281,6 +305,51 @@
     ;
 }
 
+/* The attempt of ID ended in R, which is copied. */
+void
+cc_outcomes_finish (CcOutcomes *o, const char *pool, guint slice,
+                    const char *id, const CcRemembered *r)
+{
+  g_autofree char *name = entry_name (pool, slice, id);
+  Entry *e = g_hash_table_lookup (o->entries, name);
+
+  if (e != NULL && !e->done)
+    keep (o, e, r);
+}
+
+/* Takes in another holder's memory of ID.  What is known here stays.  Returns
+ * FALSE if ID is no idempotency key. */
+gboolean
+cc_outcomes_import (CcOutcomes *o, const char *pool, guint slice,
+                    const char *id, const CcRemembered *r)
+{
+  g_autofree char *name = entry_name (pool, slice, id);
+  gint64 made;
+
+  if (!cc_idempotency_time (id, &made))
+    return FALSE;
+  if (g_hash_table_lookup (o->entries, name) == NULL)
+    keep (o, add_entry (o, pool, slice, id, made), r);
+  return TRUE;
+}
+
+/* Calls EACH for every outcome of the slice, oldest first; what is still under
+ * way counts as unknown. */
+void
+cc_outcomes_each (CcOutcomes *o, const char *pool, guint slice,
+                  CcOutcomeEach each, gpointer data)
+{
+  static const CcRemembered unknown = { .outcome = CC_OUTCOME_UNKNOWN };
+  const Slice *s = find_slice (o, pool, slice);
+
+  for (GList *l = s->entries.head; l != NULL; l = l->next)
+    {
+      const Entry *e = l->data;
+
+      each (e->id, e->done ? &e->kept : &unknown, data);
+    }
+}
+
 /* The attempt of ID certainly did not run: a repeat may. */
 void
 cc_outcomes_forget (CcOutcomes *o, const char *pool, guint slice,
--- a/outcome.h
+++ b/outcome.h
@@ -31,14 +31,19 @@
 
 typedef struct CcOutcomes CcOutcomes;
 
+/* ID and R are valid during the call. */
+typedef void (*CcOutcomeEach) (const char *id, const CcRemembered *r,
+                               gpointer data);
+
 CcOutcomes *cc_outcomes_new (void);
 void cc_outcomes_set_limits (CcOutcomes *o, guint count, gsize bytes);
 void cc_outcomes_free (CcOutcomes *o);
 gboolean cc_idempotency_time (const char *key, gint64 *wall);
-void cc_outcomes_set_horizon (CcOutcomes *o, const char *pool, guint slice,
-                              gint64 wall);
 void cc_outcomes_taken (CcOutcomes *o, const char *pool, guint slice,
                         gint64 wall, gboolean first_ever);
+void cc_outcomes_lower_horizon (CcOutcomes *o, const char *pool, guint slice,
+                                gint64 horizon);
+gint64 cc_outcomes_horizon (CcOutcomes *o, const char *pool, guint slice);
 CcRepeat cc_outcomes_ask (CcOutcomes *o, const char *pool, guint slice,
                           const char *id, gint64 wall,
                           const CcRemembered **found);
@@ -48,6 +53,10 @@
                          const char *id, const CcRemembered *r);
 void cc_outcomes_forget (CcOutcomes *o, const char *pool, guint slice,
                          const char *id);
+gboolean cc_outcomes_import (CcOutcomes *o, const char *pool, guint slice,
+                             const char *id, const CcRemembered *r);
+void cc_outcomes_each (CcOutcomes *o, const char *pool, guint slice,
+                       CcOutcomeEach each, gpointer data);
 guint cc_outcomes_count (const CcOutcomes *o);
 
 #endif
--- a/test/test_outcome.c
+++ b/test/test_outcome.c
@@ -157,6 +157,8 @@
         fault (w, k, "another outcome than the first");
       break;
     case CC_REPEAT_TOO_OLD:
+      if (k->state == KEY_RUNNING && k->life == w->life)
+        fault (w, k, "an attempt under way was forgotten");
       break;
     case CC_REPEAT_AHEAD:
     case CC_REPEAT_MALFORMED:
