An orderly move takes the memory of outcomes along

Cause: after a drain or a move the new dispatcher knew nothing and answered 'unknown' to every key made before it. Ruled out: asking the old holder on each repeat (gone after a drain). Overlapping moves of one slice still give unknown.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 LIB_SRC = admin.c ask.c assignment.c capercrank.c clock.c config_api.c \
   document.c findings.c follower.c holding.c job.c leader.c lease.c log.c \
-  mailbox.c metrics.c outcome.c platform.c queue.c server.c settings.c \
+  mailbox.c metrics.c outcome.c outcome_transfer.c platform.c queue.c server.c settings.c \
   slicemap.c tenure.c upstream.c view.c wire.c
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS = entry dispatch assign
--- a/dispatch.c
+++ b/dispatch.c
@@ -15,6 +15,7 @@
 #include "follower.h"
 #include "log.h"
 #include "metrics.h"
+#include "outcome_transfer.h"
 #include "server.h"
 #include "settings.h"
 
@@ -22,15 +23,8 @@
 #define REPORT_PERIOD (200 * CC_MS)
 #define PLATFORM_TIMEOUT (700 * CC_MS) /* three tries within a lease term */
 #define MOVED_WAIT_MS 20
-#define DRAIN_LIMIT (20 * CC_SECOND) /* SIGTERM: then leave all the same */
-
-/* Under which owner this process last held a slice. */
-typedef struct
-{
-  char *server;
-  guint64 epoch;
-  guint64 term;
-} LastHeld;
+#define OUTCOMES_EXPIRE (5 * CC_SECOND) /* a move takes less */
+#define DRAIN_LIMIT (20 * CC_SECOND)    /* SIGTERM: then leave all the same */
 
 typedef struct
 {
@@ -39,12 +33,13 @@
   CcFollower *follower;
   CcTenure *tenure;
   CcServerShared shared;
-  GHashTable *servers;   /* "pool/server" to CcServer */
-  GHashTable *last_held; /* "pool/slice" to LastHeld */
-  gint64 stop_at;        /* while stopping: when to leave at the latest, us */
-  CcCounter *refused;    /* requests for what is not held here */
-  CcCounter *repeats;    /* once-only requests answered from memory */
+  CcTransfer *transfer; /* memory of outcomes, between dispatchers */
+  GHashTable *servers;  /* "pool/server" to CcServer */
+  gint64 stop_at;       /* while stopping: when to leave at the latest, us */
+  CcCounter *refused;   /* requests for what is not held here */
+  CcCounter *repeats;   /* once-only requests answered from memory */
   CcCounter *cancelled;
+  CcCounter *passed_on; /* chunks of outcomes sent to next holders */
 } Dispatch;
 
 static void
@@ -204,9 +199,11 @@
     case CC_MSG_CANCEL:
       take_cancel (d, m);
       break;
+    case CC_MSG_OUTCOMES:
+      cc_transfer_receive (d->transfer, &m->u.outcomes, m->from);
+      break;
     case CC_MSG_REPLY:
     case CC_MSG_REPORT:
-    case CC_MSG_OUTCOMES:
     case CC_MSG_VOTE:
     case CC_MSG_RELAY:
       break;
@@ -219,50 +216,6 @@
   (void) address, (void) up, (void) data;
 }
 
-static void
-last_held_free (gpointer data)
-{
-  g_free (((LastHeld *) data)->server);
-  g_free (data);
-}
-
-/* Whether this process has seen every attempt in the slice since it last held
- * it: the same owner under the same grant, or the next owner after a move
- * between two servers that were both held here all along. */
-static gboolean
-held_throughout (const CcSliceMap *m, const LastHeld *last,
-                 const CcMapServer *owner, guint64 epoch)
-{
-  const CcMapServer *before =
-      cc_slicemap_server (m, cc_slicemap_find (m, last->server));
-
-  if (before == NULL || before->term != last->term ||
-      !g_str_equal (before->dispatcher, owner->dispatcher))
-    return FALSE;
-  return epoch == last->epoch ? before == owner : epoch == last->epoch + 1;
-}
-
-/* Sets the horizon of a slice that is newly held: attempts before it may have
- * been made by others (outcome.h). */
-static void
-note_held (Dispatch *d, const CcSliceMap *m, guint slice,
-           const CcMapServer *owner)
-{
-  guint64 epoch = cc_slicemap_at (m, slice)->epoch;
-  g_autofree char *key = g_strdup_printf ("%s/%u", m->pool, slice);
-  LastHeld *last = g_hash_table_lookup (d->last_held, key);
-  gboolean first_ever = epoch == 1 && owner->term == 1;
-
-  if (last == NULL || !held_throughout (m, last, owner, epoch))
-    cc_outcomes_taken (d->shared.outcomes, m->pool, slice, cc_clock_wall (),
-                       first_ever);
-  last = g_new0 (LastHeld, 1);
-  last->server = g_strdup (owner->name);
-  last->epoch = epoch;
-  last->term = owner->term;
-  g_hash_table_insert (d->last_held, g_steal_pointer (&key), last);
-}
-
 static void
 note_slices (Dispatch *d, const CcSliceMap *m)
 {
@@ -272,7 +225,7 @@
 
       if (owner != NULL && owner->from[0] == '\0' &&
           g_str_equal (owner->dispatcher, d->tenure->id))
-        note_held (d, m, i, owner);
+        cc_transfer_held (d->transfer, m, i, cc_clock_wall ());
     }
 }
 
@@ -416,11 +369,41 @@
   cc_mailbox_send (d->mailbox, address, &m);
 }
 
+static CcStatus
+send_outcomes (const char *to, const CcMsgOutcomes *o, gpointer data)
+{
+  Dispatch *d = data;
+  const CcMember *member = cc_follower_member (d->follower, to);
+  CcMessage m = { .kind = CC_MSG_OUTCOMES };
+
+  if (member == NULL)
+    return CC_GONE;
+  m.to = member->incarnation;
+  m.id = cc_mailbox_next_id (d->mailbox);
+  m.expires = cc_clock_wall () + OUTCOMES_EXPIRE;
+  m.u.outcomes = *o;
+  ++*d->passed_on;
+  return cc_mailbox_send (d->mailbox, member->address, &m);
+}
+
+/* Passes on the memory of the slices that left S.  Comes before the report
+ * that lets their next holder begin, so it is mostly there by then. */
+static void
+pass_outcomes_on (Dispatch *d, CcServer *s, guint64 applied)
+{
+  const CcSliceMap *m = cc_follower_map (d->follower, s->holding->pool);
+
+  if (m != NULL && m->version == applied)
+    cc_transfer_stopped (d->transfer, m, s->holding->name, d->tenure->id,
+                         send_outcomes, d);
+}
+
 static void
 report_if_due (Dispatch *d, CcServer *s, gint64 now)
 {
   guint64 applied = cc_holding_applied (s->holding, now, cc_clock_wall ());
 
+  pass_outcomes_on (d, s, applied);
   if (applied == s->reported && now < s->report_due)
     return;
   s->reported = applied;
@@ -503,14 +486,14 @@
   d->shared.upstream = cc_upstream_new (cc_setting (d->settings, "listen"));
   d->shared.tenure = d->tenure;
   d->shared.outcomes = cc_outcomes_new ();
+  d->transfer = cc_transfer_new (d->shared.outcomes);
   d->shared.first_attempts =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   d->servers =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
-  d->last_held =
-      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, last_held_free);
   d->refused = cc_metrics_counter ("capercrank_requests_refused", "");
   d->repeats = cc_metrics_counter ("capercrank_repeats_answered", "");
+  d->passed_on = cc_metrics_counter ("capercrank_outcomes_passed_on", "");
   d->cancelled = cc_metrics_counter ("capercrank_requests_cancelled", "");
 }
 
--- a/test/test_outcome.c
+++ b/test/test_outcome.c
@@ -35,17 +35,17 @@
   KeyState state;
   CcOutcome outcome; /* if ENDED */
   guint status;
-  guint life;        /* of the holder that has, or had, the attempt */
+  guint life; /* of the holder that has, or had, the attempt */
 } Key;
 
 typedef struct
 {
   guint32 seed;
   GRand *rand;
-  gint64 now;    /* true time */
-  gint64 offset; /* of the holder's clock */
-  guint life;    /* counts holders */
-  gint64 began;  /* by the holder's clock */
+  gint64 now;            /* true time */
+  gint64 offset;         /* of the holder's clock */
+  guint life;            /* counts holders */
+  gint64 began;          /* by the holder's clock */
   gint64 newest[SLICES]; /* latest time in any key that was run */
   CcOutcomes *memory;
   GPtrArray *keys;
--- /dev/null
+++ b/test/test_outcome_transfer.c
@@ -0,0 +1,578 @@
+/* Slices and servers change hands among processes, some of which are frozen
+ * or lose their lease, while callers repeat requests; messages with outcomes
+ * are late, lost or cross.
+ *
+ * What the caller must never see: a once-only request run twice, by whichever
+ * process.  And if nothing is lost, no repeat after a move is answered
+ * "unknown".  The test is the assigner, and follows its rule: the first map
+ * names the next holder, the second comes after the old one stopped. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "outcome_transfer.h"
+
+#define SEEDS 2000
+#define SEEDS_ORDERLY 500
+#define STEPS 300
+#define START (1750000000 * CC_SECOND)
+#define POOL "gate-payment"
+#define SLICES 4
+#define SERVERS 3
+#define PROCESSES 3
+
+typedef struct
+{
+  char id[37];
+  guint slice;
+  guint runs; /* attempts that ran or may have */
+} Key;
+
+typedef struct World World;
+
+typedef struct
+{
+  World *world;
+  guint number;
+  guint ids; /* how many ids it has had */
+  char *id;
+  guint64 incarnation;
+  gboolean frozen;
+  CcSliceMap *map; /* as it last read it; NULL: not yet */
+  CcOutcomes *outcomes;
+  CcTransfer *transfer;
+} Process;
+
+typedef struct
+{
+  guint to;
+  guint64 sender;
+  GBytes *bytes; /* as it goes over the wire */
+} Mail;
+
+struct World
+{
+  guint32 seed;
+  gboolean lossy;
+  GRand *rand;
+  gint64 now;
+  CcSliceMap *map; /* the newest */
+  Process p[PROCESSES];
+  guint64 applied[SERVERS]; /* as reported by the server's dispatcher */
+  GQueue mail;
+  GPtrArray *keys;
+  guint runs, done, unknown, moves;
+};
+
+static gboolean
+chance (World *w, gint32 percent)
+{
+  return g_rand_int_range (w->rand, 0, 100) < percent;
+}
+
+static CcSliceMap *
+copy_map (const CcSliceMap *m)
+{
+  g_autofree char *text = cc_slicemap_print (m);
+
+  return cc_slicemap_parse (POOL, m->version, text);
+}
+
+static void
+new_id (Process *p)
+{
+  g_free (p->id);
+  p->id = g_strdup_printf ("d%u.%u", p->number, ++p->ids);
+}
+
+static void
+set_text (char **field, const char *value)
+{
+  g_free (*field);
+  *field = g_strdup (value);
+}
+
+static Process *
+holder_named (World *w, const char *id)
+{
+  for (guint i = 0; i < PROCESSES; i++)
+    if (g_str_equal (w->p[i].id, id))
+      return &w->p[i];
+  return NULL;
+}
+
+/* Servers whose dispatcher has lost its lease go to another at once, under a
+ * higher term, unless an older one has yet to stop. */
+static void
+replace_lost (World *w)
+{
+  for (gint32 i = 0; i < SERVERS; i++)
+    {
+      CcMapServer *s = cc_slicemap_server (w->map, i);
+
+      if (s->from[0] != '\0' && holder_named (w, s->from) == NULL)
+        {
+          set_text (&s->from, "");
+          w->map->version++;
+        }
+      if (s->from[0] != '\0' || holder_named (w, s->dispatcher) != NULL)
+        continue;
+      set_text (&s->dispatcher,
+                w->p[g_rand_int_range (w->rand, 0, PROCESSES)].id);
+      s->term++;
+      w->applied[i] = 0;
+      w->map->version++;
+    }
+}
+
+/* The process goes on under another id, with its memory. */
+static void
+lose_lease (World *w, Process *p)
+{
+  new_id (p);
+  replace_lost (w);
+}
+
+static CcStatus
+post (const char *to, const CcMsgOutcomes *o, gpointer data)
+{
+  Process *from = data;
+  World *w = from->world;
+  Process *p = holder_named (w, to);
+  CcMessage m = { .kind = CC_MSG_OUTCOMES };
+  Mail *mail;
+
+  if (p == NULL)
+    return CC_GONE;
+  if (chance (w, 5))
+    return CC_FULL;
+  if (w->lossy && chance (w, 10))
+    return CC_OK;
+  m.u.outcomes = *o;
+  mail = g_new0 (Mail, 1);
+  mail->to = p->number;
+  mail->sender = from->incarnation;
+  mail->bytes = cc_wire_encode (&m);
+  g_queue_push_tail (&w->mail, mail);
+  return CC_OK;
+}
+
+static void
+deliver_one (World *w)
+{
+  Mail *mail = g_queue_pop_head (&w->mail);
+  CcMessage m;
+
+  assert_int_equal (cc_wire_decode (mail->bytes, &m), CC_OK);
+  cc_transfer_receive (w->p[mail->to].transfer, &m.u.outcomes, mail->sender);
+  cc_message_clear (&m);
+  g_bytes_unref (mail->bytes);
+  g_free (mail);
+}
+
+static gboolean
+holds (const Process *p, guint slice)
+{
+  const CcMapServer *s =
+      p->map != NULL ? cc_slicemap_owner (p->map, slice) : NULL;
+
+  return s != NULL && s->from[0] == '\0' &&
+         cc_slicemap_at (p->map, slice)->from < 0 &&
+         g_str_equal (s->dispatcher, p->id);
+}
+
+/* P reads the newest map: stops what it lost, passes the memory on, reports,
+ * and takes what is its own. */
+static void
+read_map (World *w, Process *p)
+{
+  if (p->frozen)
+    return;
+  if (p->map != NULL)
+    cc_slicemap_free (p->map);
+  p->map = copy_map (w->map);
+  for (gint32 i = 0; i < SERVERS; i++)
+    {
+      const CcMapServer *s = cc_slicemap_server (p->map, i);
+
+      if (!g_str_equal (s->from[0] != '\0' ? s->from : s->dispatcher, p->id))
+        continue; /* not its holder, or not yet */
+      if (cc_transfer_stopped (p->transfer, p->map, s->name, p->id, post, p))
+        w->applied[i] = p->map->version;
+    }
+  for (guint i = 0; i < SLICES; i++)
+    if (holds (p, i))
+      cc_transfer_held (p->transfer, p->map, i, w->now);
+}
+
+/* Orderly moves come one after the other.  When a second one begins before the
+ * first is settled, read of and followed by its memory, that may lie with a
+ * process that is the holder no more: "unknown" is right then. */
+static gboolean
+is_settled (World *w)
+{
+  if (!g_queue_is_empty (&w->mail))
+    return FALSE;
+  for (guint i = 0; i < PROCESSES; i++)
+    if (w->p[i].map == NULL || w->p[i].map->version != w->map->version)
+      return FALSE;
+  for (guint i = 0; i < SLICES; i++)
+    if (cc_slicemap_owner (w->map, i) == NULL ||
+        cc_slicemap_owner (w->map, i)->from[0] != '\0')
+      return FALSE;
+  return TRUE;
+}
+
+static void
+move_server (World *w)
+{
+  gint32 i = g_rand_int_range (w->rand, 0, SERVERS);
+  CcMapServer *s = cc_slicemap_server (w->map, i);
+  Process *to = &w->p[g_rand_int_range (w->rand, 0, PROCESSES)];
+
+  if (s->from[0] != '\0' || g_str_equal (s->dispatcher, to->id))
+    return;
+  set_text (&s->from, s->dispatcher);
+  set_text (&s->dispatcher, to->id);
+  s->term++;
+  w->map->version++;
+  w->moves++;
+}
+
+static void
+move_slice (World *w)
+{
+  CcMapSlice *s =
+      cc_slicemap_at (w->map, (guint) g_rand_int_range (w->rand, 0, SLICES));
+  gint32 to = g_rand_int_range (w->rand, 0, SERVERS);
+
+  if (s->from >= 0 || to == s->server)
+    return;
+  s->from = s->server;
+  s->server = to;
+  s->epoch++;
+  w->map->version++;
+  w->moves++;
+}
+
+/* Second halves, as assignment.c writes them. */
+static void
+settle (World *w)
+{
+  guint64 version = w->map->version;
+
+  for (gint32 i = 0; i < SERVERS; i++)
+    {
+      CcMapServer *s = cc_slicemap_server (w->map, i);
+
+      if (s->from[0] != '\0' && w->applied[i] >= version)
+        {
+          set_text (&s->from, "");
+          w->applied[i] = 0;
+          w->map->version = version + 1;
+        }
+    }
+  for (guint i = 0; i < SLICES; i++)
+    {
+      CcMapSlice *s = cc_slicemap_at (w->map, i);
+      const CcMapServer *from = cc_slicemap_server (w->map, s->from);
+
+      if (from == NULL || from->from[0] != '\0' ||
+          w->applied[s->from] < version)
+        continue;
+      s->from = -1;
+      w->map->version = version + 1;
+    }
+  replace_lost (w);
+}
+
+static Key *
+new_key (World *w)
+{
+  Key *k = g_new0 (Key, 1);
+  guint64 ms = (guint64) (w->now / CC_MS);
+
+  g_snprintf (k->id, sizeof k->id, "%08x-%04x-7000-8000-%08x%04x",
+              (guint) (ms >> 16), (guint) (ms & 0xffff), g_rand_int (w->rand),
+              w->keys->len & 0xffff);
+  k->slice = (guint) g_rand_int_range (w->rand, 0, SLICES);
+  g_ptr_array_add (w->keys, k);
+  return k;
+}
+
+static void
+run (World *w, Process *p, Key *k)
+{
+  CcRemembered r = { .outcome = CC_OUTCOME_RUN, .status = 200 };
+
+  if (k->runs > 0)
+    {
+      print_error ("seed %u: %s ran twice\n", w->seed, k->id);
+      fail ();
+    }
+  cc_outcomes_start (p->outcomes, POOL, k->slice, k->id, w->now);
+  cc_outcomes_finish (p->outcomes, POOL, k->slice, k->id, &r);
+  k->runs++;
+  w->runs++;
+}
+
+static void
+ask (World *w, Key *k)
+{
+  const CcRemembered *kept;
+
+  for (guint i = 0; i < PROCESSES; i++)
+    {
+      Process *p = &w->p[i];
+
+      if (p->frozen || !holds (p, k->slice))
+        continue;
+      switch (
+          cc_outcomes_ask (p->outcomes, POOL, k->slice, k->id, w->now, &kept))
+        {
+        case CC_REPEAT_NEW:
+          run (w, p, k);
+          break;
+        case CC_REPEAT_DONE:
+          assert_int_equal (k->runs, 1);
+          w->done++;
+          break;
+        case CC_REPEAT_TOO_OLD:
+          w->unknown++;
+          if (!w->lossy && g_queue_is_empty (&w->mail) && k->runs > 0)
+            {
+              print_error ("seed %u: %s forgotten\n", w->seed, k->id);
+              fail ();
+            }
+          break;
+        case CC_REPEAT_RUNNING:
+        case CC_REPEAT_AHEAD:
+        case CC_REPEAT_MALFORMED:
+          fail ();
+        }
+      return;
+    }
+}
+
+static void
+lose_something (World *w)
+{
+  Process *p = &w->p[g_rand_int_range (w->rand, 0, PROCESSES)];
+
+  if (p->frozen)
+    p->frozen = FALSE;
+  else if (chance (w, 50))
+    p->frozen = TRUE;
+  else
+    lose_lease (w, p);
+}
+
+static void
+step (World *w)
+{
+  gint32 what = g_rand_int_range (w->rand, 0, 100);
+
+  if (what < 25)
+    ask (w, new_key (w));
+  else if (what < 45 && w->keys->len > 0)
+    ask (w,
+         w->keys->pdata[g_rand_int_range (w->rand, 0, (gint32) w->keys->len)]);
+  else if (what < 65)
+    read_map (w, &w->p[g_rand_int_range (w->rand, 0, PROCESSES)]);
+  else if (what < 75 && !g_queue_is_empty (&w->mail))
+    deliver_one (w);
+  else if (what < 82)
+    settle (w);
+  else if (what < 92 && !w->lossy && !is_settled (w))
+    return;
+  else if (what < 87)
+    move_server (w);
+  else if (what < 92)
+    move_slice (w);
+  else if (what < 94 && w->lossy)
+    lose_something (w);
+  else
+    w->now += g_rand_int_range (w->rand, 1, 400) * CC_MS;
+}
+
+static void
+world_init (World *w)
+{
+  w->rand = g_rand_new_with_seed (w->seed);
+  w->now = START;
+  w->keys = g_ptr_array_new_with_free_func (g_free);
+  w->map = cc_slicemap_new (POOL, SLICES);
+  w->map->version = 1;
+  for (guint i = 0; i < PROCESSES; i++)
+    {
+      Process *p = &w->p[i];
+
+      p->world = w;
+      p->number = i;
+      p->incarnation = 100 + i;
+      new_id (p);
+      p->outcomes = cc_outcomes_new ();
+      p->transfer = cc_transfer_new (p->outcomes);
+    }
+  for (gint32 i = 0; i < SERVERS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("server-%d", i);
+      CcMapServer *s;
+
+      cc_slicemap_add (w->map, name, "127.0.0.1:1", "a");
+      s = cc_slicemap_server (w->map, i);
+      set_text (&s->dispatcher, w->p[i % PROCESSES].id);
+      s->term = 1;
+    }
+  for (guint i = 0; i < SLICES; i++)
+    {
+      CcMapSlice *s = cc_slicemap_at (w->map, i);
+
+      s->server = (gint32) (i % SERVERS);
+      s->from = -1;
+      s->epoch = 1;
+    }
+}
+
+static void
+world_clear (World *w)
+{
+  while (!g_queue_is_empty (&w->mail))
+    deliver_one (w);
+  for (guint i = 0; i < PROCESSES; i++)
+    {
+      cc_transfer_free (w->p[i].transfer);
+      cc_outcomes_free (w->p[i].outcomes);
+      g_clear_pointer (&w->p[i].map, cc_slicemap_free);
+      g_free (w->p[i].id);
+    }
+  cc_slicemap_free (w->map);
+  g_ptr_array_unref (w->keys);
+  g_rand_free (w->rand);
+}
+
+static void
+run_seeds (gboolean lossy, guint32 seeds)
+{
+  guint runs = 0, done = 0, unknown = 0, moves = 0;
+
+  for (guint32 seed = 1; seed <= seeds; seed++)
+    {
+      World w = { .seed = seed, .lossy = lossy };
+
+      world_init (&w);
+      for (guint i = 0; i < STEPS; i++)
+        step (&w);
+      runs += w.runs;
+      done += w.done;
+      unknown += w.unknown;
+      moves += w.moves;
+      world_clear (&w);
+    }
+  print_message ("# %u runs, %u repeats answered, %u unknown, %u moves\n", runs,
+                 done, unknown, moves);
+  assert_true (done > seeds && moves > seeds);
+}
+
+static void
+transfer_lossy (void **state)
+{
+  (void) state;
+  run_seeds (TRUE, SEEDS);
+}
+
+static void
+transfer_orderly (void **state)
+{
+  (void) state;
+  run_seeds (FALSE, SEEDS_ORDERLY);
+}
+
+#define ENTRIES (CC_TRANSFER_ENTRIES * 2 + 10) /* three chunks */
+
+static CcStatus
+collect (const char *to, const CcMsgOutcomes *o, gpointer data)
+{
+  CcMessage m = { .kind = CC_MSG_OUTCOMES };
+
+  (void) to;
+  m.u.outcomes = *o;
+  g_ptr_array_add (data, cc_wire_encode (&m));
+  return CC_OK;
+}
+
+/* A memory of three chunks, of which some don't come, or come twice or in
+ * another order: the horizon may be lowered only by all of them in order, or
+ * a repeat of what stood in the missing chunk would run again. */
+static void
+transfer_chunks (void **state)
+{
+  static const struct
+  {
+    const char *order;
+    guint64 second_sender; /* of chunks but the first */
+    gboolean lowered;
+  } cases[] = {
+    { "012", 7, TRUE },  { "0012", 7, TRUE }, { "01012", 7, TRUE },
+    { "02", 7, FALSE },  { "01", 7, FALSE },  { "12", 7, FALSE },
+    { "210", 7, FALSE }, { "0212", 7, TRUE }, { "012", 8, FALSE },
+  };
+  World w = { .seed = 1 };
+  g_autoptr (GPtrArray) chunks =
+      g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
+
+  (void) state;
+  world_init (&w);
+  read_map (&w, &w.p[0]);
+  for (guint i = 0; i < ENTRIES; i++)
+    {
+      Key *k = new_key (&w);
+
+      k->slice = 0;
+      ask (&w, k);
+    }
+  set_text (&cc_slicemap_server (w.map, 0)->from, w.p[0].id);
+  set_text (&cc_slicemap_server (w.map, 0)->dispatcher, w.p[1].id);
+  cc_slicemap_server (w.map, 0)->term = 2;
+  w.map->version = 2;
+  assert_true (cc_transfer_stopped (w.p[0].transfer, w.map, "server-0",
+                                    w.p[0].id, collect, chunks));
+  assert_int_equal (chunks->len, 3 + 1); /* slice 3 is the server's, too */
+  set_text (&cc_slicemap_server (w.map, 0)->from, "");
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      CcOutcomes *o = cc_outcomes_new ();
+      CcTransfer *t = cc_transfer_new (o);
+
+      cc_transfer_held (t, w.map, 0, START);
+      for (const char *c = cases[i].order; *c != '\0'; c++)
+        {
+          CcMessage m;
+
+          cc_wire_decode (chunks->pdata[*c - '0'], &m);
+          cc_transfer_receive (t, &m.u.outcomes,
+                               *c == '0' ? 7 : cases[i].second_sender);
+          cc_message_clear (&m);
+        }
+      assert_int_equal (cc_outcomes_horizon (o, POOL, 0) < START,
+                        cases[i].lowered);
+      cc_transfer_free (t);
+      cc_outcomes_free (o);
+    }
+  world_clear (&w);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (transfer_lossy),
+    cmocka_unit_test (transfer_orderly),
+    cmocka_unit_test (transfer_chunks),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/wire.c
+++ b/wire.c
@@ -11,7 +11,7 @@
 #define TYPE_REPLY "(ybsuua(ss)ay)"
 #define TYPE_CANCEL "(t)"
 #define TYPE_REPORT "(ssstuuua(ud)a(tud))"
-#define TYPE_OUTCOMES "(suxba(sxyuay))"
+#define TYPE_OUTCOMES "(suttxuba(syua(ss)ay))"
 #define TYPE_VOTE "(ustt)"
 #define TYPE_RELAY "(bus)"
 
@@ -74,6 +74,14 @@
                         or_empty (r->hot, "a(tud)"));
 }
 
+static GVariant *
+encode_outcomes (const CcMsgOutcomes *o)
+{
+  return g_variant_new ("(suttxub@a(syua(ss)ay))", text (o->pool), o->slice,
+                        o->epoch, o->term, o->horizon, o->index, o->last,
+                        or_empty (o->entries, "a(syua(ss)ay)"));
+}
+
 static GVariant *
 encode_payload (const CcMessage *m)
 {
@@ -93,10 +101,7 @@
     case CC_MSG_REPORT:
       return encode_report (&m->u.report);
     case CC_MSG_OUTCOMES:
-      return g_variant_new ("(suxb@a(sxyuay))", text (m->u.outcomes.pool),
-                            m->u.outcomes.slice, m->u.outcomes.horizon,
-                            m->u.outcomes.last,
-                            or_empty (m->u.outcomes.entries, "a(sxyuay)"));
+      return encode_outcomes (&m->u.outcomes);
     case CC_MSG_VOTE:
       return g_variant_new (TYPE_VOTE, m->u.vote.what,
                             text (m->u.vote.instance), m->u.vote.term,
@@ -157,6 +162,7 @@
 decode_payload (GVariant *v, CcMessage *m)
 {
   CcMsgReport *r = &m->u.report;
+  CcMsgOutcomes *o = &m->u.outcomes;
 
   switch (m->kind)
     {
@@ -181,9 +187,9 @@
                      &r->queued, &r->loads, &r->hot);
       return TRUE;
     case CC_MSG_OUTCOMES:
-      g_variant_get (v, "(&suxb@a(sxyuay))", &m->u.outcomes.pool,
-                     &m->u.outcomes.slice, &m->u.outcomes.horizon,
-                     &m->u.outcomes.last, &m->u.outcomes.entries);
+      g_variant_get (v, "(&suttxub@a(syua(ss)ay))", &o->pool, &o->slice,
+                     &o->epoch, &o->term, &o->horizon, &o->index, &o->last,
+                     &o->entries);
       return TRUE;
     case CC_MSG_VOTE:
       g_variant_get (v, "(u&stt)", &m->u.vote.what, &m->u.vote.instance,
--- a/wire.h
+++ b/wire.h
@@ -81,9 +81,12 @@
 {
   const char *pool;
   guint32 slice;
+  guint64 epoch;     /* of the slice in the hold that this is for */
+  guint64 term;      /* of the server in that hold */
   gint64 horizon;    /* wall clock, us: older keys are not remembered */
+  guint32 index;     /* of this chunk, from 0 */
   gboolean last;     /* the memory of the slice is complete with this */
-  GVariant *entries; /* a(sxyuay): key, end of life, outcome, status, body */
+  GVariant *entries; /* a(syua(ss)ay): key, outcome, status, headers, body */
 } CcMsgOutcomes;
 
 typedef struct
