Repeats, drains and leaving servers on real processes

Cause: no run showed that a repeat through another entry is not run, nor that an orderly drain keeps outcomes; a loss was only audited for first attempts. Ruled out: a separate generator for repeats (its keys would not be the load's). Change: load sends a fifth of once-only requests again through another entry, during, just after and seconds after the first; a balancer asks readiness; five scenarios, each counting that its fault fell into its window.

--- a/dispatch.c
+++ b/dispatch.c
@@ -39,6 +39,7 @@
   CcCounter *refused;   /* requests for what is not held here */
   CcCounter *repeats;   /* once-only requests answered from memory */
   CcCounter *cancelled;
+  CcCounter *received;  /* chunks of outcomes from earlier holders */
   CcCounter *passed_on; /* chunks of outcomes sent to next holders */
 } Dispatch;
 
@@ -200,6 +201,7 @@
       take_cancel (d, m);
       break;
     case CC_MSG_OUTCOMES:
+      ++*d->received;
       cc_transfer_receive (d->transfer, &m->u.outcomes, m->from);
       break;
     case CC_MSG_REPLY:
@@ -493,6 +495,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
   d->refused = cc_metrics_counter ("capercrank_requests_refused", "");
   d->repeats = cc_metrics_counter ("capercrank_repeats_answered", "");
+  d->received = cc_metrics_counter ("capercrank_outcomes_received", "");
   d->passed_on = cc_metrics_counter ("capercrank_outcomes_passed_on", "");
   d->cancelled = cc_metrics_counter ("capercrank_requests_cancelled", "");
 }
--- a/test/harness.c
+++ b/test/harness.c
@@ -524,6 +524,25 @@
   p->pid = 0;
 }
 
+/* Waits until NAME has ended by itself.  Returns FALSE after SECONDS. */
+gboolean
+cluster_wait_end (Cluster *c, const char *name, guint seconds)
+{
+  Process *p = cluster_find (c, name);
+
+  for (guint i = 0; i < seconds * 20; i++)
+    {
+      if (waitpid (p->pid, NULL, WNOHANG) == p->pid)
+        {
+          p->pid = 0;
+          return TRUE;
+        }
+      g_usleep (50000);
+    }
+  fprintf (stderr, "%s has not ended\n", name);
+  return FALSE;
+}
+
 /* Starts NAME again after it ended. */
 void
 cluster_restart (Cluster *c, const char *name)
--- a/test/harness.h
+++ b/test/harness.h
@@ -40,6 +40,7 @@
 void cluster_stop (Cluster *c);
 Process *cluster_find (Cluster *c, const char *name);
 void cluster_signal (Cluster *c, const char *name, int signal);
+gboolean cluster_wait_end (Cluster *c, const char *name, guint seconds);
 void cluster_restart (Cluster *c, const char *name);
 char *cluster_entries (const Cluster *c);
 char *cluster_admin (const Cluster *c, const char *program, guint instance);
--- a/test/load.c
+++ b/test/load.c
@@ -9,6 +9,7 @@
 #include <libsoup/soup.h>
 
 #include "admin.h"
+#include "balancer.h"
 #include "clock.h"
 #include "document.h"
 #include "metrics.h"
@@ -17,6 +18,20 @@
 
 #define SETTLE_MS 1500 /* after the last answer, for servers to end */
 
+/* A second request with the Idempotency-Key of a first one. */
+typedef enum
+{
+  TWIN_DURING, /* sent while the first is under way */
+  TWIN_AFTER,  /* just after its answer */
+  TWIN_LATE,   /* seconds after it, when a fault may lie between */
+  TWIN_KINDS
+} TwinKind;
+
+#define TWIN_DURING_MS 3
+#define TWIN_AFTER_MS 20
+#define TWIN_LATE_MIN_MS 1000
+#define TWIN_LATE_MAX_MS 6000
+
 typedef struct
 {
   const CcClass *class;
@@ -46,7 +61,7 @@
   GPtrArray *patterns;
   GPtrArray *tallies;
   GPtrArray *told;
-  char **entries;
+  Balancer *balancer;
   SoupSession *session;
   GRand *rand;
   GMainLoop *loop;
@@ -55,6 +70,9 @@
   guint repeats;
   gboolean over;
   double scale;
+  guint twins; /* percent of once-only requests sent again */
+  guint twin_told[TWIN_KINDS][3];
+  gboolean calm; /* once-only requests may not be unknown */
 } Load;
 
 typedef struct
@@ -69,6 +87,9 @@
   gint64 asked;
   guint body_seed;
   guint tries;
+  const char *entry; /* where it was sent last */
+  gboolean is_twin;
+  TwinKind kind; /* if it is a twin */
 } Ask;
 
 static char *
@@ -138,6 +159,36 @@
   return G_SOURCE_REMOVE;
 }
 
+/* Sends A's request again through another entry in MS. */
+static void
+plan_twin (const Ask *a, TwinKind kind, guint ms)
+{
+  Ask *twin = g_memdup2 (a, sizeof *a);
+
+  twin->key = g_strdup (a->key);
+  twin->url_path = g_strdup (a->url_path);
+  twin->is_twin = TRUE;
+  twin->kind = kind;
+  a->load->pending++;
+  g_timeout_add (ms, on_again, twin);
+}
+
+static void
+plan_twin_after (const Ask *a)
+{
+  GRand *rand = a->load->rand;
+
+  if (!a->told->once_only ||
+      (guint) g_rand_int_range (rand, 0, 100) >= a->load->twins)
+    return;
+  if (g_rand_boolean (rand))
+    plan_twin (a, TWIN_AFTER, TWIN_AFTER_MS);
+  else
+    plan_twin (
+        a, TWIN_LATE,
+        (guint) g_rand_int_range (rand, TWIN_LATE_MIN_MS, TWIN_LATE_MAX_MS));
+}
+
 static void
 end_ask (Ask *a)
 {
@@ -175,6 +226,14 @@
   return text != NULL ? (guint) atoi (text) : 100;
 }
 
+static void
+end_twin (Ask *a, CcOutcome outcome)
+{
+  a->load->twin_told[a->kind][outcome]++;
+  g_object_unref (a->message);
+  end_ask (a);
+}
+
 static void
 on_answer (GObject *source, GAsyncResult *result, gpointer data)
 {
@@ -186,9 +245,14 @@
   gboolean again = outcome != CC_OUTCOME_RUN && a->tries < a->load->repeats;
 
   a->told->told[outcome]++;
-  note_availability (a, outcome, now);
   if (outcome == CC_OUTCOME_RUN)
     check_answer (a, body);
+  if (a->is_twin)
+    {
+      end_twin (a, outcome);
+      return;
+    }
+  note_availability (a, outcome, now);
   if (again)
     g_timeout_add (retry_after (a), on_again, a);
   g_object_unref (a->message);
@@ -198,6 +262,7 @@
   cc_histogram_add (&a->tally->latency, now - a->asked);
   if (outcome == CC_OUTCOME_RUN && now - a->asked <= a->tally->class->within)
     a->tally->in_target++;
+  plan_twin_after (a);
   end_ask (a);
 }
 
@@ -205,14 +270,13 @@
 send_ask (Ask *a)
 {
   Load *l = a->load;
-  guint pick =
-      g_rand_int_range (l->rand, 0, (gint32) g_strv_length (l->entries));
-  g_autofree char *url =
-      g_strconcat ("http://", l->entries[pick], a->url_path, NULL);
+  g_autofree char *url = NULL;
   g_autofree char *tenant = NULL;
   SoupMessageHeaders *h;
 
   a->tries++;
+  a->entry = balancer_pick (l->balancer, l->rand, a->entry);
+  url = g_strconcat ("http://", a->entry, a->url_path, NULL);
   a->message = soup_message_new (a->pattern->method, url);
   h = soup_message_get_request_headers (a->message);
   if (a->pattern->body > 0)
@@ -268,6 +332,9 @@
   a->tally->asked++;
   l->pending++;
   send_ask (a);
+  if (a->told->once_only &&
+      (guint) g_rand_int_range (l->rand, 0, 100) < l->twins)
+    plan_twin (a, TWIN_DURING, TWIN_DURING_MS);
 }
 
 typedef struct
@@ -395,6 +462,36 @@
     }
 }
 
+/* Returns how many kinds of twins did not occur. */
+static guint
+print_twins (const Load *l)
+{
+  static const char *const names[] = { "during", "after", "late" };
+  guint missing = 0;
+
+  for (guint i = 0; i < TWIN_KINDS && l->twins > 0; i++)
+    {
+      const guint *t = l->twin_told[i];
+
+      printf ("repeats %-6s: %u run, %u not-run, %u unknown\n", names[i], t[0],
+              t[1], t[2]);
+      missing += t[0] + t[1] + t[2] == 0;
+    }
+  return missing;
+}
+
+static guint
+count_unknown (const Load *l)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < l->told->len; i++)
+    n += ((const Told *) l->told->pdata[i])->told[CC_OUTCOME_UNKNOWN];
+  if (l->calm && n > 0)
+    printf ("%u answers are unknown, none may be\n", n);
+  return n;
+}
+
 static int
 print_audit (Load *l, const char *folder)
 {
@@ -431,10 +528,16 @@
     { CC_SETTING_NUMBER, "seed", "1", "of the arrivals", 0, G_MAXINT32, NULL },
     { CC_SETTING_NUMBER, "percent", "100", "of the patterns' rates", 1, 10000,
       NULL },
+    { CC_SETTING_NUMBER, "twins", "0", "percent of once-only sent again", 0,
+      100, NULL },
+    { CC_SETTING_NUMBER, "calm", "0", "fail on any unknown", 0, 1, NULL },
+    { CC_SETTING_NUMBER, "health-port", "0", "entries' /readyz; 0: not asked",
+      0, 65535, NULL },
     { CC_SETTING_NUMBER, "repeats", "1", "tries until run", 1, 1000, NULL },
     { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
   };
   Load l = { 0 };
+  gboolean failed;
 
   if (cc_settings_read (settings, "load", "Load generator and audit.", argc,
                         argv) != CC_START_RUN)
@@ -442,7 +545,6 @@
   l.patterns = g_ptr_array_new ();
   l.tallies = g_ptr_array_new ();
   l.told = g_ptr_array_new ();
-  l.entries = cc_setting_list (settings, "entries");
   l.rand =
       g_rand_new_with_seed ((guint32) cc_setting_number (settings, "seed"));
   l.scale = (double) cc_setting_number (settings, "percent") / 100;
@@ -450,6 +552,11 @@
   l.loop = g_main_loop_new (NULL, FALSE);
   read_deployment (&l, cc_setting (settings, "deployment"));
   l.session = cc_http_client (cc_setting (settings, "source"), 4000);
+  l.twins = (guint) cc_setting_number (settings, "twins");
+  l.calm = cc_setting_number (settings, "calm") != 0;
+  l.balancer = balancer_new (
+      cc_setting_list (settings, "entries"),
+      (guint) cc_setting_number (settings, "health-port"), l.session);
   l.until =
       cc_clock_now () + cc_setting_number (settings, "seconds") * CC_SECOND;
   for (guint i = 0; i < l.patterns->len; i++)
@@ -466,5 +573,9 @@
   g_timeout_add (SETTLE_MS, on_settled, l.loop);
   g_main_loop_run (l.loop);
   print_table (&l);
-  return print_audit (&l, cc_setting (settings, "records"));
+  failed = print_twins (&l) > 0;
+  if (l.calm)
+    failed |= count_unknown (&l) > 0;
+  failed |= print_audit (&l, cc_setting (settings, "records")) != 0;
+  return failed;
 }
--- a/test/prove.c
+++ b/test/prove.c
@@ -8,6 +8,7 @@
 
 #define DEPLOYMENT "test/small.json"
 #define LOAD_PERCENT 100
+#define TWINS_PERCENT "20" /* of once-only requests come twice */
 
 static const Scenario *const groups[] = { lease_scenarios, outcome_scenarios };
 
@@ -18,6 +19,17 @@
   g_usleep ((gulong) ms * 1000);
 }
 
+/* The load generator takes these settings from the environment. */
+static void
+set_load_options (const Scenario *s)
+{
+  gboolean calm = g_strv_contains (calm_scenarios, s->name);
+
+  g_setenv ("CAPERCRANK_TWINS", TWINS_PERCENT, TRUE);
+  g_setenv ("CAPERCRANK_CALM", calm ? "1" : "0", TRUE);
+  g_setenv ("CAPERCRANK_HEALTH_PORT", calm ? "8081" : "0", TRUE);
+}
+
 static gboolean
 prove (const char *bin, const Scenario *s, guint seed)
 {
@@ -27,6 +39,7 @@
   guint hits = 0;
   int load = 0;
 
+  set_load_options (s);
   fprintf (stderr, "%s, seed %u, in %s\n", s->name, seed, c->folder);
   if (good)
     {
--- a/test/prove.h
+++ b/test/prove.h
@@ -21,6 +21,10 @@
 extern const Scenario lease_scenarios[];   /* leases, epochs, moves, cuts */
 extern const Scenario outcome_scenarios[]; /* repeats, silence, drains */
 
+/* Names of scenarios in which a balancer asks for readiness and no once-only
+ * answer may be unknown; NULL ends. */
+extern const char *const calm_scenarios[];
+
 void pause_ms (guint ms);
 
 #endif
--- a/test/scenarios_outcome.c
+++ b/test/scenarios_outcome.c
@@ -1,4 +1,9 @@
 /* Failures of connections, repeats and drains. */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "capercrank.h"
 #include "prove.h"
 
 static guint
@@ -10,22 +15,208 @@
          cluster_relay (c, "silence", "b", "catalogue-1");
 }
 
+/* Sum of a counter or gauge over all of PROGRAM's processes, or one of them. */
 static guint
-server_leaves (Cluster *c, GRand *rand)
+read_metric (Cluster *c, const char *program, guint instance, const char *name)
+{
+  g_autofree char *admin = cluster_admin (c, program, instance);
+  g_autofree char *url = g_strconcat ("http://", admin, "/metrics", NULL);
+  g_autofree char *text = NULL;
+  g_auto (GStrv) lines = NULL;
+  double sum = 0;
+
+  cluster_http ("GET", url, NULL, NULL, &text);
+  lines = g_strsplit (text, "\n", -1);
+  for (guint i = 0; lines[i] != NULL; i++)
+    if (g_str_has_prefix (lines[i], name) &&
+        (lines[i][strlen (name)] == ' ' || lines[i][strlen (name)] == '{'))
+      sum += g_ascii_strtod (strrchr (lines[i], ' '), NULL);
+  return (guint) sum;
+}
+
+static guint
+sum_metric (Cluster *c, const char *program, const char *name)
+{
+  guint sum = 0;
+
+  for (guint i = 1; i <= c->instances; i++)
+    sum += read_metric (c, program, i, name);
+  return sum;
+}
+
+static guint
+repeats (Cluster *c, GRand *rand)
+{
+  (void) rand;
+  pause_ms (5000);
+  return sum_metric (c, "dispatch", "capercrank_repeats_answered");
+}
+
+/* The dispatcher that remembers most: its loss is the one that counts. */
+static guint
+fullest_dispatcher (Cluster *c, guint *outcomes)
+{
+  guint best = 1;
+
+  *outcomes = 0;
+  for (guint i = 1; i <= c->instances; i++)
+    {
+      guint n = read_metric (c, "dispatch", i, "capercrank_outcomes");
+
+      if (n <= *outcomes)
+        continue;
+      *outcomes = n;
+      best = i;
+    }
+  return best;
+}
+
+static guint
+repeats_after_kill (Cluster *c, GRand *rand)
+{
+  g_autofree char *name = NULL;
+  guint outcomes;
+
+  (void) rand;
+  pause_ms (1500);
+  name = g_strdup_printf ("dispatch-%u", fullest_dispatcher (c, &outcomes));
+  cluster_signal (c, name, SIGKILL);
+  pause_ms (5000);
+  cluster_restart (c, name);
+  fprintf (stderr, "%s lost %u outcomes\n", name, outcomes);
+  return outcomes;
+}
+
+static guint
+drain_dispatcher (Cluster *c, GRand *rand)
+{
+  g_autofree char *name = NULL;
+  guint outcomes, before, passed;
+
+  (void) rand;
+  pause_ms (1500);
+  name = g_strdup_printf ("dispatch-%u", fullest_dispatcher (c, &outcomes));
+  before = sum_metric (c, "dispatch", "capercrank_outcomes_received");
+  cluster_signal (c, name, SIGTERM);
+  if (!cluster_wait_end (c, name, 15))
+    return 0;
+  passed = sum_metric (c, "dispatch", "capercrank_outcomes_received") - before;
+  fprintf (stderr, "%s with %u outcomes left, %u chunks came\n", name, outcomes,
+           passed);
+  cluster_restart (c, name);
+  pause_ms (2000);
+  return MIN (outcomes, passed);
+}
+
+static guint
+drain_entry (Cluster *c, GRand *rand)
 {
+  guint asked;
+
   (void) rand;
-  cluster_list (c, "catalogue-2", "leaving");
-  cluster_list (c, "group-booking-2", "leaving");
+  asked = read_metric (c, "entry", 2, "capercrank_requests");
+  cluster_signal (c, "entry-2", SIGTERM);
+  if (!cluster_wait_end (c, "entry-2", 30))
+    return 0;
+  cluster_restart (c, "entry-2");
+  return asked;
+}
+
+#define LEAVES_WITHIN (3 * CC_SECOND) /* then no new work */
+
+/* When SERVER began its last work, by its own record, wall clock in us. */
+static gint64
+last_begin (Cluster *c, const char *server)
+{
+  g_autofree char *path = g_strdup_printf ("%s/%s.records", c->folder, server);
+  g_autofree char *text = NULL;
+  g_auto (GStrv) lines = NULL;
+  gint64 last = 0;
+
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    return 0;
+  lines = g_strsplit (text, "\n", -1);
+  for (guint i = 0; lines[i] != NULL; i++)
+    {
+      g_auto (GStrv) f = g_strsplit (lines[i], " ", -1);
+
+      if (g_strv_length (f) == 9 && f[0][0] == 'B')
+        last = MAX (last, g_ascii_strtoll (f[7], NULL, 10));
+    }
+  return last;
+}
+
+/* How many of two servers worked until they were listed as leaving, and began
+ * nothing later than LEAVES_WITHIN after.  LOST is killed at that moment. */
+static guint
+leave (Cluster *c, const char *lost)
+{
+  static const char *const servers[] = { "catalogue-2", "group-booking-2" };
+  gint64 since = g_get_real_time ();
+  guint left = 0;
+
+  for (guint i = 0; i < G_N_ELEMENTS (servers); i++)
+    cluster_list (c, servers[i], "leaving");
+  if (lost != NULL)
+    cluster_signal (c, lost, SIGKILL);
   pause_ms (6000);
-  return 1;
+  for (guint i = 0; i < G_N_ELEMENTS (servers); i++)
+    {
+      gint64 last = last_begin (c, servers[i]);
+
+      fprintf (stderr,
+               "%s began its last work %" G_GINT64_FORMAT
+               " ms after it was listed as leaving\n",
+               servers[i], (last - since) / CC_MS);
+      left += last > since - CC_SECOND && last < since + LEAVES_WITHIN;
+    }
+  return left == G_N_ELEMENTS (servers) ? left : 0;
+}
+
+static guint
+server_leaves (Cluster *c, GRand *rand)
+{
+  (void) rand;
+  return leave (c, NULL);
+}
+
+static guint
+server_leaves_entry_lost (Cluster *c, GRand *rand)
+{
+  g_autofree char *entry = g_strdup_printf (
+      "entry-%d", g_rand_int_range (rand, 1, (gint32) c->instances + 1));
+  guint left = leave (c, entry);
+
+  cluster_restart (c, entry);
+  return left;
 }
 
 const Scenario outcome_scenarios[] = {
   { "silent-links",
     "Open connections swallow everything for good while new ones work.", 10, 3,
     silence_links, FALSE },
+  { "repeats",
+    "The same key through another entry, during the first attempt, after it "
+    "and seconds later; one run, one outcome.",
+    10, 1, repeats, FALSE },
+  { "repeats-after-kill",
+    "The dispatcher that ran them is killed; late repeats are unknown, never "
+    "run again.",
+    14, 3, repeats_after_kill, TRUE },
+  { "drain-dispatcher",
+    "SIGTERM: its servers and its memory go to others; nobody is told unknown.",
+    14, 3, drain_dispatcher, FALSE },
+  { "drain-entry",
+    "SIGTERM: readiness fails, the balancer turns away, nothing is cut off.",
+    10, 1, drain_entry, FALSE },
   { "server-leaves",
     "A server is listed as leaving; nothing is cut off, no new work after 3 s.",
     10, 1, server_leaves, TRUE },
+  { "server-leaves-entry-lost",
+    "As server-leaves, and an entry is killed at that moment.", 10, 1,
+    server_leaves_entry_lost, FALSE },
   { NULL, NULL, 0, 0, NULL, FALSE }
 };
+
+const char *const calm_scenarios[] = { "repeats", "drain-dispatcher",
+                                       "drain-entry", "server-leaves", NULL };
