Decisions under load in modules of their own, and make bench

Change: admission by the measured wait against the class's target, dynamic thresholds for tenants and keys, fair queuing between classes, a limit that warms up and tries, budgets of retries; joined by load.c, which the bench drives.

--- a/Makefile
+++ b/Makefile
@@ -12,16 +12,17 @@
 CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
 LIBS = $(shell pkg-config --libs $(PKGS)) -lnng -lxxhash -lm
 
-LIB_SRC = admin.c ask.c assignment.c capercrank.c clock.c config_api.c \
-  document.c findings.c follower.c holding.c job.c leader.c lease.c log.c \
-  mailbox.c metrics.c outcome.c platform.c queue.c server.c settings.c \
-  slicemap.c tenure.c upstream.c view.c wire.c
+LIB_SRC = admin.c admission.c ask.c assignment.c capercrank.c clock.c \
+  config_api.c cost.c document.c findings.c follower.c grants.c histograms.c \
+  holding.c job.c leader.c lease.c limit.c load.c log.c mailbox.c metrics.c \
+  outcome.c platform.c queue.c retry.c server.c settings.c slicemap.c \
+  tenure.c upstream.c view.c waiters.c wire.c
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS = entry dispatch assign
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
-STAND_INS = platform upstream relay load demo prove
+STAND_INS = platform upstream relay load demo prove bench
 TEST_LIB = harness records scenarios_lease scenarios_outcome
 SCENARIO ?= check
 SEED ?= 1
@@ -52,7 +53,10 @@
 
 -include $(wildcard $(BUILD)/*.d $(BUILD)/test/*.d)
 .SECONDARY:
-.PHONY: all build-all prove deps demo check format lint test clean
+bench: $(BUILD)/test/bench
+	@$(BUILD)/test/bench $(SEED)
+
+.PHONY: all bench build-all prove deps demo check format lint test clean
 
 deps:
 	@sh .ci/deps
--- /dev/null
+++ b/cost.h
@@ -0,0 +1,26 @@
+/* Expected time in the server for each kind of work, measured. */
+#ifndef CC_COST_H
+#define CC_COST_H
+
+#include "capercrank.h"
+
+/* Estimate of one kind of work. */
+typedef struct
+{
+  gint64 mean;      /* us; 0: never measured */
+  gint64 deviation; /* mean distance from the mean, us */
+} CcCost;
+
+typedef struct
+{
+  GHashTable *kinds; /* kind to CcCost */
+  CcCost all;        /* of the server's whole work */
+} CcCosts;
+
+guint cc_cost_kind (const char *class_name, const char *method, gsize body);
+void cc_costs_init (CcCosts *c);
+void cc_costs_clear (CcCosts *c);
+void cc_costs_add (CcCosts *c, guint kind, gint64 took);
+CcCost cc_costs_of (const CcCosts *c, guint kind);
+
+#endif
--- /dev/null
+++ b/load.h
@@ -0,0 +1,50 @@
+/* A server's load: what waits for it, what is in it, what may go next. */
+#ifndef CC_LOAD_H
+#define CC_LOAD_H
+
+#include "admission.h"
+#include "cost.h"
+#include "limit.h"
+#include "queue.h"
+#include "retry.h"
+
+typedef struct
+{
+  CcQueue queue;
+  CcCosts costs;
+  CcLimit limit;
+  CcRetries retries;
+  CcComeback comeback;
+  guint running;       /* attempts in the server */
+  guint running_long;  /* long ones among them */
+  gint64 running_cost; /* their expected time, us */
+  gint64 progress;     /* last answer, or send to the idle server, us */
+} CcLoad;
+
+/* The answer to an offer. */
+typedef struct
+{
+  gboolean admitted;
+  const char *reason;  /* of a refusal, one word */
+  guint32 retry_after; /* of a refusal, ms */
+} CcOffer;
+
+typedef enum
+{
+  CC_LOAD_ANSWERED, /* the server ran it */
+  CC_LOAD_SHED,     /* the server refused it for its load */
+  CC_LOAD_UNSENT,   /* it never left, or was refused for its grant */
+  CC_LOAD_LOST,     /* the connection ended without an answer */
+  CC_LOAD_CANCELLED /* given up here: the deadline, or the caller went away */
+} CcLoadEnd;
+
+void cc_load_init (CcLoad *l);
+void cc_load_clear (CcLoad *l);
+CcOffer cc_load_offer (CcLoad *l, CcWaiting *w, gint64 now);
+CcWaiting *cc_load_next (CcLoad *l, CcMaySend may, gpointer data, gint64 now);
+void cc_load_done (CcLoad *l, const CcWaiting *w, CcLoadEnd end, gint64 now);
+gboolean cc_load_retry (CcLoad *l, CcWaiting *w, CcFailure f, gint64 now);
+gboolean cc_load_stalled (const CcLoad *l, gint64 now);
+guint32 cc_load_wait_ms (const CcLoad *l, gint64 now);
+
+#endif
--- a/queue.c
+++ b/queue.c
@@ -1,88 +1,275 @@
-/* Order of the queue: earliest deadline first.
+/* Order of the queue.
  *
- * Load pattern: a gate opening at nine, bookings with seconds to spare among
- * payments with a fraction of one.  First in, first out lets the patient ones
- * delay the urgent past their deadlines while they themselves had time left.
+ * Load patterns: a gate opening at nine, browsing beside once-only work, long
+ * jobs among short ones.  First in, first out lets a class with seconds to
+ * spare delay an urgent one past its target, lets a flood of one class starve
+ * all others, and lets a few long jobs occupy every slot.
+ *
+ * Between classes: start-time fair queuing (Goyal, SIGCOMM 1996).  Each class
+ * is entitled to an equal share of the server's time, measured in expected
+ * cost, and what one leaves unused goes to the others.  Shares are equal for
+ * want of grounds for others: the operator states targets, not weights.
+ *
+ * Within a class: earliest due first.  The class's requests have one target,
+ * so nobody is overtaken for long and the wait of an admitted request can be
+ * told at its arrival.  Fairness among tenants and keys is therefore made at
+ * admission (admission.c), which bounds what each may have waiting here.
+ *
+ * Long jobs stand in a sequence of their own, so that one that has to wait
+ * for a slot it may use is passed by in constant time.
+ *
+ * All of push, pop and remove are O(log n) in the jobs, O(classes) beside.
  */
 #include "queue.h"
 
-static gint
-by_deadline (gconstpointer a, gconstpointer b, gpointer unused)
+static void
+lane_free (gpointer data)
 {
-  const CcWaiting *x = a, *y = b;
+  CcLane *lane = data;
 
-  (void) unused;
-  if (x->deadline != y->deadline)
-    return x->deadline < y->deadline ? -1 : 1;
-  return x->arrived < y->arrived ? -1 : 1;
+  g_sequence_free (lane->order[0]);
+  g_sequence_free (lane->order[1]);
+  g_free (lane);
 }
 
 /* Makes Q empty. */
 void
 cc_queue_init (CcQueue *q)
 {
-  q->order = g_sequence_new (g_free);
+  *q = (CcQueue){ 0 };
+  q->lanes = g_ptr_array_new_with_free_func (lane_free);
+  q->tenants = g_hash_table_new (NULL, NULL);
+  q->slices = g_hash_table_new (NULL, NULL);
 }
 
 /* Frees Q, not the items in it. */
 void
 cc_queue_clear (CcQueue *q)
 {
-  g_clear_pointer (&q->order, g_sequence_free);
+  g_clear_pointer (&q->lanes, g_ptr_array_unref);
+  g_clear_pointer (&q->tenants, g_hash_table_unref);
+  g_clear_pointer (&q->slices, g_hash_table_unref);
 }
 
-/* Adds a copy of W. */
-void
-cc_queue_push (CcQueue *q, const CcWaiting *w)
+static gint
+by_due (gconstpointer a, gconstpointer b, gpointer unused)
 {
-  g_sequence_insert_sorted (q->order, g_memdup2 (w, sizeof *w), by_deadline,
-                            NULL);
+  const CcWaiting *x = a, *y = b;
+
+  (void) unused;
+  if (x->due != y->due)
+    return x->due < y->due ? -1 : 1;
+  return (x->arrived > y->arrived) - (x->arrived < y->arrived);
 }
 
-/* Takes out the item to be sent next, or NULL if Q is empty. */
-gpointer
-cc_queue_pop (CcQueue *q)
+static CcLane *
+find_lane (const CcQueue *q, guint class_id)
 {
-  GSequenceIter *first = g_sequence_get_begin_iter (q->order);
-  gpointer item;
+  for (guint i = 0; i < q->lanes->len; i++)
+    {
+      CcLane *lane = q->lanes->pdata[i];
 
-  if (g_sequence_iter_is_end (first))
-    return NULL;
-  item = ((CcWaiting *) g_sequence_get (first))->item;
-  g_sequence_remove (first);
-  return item;
+      if (lane->class_id == class_id)
+        return lane;
+    }
+  return NULL;
+}
+
+static CcLane *
+add_lane (CcQueue *q, guint class_id)
+{
+  CcLane *lane = g_new0 (CcLane, 1);
+
+  lane->class_id = class_id;
+  lane->order[0] = g_sequence_new (NULL);
+  lane->order[1] = g_sequence_new (NULL);
+  g_ptr_array_add (q->lanes, lane);
+  return lane;
+}
+
+static gboolean
+lane_is_empty (const CcLane *lane)
+{
+  return g_sequence_is_empty (lane->order[0]) &&
+         g_sequence_is_empty (lane->order[1]);
+}
+
+static gint64
+cost_of (GHashTable *sums, guint id)
+{
+  gpointer sum = g_hash_table_lookup (sums, GUINT_TO_POINTER (id));
+
+  return (gint64) GPOINTER_TO_SIZE (sum);
+}
+
+static void
+add_cost (GHashTable *sums, guint id, gint64 cost)
+{
+  gint64 sum = cost_of (sums, id) + cost;
+
+  if (sum > 0)
+    g_hash_table_insert (sums, GUINT_TO_POINTER (id),
+                         GSIZE_TO_POINTER ((gsize) sum));
+  else
+    g_hash_table_remove (sums, GUINT_TO_POINTER (id));
 }
 
-/* Takes ITEM out.  Returns FALSE if it is not in Q. */
-gboolean
-cc_queue_remove (CcQueue *q, gpointer item)
+static void
+add_sums (CcQueue *q, CcLane *lane, const CcWaiting *w, int sign)
 {
-  GSequenceIter *i = g_sequence_get_begin_iter (q->order);
+  gint64 cost = sign * w->cost;
+
+  lane->backlog[w->is_long] += cost;
+  add_cost (q->tenants, w->tenant, cost);
+  add_cost (q->slices, w->slice, cost);
+  q->length = (guint) ((gint) q->length + sign);
+}
+
+/* Adds W, which stays the caller's and must not change while it waits. */
+void
+cc_queue_push (CcQueue *q, CcWaiting *w)
+{
+  CcLane *lane = find_lane (q, w->class_id);
+
+  if (lane == NULL)
+    lane = add_lane (q, w->class_id);
+  if (lane_is_empty (lane))
+    lane->tag = MAX (lane->tag, q->virtual_time);
+  lane->last_push = w->arrived;
+  w->place =
+      g_sequence_insert_sorted (lane->order[w->is_long], w, by_due, NULL);
+  add_sums (q, lane, w, 1);
+}
+
+/* Takes W out if it is in Q. */
+void
+cc_queue_remove (CcQueue *q, CcWaiting *w)
+{
+  if (w->place == NULL)
+    return;
+  g_sequence_remove (w->place);
+  w->place = NULL;
+  add_sums (q, find_lane (q, w->class_id), w, -1);
+}
+
+static CcWaiting *
+first_sendable (GSequence *order, CcMaySend may, gpointer data)
+{
+  GSequenceIter *i = g_sequence_get_begin_iter (order);
 
   for (; !g_sequence_iter_is_end (i); i = g_sequence_iter_next (i))
-    if (((CcWaiting *) g_sequence_get (i))->item == item)
-      {
-        g_sequence_remove (i);
-        return TRUE;
-      }
-  return FALSE;
+    if (may == NULL || may (g_sequence_get (i), data))
+      return g_sequence_get (i);
+  return NULL;
+}
+
+static CcWaiting *
+first_of_lane (const CcLane *lane, gboolean long_too, CcMaySend may,
+               gpointer data)
+{
+  CcWaiting *usual = first_sendable (lane->order[0], may, data);
+  CcWaiting *other =
+      long_too ? first_sendable (lane->order[1], may, data) : NULL;
+
+  if (usual == NULL || other == NULL)
+    return usual != NULL ? usual : other;
+  return by_due (other, usual, NULL) < 0 ? other : usual;
+}
+
+/* Takes out what is to be sent next, or returns NULL.  LONG_TOO: a slot for a
+ * long job is free.  MAY (or NULL) tells what may be sent at all; it refuses
+ * only jobs of a slice on the move, so the first is nearly always taken. */
+CcWaiting *
+cc_queue_pop (CcQueue *q, gboolean long_too, CcMaySend may, gpointer data)
+{
+  CcLane *best = NULL;
+  CcWaiting *next = NULL;
+
+  for (guint i = 0; i < q->lanes->len; i++)
+    {
+      CcLane *lane = q->lanes->pdata[i];
+      CcWaiting *first;
+
+      if (best != NULL && lane->tag >= best->tag)
+        continue;
+      first = first_of_lane (lane, long_too, may, data);
+      if (first == NULL)
+        continue;
+      best = lane;
+      next = first;
+    }
+  if (best == NULL)
+    return NULL;
+  cc_queue_remove (q, next);
+  q->virtual_time = best->tag;
+  best->tag += MAX (next->cost, 1);
+  return next;
 }
 
 /* How many items wait. */
 guint
 cc_queue_length (const CcQueue *q)
 {
-  return (guint) g_sequence_get_length (q->order);
+  return q->length;
+}
+
+/* The lane of CLASS_ID, or NULL if none was ever pushed. */
+const CcLane *
+cc_queue_lane (const CcQueue *q, guint class_id)
+{
+  return find_lane (q, class_id);
 }
 
-/* All items in order.  The caller unrefs the array. */
+/* How many classes share the server now: CLASS_ID, and every other that waits
+ * or was pushed at SINCE or later. */
+guint
+cc_queue_active (const CcQueue *q, guint class_id, gint64 since)
+{
+  guint n = 1;
+
+  for (guint i = 0; i < q->lanes->len; i++)
+    {
+      const CcLane *lane = q->lanes->pdata[i];
+
+      if (lane->class_id != class_id &&
+          (!lane_is_empty (lane) || lane->last_push >= since))
+        n++;
+    }
+  return n;
+}
+
+/* Cost of what TENANT has waiting, us. */
+gint64
+cc_queue_of_tenant (const CcQueue *q, guint tenant)
+{
+  return cost_of (q->tenants, tenant);
+}
+
+/* Cost of what waits for SLICE, us. */
+gint64
+cc_queue_of_slice (const CcQueue *q, guint slice)
+{
+  return cost_of (q->slices, slice);
+}
+
+static void
+collect (gpointer w, gpointer items)
+{
+  g_ptr_array_add (items, w);
+}
+
+/* All items (CcWaiting), class by class.  The caller unrefs the array. */
 GPtrArray *
 cc_queue_items (const CcQueue *q)
 {
   GPtrArray *items = g_ptr_array_new ();
-  GSequenceIter *i = g_sequence_get_begin_iter (q->order);
 
-  for (; !g_sequence_iter_is_end (i); i = g_sequence_iter_next (i))
-    g_ptr_array_add (items, ((CcWaiting *) g_sequence_get (i))->item);
+  for (guint i = 0; i < q->lanes->len; i++)
+    {
+      const CcLane *lane = q->lanes->pdata[i];
+
+      g_sequence_foreach (lane->order[0], collect, items);
+      g_sequence_foreach (lane->order[1], collect, items);
+    }
   return items;
 }
