The dispatcher takes, orders and paces by load.c; histograms by class and tenant

Cause: server.c had a fixed limit of 4 and constants for Retry-After, scanned every queue for a cancel and copied the queue at each send.

--- a/dispatch.c
+++ b/dispatch.c
@@ -81,7 +81,7 @@
   CcJob *first = g_hash_table_lookup (d->shared.first_attempts, name);
 
   if (first != NULL)
-    cc_job_add_waiter (first, m);
+    cc_server_join (&d->shared, first, m);
   else
     refuse (d, m, CC_OUTCOME_UNKNOWN, "repeat", 0, FALSE);
 }
@@ -100,7 +100,7 @@
       cc_outcomes_start (d->shared.outcomes, class->pool, slice, j->idempotency,
                          cc_clock_wall ());
     }
-  cc_server_take (s, j);
+  cc_server_take (s, j, class);
 }
 
 static void
@@ -177,14 +177,8 @@
 static void
 take_cancel (Dispatch *d, const CcMessage *m)
 {
-  GHashTableIter iter;
-  gpointer server;
-
   ++*d->cancelled;
-  g_hash_table_iter_init (&iter, d->servers);
-  while (g_hash_table_iter_next (&iter, NULL, &server))
-    if (cc_server_cancel (server, m->from, m->u.cancel.request))
-      return;
+  cc_server_cancel (&d->shared, m->from, m->u.cancel.request);
 }
 
 static void
@@ -412,7 +406,7 @@
   m.u.report.applied = applied;
   m.u.report.state = s->holding->lost;
   m.u.report.running = s->holding->running;
-  m.u.report.queued = cc_queue_length (&s->queue);
+  m.u.report.queued = cc_queue_length (&s->load.queue);
   cc_mailbox_send (d->mailbox, address, &m);
 }
 
@@ -503,6 +497,7 @@
   d->shared.upstream = cc_upstream_new (cc_setting (d->settings, "listen"));
   d->shared.tenure = d->tenure;
   d->shared.outcomes = cc_outcomes_new ();
+  cc_server_shared_init (&d->shared);
   d->shared.first_attempts =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   d->servers =
--- a/entry.c
+++ b/entry.c
@@ -8,6 +8,7 @@
 #include "ask.h"
 #include "clock.h"
 #include "follower.h"
+#include "histograms.h"
 #include "log.h"
 #include "metrics.h"
 #include "outcome.h"
@@ -24,7 +25,8 @@
   CcRouter *router;
   SoupServer *callers;
   GHashTable *stats; /* class name to Stats */
-  gint64 stop_at;    /* 0: not stopping */
+  CcHistograms latency;
+  gint64 stop_at; /* 0: not stopping */
 } Entry;
 
 /* Counters of one class, looked up once. */
@@ -32,7 +34,6 @@
 {
   CcCounter *outcomes[3];
   CcCounter *in_target;
-  CcHistogram *latency;
 } Stats;
 
 /* One caller's request and its open connection. */
@@ -42,6 +43,8 @@
   SoupServerMessage *message;
   CcAsk *ask;
   Stats *stats;
+  CcHistogram *of_class;
+  CcHistogram *of_tenant;
   gint64 within; /* the class's target, us */
   gint64 started;
   gulong disconnected;
@@ -98,7 +101,6 @@
       s->outcomes[i] = cc_metrics_counter ("capercrank_requests", with_outcome);
     }
   s->in_target = cc_metrics_counter ("capercrank_requests_in_target", label);
-  s->latency = cc_metrics_histogram ("capercrank_request_seconds", label);
   g_hash_table_insert (e->stats, g_strdup (class), s);
   return s;
 }
@@ -109,7 +111,8 @@
   gint64 took = cc_clock_now () - c->started;
 
   ++*c->stats->outcomes[outcome];
-  cc_histogram_add (c->stats->latency, took);
+  cc_histogram_add (c->of_class, took);
+  cc_histogram_add (c->of_tenant, took);
   if (outcome == CC_OUTCOME_RUN && took <= c->within)
     ++*c->stats->in_target;
 }
@@ -335,6 +338,8 @@
   c->entry = e;
   c->message = g_object_ref (m);
   c->stats = find_stats (e, class->name);
+  c->of_class = cc_histograms_class (&e->latency, class->name);
+  c->of_tenant = cc_histograms_tenant (&e->latency, w.tenant);
   c->within = class->within;
   c->started = cc_clock_now ();
   g_signal_connect (m, "finished", G_CALLBACK (on_finished), c);
@@ -515,6 +520,7 @@
       break;
     }
   e.stats = g_hash_table_new (g_str_hash, g_str_equal);
+  cc_histograms_init (&e.latency, "capercrank_request_seconds");
   if (!open_ports (&e, settings, cc_clock_incarnation ()))
     return 1;
   seeds = cc_setting_list (settings, "dispatchers");
--- /dev/null
+++ b/grants.c
@@ -0,0 +1,53 @@
+/* Keeps a held server's grant alive, and by the same calls learns whether the
+ * server answers at all: a grant, or a probe, goes out each CC_GRANT_PERIOD on
+ * a connection of its own. */
+#include "server.h"
+
+#include "clock.h"
+
+static void
+on_granted (CcStatus status, guint64 serial, gint64 sent, gpointer data)
+{
+  CcServer *s = data;
+
+  s->granting = FALSE;
+  if (s->closed)
+    {
+      g_free (s);
+      return;
+    }
+  if (status != CC_UNKNOWN)
+    cc_holding_answered (s->holding, cc_clock_now ());
+  if (status == CC_OK && serial != 0)
+    cc_holding_grant_acked (s->holding, serial, sent);
+  if (serial != s->holding->serial)
+    s->grant_due = 0;
+  cc_server_tick (s, cc_clock_now ());
+  cc_server_pump (s);
+}
+
+static void
+on_probed (CcStatus status, guint64 serial, gint64 sent, gpointer data)
+{
+  (void) serial;
+  on_granted (status, 0, sent, data);
+}
+
+/* Sends a grant if one is due at NOW, or a probe where none may be sent. */
+void
+cc_server_renew_grant (CcServer *s, gint64 now)
+{
+  if (s->granting || now < s->grant_due || !s->holding->active ||
+      !cc_tenure_is_valid (s->shared->tenure, now))
+    return;
+  s->granting = TRUE;
+  s->grant_due = now + CC_GRANT_PERIOD;
+  if (cc_holding_may_grant (s->holding, now))
+    {
+      cc_holding_grant_sent (s->holding, now);
+      cc_upstream_grant (s->shared->upstream, s->holding, s->shared->tenure->id,
+                         on_granted, s);
+    }
+  else
+    cc_upstream_probe (s->shared->upstream, s->holding, on_probed, s);
+}
--- a/job.h
+++ b/job.h
@@ -4,6 +4,7 @@
 
 #include "holding.h"
 #include "mailbox.h"
+#include "queue.h"
 #include "upstream.h"
 
 typedef enum
@@ -42,6 +43,7 @@
   CcHolding *holding;
   CcAttempt *attempt; /* in state SENT */
   gpointer owner;     /* of the timer's and attempt's callbacks */
+  CcWaiting waiting;  /* its place in the queue */
 } CcJob;
 
 CcJob *cc_job_new (const CcMessage *m, const char *pool, gboolean once_only,
--- a/server.c
+++ b/server.c
@@ -7,7 +7,9 @@
  *  unknown  something left and no answer came.  Said at once when the
  *           deadline passes or the server is judged lost.
  *
- * An attempt that may have left the process is never sent again.
+ * An attempt that may have left the process is never sent again, but for the
+ * classes that are idempotent (retry.c).  Whom to take, what to send next and
+ * how much at once is decided by load.c.
  */
 #include "server.h"
 
@@ -15,9 +17,9 @@
 #include "log.h"
 #include "metrics.h"
 
-#define SLOTS 4          /* of each server today */
-#define QUEUE_MAX 2000   /* jobs; more than any deadline lets through */
-#define SHED_WAIT_MS 50  /* a server that sheds has freed a slot by then */
+/* Jobs.  Admission refuses long before; this bounds memory while a server's
+ * work has not been measured yet. */
+#define QUEUE_MAX 2000
 #define MOVED_WAIT_MS 20 /* usual time of a move of ownership */
 
 static void on_attempt_done (const CcAttemptResult *result, gpointer data);
@@ -29,6 +31,16 @@
   return g_strdup_printf ("%s/%u/%s", pool, slice, idempotency);
 }
 
+/* Makes the tables and counters of SHARED that are this module's own. */
+void
+cc_server_shared_init (CcServerShared *shared)
+{
+  shared->waiters = cc_waiters_new ();
+  shared->retried = cc_metrics_counter ("capercrank_attempts_retried", "");
+  cc_histograms_init (&shared->wait, "capercrank_queue_seconds");
+  cc_histograms_init (&shared->service, "capercrank_service_seconds");
+}
+
 /* A server with an empty queue; takes over the caller's reference to H. */
 CcServer *
 cc_server_new (CcServerShared *shared, CcHolding *h)
@@ -37,8 +49,7 @@
 
   s->shared = shared;
   s->holding = h;
-  s->limit = SLOTS;
-  cc_queue_init (&s->queue);
+  cc_load_init (&s->load);
   s->sent = g_hash_table_new (NULL, NULL);
   return s;
 }
@@ -66,6 +77,7 @@
   if (j->state == CC_JOB_ENDED)
     return;
   remember (s, j, r);
+  cc_waiters_forget (s->shared->waiters, j);
   cc_job_answer (j, s->shared->mailbox, r);
   if (j->timer != 0)
     g_source_remove (j->timer);
@@ -92,6 +104,22 @@
   end_job (s, j, &r);
 }
 
+static guint32
+wait_ms (const CcServer *s)
+{
+  return cc_load_wait_ms (&s->load, cc_clock_now ());
+}
+
+/* Ends J, which nothing was sent for, and frees it. */
+static void
+drop_queued (CcServer *s, CcJob *j, const char *reason, guint32 after_ms,
+             gboolean reroute)
+{
+  cc_queue_remove (&s->load.queue, &j->waiting);
+  end_not_run (s, j, reason, after_ms, reroute);
+  cc_job_free (j);
+}
+
 static gboolean
 on_deadline (gpointer data)
 {
@@ -101,9 +129,7 @@
   j->timer = 0;
   if (j->state == CC_JOB_QUEUED)
     {
-      cc_queue_remove (&s->queue, j);
-      end_not_run (s, j, "deadline", SHED_WAIT_MS, FALSE);
-      cc_job_free (j);
+      drop_queued (s, j, "deadline", wait_ms (s), FALSE);
       return G_SOURCE_REMOVE;
     }
   end_unknown (s, j, "deadline");
@@ -111,27 +137,45 @@
   return G_SOURCE_REMOVE;
 }
 
-/* Takes J, whose holding must be this server's, into the queue. */
+static void
+describe (CcJob *j, const CcClass *class, gint64 left)
+{
+  CcWaiting *w = &j->waiting;
+
+  w->arrived = j->arrived;
+  w->due = j->arrived + MIN (left, class->within);
+  w->within = class->within;
+  w->left = left;
+  w->once_only = class->once_only;
+  w->class_id = g_str_hash (j->class_name);
+  w->kind = cc_cost_kind (j->class_name, j->method, g_bytes_get_size (j->body));
+  w->tenant = g_str_hash (j->tenant);
+  w->slice = j->slice;
+  w->item = j;
+}
+
+/* Takes J of CLASS, whose holding must be this server's, into the queue, or
+ * refuses it at once. */
 void
-cc_server_take (CcServer *s, CcJob *j)
+cc_server_take (CcServer *s, CcJob *j, const CcClass *class)
 {
   gint64 left = j->deadline - cc_clock_wall ();
-  CcWaiting w = { .deadline = j->deadline,
-                  .arrived = j->arrived,
-                  .tenant = g_str_hash (j->tenant),
-                  .slice = j->slice,
-                  .item = j };
+  CcOffer offer = { FALSE, "full", 0 };
 
   j->owner = s;
   j->holding = cc_holding_ref (s->holding);
-  if (left <= 0 || cc_queue_length (&s->queue) >= QUEUE_MAX)
+  describe (j, class, left);
+  if (cc_queue_length (&s->load.queue) < QUEUE_MAX)
+    offer = cc_load_offer (&s->load, &j->waiting, cc_clock_now ());
+  else
+    offer.retry_after = wait_ms (s);
+  if (!offer.admitted)
     {
-      end_not_run (s, j, left <= 0 ? "deadline" : "full", SHED_WAIT_MS, FALSE);
-      cc_job_free (j);
+      drop_queued (s, j, offer.reason, offer.retry_after, FALSE);
       return;
     }
+  cc_waiters_add (s->shared->waiters, j);
   j->timer = g_timeout_add ((guint) (left / CC_MS) + 1, on_deadline, j);
-  cc_queue_push (&s->queue, &w);
   cc_server_pump (s);
 }
 
@@ -159,30 +203,24 @@
   j->attempt = cc_upstream_send (s->shared->upstream, &o, on_attempt_done, j);
   if (j->attempt == NULL)
     {
+      cc_load_done (&s->load, &j->waiting, CC_LOAD_UNSENT, j->sent);
       end_not_run (s, j, "malformed", 0, FALSE);
       cc_job_free (j);
       return;
     }
   j->state = CC_JOB_SENT;
+  cc_histograms_add (&s->shared->wait, j->class_name, j->tenant,
+                     j->sent - j->arrived);
   g_hash_table_add (s->sent, j);
   cc_holding_sent (s->holding, j->slice, j->deadline);
 }
 
-static CcJob *
-next_sendable (CcServer *s, gint64 now)
+static gboolean
+may_send (const CcWaiting *w, gpointer data)
 {
-  g_autoptr (GPtrArray) items = cc_queue_items (&s->queue);
-
-  for (guint i = 0; i < items->len; i++)
-    {
-      CcJob *j = items->pdata[i];
+  const CcServer *s = data;
 
-      if (!cc_holding_may_send (s->holding, j->slice, now))
-        continue;
-      cc_queue_remove (&s->queue, j);
-      return j;
-    }
-  return NULL;
+  return cc_holding_may_send (s->holding, w->slice, cc_clock_now ());
 }
 
 /* Sends what may be sent.  The lease is checked before every single send: the
@@ -190,21 +228,36 @@
 void
 cc_server_pump (CcServer *s)
 {
-  while (s->holding->running < s->limit && cc_queue_length (&s->queue) > 0)
+  while (cc_queue_length (&s->load.queue) > 0)
     {
       gint64 now = cc_clock_now ();
-      CcJob *j;
+      CcWaiting *w;
 
       if (!cc_tenure_is_valid (s->shared->tenure, now))
         return;
-      j = next_sendable (s, now);
-      if (j == NULL)
+      w = cc_load_next (&s->load, may_send, s, now);
+      if (w == NULL)
         return;
-      send_job (s, j);
+      send_job (s, w->item);
     }
 }
 
-static void
+/* Tries again what FAILED if the class, the budget and the time allow it. */
+static gboolean
+retry (CcServer *s, CcJob *j, CcFailure failed)
+{
+  if (j->state == CC_JOB_ENDED || s->holding->lost ||
+      !cc_holding_owns (s->holding, j->slice) ||
+      !cc_load_retry (&s->load, &j->waiting, failed, cc_clock_now ()))
+    return FALSE;
+  j->state = CC_JOB_QUEUED;
+  j->attempt = NULL;
+  ++*s->shared->retried;
+  return TRUE;
+}
+
+/* Returns FALSE if J waits again. */
+static gboolean
 answer_result (CcServer *s, CcJob *j, const CcAttemptResult *result)
 {
   CcMsgReply r = { .outcome = CC_OUTCOME_RUN,
@@ -217,20 +270,45 @@
     {
     case CC_ATTEMPT_ANSWERED:
       end_job (s, j, &r);
-      break;
+      return TRUE;
     case CC_ATTEMPT_FENCED:
       end_not_run (s, j, "fenced", MOVED_WAIT_MS, TRUE);
-      break;
+      return TRUE;
     case CC_ATTEMPT_SHED:
-      end_not_run (s, j, "shed", SHED_WAIT_MS, FALSE);
-      break;
+      if (retry (s, j, CC_FAIL_NOT_RUN))
+        return FALSE;
+      end_not_run (s, j, "shed", wait_ms (s), FALSE);
+      return TRUE;
     case CC_ATTEMPT_UNSENT:
-      end_not_run (s, j, "unreachable", SHED_WAIT_MS, FALSE);
-      break;
+      if (retry (s, j, CC_FAIL_NOT_RUN))
+        return FALSE;
+      end_not_run (s, j, "unreachable", wait_ms (s), FALSE);
+      return TRUE;
     case CC_ATTEMPT_LOST:
+      if (retry (s, j, CC_FAIL_UNKNOWN))
+        return FALSE;
       end_unknown (s, j, "lost");
-      break;
+      return TRUE;
     }
+  return TRUE;
+}
+
+static CcLoadEnd
+load_end (const CcJob *j, CcAttemptEnd end)
+{
+  switch (end)
+    {
+    case CC_ATTEMPT_ANSWERED:
+      return CC_LOAD_ANSWERED;
+    case CC_ATTEMPT_SHED:
+      return CC_LOAD_SHED;
+    case CC_ATTEMPT_FENCED:
+    case CC_ATTEMPT_UNSENT:
+      return CC_LOAD_UNSENT;
+    case CC_ATTEMPT_LOST:
+      return j->state == CC_JOB_ENDED ? CC_LOAD_CANCELLED : CC_LOAD_LOST;
+    }
+  return CC_LOAD_UNSENT;
 }
 
 static void
@@ -238,42 +316,57 @@
 {
   CcJob *j = data;
   CcServer *s = j->owner;
+  gboolean ended = TRUE;
 
   cc_holding_done (j->holding, j->slice);
   if (result->end == CC_ATTEMPT_ANSWERED)
     cc_holding_answered (j->holding, cc_clock_now ());
   if (s != NULL)
     {
+      if (result->end == CC_ATTEMPT_ANSWERED)
+        cc_histograms_add (&s->shared->service, j->class_name, j->tenant,
+                           cc_clock_now () - j->sent);
       g_hash_table_remove (s->sent, j);
-      answer_result (s, j, result);
+      cc_load_done (&s->load, &j->waiting, load_end (j, result->end),
+                    cc_clock_now ());
+      ended = answer_result (s, j, result);
       cc_server_pump (s);
     }
-  cc_job_free (j);
+  if (ended)
+    cc_job_free (j);
 }
 
+/* Gives back what waits for slices that are no longer owned. */
 static void
-flush_queue (CcServer *s, gboolean all)
+flush_moved (CcServer *s)
 {
-  g_autoptr (GPtrArray) items = cc_queue_items (&s->queue);
+  g_autoptr (GPtrArray) items = cc_queue_items (&s->load.queue);
 
   for (guint i = 0; i < items->len; i++)
     {
-      CcJob *j = items->pdata[i];
+      CcJob *j = ((CcWaiting *) items->pdata[i])->item;
 
-      if (!all && cc_holding_owns (s->holding, j->slice))
-        continue;
-      cc_queue_remove (&s->queue, j);
-      end_not_run (s, j, "moved", MOVED_WAIT_MS, TRUE);
-      cc_job_free (j);
+      if (!cc_holding_owns (s->holding, j->slice))
+        drop_queued (s, j, "moved", MOVED_WAIT_MS, TRUE);
     }
 }
 
+static void
+flush_all (CcServer *s, const char *reason, guint32 after_ms, gboolean reroute)
+{
+  g_autoptr (GPtrArray) items = cc_queue_items (&s->load.queue);
+
+  for (guint i = 0; i < items->len; i++)
+    drop_queued (s, ((CcWaiting *) items->pdata[i])->item, reason, after_ms,
+                 reroute);
+}
+
 /* To be called after the holding changed: gives back what it no longer owns,
  * and sees to a grant for what is new. */
 void
 cc_server_updated (CcServer *s)
 {
-  flush_queue (s, FALSE);
+  flush_moved (s);
   s->grant_due = 0;
   s->report_due = 0;
   cc_server_tick (s, cc_clock_now ());
@@ -294,52 +387,6 @@
   g_list_free (jobs);
 }
 
-static void
-on_granted (CcStatus status, guint64 serial, gint64 sent, gpointer data)
-{
-  CcServer *s = data;
-
-  s->granting = FALSE;
-  if (s->closed)
-    {
-      g_free (s);
-      return;
-    }
-  if (status != CC_UNKNOWN)
-    cc_holding_answered (s->holding, cc_clock_now ());
-  if (status == CC_OK && serial != 0)
-    cc_holding_grant_acked (s->holding, serial, sent);
-  if (serial != s->holding->serial)
-    s->grant_due = 0;
-  cc_server_tick (s, cc_clock_now ());
-  cc_server_pump (s);
-}
-
-static void
-on_probed (CcStatus status, guint64 serial, gint64 sent, gpointer data)
-{
-  (void) serial;
-  on_granted (status, 0, sent, data);
-}
-
-static void
-renew_grant (CcServer *s, gint64 now)
-{
-  if (s->granting || now < s->grant_due || !s->holding->active ||
-      !cc_tenure_is_valid (s->shared->tenure, now))
-    return;
-  s->granting = TRUE;
-  s->grant_due = now + CC_GRANT_PERIOD;
-  if (cc_holding_may_grant (s->holding, now))
-    {
-      cc_holding_grant_sent (s->holding, now);
-      cc_upstream_grant (s->shared->upstream, s->holding, s->shared->tenure->id,
-                         on_granted, s);
-    }
-  else
-    cc_upstream_probe (s->shared->upstream, s->holding, on_probed, s);
-}
-
 /* Looks at the server's health and grant at NOW.  Called every 20 ms or so. */
 void
 cc_server_tick (CcServer *s, gint64 now)
@@ -352,38 +399,54 @@
       if (s->holding->lost)
         {
           lose_sent (s);
-          flush_queue (s, TRUE);
+          flush_all (s, "moved", MOVED_WAIT_MS, TRUE);
         }
     }
-  renew_grant (s, now);
+  if (cc_load_stalled (&s->load, now))
+    flush_all (s, "stalled", wait_ms (s), FALSE);
+  cc_server_renew_grant (s, now);
+  cc_server_pump (s);
 }
 
-/* The caller of request ID went away.  Returns TRUE if it was here.  Once-only
- * work at the server goes on: its outcome is wanted for the repeat. */
-gboolean
-cc_server_cancel (CcServer *s, guint64 incarnation, guint64 id)
+/* The request in M is a repeat of J's and gets its answer, too. */
+void
+cc_server_join (CcServerShared *shared, CcJob *j, const CcMessage *m)
 {
-  g_autoptr (GPtrArray) items = cc_queue_items (&s->queue);
-  GHashTableIter iter;
-  gpointer job;
+  cc_job_add_waiter (j, m);
+  cc_waiters_add (shared->waiters, j);
+}
 
-  for (guint i = 0; i < items->len; i++)
-    if (cc_job_drop_waiter (items->pdata[i], incarnation, id))
-      {
-        cc_queue_remove (&s->queue, items->pdata[i]);
-        end_not_run (s, items->pdata[i], "cancelled", 0, FALSE);
-        cc_job_free (items->pdata[i]);
-        return TRUE;
-      }
-  g_hash_table_iter_init (&iter, s->sent);
-  while (g_hash_table_iter_next (&iter, &job, NULL))
-    if (cc_job_drop_waiter (job, incarnation, id))
-      {
-        if (!((CcJob *) job)->once_only)
-          cc_attempt_cancel (((CcJob *) job)->attempt);
-        return TRUE;
-      }
-  return FALSE;
+/* The last waiter of J went away.  Once-only work at the server goes on: its
+ * outcome is wanted for the repeat. */
+static void
+abandon (CcJob *j)
+{
+  CcServer *s = j->owner;
+
+  switch (j->state)
+    {
+    case CC_JOB_QUEUED:
+      drop_queued (s, j, "cancelled", 0, FALSE);
+      break;
+    case CC_JOB_SENT:
+      if (j->once_only)
+        break;
+      end_unknown (s, j, "cancelled");
+      cc_attempt_cancel (j->attempt);
+      break;
+    case CC_JOB_ENDED:
+      break;
+    }
+}
+
+/* The caller of request ID went away. */
+void
+cc_server_cancel (CcServerShared *shared, guint64 incarnation, guint64 id)
+{
+  CcJob *j = cc_waiters_take (shared->waiters, incarnation, id);
+
+  if (j != NULL && cc_job_drop_waiter (j, incarnation, id))
+    abandon (j);
 }
 
 /* Gives the queue back and lets go.  Attempts at the server end by themselves,
@@ -394,13 +457,13 @@
   GHashTableIter iter;
   gpointer job;
 
-  flush_queue (s, TRUE);
+  flush_all (s, "moved", MOVED_WAIT_MS, TRUE);
   lose_sent (s);
   g_hash_table_iter_init (&iter, s->sent);
   while (g_hash_table_iter_next (&iter, &job, NULL))
     ((CcJob *) job)->owner = NULL;
   g_hash_table_unref (s->sent);
-  cc_queue_clear (&s->queue);
+  cc_load_clear (&s->load);
   cc_holding_unref (s->holding);
   s->closed = TRUE;
   if (!s->granting)
--- a/server.h
+++ b/server.h
@@ -2,12 +2,16 @@
 #ifndef CC_SERVER_H
 #define CC_SERVER_H
 
+#include "document.h"
+#include "histograms.h"
 #include "holding.h"
 #include "job.h"
+#include "load.h"
+#include "metrics.h"
 #include "outcome.h"
-#include "queue.h"
 #include "tenure.h"
 #include "upstream.h"
+#include "waiters.h"
 
 /* What all servers of a dispatcher share. */
 typedef struct
@@ -17,15 +21,18 @@
   CcTenure *tenure;
   CcOutcomes *outcomes;
   GHashTable *first_attempts; /* "pool/slice/idempotency key" to CcJob */
+  GHashTable *waiters;        /* CcWaiter to the CcJob that will answer it */
+  CcCounter *retried;         /* attempts made again */
+  CcHistograms wait;          /* in the queue, by class and by tenant */
+  CcHistograms service;       /* in the server, the same */
 } CcServerShared;
 
 typedef struct
 {
   CcServerShared *shared;
   CcHolding *holding;
-  CcQueue queue;     /* of CcJob in state QUEUED */
+  CcLoad load;       /* jobs in state QUEUED, and what may be sent */
   GHashTable *sent;  /* set of CcJob in state SENT */
-  guint limit;       /* attempts at the server at once */
   gboolean granting; /* a grant or probe is in progress */
   gint64 grant_due;  /* when the next is to be sent, us */
   gboolean closed;   /* freed when the grant's callback has run */
@@ -35,11 +42,14 @@
 
 CcServer *cc_server_new (CcServerShared *shared, CcHolding *h);
 void cc_server_free (CcServer *s);
-void cc_server_take (CcServer *s, CcJob *j);
+void cc_server_take (CcServer *s, CcJob *j, const CcClass *class);
 void cc_server_pump (CcServer *s);
+void cc_server_renew_grant (CcServer *s, gint64 now);
 void cc_server_tick (CcServer *s, gint64 now);
 void cc_server_updated (CcServer *s);
-gboolean cc_server_cancel (CcServer *s, guint64 incarnation, guint64 id);
+void cc_server_shared_init (CcServerShared *shared);
+void cc_server_join (CcServerShared *shared, CcJob *j, const CcMessage *m);
+void cc_server_cancel (CcServerShared *shared, guint64 incarnation, guint64 id);
 char *cc_first_attempt_name (const char *pool, guint slice,
                              const char *idempotency);
 
