load: long jobs in the server no longer count against short ones' wait

Half the running cost was added to the wait, long jobs' cost included, while the slots they hold had been taken off already: counted twice. Change: running cost is kept apart for usual and long jobs. The bench now counts long jobs apart from the others.

--- a/load.c
+++ b/load.c
@@ -76,7 +76,7 @@
   if (lane != NULL)
     a.ahead = lane->backlog[w->is_long];
   if (l->running >= l->limit.limit)
-    a.ahead += l->running_cost / 2;
+    a.ahead += l->running_cost[w->is_long] / 2;
   return a;
 }
 
@@ -140,10 +140,16 @@
   w->sent = now;
   l->running++;
   l->running_long += w->is_long ? 1 : 0;
-  l->running_cost += w->cost;
+  l->running_cost[w->is_long] += w->cost;
   return w;
 }
 
+static gint64
+running_cost (const CcLoad *l)
+{
+  return l->running_cost[0] + l->running_cost[1];
+}
+
 static gint64
 stall_limit (gint64 cost)
 {
@@ -161,7 +167,7 @@
 
   l->running--;
   l->running_long -= w->is_long ? 1 : 0;
-  l->running_cost -= w->cost;
+  l->running_cost[w->is_long] -= w->cost;
   switch (end)
     {
     case CC_LOAD_ANSWERED:
@@ -204,7 +210,7 @@
 gboolean
 cc_load_stalled (const CcLoad *l, gint64 now)
 {
-  return l->running > 0 && now - l->progress > stall_limit (l->running_cost);
+  return l->running > 0 && now - l->progress > stall_limit (running_cost (l));
 }
 
 /* When to come back if not refused by an offer, ms: the time in which all that
@@ -213,7 +219,7 @@
 guint32
 cc_load_wait_ms (const CcLoad *l, gint64 now)
 {
-  gint64 cost = l->running_cost;
+  gint64 cost = running_cost (l);
 
   if (cc_load_stalled (l, now))
     return (guint32) MIN ((now - l->progress) / CC_MS, CC_TIMEOUT_MAX_MS);
--- a/load.h
+++ b/load.h
@@ -15,10 +15,10 @@
   CcLimit limit;
   CcRetries retries;
   CcComeback comeback;
-  guint running;       /* attempts in the server */
-  guint running_long;  /* long ones among them */
-  gint64 running_cost; /* their expected time, us */
-  gint64 progress;     /* last answer, or send to the idle server, us */
+  guint running;          /* attempts in the server */
+  guint running_long;     /* long ones among them */
+  gint64 running_cost[2]; /* expected time of usual and of long ones, us */
+  gint64 progress;        /* last answer, or send to the idle server, us */
 } CcLoad;
 
 /* The answer to an offer. */
--- a/test/bench.c
+++ b/test/bench.c
@@ -65,6 +65,8 @@
   { "slow server", 0.6, 0, 0, 0, 0, 3.0, FALSE },
   { "frozen server", 0.6, 0, 0, 0, 0, 0, TRUE },
   { "long jobs", 0.6, 0, 0, 0, 0.02, 0, FALSE },
+  { "long jobs 0.9", 0.9, 0, 0, 0, 0.02, 0, FALSE },
+  { "long jobs 1.5", 1.5, 0, 0, 0, 0.02, 0, FALSE },
   { "overload x1.5", 1.5, 0, 0, 0, 0, 0, FALSE },
   { "overload x3", 3.0, 0, 0, 0, 0, 0, FALSE },
 };
@@ -127,8 +129,9 @@
   CcHistogram answered;
   CcHistogram told; /* from arrival to refusal */
   guint64 counted, in_target, refused, unknown;
-  guint64 other, other_in_target; /* all but the hot caller and the hot key */
-  double tenant[TENANTS];         /* in target */
+  guint64 other,
+      other_in_target;    /* all but the hot caller, hot key and long jobs */
+  double tenant[TENANTS]; /* in target */
 } Result;
 
 typedef struct
@@ -168,7 +171,7 @@
 static gboolean
 is_hot (const Scenario *s, const Request *q)
 {
-  return (s->hot_tenant > 0 && q->tenant == 0) ||
+  return (s->hot_tenant > 0 && q->tenant == 0) || q->is_long ||
          (s->hot_key > 0 && q->key == hot_key_at (q->at));
 }
 
