Silent links between our processes are found and dialled afresh

Cause: entry.c noticed only a closed TCP connection; with a frozen dispatcher or a link that swallows bytes callers waited to their deadlines. Found on the way: a connection replaced between two looks of the main loop was never reported as lost (state compared, not the pipe); and an idempotent request sent again was told not-run although its first attempt may have run. Ruled out: TCP keep-alive (a relay or a frozen peer acknowledges it). Change: link_health.c decides by pings answered over the peer's own connection; unproven links refuse requests; once-only is unknown at once, idempotent work goes again when the link is back or the owner moved.

--- a/ask.c
+++ b/ask.c
@@ -2,7 +2,10 @@
  *
  * An ask is sent again only after the dispatcher said that it was not run
  * because ownership moved; that is proof.  Anything else that goes wrong after
- * the message left is unknown, and said so at once.
+ * the message left is unknown, and said so at once if the class is once-only.
+ * An idempotent request whose link was lost or went silent is sent again when
+ * the link is back or ownership has moved, until its deadline; since it may
+ * have run the first time, "not-run" is never said of it any more.
  *
  * While a key's ownership moves, its asks are parked here for PARK_MAX at the
  * most, the usual time of a move several times over; then they are refused
@@ -33,7 +36,9 @@
   char *address;       /* of the dispatcher it was sent to */
   guint64 incarnation; /* of that dispatcher */
   gint64 park_until;   /* us; 0: not parked before */
-  guint timer;         /* fires at the deadline */
+  gboolean once_only;
+  gboolean may_have_run; /* it was sent over a link that was lost since */
+  guint timer;           /* fires at the deadline */
   char *class_name;
   char *pool;
   char *tenant;
@@ -58,6 +63,7 @@
   CcCounter *late;    /* answers that nobody waited for any more */
   CcCounter *crossed; /* answers from a process that was not asked */
   CcCounter *rerouted;
+  CcCounter *resent; /* idempotent ones after a lost link */
   CcCounter *links_lost;
 };
 
@@ -76,6 +82,7 @@
   r->late = cc_metrics_counter ("capercrank_answers_late", "");
   r->crossed = cc_metrics_counter ("capercrank_answers_crossed", "");
   r->rerouted = cc_metrics_counter ("capercrank_requests_rerouted", "");
+  r->resent = cc_metrics_counter ("capercrank_requests_resent", "");
   r->links_lost = cc_metrics_counter ("capercrank_links_lost", "");
   return r;
 }
@@ -111,8 +118,12 @@
 static void
 finish (CcAsk *a, const CcMsgReply *reply)
 {
+  CcMsgReply r = *reply;
+
+  if (a->may_have_run && r.outcome == CC_OUTCOME_NOT_RUN)
+    r.outcome = CC_OUTCOME_UNKNOWN;
   detach (a);
-  a->done (reply, a->data);
+  a->done (&r, a->data);
   ask_free (a);
 }
 
@@ -156,7 +167,9 @@
 
   a->state = ASK_PARKED;
   g_hash_table_add (r->parked, a);
-  if (a->park_until == 0)
+  if (a->may_have_run)
+    a->park_until = G_MAXINT64; /* the deadline's timer ends it */
+  else if (a->park_until == 0)
     a->park_until = cc_clock_now () + PARK_MAX;
   if (r->retry == 0)
     r->retry = g_timeout_add (PARK_RETRY_MS, on_retry, r);
@@ -231,6 +244,11 @@
       finish_with (a, CC_OUTCOME_NOT_RUN, "busy", MOVE_WAIT_MS);
       return FALSE;
     default:
+      if (a->may_have_run)
+        {
+          park (a);
+          return TRUE;
+        }
       finish_with (a, CC_OUTCOME_NOT_RUN, "unreachable", TAKEOVER_WAIT_MS);
       return FALSE;
     }
@@ -262,6 +280,7 @@
   a->key = g_bytes_ref (w->key);
   a->body = g_bytes_ref (w->body);
   a->deadline = w->deadline;
+  a->once_only = w->class->once_only;
   a->done = done;
   a->data = data;
   a->timer = g_timeout_add ((guint) (MAX (left, 0) / CC_MS), on_deadline, a);
@@ -320,8 +339,25 @@
   park (a);
 }
 
-/* The link to ADDRESS came up or was lost.  What had been sent over a lost link
- * may have run, and its answer may not come: unknown, said now. */
+static void
+lose_link (CcAsk *a)
+{
+  CcRouter *r = a->router;
+
+  if (a->once_only)
+    {
+      finish_with (a, CC_OUTCOME_UNKNOWN, "link", 0);
+      return;
+    }
+  ++*r->resent;
+  a->may_have_run = TRUE;
+  g_hash_table_remove (r->asks, &a->id);
+  park (a);
+}
+
+/* The link to ADDRESS came up, or was lost: closed by the peer, or silent.
+ * What had been sent over a lost link may have run, and its answer may not
+ * come. */
 void
 cc_router_link (CcRouter *r, const char *address, gboolean up)
 {
@@ -337,7 +373,7 @@
     if (g_str_equal (((CcAsk *) ask)->address, address))
       g_ptr_array_add (lost, ask);
   for (guint i = 0; i < lost->len; i++)
-    finish_with (lost->pdata[i], CC_OUTCOME_UNKNOWN, "link", 0);
+    lose_link (lost->pdata[i]);
 }
 
 /* Ownership may have changed: looks at all parked asks again. */
--- a/dispatch.c
+++ b/dispatch.c
@@ -202,6 +202,7 @@
     case CC_MSG_REPORT:
     case CC_MSG_VOTE:
     case CC_MSG_RELAY:
+    case CC_MSG_PING:
       break;
     }
 }
--- a/mailbox.c
+++ b/mailbox.c
@@ -24,6 +24,7 @@
 #include <nng/protocol/pipeline0/push.h>
 
 #include "clock.h"
+#include "link_health.h"
 #include "log.h"
 #include "metrics.h"
 #include "settings.h"
@@ -38,8 +39,9 @@
   char *address;
   nng_socket socket;
   nng_dialer dialer;
-  gint up;       /* set on nng's thread, read atomically */
+  gint pipe;     /* id of the connection, 0: none; set on nng's thread */
   gint reported; /* what the main loop was told last */
+  CcLinkHealth health;
 } Link;
 
 struct CcMailbox
@@ -55,6 +57,7 @@
   GQueue arrived;     /* of nng_msg, in order */
   GQueue changed;     /* of Link whose state changed */
   gboolean scheduled; /* the main loop will look */
+  guint heartbeat;    /* timer */
   CcMailboxReceive receive;
   CcMailboxLink link;
   gpointer data;
@@ -62,6 +65,7 @@
   CcCounter *damaged; /* refused by the codec */
   CcCounter *stale;   /* expired, or for an earlier incarnation */
   CcCounter *refused; /* not sent: link full or down */
+  CcCounter *silent;  /* links closed because they swallowed pings */
 };
 
 static gboolean deliver (gpointer data);
@@ -109,6 +113,8 @@
   nng_msg_free (msg);
 }
 
+static void take_ping (CcMailbox *box, const CcMessage *m);
+
 static void
 take_message (CcMailbox *box, nng_msg *msg)
 {
@@ -125,20 +131,81 @@
   if ((m.to != 0 && m.to != box->incarnation) ||
       (m.expires != 0 && m.expires < cc_clock_wall ()))
     ++*box->stale;
+  else if (m.kind == CC_MSG_PING)
+    take_ping (box, &m);
   else
     box->receive (&m, box->data);
   cc_message_clear (&m);
 }
 
+static CcStatus transmit (CcMailbox *box, Link *l, CcMessage *m);
+
+static void
+send_ping (Link *l)
+{
+  CcMessage m = { .kind = CC_MSG_PING };
+
+  m.id = cc_mailbox_next_id (l->box);
+  m.u.ping.sequence = l->health.sequence;
+  transmit (l->box, l, &m);
+}
+
+static void
+look_at (Link *l, gint64 now)
+{
+  int id = g_atomic_int_get (&l->pipe);
+
+  switch (cc_link_look (&l->health, now))
+    {
+    case CC_LINK_WAIT:
+      break;
+    case CC_LINK_PING:
+      send_ping (l);
+      break;
+    case CC_LINK_SILENT:
+      ++*l->box->silent;
+      cc_log (CC_LOG_WARNING, "link", "%s is silent", l->address);
+      cc_link_lost (&l->health);
+      l->reported = 0;
+      nng_pipe_close ((nng_pipe){ .id = (uint32_t) id });
+      l->box->link (l->address, FALSE, l->box->data);
+      break;
+    }
+}
+
+/* Tells of a connection that came or went.  One that was replaced between two
+ * looks of the main loop was lost all the same, with what was sent on it. */
 static void
 tell_link (Link *l)
 {
-  gboolean up = g_atomic_int_get (&l->up);
+  gint id = g_atomic_int_get (&l->pipe);
+  gint64 now = cc_clock_now ();
 
-  if (up == l->reported)
+  if (id == l->reported)
+    return;
+  if (l->reported != 0)
+    {
+      cc_link_lost (&l->health);
+      l->box->link (l->address, FALSE, l->box->data);
+    }
+  l->reported = id;
+  if (id == 0)
     return;
-  l->reported = up;
-  l->box->link (l->address, up, l->box->data);
+  cc_link_connected (&l->health, now);
+  look_at (l, now);
+  l->box->link (l->address, TRUE, l->box->data);
+}
+
+static gboolean
+on_heartbeat (gpointer data)
+{
+  CcMailbox *box = data;
+  GList *links = g_hash_table_get_values (box->links);
+
+  for (GList *l = links; l != NULL; l = l->next)
+    look_at (l->data, cc_clock_now ());
+  g_list_free (links);
+  return G_SOURCE_CONTINUE;
 }
 
 static gboolean
@@ -169,9 +236,11 @@
 {
   Link *l = arg;
 
-  (void) pipe;
-  g_atomic_int_set (&l->up, event == NNG_PIPE_EV_ADD_POST);
   g_mutex_lock (&l->box->lock);
+  if (event == NNG_PIPE_EV_ADD_POST)
+    g_atomic_int_set (&l->pipe, nng_pipe_id (pipe));
+  else if (g_atomic_int_get (&l->pipe) == nng_pipe_id (pipe))
+    g_atomic_int_set (&l->pipe, 0);
   g_queue_push_tail (&l->box->changed, l);
   wake (l->box);
   g_mutex_unlock (&l->box->lock);
@@ -193,6 +262,7 @@
   box->received = cc_metrics_counter ("capercrank_messages_received", "");
   box->damaged = cc_metrics_counter ("capercrank_messages_damaged", "");
   box->stale = cc_metrics_counter ("capercrank_messages_stale", "");
+  box->silent = cc_metrics_counter ("capercrank_links_silent", "");
   box->refused = cc_metrics_counter ("capercrank_messages_refused", "");
 }
 
@@ -255,7 +325,11 @@
   set_source (box, listen);
   rv = listen_at (box, listen);
   if (rv == 0)
-    return box;
+    {
+      box->heartbeat =
+          g_timeout_add (CC_PING_PERIOD / CC_MS, on_heartbeat, box);
+      return box;
+    }
   *message =
       g_strdup_printf ("can't listen at %s: %s", listen, nng_strerror (rv));
   g_hash_table_unref (box->links);
@@ -299,11 +373,32 @@
   find_link (box, address);
 }
 
-/* Whether the link to ADDRESS stands right now, as far as TCP can tell. */
+/* Whether the link to ADDRESS carries messages, as the last pings tell. */
 gboolean
 cc_mailbox_is_up (CcMailbox *box, const char *address)
 {
-  return g_atomic_int_get (&find_link (box, address)->up);
+  return find_link (box, address)->health.proven;
+}
+
+/* Answers a ping, or takes the answer to one.  Answering opens a link to the
+ * asker if there is none. */
+static void
+take_ping (CcMailbox *box, const CcMessage *m)
+{
+  Link *l = find_link (box, m->reply_to);
+  CcMessage answer = { .kind = CC_MSG_PING };
+
+  if (m->u.ping.answer)
+    {
+      cc_link_answered (&l->health, m->u.ping.sequence, cc_clock_now ());
+      return;
+    }
+  answer.to = m->from;
+  answer.id = cc_mailbox_next_id (box);
+  answer.expires = cc_clock_wall () + CC_SECOND;
+  answer.u.ping.answer = TRUE;
+  answer.u.ping.sequence = m->u.ping.sequence;
+  transmit (box, l, &answer);
 }
 
 static gboolean
@@ -312,34 +407,40 @@
   return kind != CC_MSG_REQUEST;
 }
 
-/* Sends M, filling in its envelope except for `to`, `id` and `expires`.
- * CC_UNREACHABLE and CC_FULL both mean that nothing left the process.  Only a
- * request needs a link that is up: the others may wait for it a while. */
-CcStatus
-cc_mailbox_send (CcMailbox *box, const char *address, CcMessage *m)
+static CcStatus
+transmit (CcMailbox *box, Link *l, CcMessage *m)
 {
-  Link *l = find_link (box, address);
   g_autoptr (GBytes) bytes = NULL;
   gsize size;
   gconstpointer data;
-  int rv;
 
-  if (!waits_for_link (m->kind) && !g_atomic_int_get (&l->up))
-    {
-      ++*box->refused;
-      return CC_UNREACHABLE;
-    }
   m->from = box->incarnation;
   m->reply_to = box->address;
   bytes = cc_wire_encode (m);
   data = g_bytes_get_data (bytes, &size);
-  rv = nng_send (l->socket, (void *) data, size, NNG_FLAG_NONBLOCK);
-  if (rv == 0)
+  if (nng_send (l->socket, (void *) data, size, NNG_FLAG_NONBLOCK) == 0)
     return CC_OK;
   ++*box->refused;
   return CC_FULL;
 }
 
+/* Sends M, filling in its envelope except for `to`, `id` and `expires`.
+ * CC_UNREACHABLE and CC_FULL both mean that nothing left the process.  Only a
+ * request needs a link that is up: the others may wait for it a while. */
+CcStatus
+cc_mailbox_send (CcMailbox *box, const char *address, CcMessage *m)
+{
+  Link *l = find_link (box, address);
+
+  if (!waits_for_link (m->kind) && !l->health.proven)
+    {
+      ++*box->refused;
+      return CC_UNREACHABLE;
+    }
+  cc_link_used (&l->health, cc_clock_now ());
+  return transmit (box, l, m);
+}
+
 /* An id that this process has not used before. */
 guint64
 cc_mailbox_next_id (CcMailbox *box)
@@ -351,6 +452,7 @@
 void
 cc_mailbox_free (CcMailbox *box)
 {
+  g_source_remove (box->heartbeat);
   nng_close (box->pull);
   nng_aio_stop (box->aio);
   nng_aio_free (box->aio);
--- a/wire.c
+++ b/wire.c
@@ -13,6 +13,7 @@
 #define TYPE_REPORT "(ssstuuua(ud)a(tud))"
 #define TYPE_OUTCOMES "(suttxuba(syua(ss)ay))"
 #define TYPE_VOTE "(ustt)"
+#define TYPE_PING "(bt)"
 #define TYPE_RELAY "(bus)"
 
 static const char *const payload_types[] = {
@@ -20,7 +21,7 @@
   [CC_MSG_REQUEST] = TYPE_REQUEST,   [CC_MSG_REPLY] = TYPE_REPLY,
   [CC_MSG_CANCEL] = TYPE_CANCEL,     [CC_MSG_REPORT] = TYPE_REPORT,
   [CC_MSG_OUTCOMES] = TYPE_OUTCOMES, [CC_MSG_VOTE] = TYPE_VOTE,
-  [CC_MSG_RELAY] = TYPE_RELAY,
+  [CC_MSG_RELAY] = TYPE_RELAY,       [CC_MSG_PING] = TYPE_PING,
 };
 
 static GVariant *
@@ -109,6 +110,8 @@
     case CC_MSG_RELAY:
       return g_variant_new (TYPE_RELAY, m->u.relay.answer, m->u.relay.status,
                             text (m->u.relay.body));
+    case CC_MSG_PING:
+      return g_variant_new (TYPE_PING, m->u.ping.answer, m->u.ping.sequence);
     }
   g_assert_not_reached ();
 }
@@ -199,6 +202,9 @@
       g_variant_get (v, "(bu&s)", &m->u.relay.answer, &m->u.relay.status,
                      &m->u.relay.body);
       return TRUE;
+    case CC_MSG_PING:
+      g_variant_get (v, TYPE_PING, &m->u.ping.answer, &m->u.ping.sequence);
+      return TRUE;
     }
   return FALSE;
 }
@@ -265,6 +271,7 @@
     case CC_MSG_CANCEL:
     case CC_MSG_VOTE:
     case CC_MSG_RELAY:
+    case CC_MSG_PING:
       break;
     }
   g_clear_pointer (&m->backing, g_variant_unref);
--- a/wire.h
+++ b/wire.h
@@ -19,7 +19,8 @@
   CC_MSG_REPORT,   /* dispatcher to assigner: state of one server */
   CC_MSG_OUTCOMES, /* dispatcher to dispatcher: memory of a moved slice */
   CC_MSG_VOTE,     /* lease promises, see promise.h */
-  CC_MSG_RELAY     /* a table write done for a peer cut off from the platform */
+  CC_MSG_RELAY,    /* a table write done for a peer cut off from the platform */
+  CC_MSG_PING      /* is the link alive? and the answer, see link_health.h */
 } CcMessageKind;
 
 typedef struct
@@ -104,6 +105,12 @@
   const char *body; /* the transaction, or its answer, JSON */
 } CcMsgRelay;
 
+typedef struct
+{
+  gboolean answer;
+  guint64 sequence; /* counts the asker's pings on the link */
+} CcMsgPing;
+
 /* A typed message.  from, to, id, expires and reply_to are its envelope. */
 typedef struct
 {
@@ -124,6 +131,7 @@
     CcMsgOutcomes outcomes;
     CcMsgVote vote;
     CcMsgRelay relay;
+    CcMsgPing ping;
   } u;
   GVariant *backing; /* owns all strings of a decoded message */
 } CcMessage;
