Traps of HTTP and nng closed, each with a test; gone callers are cancelled

Ruled out: libsoup's 'disconnected' (nothing is read while a message is paused); a status set by an early handler (sent only after the whole body). Not closed: a chunk size that is no number counts as 0 in libsoup.

--- /dev/null
+++ b/body_limit.c
@@ -0,0 +1,109 @@
+/* The failure: a body of any size is gathered in memory before the handler is
+ * called, and a status set by an early handler is sent only when all of the
+ * body has come.  The symptom: one caller that sends chunks for ever fills the
+ * entry's memory (64 MB were taken in a test).  So nothing beyond the bound is
+ * gathered, the refusal is written past libsoup on the connection itself, and
+ * the connection is closed: what follows on it can't be a request. */
+#include "body_limit.h"
+
+#include <string.h>
+
+#include "capercrank.h"
+
+/* Until the refused caller has read the answer: closing at once, with its data
+ * unread, would reset the connection and lose the answer. */
+#define LINGER_MS 500
+
+typedef struct
+{
+  gsize max;
+  gsize got; /* bytes of body so far */
+  gboolean refused;
+} Limit;
+
+#define REFUSAL                                                                \
+  "{\"outcome\":\"not-run\",\"reason\":\"malformed\",\"retry_after_ms\":0,"    \
+  "\"message\":\"the body is too large\"}\n"
+
+static gboolean
+on_lingered (gpointer data)
+{
+  g_io_stream_close (data, NULL, NULL);
+  g_object_unref (data);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+refuse (gpointer data)
+{
+  SoupServerMessage *m = data;
+  GIOStream *stream = soup_server_message_steal_connection (m);
+  g_autofree char *text = g_strdup_printf (
+      "HTTP/1.1 413 Request Entity Too Large\r\n" CC_HDR_OUTCOME
+      ": not-run\r\n" CC_HDR_REASON
+      ": malformed\r\nContent-Type: application/json\r\n"
+      "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+      strlen (REFUSAL), REFUSAL);
+
+  g_object_unref (m);
+  if (stream == NULL)
+    return G_SOURCE_REMOVE;
+  g_pollable_output_stream_write_nonblocking (
+      G_POLLABLE_OUTPUT_STREAM (g_io_stream_get_output_stream (stream)), text,
+      strlen (text), NULL, NULL);
+  if (G_IS_SOCKET_CONNECTION (stream))
+    g_socket_shutdown (
+        g_socket_connection_get_socket (G_SOCKET_CONNECTION (stream)), FALSE,
+        TRUE, NULL);
+  g_timeout_add (LINGER_MS, on_lingered, stream);
+  return G_SOURCE_REMOVE;
+}
+
+/* In an idle source: libsoup is in the middle of reading when it tells. */
+static void
+refuse_soon (SoupServerMessage *m)
+{
+  soup_message_body_set_accumulate (soup_server_message_get_request_body (m),
+                                    FALSE);
+  soup_message_body_truncate (soup_server_message_get_request_body (m));
+  g_idle_add_full (G_PRIORITY_HIGH, refuse, g_object_ref (m), NULL);
+}
+
+static void
+on_chunk (SoupServerMessage *m, GBytes *chunk, gpointer data)
+{
+  Limit *l = data;
+
+  l->got += g_bytes_get_size (chunk);
+  if (l->got <= l->max || l->refused)
+    return;
+  l->refused = TRUE;
+  refuse_soon (m);
+}
+
+static void
+limit_free (gpointer data, GClosure *closure)
+{
+  (void) closure;
+  g_free (data);
+}
+
+/* To be called for each message when its headers have come: refuses it if its
+ * body is said to have more than MAX bytes, or turns out to. */
+void
+cc_body_limit (SoupServerMessage *m, gsize max)
+{
+  SoupMessageHeaders *h = soup_server_message_get_request_headers (m);
+  Limit *l;
+
+  if (soup_message_headers_get_encoding (h) == SOUP_ENCODING_CONTENT_LENGTH)
+    {
+      if (soup_message_headers_get_content_length (h) > (goffset) max)
+        refuse_soon (m);
+      return;
+    }
+  l = g_new0 (Limit, 1);
+  l->max = max;
+  g_signal_connect_data (m, "got-chunk", G_CALLBACK (on_chunk), l, limit_free,
+                         0);
+}
--- a/entry.c
+++ b/entry.c
@@ -6,8 +6,10 @@
 
 #include "admin.h"
 #include "ask.h"
+#include "body_limit.h"
 #include "clock.h"
 #include "follower.h"
+#include "hangup.h"
 #include "histograms.h"
 #include "log.h"
 #include "metrics.h"
@@ -47,7 +49,7 @@
   CcHistogram *of_tenant;
   gint64 within; /* the class's target, us */
   gint64 started;
-  gulong disconnected;
+  guint hangup; /* source that tells when the caller has closed; 0: none */
   gboolean answered;
 } Caller;
 
@@ -149,6 +151,9 @@
 
   c->ask = NULL;
   c->answered = TRUE;
+  if (c->hangup != 0)
+    g_source_remove (c->hangup);
+  c->hangup = 0;
   count (c, r->outcome);
   switch (r->outcome)
     {
@@ -176,11 +181,30 @@
   if (c->ask != NULL)
     cc_router_cancel (c->entry->router, c->ask);
   c->ask = NULL;
+  if (c->hangup != 0)
+    g_source_remove (c->hangup);
   g_signal_handlers_disconnect_by_data (c->message, c);
   g_object_unref (c->message);
   g_free (c);
 }
 
+/* The caller closed its side: its request is cancelled, and what may still be
+ * read of the answer says the truth. */
+static gboolean
+on_hangup (gint file, GIOCondition condition, gpointer data)
+{
+  Caller *c = data;
+  CcAsk *ask = c->ask;
+  CcMsgReply r = { .outcome = CC_OUTCOME_UNKNOWN, .reason = "cancelled" };
+
+  (void) file, (void) condition;
+  c->hangup = 0;
+  if (ask != NULL)
+    cc_router_cancel (c->entry->router, ask);
+  on_outcome (&r, c);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 check_name (Check *c, const char *header, gboolean required)
 {
@@ -210,6 +234,24 @@
     cc_findings_add (&c->findings, CC_HDR_KEY, "has over %d bytes", CC_KEY_MAX);
 }
 
+/* A length that two readers may take for two lengths makes the rest of the
+ * connection somebody else's request (RFC 9112, 6.3). */
+static void
+check_length (Check *c)
+{
+  const char *length =
+      soup_message_headers_get_list (c->headers, "Content-Length");
+  gboolean coded =
+      soup_message_headers_get_one (c->headers, "Transfer-Encoding") != NULL;
+
+  if (length == NULL)
+    return;
+  if (coded || length[0] == '\0' ||
+      strspn (length, "0123456789") != strlen (length))
+    cc_findings_add (&c->findings, "Content-Length",
+                     "must be one whole number, without Transfer-Encoding");
+}
+
 static const CcClass *
 check_class (Check *c, const CcDocument *d)
 {
@@ -290,6 +332,8 @@
   g_autofree char *text = cc_findings_text (f);
   g_autofree char *flat = g_strdelimit (g_strdup (text), "\n\"\\", ' ');
 
+  soup_message_headers_replace (soup_server_message_get_response_headers (m),
+                                "Connection", "close");
   answer_outcome (m, SOUP_STATUS_BAD_REQUEST, CC_OUTCOME_NOT_RUN, "malformed",
                   g_strstrip (flat), 0);
 }
@@ -348,6 +392,9 @@
   c->ask = cc_router_ask (e->router, &w, on_outcome, c);
   if (c->answered)
     c->ask = NULL;
+  else
+    c->hangup =
+        cc_hangup_watch (soup_server_message_get_socket (m), on_hangup, c);
 }
 
 static void
@@ -368,8 +415,15 @@
                       "starting", "no configuration yet", 1000);
       return;
     }
+  if (cc_hangup_has (soup_server_message_get_socket (m)))
+    {
+      answer_outcome (m, SOUP_STATUS_BAD_REQUEST, CC_OUTCOME_NOT_RUN,
+                      "cancelled", "the caller has gone", 0);
+      return;
+    }
   cc_findings_init (&c.findings);
   class = check_class (&c, e->follower->document);
+  check_length (&c);
   check_key (&c);
   check_name (&c, CC_HDR_TENANT, FALSE);
   check_idempotency (&c, class);
@@ -385,21 +439,12 @@
   cc_findings_clear (&c.findings);
 }
 
-/* Refuses a body that is too large before reading it. */
 static void
 on_headers (SoupServer *server, SoupServerMessage *m, const char *path,
             GHashTable *query, gpointer data)
 {
-  SoupMessageHeaders *h = soup_server_message_get_request_headers (m);
-
   (void) server, (void) path, (void) query, (void) data;
-  if (soup_message_headers_get_encoding (h) != SOUP_ENCODING_CONTENT_LENGTH ||
-      soup_message_headers_get_content_length (h) <= CC_BODY_MAX)
-    return;
-  soup_message_headers_replace (soup_server_message_get_response_headers (m),
-                                "Connection", "close");
-  answer_outcome (m, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, CC_OUTCOME_NOT_RUN,
-                  "malformed", "the body is too large", 0);
+  cc_body_limit (m, CC_BODY_MAX);
 }
 
 static void
--- a/mailbox.c
+++ b/mailbox.c
@@ -53,10 +53,11 @@
   nng_socket pull;
   nng_aio *aio;       /* the one receive in progress */
   GHashTable *links;  /* address to Link */
-  GMutex lock;        /* guards the next three */
+  GMutex lock;        /* guards the next four */
   GQueue arrived;     /* of nng_msg, in order */
   GQueue changed;     /* of Link whose state changed */
   gboolean scheduled; /* the main loop will look */
+  guint waking;       /* source by which it will, if scheduled */
   guint heartbeat;    /* timer */
   CcMailboxReceive receive;
   CcMailboxLink link;
@@ -85,7 +86,7 @@
   source = g_idle_source_new ();
   g_source_set_priority (source, G_PRIORITY_DEFAULT);
   g_source_set_callback (source, deliver, box, NULL);
-  g_source_attach (source, NULL);
+  box->waking = g_source_attach (source, NULL);
   g_source_unref (source);
 }
 
@@ -457,6 +458,10 @@
   nng_aio_stop (box->aio);
   nng_aio_free (box->aio);
   g_hash_table_unref (box->links);
+  if (box->scheduled)
+    g_source_remove (box->waking);
+  g_queue_clear_full (&box->arrived, release_message);
+  g_queue_clear (&box->changed);
   g_mutex_clear (&box->lock);
   g_free (box->address);
   g_free (box);
--- /dev/null
+++ b/test/test_ask.c
@@ -0,0 +1,311 @@
+/* Answers and messages that arrive where they are not meant for, on real nng
+ * sockets on loopback: an entry's router on one mailbox, a dispatcher's mailbox
+ * and a stranger's, all in this process. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <gio/gio.h>
+
+#include "ask.h"
+#include "clock.h"
+
+#define POOL "catalogue"
+#define ENTRY 11      /* incarnations */
+#define DISPATCHER 22 /* of the dispatcher */
+#define STRANGER 33
+#define MISSED 44 /* of a process that is no more */
+
+typedef struct
+{
+  char *address;
+  CcMailbox *box;
+  guint received; /* messages handed over by the mailbox */
+  guint64 last;   /* id of the last request */
+  CcRouter *router;
+} Peer;
+
+typedef struct
+{
+  guint calls;
+  CcOutcome outcome;
+  char reason[20];
+  char body[20];
+} Answer;
+
+static Peer entry, dispatcher, stranger;
+
+static void
+on_message (const CcMessage *m, gpointer data)
+{
+  Peer *p = data;
+
+  p->received++;
+  if (m->kind == CC_MSG_REQUEST)
+    p->last = m->id;
+  if (m->kind == CC_MSG_REPLY && p->router != NULL)
+    cc_router_reply (p->router, m);
+}
+
+static void
+on_link (const char *address, gboolean up, gpointer data)
+{
+  Peer *p = data;
+
+  if (p->router != NULL)
+    cc_router_link (p->router, address, up);
+}
+
+static char *
+free_address (void)
+{
+  g_autoptr (GSocketListener) l = g_socket_listener_new ();
+  guint port = g_socket_listener_add_any_inet_port (l, NULL, NULL);
+
+  g_socket_listener_close (l);
+  return g_strdup_printf ("127.0.0.1:%u", port);
+}
+
+static void
+open_peer (Peer *p, guint64 incarnation)
+{
+  char *message = NULL;
+
+  if (p->address == NULL)
+    p->address = free_address ();
+  p->box = cc_mailbox_new (p->address, p->address, incarnation, on_message,
+                           on_link, p, &message);
+  assert_non_null (p->box);
+}
+
+static gboolean
+on_timer (gpointer data)
+{
+  *(gboolean *) data = TRUE;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+turn_for (guint ms)
+{
+  gboolean over = FALSE;
+
+  g_timeout_add (ms, on_timer, &over);
+  while (!over)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+static guint64
+counter (const char *name)
+{
+  return *cc_metrics_counter (name, "");
+}
+
+static CcFollower *
+knowing_follower (void)
+{
+  static char *none[] = { NULL };
+  CcFollower *f =
+      cc_follower_new (entry.box, NULL, "", none, FALSE, NULL, NULL);
+  CcSliceMap *m = cc_slicemap_new (POOL, 1);
+  CcMember *d = g_new0 (CcMember, 1);
+  CcMapServer *s;
+
+  cc_slicemap_add (m, "catalogue-1", "127.0.0.1:1", "a");
+  s = cc_slicemap_server (m, 0);
+  g_free (s->dispatcher);
+  s->dispatcher = g_strdup ("d");
+  cc_slicemap_at (m, 0)->server = 0;
+  cc_slicemap_at (m, 0)->from = -1;
+  g_hash_table_insert (f->maps, g_strdup (POOL), m);
+  d->id = g_strdup ("d");
+  d->address = g_strdup (dispatcher.address);
+  d->incarnation = DISPATCHER;
+  g_hash_table_insert (f->members, d->id, d);
+  return f;
+}
+
+static int
+start (void **state)
+{
+  (void) state;
+  open_peer (&entry, ENTRY);
+  open_peer (&dispatcher, DISPATCHER);
+  open_peer (&stranger, STRANGER);
+  entry.router = cc_router_new (knowing_follower (), entry.box);
+  cc_mailbox_connect (entry.box, dispatcher.address);
+  turn_for (300);
+  return cc_mailbox_is_up (entry.box, dispatcher.address) ? 0 : -1;
+}
+
+static void
+on_answer (const CcMsgReply *r, gpointer data)
+{
+  Answer *a = data;
+  gsize size = 0;
+  gconstpointer body = r->body ? g_bytes_get_data (r->body, &size) : NULL;
+
+  a->calls++;
+  a->outcome = r->outcome;
+  g_strlcpy (a->reason, r->reason != NULL ? r->reason : "", sizeof a->reason);
+  memcpy (a->body, body != NULL ? body : "", MIN (size, sizeof a->body - 1));
+}
+
+static void
+ask (Answer *a, gboolean once_only, guint ms)
+{
+  CcClass class = { .name = (char *) "browse",
+                    .pool = (char *) POOL,
+                    .once_only = once_only };
+  g_autoptr (GVariant) headers = g_variant_ref_sink (
+      g_variant_new_array (G_VARIANT_TYPE ("(ss)"), NULL, 0));
+  g_autoptr (GBytes) key = g_bytes_new_static ("k", 1);
+  g_autoptr (GBytes) body = g_bytes_new_static ("", 0);
+  CcWish w = { .class = &class,
+               .tenant = "t",
+               .idempotency = "",
+               .method = "GET",
+               .path = "/",
+               .headers = headers,
+               .key = key,
+               .body = body,
+               .deadline = cc_clock_wall () + ms * CC_MS };
+
+  *a = (Answer){ 0 };
+  cc_router_ask (entry.router, &w, on_answer, a);
+}
+
+static void
+reply (Peer *from, guint64 id, const char *text)
+{
+  CcMessage m = { .kind = CC_MSG_REPLY, .to = ENTRY, .id = id };
+  g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+
+  m.u.reply.outcome = CC_OUTCOME_RUN;
+  m.u.reply.status = 200;
+  m.u.reply.reason = "";
+  m.u.reply.body = body;
+  cc_mailbox_send (from->box, entry.address, &m);
+}
+
+/* The caller gets its own answer, although one with the same number came first
+ * from a process that was not asked. */
+static void
+crossed_answer_is_dropped (void **state)
+{
+  guint64 before = counter ("capercrank_answers_crossed");
+  Answer a;
+
+  (void) state;
+  ask (&a, TRUE, 2000);
+  turn_for (100);
+  reply (&stranger, dispatcher.last, "stranger's");
+  turn_for (200);
+  assert_int_equal (a.calls, 0);
+  assert_int_equal (counter ("capercrank_answers_crossed"), before + 1);
+  reply (&dispatcher, dispatcher.last, "own");
+  turn_for (200);
+  assert_int_equal (a.calls, 1);
+  assert_string_equal (a.body, "own");
+}
+
+/* The deadline passes, the caller is told unknown, then the answer comes. */
+static void
+late_answer_is_dropped (void **state)
+{
+  guint64 before = counter ("capercrank_answers_late");
+  Answer a;
+
+  (void) state;
+  ask (&a, TRUE, 100);
+  turn_for (250);
+  assert_int_equal (a.calls, 1);
+  assert_int_equal (a.outcome, CC_OUTCOME_UNKNOWN);
+  reply (&dispatcher, dispatcher.last, "late");
+  turn_for (200);
+  assert_int_equal (a.calls, 1);
+  assert_int_equal (counter ("capercrank_answers_late"), before + 1);
+}
+
+/* nng keeps a message while its receiver is absent and hands it to the next
+ * process at that address.  Two of three must be dropped there: one for the
+ * process that is no more, one that has expired. */
+static void
+kept_messages_are_dropped (void **state)
+{
+  Peer later = { 0 };
+  guint64 before = counter ("capercrank_messages_stale");
+  const struct
+  {
+    guint64 to;
+    gint64 lasts;
+  } sent[] = { { MISSED, 60 * CC_SECOND },
+               { 0, 50 * CC_MS },
+               { STRANGER + 1, 60 * CC_SECOND } };
+
+  (void) state;
+  later.address = free_address ();
+  for (guint i = 0; i < G_N_ELEMENTS (sent); i++)
+    {
+      CcMessage m = { .kind = CC_MSG_CANCEL, .to = sent[i].to };
+
+      m.expires = cc_clock_wall () + sent[i].lasts;
+      assert_int_equal (cc_mailbox_send (entry.box, later.address, &m), CC_OK);
+    }
+  turn_for (150);
+  open_peer (&later, STRANGER + 1);
+  turn_for (600);
+  assert_int_equal (later.received, 1);
+  assert_int_equal (counter ("capercrank_messages_stale"), before + 2);
+  cc_mailbox_free (later.box);
+}
+
+/* A request is not kept: the caller is told at once that nothing left. */
+static void
+request_to_absent_is_refused (void **state)
+{
+  CcMessage m = { .kind = CC_MSG_REQUEST };
+  g_autofree char *nobody = free_address ();
+
+  (void) state;
+  assert_int_equal (cc_mailbox_send (entry.box, nobody, &m), CC_UNREACHABLE);
+}
+
+/* The dispatcher ends: once-only work is unknown at once, and idempotent work
+ * that may have run is never said to be not-run, whatever follows. */
+static void
+lost_link_tells_the_truth (void **state)
+{
+  Answer once, again;
+
+  (void) state;
+  ask (&once, TRUE, 2000);
+  ask (&again, FALSE, 700);
+  turn_for (100);
+  cc_mailbox_free (dispatcher.box);
+  turn_for (200);
+  assert_int_equal (once.calls, 1);
+  assert_int_equal (once.outcome, CC_OUTCOME_UNKNOWN);
+  assert_string_equal (once.reason, "link");
+  assert_int_equal (again.calls, 0);
+  turn_for (600);
+  assert_int_equal (again.calls, 1);
+  assert_int_equal (again.outcome, CC_OUTCOME_UNKNOWN);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (crossed_answer_is_dropped),
+    cmocka_unit_test (late_answer_is_dropped),
+    cmocka_unit_test (kept_messages_are_dropped),
+    cmocka_unit_test (request_to_absent_is_refused),
+    cmocka_unit_test (lost_link_tells_the_truth),
+  };
+
+  return cmocka_run_group_tests (tests, start, NULL);
+}
--- /dev/null
+++ b/test/test_upstream.c
@@ -0,0 +1,354 @@
+/* Traps of the HTTP client that break "at most once" or the body quietly, each
+ * against a raw server that counts what it receives, byte for byte. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <gio/gio.h>
+
+#include "clock.h"
+#include "upstream.h"
+
+#define WAIT_MS 2000
+
+/* What the raw server does with a request, told by its path. */
+#define PATH_PLAIN "/plain"       /* answers, keeps the connection */
+#define PATH_DROP "/drop"         /* closes after it has read all */
+#define PATH_REDIRECT "/redirect" /* 302 to /elsewhere */
+#define PATH_ENCODED "/encoded"   /* a body that claims to be gzip, and isn't */
+#define PATH_HANG "/hang"         /* reads on until the client closes */
+
+static const char encoded_body[] = "not really gzip \x1f\x8b";
+
+typedef struct
+{
+  GSocketListener *listener;
+  char *address;
+  gint plain, drop, redirect, elsewhere, hang; /* requests received, atomic */
+  gint closed; /* connections that the client closed while /hang, atomic */
+} Raw;
+
+static Raw raw;
+
+/* Reads one request without more than its length.  Returns its path, or NULL at
+ * the end of the connection. */
+static char *
+read_request (GInputStream *in)
+{
+  GString *head = g_string_new (NULL);
+  char c;
+  gsize length = 0, got;
+  char *found;
+  char **words;
+  char *path;
+
+  while (!g_str_has_suffix (head->str, "\r\n\r\n"))
+    {
+      if (g_input_stream_read (in, &c, 1, NULL, NULL) != 1)
+        {
+          g_string_free (head, TRUE);
+          return NULL;
+        }
+      g_string_append_c (head, c);
+    }
+  found = strstr (head->str, "Content-Length: ");
+  if (found != NULL)
+    length = (gsize) g_ascii_strtoull (found + 16, NULL, 10);
+  if (length > 0)
+    {
+      g_autofree char *body = g_malloc (length);
+
+      g_input_stream_read_all (in, body, length, &got, NULL, NULL);
+    }
+  words = g_strsplit (head->str, " ", 3);
+  path = g_strdup (words[1]);
+  g_strfreev (words);
+  g_string_free (head, TRUE);
+  return path;
+}
+
+static void
+say (GOutputStream *out, const char *text)
+{
+  g_output_stream_write_all (out, text, strlen (text), NULL, NULL, NULL);
+}
+
+/* Returns whether the connection is kept. */
+static gboolean
+serve (const char *path, GInputStream *in, GOutputStream *out)
+{
+  char c;
+
+  if (g_str_equal (path, PATH_DROP))
+    {
+      g_atomic_int_inc (&raw.drop);
+      return FALSE;
+    }
+  if (g_str_equal (path, PATH_HANG))
+    {
+      g_atomic_int_inc (&raw.hang);
+      if (g_input_stream_read (in, &c, 1, NULL, NULL) <= 0)
+        g_atomic_int_inc (&raw.closed);
+      return FALSE;
+    }
+  if (g_str_equal (path, PATH_REDIRECT))
+    {
+      g_atomic_int_inc (&raw.redirect);
+      say (out, "HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\n"
+                "Content-Length: 0\r\n\r\n");
+      return TRUE;
+    }
+  if (g_str_equal (path, PATH_ENCODED))
+    {
+      g_autofree char *text =
+          g_strdup_printf ("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+                           "Content-Length: %zu\r\n\r\n%s",
+                           strlen (encoded_body), encoded_body);
+
+      say (out, text);
+      return TRUE;
+    }
+  g_atomic_int_inc (g_str_equal (path, PATH_PLAIN) ? &raw.plain
+                                                   : &raw.elsewhere);
+  say (out, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  return TRUE;
+}
+
+static gpointer
+run_connection (gpointer data)
+{
+  GSocketConnection *c = data;
+  GInputStream *in = g_io_stream_get_input_stream (G_IO_STREAM (c));
+  GOutputStream *out = g_io_stream_get_output_stream (G_IO_STREAM (c));
+  gboolean kept = TRUE;
+
+  while (kept)
+    {
+      g_autofree char *path = read_request (in);
+
+      kept = path != NULL && serve (path, in, out);
+    }
+  g_io_stream_close (G_IO_STREAM (c), NULL, NULL);
+  g_object_unref (c);
+  return NULL;
+}
+
+static gpointer
+run_listener (gpointer data)
+{
+  GSocketListener *l = data;
+  GSocketConnection *c;
+
+  while ((c = g_socket_listener_accept (l, NULL, NULL, NULL)) != NULL)
+    g_thread_unref (g_thread_new ("connection", run_connection, c));
+  return NULL;
+}
+
+static int
+start_raw (void **state)
+{
+  guint16 port;
+
+  (void) state;
+  raw.listener = g_socket_listener_new ();
+  port = g_socket_listener_add_any_inet_port (raw.listener, NULL, NULL);
+  raw.address = g_strdup_printf ("127.0.0.1:%u", port);
+  g_thread_unref (g_thread_new ("listener", run_listener, raw.listener));
+  return 0;
+}
+
+typedef struct
+{
+  gboolean done;
+  CcAttemptEnd end;
+  guint status;
+  GBytes *body;
+  gboolean encoded; /* a Content-Encoding header came through */
+} Got;
+
+static void
+on_done (const CcAttemptResult *r, gpointer data)
+{
+  Got *g = data;
+  GVariantIter iter;
+  const char *name, *value;
+
+  g->done = TRUE;
+  g->end = r->end;
+  g->status = r->status;
+  g->body = r->body != NULL ? g_bytes_ref (r->body) : NULL;
+  if (r->headers == NULL)
+    return;
+  g_variant_iter_init (&iter, r->headers);
+  while (g_variant_iter_next (&iter, "(&s&s)", &name, &value))
+    g->encoded |= g_str_equal (name, "Content-Encoding");
+}
+
+static gboolean
+on_timeout (gpointer data)
+{
+  *(gboolean *) data = TRUE;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+turn_until (const gboolean *done)
+{
+  gboolean late = FALSE;
+  guint timer = g_timeout_add (WAIT_MS, on_timeout, &late);
+
+  while (!*done && !late)
+    g_main_context_iteration (NULL, TRUE);
+  if (!late)
+    g_source_remove (timer);
+}
+
+static CcAttempt *
+send_order (CcUpstream *u, const char *method, const char *path,
+            gboolean once_only, Got *got)
+{
+  g_autoptr (GVariant) headers = g_variant_ref_sink (
+      g_variant_new_array (G_VARIANT_TYPE ("(ss)"), NULL, 0));
+  g_autoptr (GBytes) body = g_bytes_new_static ("12345", 5);
+  CcOrder o = { .address = raw.address,
+                .method = method,
+                .path = path,
+                .headers = headers,
+                .body = g_str_equal (method, "GET") ? NULL : body,
+                .deadline = cc_clock_wall () + CC_SECOND,
+                .run_id = "run-1",
+                .once_only = once_only };
+
+  *got = (Got){ 0 };
+  return cc_upstream_send (u, &o, on_done, got);
+}
+
+static Got
+order (CcUpstream *u, const char *method, const char *path, gboolean once_only)
+{
+  Got got;
+
+  send_order (u, method, path, once_only, &got);
+  turn_until (&got.done);
+  assert_true (got.done);
+  g_clear_pointer (&got.body, g_bytes_unref);
+  return got;
+}
+
+/* The caller sees one outcome, "unknown"; the server must have received one
+ * request.  A kept connection is there, the server closes after receipt, and
+ * libsoup sends GET, PUT and DELETE again by itself: the last line shows it. */
+static void
+once_only_is_sent_once (void **state)
+{
+  static const char *const methods[] = { "PUT", "DELETE", "GET", "POST" };
+  CcUpstream *u = cc_upstream_new ("127.0.0.1:1");
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (methods); i++)
+    {
+      assert_int_equal (order (u, "GET", PATH_PLAIN, FALSE).status, 200);
+      raw.drop = 0;
+      assert_int_equal (order (u, methods[i], PATH_DROP, TRUE).end,
+                        CC_ATTEMPT_LOST);
+      assert_int_equal (g_atomic_int_get (&raw.drop), 1);
+    }
+  assert_int_equal (order (u, "GET", PATH_PLAIN, FALSE).status, 200);
+  raw.drop = 0;
+  order (u, "PUT", PATH_DROP, FALSE);
+  assert_true (g_atomic_int_get (&raw.drop) > 1);
+}
+
+/* A followed redirect would run the work at a place that no grant covers. */
+static void
+redirects_pass_through (void **state)
+{
+  CcUpstream *u = cc_upstream_new ("127.0.0.1:1");
+
+  (void) state;
+  assert_int_equal (order (u, "GET", PATH_REDIRECT, FALSE).status, 302);
+  assert_int_equal (order (u, "POST", PATH_REDIRECT, TRUE).status, 302);
+  assert_int_equal (g_atomic_int_get (&raw.redirect), 2);
+  assert_int_equal (g_atomic_int_get (&raw.elsewhere), 0);
+}
+
+/* A decoded body would reach the caller under headers that describe another
+ * one; here decoding would fail as well, as the body is not gzip. */
+static void
+encoded_bodies_pass_unchanged (void **state)
+{
+  CcUpstream *u = cc_upstream_new ("127.0.0.1:1");
+  Got got;
+
+  (void) state;
+  send_order (u, "GET", PATH_ENCODED, FALSE, &got);
+  turn_until (&got.done);
+  assert_int_equal (got.end, CC_ATTEMPT_ANSWERED);
+  assert_true (got.encoded);
+  assert_int_equal (g_bytes_get_size (got.body), strlen (encoded_body));
+  assert_memory_equal (g_bytes_get_data (got.body, NULL), encoded_body,
+                       strlen (encoded_body));
+  g_bytes_unref (got.body);
+}
+
+/* A caller went away: the server learns it by the closing of the connection,
+ * also of a once-only attempt's. */
+static void
+cancelling_closes (void **state)
+{
+  CcUpstream *u = cc_upstream_new ("127.0.0.1:1");
+
+  (void) state;
+  for (guint once = 0; once < 2; once++)
+    {
+      Got got;
+      CcAttempt *a = send_order (u, "GET", PATH_HANG, once != 0, &got);
+
+      raw.hang = raw.closed = 0;
+      for (guint i = 0; i < 200 && g_atomic_int_get (&raw.hang) == 0; i++)
+        {
+          g_main_context_iteration (NULL, FALSE);
+          g_usleep (5000);
+        }
+      cc_attempt_cancel (a);
+      turn_until (&got.done);
+      assert_int_equal (got.end, CC_ATTEMPT_LOST);
+      for (guint i = 0; i < 200 && g_atomic_int_get (&raw.closed) == 0; i++)
+        {
+          g_main_context_iteration (NULL, FALSE);
+          g_usleep (5000);
+        }
+      assert_int_equal (g_atomic_int_get (&raw.closed), 1);
+    }
+}
+
+/* Nothing listens: nothing can have left. */
+static void
+refused_is_unsent (void **state)
+{
+  CcUpstream *u = cc_upstream_new ("127.0.0.1:1");
+  g_autofree char *kept = raw.address;
+
+  (void) state;
+  raw.address = g_strdup ("127.0.0.1:1");
+  assert_int_equal (order (u, "POST", PATH_PLAIN, TRUE).end, CC_ATTEMPT_UNSENT);
+  g_free (raw.address);
+  raw.address = g_steal_pointer (&kept);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (once_only_is_sent_once),
+    cmocka_unit_test (redirects_pass_through),
+    cmocka_unit_test (encoded_bodies_pass_unchanged),
+    cmocka_unit_test (cancelling_closes),
+    cmocka_unit_test (refused_is_unsent),
+  };
+
+  return cmocka_run_group_tests (tests, start_raw, NULL);
+}
