One source for the deadlines of all requests

Cause: each waiting request had a timeout of GLib's own, and the main loop looks at every source in every turn.

--- a/ask.c
+++ b/ask.c
@@ -11,6 +11,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "timers.h"
 
 #define PARK_MAX (250 * CC_MS) /* a move takes 10 to 50 ms */
 #define PARK_RETRY_MS 10       /* parked asks look again this often */
@@ -33,7 +34,7 @@
   char *address;       /* of the dispatcher it was sent to */
   guint64 incarnation; /* of that dispatcher */
   gint64 park_until;   /* us; 0: not parked before */
-  guint timer;         /* fires at the deadline */
+  CcTimer timer;       /* fires at the deadline */
   char *class_name;
   char *pool;
   char *tenant;
@@ -87,9 +88,7 @@
     g_hash_table_remove (a->router->asks, &a->id);
   else
     g_hash_table_remove (a->router->parked, a);
-  if (a->timer != 0)
-    g_source_remove (a->timer);
-  a->timer = 0;
+  cc_timer_stop (&a->timer);
 }
 
 static void
@@ -126,17 +125,15 @@
   finish (a, &r);
 }
 
-static gboolean
+static void
 on_deadline (gpointer data)
 {
   CcAsk *a = data;
 
-  a->timer = 0;
   if (a->state == ASK_SENT)
     finish_with (a, CC_OUTCOME_UNKNOWN, "deadline", 0);
   else
     finish_with (a, CC_OUTCOME_NOT_RUN, "deadline", MOVE_WAIT_MS);
-  return G_SOURCE_REMOVE;
 }
 
 static gboolean
@@ -264,7 +261,7 @@
   a->deadline = w->deadline;
   a->done = done;
   a->data = data;
-  a->timer = g_timeout_add ((guint) (MAX (left, 0) / CC_MS), on_deadline, a);
+  cc_timer_start (&a->timer, left, on_deadline, a);
   return route (a) ? a : NULL;
 }
 
--- a/job.c
+++ b/job.c
@@ -99,8 +99,7 @@
 void
 cc_job_free (CcJob *j)
 {
-  if (j->timer != 0)
-    g_source_remove (j->timer);
+  cc_timer_stop (&j->timer);
   if (j->holding != NULL)
     cc_holding_unref (j->holding);
   g_ptr_array_unref (j->waiters);
--- a/job.h
+++ b/job.h
@@ -5,6 +5,7 @@
 #include "holding.h"
 #include "mailbox.h"
 #include "queue.h"
+#include "timers.h"
 #include "upstream.h"
 
 typedef enum
@@ -39,7 +40,7 @@
   gint64 deadline; /* wall clock, us */
   gint64 arrived;  /* us */
   gint64 sent;     /* when the attempt left, us */
-  guint timer;     /* source that fires at the deadline */
+  CcTimer timer;   /* fires at the deadline */
   CcHolding *holding;
   CcAttempt *attempt; /* in state SENT */
   gpointer owner;     /* of the timer's and attempt's callbacks */
--- a/server.c
+++ b/server.c
@@ -79,9 +79,7 @@
   remember (s, j, r);
   cc_waiters_forget (s->shared->waiters, j);
   cc_job_answer (j, s->shared->mailbox, r);
-  if (j->timer != 0)
-    g_source_remove (j->timer);
-  j->timer = 0;
+  cc_timer_stop (&j->timer);
 }
 
 static void
@@ -120,21 +118,19 @@
   cc_job_free (j);
 }
 
-static gboolean
+static void
 on_deadline (gpointer data)
 {
   CcJob *j = data;
   CcServer *s = j->owner;
 
-  j->timer = 0;
   if (j->state == CC_JOB_QUEUED)
     {
       drop_queued (s, j, "deadline", wait_ms (s), FALSE);
-      return G_SOURCE_REMOVE;
+      return;
     }
   end_unknown (s, j, "deadline");
   cc_attempt_cancel (j->attempt);
-  return G_SOURCE_REMOVE;
 }
 
 static void
@@ -175,7 +171,7 @@
       return;
     }
   cc_waiters_add (s->shared->waiters, j);
-  j->timer = g_timeout_add ((guint) (left / CC_MS) + 1, on_deadline, j);
+  cc_timer_start (&j->timer, left, on_deadline, j);
   cc_server_pump (s);
 }
 
--- a/test/bench_path.c
+++ b/test/bench_path.c
@@ -21,7 +21,7 @@
 #include "settings.h"
 
 #define CONNECTIONS 32
-#define ROUNDS 2
+#define ROUNDS 4 /* turns of each, since the machine is shared */
 #define BUFFER 8192
 
 typedef struct
