--- a/test/test_ask.c
+++ b/test/test_ask.c
@@ -11,6 +11,7 @@
 #include <gio/gio.h>
 
 #include "ask.h"
+#include "headers.h"
 #include "clock.h"
 
 #define POOL "catalogue"
@@ -160,8 +161,7 @@
   CcClass class = { .name = (char *) "browse",
                     .pool = (char *) POOL,
                     .once_only = once_only };
-  g_autoptr (GVariant) headers = g_variant_ref_sink (
-      g_variant_new_array (G_VARIANT_TYPE ("(ss)"), NULL, 0));
+  g_autoptr (GVariant) headers = cc_headers_take (g_string_new (NULL));
   g_autoptr (GBytes) key = g_bytes_new_static ("k", 1);
   g_autoptr (GBytes) body = g_bytes_new_static ("", 0);
   CcWish w = { .class = &class,
--- a/wire.h
+++ b/wire.h
@@ -45,7 +45,7 @@
   gint64 deadline;  /* wall clock, us */
   guint64 epoch;    /* of the slice, as the entry knows it */
   GBytes *key;
-  GVariant *headers; /* a(ss) */
+  GVariant *headers; /* packed, see headers.h */
   GBytes *body;
 } CcMsgRequest;
 
@@ -56,7 +56,7 @@
   const char *reason;  /* one word for the answer's header */
   guint32 retry_after; /* ms; with not-run */
   guint32 status;      /* HTTP status of the server's answer; 0 if none */
-  GVariant *headers;   /* a(ss) */
+  GVariant *headers;   /* packed, see headers.h */
   GBytes *body;
 } CcMsgReply;
 
@@ -87,7 +87,7 @@
   gint64 horizon;    /* wall clock, us: older keys are not remembered */
   guint32 index;     /* of this chunk, from 0 */
   gboolean last;     /* the memory of the slice is complete with this */
-  GVariant *entries; /* a(syua(ss)ay): key, outcome, status, headers, body */
+  GVariant *entries; /* a(syuayay): key, outcome, status, headers, body */
 } CcMsgOutcomes;
 
 typedef struct
