--- a/Makefile
+++ b/Makefile
@@ -12,17 +12,18 @@
 CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
 LIBS = $(shell pkg-config --libs $(PKGS)) -lnng -lxxhash -lm
 
-LIB_SRC = admin.c ask.c assignment.c capercrank.c clock.c config_api.c \
-  document.c findings.c follower.c holding.c job.c leader.c lease.c log.c \
-  mailbox.c metrics.c outcome.c platform.c queue.c server.c settings.c \
-  slicemap.c tenure.c upstream.c view.c wire.c
+LIB_SRC = admin.c ask.c assignment.c balance.c capercrank.c clock.c \
+  config_api.c document.c findings.c follower.c holding.c hotkeys.c job.c \
+  leader.c lease.c load_meter.c loads.c log.c mailbox.c metrics.c outcome.c \
+  ownership_moves.c platform.c queue.c roster.c server.c settings.c \
+  slicemap.c standing.c tenure.c upstream.c view.c wire.c
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS = entry dispatch assign
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo prove
-TEST_LIB = harness records scenarios_lease scenarios_outcome
+TEST_LIB = harness records scenarios_lease scenarios_outcome world
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
--- a/ask.c
+++ b/ask.c
@@ -175,7 +175,7 @@
 
   if (m == NULL)
     return NULL;
-  slice = cc_slicemap_slice (m, cc_key_hash (key, length));
+  slice = cc_slicemap_unit (m, cc_key_hash (key, length));
   owner = cc_slicemap_owner (m, slice);
   if (owner == NULL || owner->from[0] != '\0')
     return NULL;
--- a/assign.c
+++ b/assign.c
@@ -29,6 +29,7 @@
   CcLeader leader;
   GHashTable *watches;  /* lease id to CcLeaseWatch */
   GHashTable *reports;  /* pool to (server to CcServerReport) */
+  GHashTable *planners; /* pool to CcPlanner */
   GHashTable *writing;  /* pools whose map is being written */
   GHashTable *revoking; /* lease ids being deleted */
   GPtrArray *listed;    /* of CcInstance, servers of the platform's list */
@@ -64,15 +65,31 @@
   return table;
 }
 
+static CcPlanner *
+planner_of (Assign *a, const char *pool)
+{
+  CcPlanner *p = g_hash_table_lookup (a->planners, pool);
+
+  if (p != NULL)
+    return p;
+  p = cc_planner_new ();
+  g_hash_table_insert (a->planners, g_strdup (pool), p);
+  return p;
+}
+
 static void
 take_report (Assign *a, const CcMsgReport *r)
 {
+  const CcSliceMap *m = cc_follower_map (a->follower, r->pool);
   CcServerReport *one = g_new0 (CcServerReport, 1);
 
   one->applied = r->applied;
   one->lost = r->state != 0;
   one->dispatcher = g_strdup (r->instance);
   g_hash_table_insert (reports_of (a, r->pool), g_strdup (r->server), one);
+  if (m != NULL)
+    cc_loads_take (planner_of (a, r->pool)->loads, m, r->server, r->loads,
+                   cc_clock_now ());
 }
 
 static void
@@ -197,7 +214,8 @@
 {
   Write *w = data;
 
-  (void) status, (void) version;
+  if (status == CC_OK)
+    planner_of (w->assign, w->name)->written = version;
   g_hash_table_remove (w->assign->writing, w->name);
   cc_follower_poll (w->assign->follower);
   write_free (w);
@@ -222,17 +240,24 @@
 {
   g_autofree char *key = g_strconcat ("map/", pool->name, NULL);
   const CcRow *row = cc_view_get (&a->follower->view, key);
+  CcPlanner *p = planner_of (a, pool->name);
+  g_autofree char *labels = NULL;
   CcRoster *roster;
   CcSliceMap *m;
 
-  if (g_hash_table_contains (a->writing, pool->name))
+  if (g_hash_table_contains (a->writing, pool->name) ||
+      (row != NULL && row->version < p->written))
     return;
   m = row != NULL ? cc_slicemap_parse (pool->name, row->version, row->value)
                   : cc_slicemap_new (pool->name, pool->slices);
   roster = roster_of (a, pool->name);
   if (m != NULL &&
-      cc_assignment_step (m, pool, roster, reports_of (a, pool->name)) > 0)
+      cc_planner_step (p, m, pool, roster, reports_of (a, pool->name),
+                       cc_clock_now ()) > 0)
     write_map (a, m);
+  labels = g_strdup_printf ("pool=\"%s\"", pool->name);
+  cc_metrics_gauge ("capercrank_imbalance", labels, p->imbalance);
+  cc_metrics_gauge ("capercrank_units_moved", labels, (double) p->moves);
   cc_roster_free (roster);
   cc_slicemap_free (m);
 }
@@ -402,6 +427,7 @@
                        cc_setting (settings, "listen"), PLATFORM_TIMEOUT);
   a.watches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   a.reports = g_hash_table_new (g_str_hash, g_str_equal);
+  a.planners = g_hash_table_new (g_str_hash, g_str_equal);
   a.writing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   a.revoking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   a.listed = g_ptr_array_new_with_free_func (instance_free);
--- a/assignment.c
+++ b/assignment.c
@@ -1,394 +1,305 @@
 /* One step of assignment for one pool: what is known goes in, the next map
  * comes out.  No network, no clock.
  *
- * Safety: a server changes dispatchers, and a slice changes servers, in two
- * versions of the map.  The first names the new one and, in `from`, the old
- * one, who on reading it stops and drains.  The second, without `from`, is
- * written only after the old one's dispatcher reported that it has applied the
- * first.  A dispatcher that is no longer in the roster has lost its lease, so
- * it has stopped, and its servers go to another at once under a higher term.
+ * Safety stands in ownership_moves.c; which unit goes where, in balance.c;
+ * here stands when anything moves at all.
  *
- * Balance: slices are counted; a server that joins takes slices from those
- * that have most, a server that leaves gives each to the one that has fewest.
- * Both move the fewest slices that restore the balance.
+ *  - A unit without a server that may own it moves now.  From a leaving server
+ *    units move a part at a time, so that the next ones are not flooded.
+ *  - A server that joins is filled up to its share as it warms up
+ *    (standing.c).
+ *  - Otherwise load is evened out only when the imbalance has stood above a
+ *    trigger for a time, then down to a goal below the trigger, and within a
+ *    budget of moves.  Without the gap between the two, and without the time,
+ *    noise in the measured loads moves keys for ever; without the budget a
+ *    load that jumps about does.  A unit that moved rests for a while.
+ *
+ * The operator's `prefer` sets these figures.  The budget of churn follows
+ * Slicer (OSDI 2016), the paced emptying of a server Shard Manager (SOSP 2021).
  */
 #include "assignment.h"
 
-/* An empty roster. */
-CcRoster *
-cc_roster_new (void)
-{
-  CcRoster *r = g_new0 (CcRoster, 1);
-
-  r->dispatchers = g_ptr_array_new ();
-  r->servers = g_ptr_array_new ();
-  return r;
-}
+#include "balance.h"
+#include "standing.h"
 
-/* Frees R. */
-void
-cc_roster_free (CcRoster *r)
+typedef struct
 {
-  for (guint i = 0; i < r->dispatchers->len; i++)
-    {
-      CcRosterDispatcher *d = r->dispatchers->pdata[i];
-
-      g_free (d->id);
-      g_free (d->zone);
-      g_free (d);
-    }
-  for (guint i = 0; i < r->servers->len; i++)
-    {
-      CcRosterServer *s = r->servers->pdata[i];
+  double trigger;  /* imbalance that is worth moves */
+  double goal;     /* imbalance down to which units then move */
+  gint64 patience; /* for which it has to stand above the trigger, us */
+  gint64 rest;     /* of a unit after a move, us */
+  double burst;    /* share of the units that may move one after another */
+  double hourly;   /* share of the units that the budget regains in an hour */
+} Policy;
+
+/* A server's measured load wanders by 3% (CC_METER_TIME at 30 requests a
+ * second), the largest of 18 by 6%: triggers stand well above, and below the
+ * 1.25 that the users aim at.  Rests are long against the time a moved unit
+ * takes to be measured anew (CC_METER_TIME). */
+static const Policy policies[] = {
+  [CC_PREFER_AVAILABILITY] = { 1.15, 1.05, 2 * CC_SECOND, 60 * CC_SECOND, 0.10,
+                               1.0 },
+  [CC_PREFER_STABILITY] = { 1.20, 1.10, 10 * CC_SECOND, 300 * CC_SECOND, 0.05,
+                            0.2 },
+};
+
+/* Units that move at one time: at least, and as a part of all.  A move takes
+ * about 50 ms, so a server of 18 is empty within a second. */
+#define MOVING_LEAST 8
+#define MOVING_PART 32
+
+#define HOUR (3600 * CC_SECOND)
+
+/* A planner that knows nothing yet. */
+CcPlanner *
+cc_planner_new (void)
+{
+  CcPlanner *p = g_new0 (CcPlanner, 1);
 
-      g_free (s->name);
-      g_free (s->address);
-      g_free (s->zone);
-      g_free (s);
-    }
-  g_ptr_array_unref (r->dispatchers);
-  g_ptr_array_unref (r->servers);
-  g_free (r);
+  p->loads = cc_loads_new ();
+  p->standings = cc_standings_new ();
+  p->moved_at = g_array_new (FALSE, TRUE, sizeof (gint64));
+  return p;
 }
 
-/* Adds a dispatcher whose lease stands. */
+/* Frees P. */
 void
-cc_roster_add_dispatcher (CcRoster *r, const char *id, const char *zone,
-                          gboolean draining)
+cc_planner_free (CcPlanner *p)
 {
-  CcRosterDispatcher *d = g_new0 (CcRosterDispatcher, 1);
-
-  d->id = g_strdup (id);
-  d->zone = g_strdup (zone);
-  d->draining = draining;
-  g_ptr_array_add (r->dispatchers, d);
+  cc_loads_free (p->loads);
+  cc_standings_free (p->standings);
+  g_array_unref (p->moved_at);
+  g_free (p);
 }
 
-/* Adds a server that is listed for the pool. */
-void
-cc_roster_add_server (CcRoster *r, const char *name, const char *address,
-                      const char *zone, gboolean leaving)
+static gint64 *
+moved_at (CcPlanner *p, guint unit)
 {
-  CcRosterServer *s = g_new0 (CcRosterServer, 1);
-
-  s->name = g_strdup (name);
-  s->address = g_strdup (address);
-  s->zone = g_strdup (zone);
-  s->leaving = leaving;
-  g_ptr_array_add (r->servers, s);
+  if (unit >= p->moved_at->len)
+    g_array_set_size (p->moved_at, unit + 1);
+  return &g_array_index (p->moved_at, gint64, unit);
 }
 
-static const CcRosterServer *
-listed_server (const CcRoster *r, const char *name)
+static gboolean
+is_owned (const CcSliceMap *m)
 {
-  for (guint i = 0; i < r->servers->len; i++)
-    {
-      const CcRosterServer *s = r->servers->pdata[i];
-
-      if (g_str_equal (s->name, name))
-        return s;
-    }
-  return NULL;
+  for (guint i = 0; i < m->slices->len; i++)
+    if (cc_slicemap_at (m, i)->server >= 0)
+      return TRUE;
+  return FALSE;
 }
 
-static const CcRosterDispatcher *
-find_dispatcher (const CcRoster *r, const char *id)
+/* The servers that a pool starts with have nobody to be compared with: they
+ * count as warm.  Filled up like joining ones, each to its exact share at every
+ * step, they pass units round and round after the noise in their loads. */
+static void
+note_standings (CcPlanner *p, const CcSliceMap *m, gint64 now)
 {
-  for (guint i = 0; i < r->dispatchers->len; i++)
+  gboolean starts = !is_owned (m);
+
+  for (gint32 i = 0; i < (gint32) m->servers->len; i++)
     {
-      const CcRosterDispatcher *d = r->dispatchers->pdata[i];
+      const CcMapServer *s = cc_slicemap_server (m, i);
 
-      if (g_str_equal (d->id, id))
-        return d;
+      cc_standings_note (p->standings, s->name, s->state,
+                         starts || cc_slicemap_owned (m, i) > 0, now);
     }
-  return NULL;
 }
 
-static const CcServerReport *
-report_of (GHashTable *reports, const CcMapServer *s, const char *dispatcher)
+static double
+total_load (const CcPlanner *p, const CcSliceMap *m)
 {
-  const CcServerReport *r = g_hash_table_lookup (reports, s->name);
+  double total = 0;
 
-  return r != NULL && g_str_equal (r->dispatcher, dispatcher) ? r : NULL;
-}
-
-static guint
-set_state (CcMapServer *s, CcServerState state)
-{
-  if (s->state == state)
-    return 0;
-  s->state = state;
-  return 1;
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
+    total += cc_loads_of (p->loads, i);
+  return total;
 }
 
-/* Takes in servers that joined; marks those that leave or are lost. */
-static guint
-update_servers (CcSliceMap *m, const CcRoster *roster, GHashTable *reports)
+/* A pool without load has nothing to warm up for: shares are full.  Neither
+ * may standing leave keys without any owner: if no server has a share, all
+ * that are live do. */
+static void
+add_servers (CcBalance *b, CcPlanner *p, const CcSliceMap *m, gboolean idle,
+             gint64 now)
 {
-  guint changes = 0;
+  gboolean any = FALSE;
 
-  for (guint i = 0; i < roster->servers->len; i++)
-    {
-      const CcRosterServer *l = roster->servers->pdata[i];
-
-      if (cc_slicemap_find (m, l->name) >= 0 || l->leaving)
-        continue;
-      cc_slicemap_add (m, l->name, l->address, l->zone);
-      changes++;
-    }
+  for (guint i = 0; i < m->servers->len; i++)
+    any |= cc_moves_can_own (m, (gint32) i) &&
+           cc_standings_share (
+               p->standings, cc_slicemap_server (m, (gint32) i)->name, now) > 0;
   for (guint i = 0; i < m->servers->len; i++)
     {
-      CcMapServer *s = m->servers->pdata[i];
-      const CcRosterServer *l = listed_server (roster, s->name);
-      const CcServerReport *r = report_of (reports, s, s->dispatcher);
-
-      if (l == NULL || (r != NULL && r->lost))
-        changes += set_state (s, CC_SERVER_LOST);
-      else if (l->leaving)
-        changes += set_state (s, CC_SERVER_LEAVING);
-      else if (r != NULL && !r->lost)
-        changes += set_state (s, CC_SERVER_LIVE);
+      const CcMapServer *s = cc_slicemap_server (m, (gint32) i);
+      double share = cc_standings_share (p->standings, s->name, now);
+
+      if (!any || (idle && share > 0))
+        share = 1;
+      cc_balance_add_server (b, cc_moves_can_own (m, (gint32) i), share);
     }
-  return changes;
 }
 
-static guint
-servers_held (const CcSliceMap *m, const char *id)
+static gboolean
+is_served (const CcSliceMap *m, const CcMapSlice *s)
 {
-  guint n = 0;
+  const CcMapServer *server = cc_slicemap_server (m, s->server);
 
-  for (guint i = 0; i < m->servers->len; i++)
-    n += g_str_equal (((CcMapServer *) m->servers->pdata[i])->dispatcher, id);
-  return n;
+  return server != NULL && (server->state == CC_SERVER_LIVE ||
+                            server->state == CC_SERVER_LEAVING);
 }
 
-/* The dispatcher for a server in ZONE: of the same zone if there is one, since
- * others may be cut off from it, and among those the one that holds fewest. */
-static const CcRosterDispatcher *
-choose_dispatcher (const CcSliceMap *m, const CcRoster *r, const char *zone)
+static void
+add_units (CcBalance *b, CcPlanner *p, const CcSliceMap *m, const Policy *y,
+           gint64 now)
 {
-  const CcRosterDispatcher *best = NULL;
-  guint best_cost = G_MAXUINT;
-
-  for (guint i = 0; i < r->dispatchers->len; i++)
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
-      const CcRosterDispatcher *d = r->dispatchers->pdata[i];
-      guint cost = servers_held (m, d->id);
-
-      cost += g_str_equal (d->zone, zone) ? 0 : 100000;
-      if (d->draining || cost >= best_cost)
-        continue;
-      best = d;
-      best_cost = cost;
+      const CcMapSlice *s = cc_slicemap_at (m, i);
+      const CcMapHot *h = cc_slicemap_hot (m, i);
+      gint64 moved = *moved_at (p, i);
+      gboolean is_unit = h == NULL || h->state == CC_HOT_SPLIT;
+      CcBalanceUnit u = { .load = cc_loads_of (p->loads, i),
+                          .server = s->server,
+                          .fixed = s->from >= 0 || !is_unit,
+                          .rests = moved > 0 && now - moved < y->rest,
+                          .urgent = is_unit && !is_served (m, s) };
+
+      cc_balance_add_unit (b, &u);
     }
-  return best;
-}
-
-static void
-set_text (char **field, const char *value)
-{
-  g_free (*field);
-  *field = g_strdup (value);
-}
-
-/* The first half of a change of dispatchers, or the whole of it if the old one
- * has no lease any more. */
-static guint
-replace_dispatcher (CcSliceMap *m, CcMapServer *s, const CcRoster *roster)
-{
-  const CcRosterDispatcher *now = find_dispatcher (roster, s->dispatcher);
-  const CcRosterDispatcher *next;
-
-  if (now != NULL && !now->draining)
-    return 0;
-  next = choose_dispatcher (m, roster, s->zone);
-  if (next == NULL)
-    return 0;
-  set_text (&s->from, now != NULL ? s->dispatcher : "");
-  set_text (&s->dispatcher, next->id);
-  s->term++;
-  return 1;
 }
 
-/* The second half: the old dispatcher has stopped, or has lost its lease. */
 static guint
-finish_handover (CcSliceMap *m, CcMapServer *s, const CcRoster *roster,
-                 GHashTable *reports)
+count_moving (const CcSliceMap *m)
 {
-  const CcServerReport *r = report_of (reports, s, s->from);
+  guint n = 0;
 
-  if (find_dispatcher (roster, s->from) != NULL &&
-      (r == NULL || r->applied < m->version))
-    return 0;
-  set_text (&s->from, "");
-  return 1;
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
+    n += cc_slicemap_at (m, i)->from >= 0;
+  return n;
 }
 
 static guint
-update_dispatchers (CcSliceMap *m, const CcRoster *roster, GHashTable *reports)
+fill_joining (CcBalance *b, const CcPlanner *p, const CcSliceMap *m,
+              guint limit, gint64 now)
 {
-  guint changes = 0;
-
-  for (guint i = 0; i < m->servers->len; i++)
-    {
-      CcMapServer *s = m->servers->pdata[i];
+  guint n = 0;
 
-      if (s->from[0] != '\0')
-        changes += finish_handover (m, s, roster, reports);
-      else
-        changes += replace_dispatcher (m, s, roster);
-    }
-  return changes;
+  for (gint32 i = 0; i < (gint32) m->servers->len; i++)
+    if (cc_moves_can_own (m, i) &&
+        cc_standings_share (p->standings, cc_slicemap_server (m, i)->name,
+                            now) > 0 &&
+        cc_standings_warming (p->standings, cc_slicemap_server (m, i)->name,
+                              now))
+      n += cc_balance_fill (b, i, limit - n);
+  return n;
 }
 
-/* Lets slices settle whose old server has stopped serving them. */
-static guint
-finish_moves (CcSliceMap *m, GHashTable *reports)
+static void
+renew_budget (CcPlanner *p, const Policy *y, guint units, gint64 now)
 {
-  guint changes = 0;
-
-  for (guint i = 0; i < m->slices->len; i++)
-    {
-      CcMapSlice *s = cc_slicemap_at (m, i);
-      const CcMapServer *from = cc_slicemap_server (m, s->from);
-      const CcServerReport *r =
-          from != NULL ? report_of (reports, from, from->dispatcher) : NULL;
-
-      if (from == NULL || from->from[0] != '\0' || r == NULL ||
-          r->applied < m->version)
-        continue;
-      s->from = -1;
-      changes++;
-    }
-  return changes;
+  double full = y->burst * units;
+
+  if (p->budget_at == 0)
+    p->budget = full;
+  else
+    p->budget += y->hourly * units * (double) (now - p->budget_at) / HOUR;
+  p->budget = MIN (p->budget, full);
+  p->budget_at = now;
 }
 
 static gboolean
-can_own (const CcSliceMap *m, gint32 server)
-{
-  const CcMapServer *s = cc_slicemap_server (m, server);
-
-  return s != NULL && s->state == CC_SERVER_LIVE && s->dispatcher[0] != '\0';
-}
-
-static gint32
-fewest_slices (const CcSliceMap *m, const guint *owned)
-{
-  gint32 best = -1;
-
-  for (gint32 i = 0; i < (gint32) m->servers->len; i++)
-    if (can_own (m, i) && (best < 0 || owned[i] < owned[best]))
-      best = i;
-  return best;
-}
-
-static gint32
-most_slices (const CcSliceMap *m, const guint *owned)
+is_worth_moves (CcPlanner *p, const Policy *y, gint64 now)
 {
-  gint32 best = -1;
-
-  for (gint32 i = 0; i < (gint32) m->servers->len; i++)
-    if (can_own (m, i) && (best < 0 || owned[i] > owned[best]))
-      best = i;
-  return best;
+  if (p->imbalance <= y->trigger)
+    {
+      p->over_since = 0;
+      return FALSE;
+    }
+  if (p->over_since == 0)
+    p->over_since = now;
+  return now - p->over_since >= y->patience;
 }
 
 static void
-start_move (CcMapSlice *s, gint32 to)
+even_out (CcBalance *b, CcPlanner *p, const Policy *y, guint limit, gint64 now)
 {
-  s->from = s->server;
-  s->server = to;
-  s->epoch++;
+  renew_budget (p, y, b->units->len, now);
+  if (!is_worth_moves (p, y, now))
+    return;
+  limit = MIN (limit, (guint) p->budget);
+  p->budget -= cc_balance_even (b, y->goal, limit);
 }
 
-/* Slices without a fit owner go to the server that has fewest. */
 static guint
-place_homeless (CcSliceMap *m, guint *owned)
+apply_moves (CcPlanner *p, CcSliceMap *m, const CcBalance *b, gint64 now)
 {
-  guint changes = 0;
-
-  for (guint i = 0; i < m->slices->len; i++)
-    {
-      CcMapSlice *s = cc_slicemap_at (m, i);
-      gint32 to;
-
-      if (s->from >= 0 || can_own (m, s->server))
-        continue;
-      to = fewest_slices (m, owned);
-      if (to < 0)
-        return changes;
-      if (s->server >= 0)
-        owned[s->server]--;
-      owned[to]++;
-      start_move (s, to);
-      changes++;
-    }
-  return changes;
-}
-
-static CcMapSlice *
-settled_slice_of (const CcSliceMap *m, gint32 server)
-{
-  for (guint i = 0; i < m->slices->len; i++)
+  for (guint i = 0; i < b->moves->len; i++)
     {
-      CcMapSlice *s = cc_slicemap_at (m, i);
+      const CcBalanceMove *one = &g_array_index (b->moves, CcBalanceMove, i);
 
-      if (s->server == server && s->from < 0)
-        return s;
+      if (cc_slicemap_at (m, one->unit)->server >= 0)
+        *moved_at (p, one->unit) = now;
+      cc_moves_start (m, one->unit, one->to);
     }
-  return NULL;
+  p->moves += b->moves->len;
+  return b->moves->len;
 }
 
-/* Evens out the counts to a difference of one. */
-static guint
-even_out (CcSliceMap *m, guint *owned)
+static void
+choose_moves (CcBalance *b, CcPlanner *p, const CcSliceMap *m, const Policy *y,
+              gboolean idle, gint64 now)
 {
-  guint changes = 0;
-
-  for (;;)
+  guint most = MAX (MOVING_LEAST, cc_slicemap_units (m) / MOVING_PART);
+  guint moving = MIN (count_moving (m), most);
+  guint limit = most - moving;
+
+  limit -= MIN (limit, cc_balance_place (b, limit));
+  if (!cc_loads_known (p->loads, now))
+    return;
+  if (idle)
     {
-      gint32 low = fewest_slices (m, owned);
-      gint32 high = most_slices (m, owned);
-      CcMapSlice *s;
-
-      if (low < 0 || owned[high] <= owned[low] + 1)
-        return changes;
-      s = settled_slice_of (m, high);
-      if (s == NULL)
-        return changes;
-      owned[high]--;
-      owned[low]++;
-      start_move (s, low);
-      changes++;
+      cc_balance_even (b, 1, limit);
+      return;
     }
+  limit -= MIN (limit, fill_joining (b, p, m, limit, now));
+  even_out (b, p, y, limit, now);
 }
 
-static guint
-move_slices (CcSliceMap *m)
+/* Changes M, read at m->version, by one step at NOW.  REPORTS maps a server's
+ * name to its CcServerReport.  Returns how many changes were made; with none
+ * there is nothing to write. */
+guint
+cc_planner_step (CcPlanner *p, CcSliceMap *m, const CcPool *pool,
+                 const CcRoster *roster, GHashTable *reports, gint64 now)
 {
-  g_autofree guint *owned = g_new0 (guint, m->servers->len + 1);
-  guint changes;
-
-  for (gint32 i = 0; i < (gint32) m->servers->len; i++)
-    owned[i] = cc_slicemap_owned (m, i);
-  changes = place_homeless (m, owned);
-  return changes + even_out (m, owned);
+  const Policy *y = &policies[pool->prefer];
+  guint changes = cc_moves_update (m, roster, reports);
+  gboolean idle = total_load (p, m) <= 0;
+  CcBalance *b = cc_balance_new ();
+
+  note_standings (p, m, now);
+  add_servers (b, p, m, idle, now);
+  add_units (b, p, m, y, now);
+  cc_balance_prepare (b);
+  p->imbalance = idle ? 0 : cc_balance_imbalance (b);
+  choose_moves (b, p, m, y, idle, now);
+  changes += apply_moves (p, m, b, now);
+  cc_balance_free (b);
+  cc_slicemap_compact (m);
+  return changes;
 }
 
-/* Changes M, read at m->version, by one step.  REPORTS maps a server's name to
- * its CcServerReport.  Returns how many changes were made; with none there is
- * nothing to write. */
+/* A step that knows no loads and no past: counts of units are evened out. */
 guint
 cc_assignment_step (CcSliceMap *m, const CcPool *pool, const CcRoster *roster,
                     GHashTable *reports)
 {
-  guint changes = 0;
+  CcPlanner *p = cc_planner_new ();
+  guint changes;
 
-  (void) pool;
-  changes += update_servers (m, roster, reports);
-  changes += update_dispatchers (m, roster, reports);
-  changes += finish_moves (m, reports);
-  changes += move_slices (m);
-  cc_slicemap_compact (m);
+  cc_loads_start (p->loads, 1);
+  changes = cc_planner_step (p, m, pool, roster, reports, 1 + CC_LOADS_MATURE);
+  cc_planner_free (p);
   return changes;
 }
--- a/assignment.h
+++ b/assignment.h
@@ -1,46 +1,30 @@
-/* Decides which server owns which slice, and who dispatches to the server. */
+/* Decides which server owns which unit of keys, and who dispatches to it. */
 #ifndef CC_ASSIGNMENT_H
 #define CC_ASSIGNMENT_H
 
 #include "document.h"
-#include "slicemap.h"
+#include "loads.h"
+#include "ownership_moves.h"
 
+/* What the assigner keeps of one pool beside the map.  All of it may be lost:
+ * a new assigner learns it again. */
 typedef struct
 {
-  char *id; /* dispatcher id, "a1.17f3.1" */
-  char *zone;
-  gboolean draining; /* hands its servers over */
-} CcRosterDispatcher;
+  CcLoads *loads;
+  struct CcStandings *standings;
+  GArray *moved_at;  /* of gint64 by unit: its last move, us; 0: never */
+  gint64 over_since; /* imbalance is above the trigger since, us; 0: is not */
+  double budget;     /* units that evening out may still move */
+  gint64 budget_at;  /* when the budget was last brought up to date, us */
+  double imbalance;  /* peak over mean at the last step; 0: not known */
+  guint64 moves;     /* units moved so far, for whatever reason */
+  guint64 written;   /* newest map version written; older ones are stale */
+} CcPlanner;
 
-typedef struct
-{
-  char *name;
-  char *address;
-  char *zone;
-  gboolean leaving;
-} CcRosterServer;
-
-/* What the assigner knows of the world at one moment. */
-typedef struct
-{
-  GPtrArray *dispatchers; /* of CcRosterDispatcher: leases that stand */
-  GPtrArray *servers;     /* of CcRosterServer: the pool's, as listed */
-} CcRoster;
-
-/* What the server's dispatcher last reported. */
-typedef struct
-{
-  guint64 applied;  /* map version up to which it has stopped what must stop */
-  gboolean lost;    /* it finds the server silent */
-  char *dispatcher; /* who reported */
-} CcServerReport;
-
-CcRoster *cc_roster_new (void);
-void cc_roster_free (CcRoster *r);
-void cc_roster_add_dispatcher (CcRoster *r, const char *id, const char *zone,
-                               gboolean draining);
-void cc_roster_add_server (CcRoster *r, const char *name, const char *address,
-                           const char *zone, gboolean leaving);
+CcPlanner *cc_planner_new (void);
+void cc_planner_free (CcPlanner *p);
+guint cc_planner_step (CcPlanner *p, CcSliceMap *m, const CcPool *pool,
+                       const CcRoster *roster, GHashTable *reports, gint64 now);
 guint cc_assignment_step (CcSliceMap *m, const CcPool *pool,
                           const CcRoster *roster, GHashTable *reports);
 
--- a/dispatch.c
+++ b/dispatch.c
@@ -148,6 +148,8 @@
   const CcMapServer *owner = NULL;
   CcServer *s = NULL;
   guint slice = 0;
+  guint64 hash =
+      cc_key_hash (g_bytes_get_data (r->key, NULL), g_bytes_get_size (r->key));
 
   if (d->follower->document != NULL)
     class = cc_document_class (d->follower->document, r->class_name);
@@ -155,13 +157,13 @@
     map = cc_follower_map (d->follower, class->pool);
   if (map != NULL)
     {
-      slice =
-          cc_slicemap_slice (map, cc_key_hash (g_bytes_get_data (r->key, NULL),
-                                               g_bytes_get_size (r->key)));
+      slice = cc_slicemap_unit (map, hash);
       owner = cc_slicemap_owner (map, slice);
     }
   if (owner != NULL)
     s = find_server (d, class->pool, owner->name);
+  if (s != NULL && cc_holding_owns (s->holding, slice))
+    cc_load_meter_arrived (s->meter, slice, hash, cc_clock_now ());
   if (s == NULL || !cc_holding_owns (s->holding, slice))
     refuse (d, m, CC_OUTCOME_NOT_RUN, "moved", MOVED_WAIT_MS, TRUE);
   else if (s->holding->lost)
@@ -266,7 +268,7 @@
 static void
 note_slices (Dispatch *d, const CcSliceMap *m)
 {
-  for (guint i = 0; i < m->slices->len; i++)
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
       const CcMapServer *owner = cc_slicemap_owner (m, i);
 
@@ -400,10 +402,14 @@
 {
   g_autofree char *address = NULL;
   CcMessage m = { .kind = CC_MSG_REPORT };
+  g_autoptr (GVariant) loads = NULL;
+  g_autoptr (GVariant) hot = NULL;
 
   m.to = assigner (d, &address);
   if (m.to == 0)
     return;
+  loads = g_variant_ref_sink (cc_load_meter_loads (s->meter, cc_clock_now ()));
+  hot = g_variant_ref_sink (cc_load_meter_hot (s->meter, cc_clock_now ()));
   m.id = cc_mailbox_next_id (d->mailbox);
   m.expires = cc_clock_wall () + 2 * CC_SECOND;
   m.u.report.instance = d->tenure->id;
@@ -413,6 +419,8 @@
   m.u.report.state = s->holding->lost;
   m.u.report.running = s->holding->running;
   m.u.report.queued = cc_queue_length (&s->queue);
+  m.u.report.loads = loads;
+  m.u.report.hot = hot;
   cc_mailbox_send (d->mailbox, address, &m);
 }
 
--- a/holding.c
+++ b/holding.c
@@ -130,7 +130,7 @@
   h->active = g_str_equal (s->dispatcher, me) && s->from[0] == '\0';
   if (h->active)
     new_term (h, s->term);
-  for (guint i = 0; i < m->slices->len; i++)
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
       const CcMapSlice *one = cc_slicemap_at (m, i);
 
--- /dev/null
+++ b/load_meter.c
@@ -0,0 +1,200 @@
+/* A unit's load is its arrivals a second times its mean time of service: the
+ * slots it keeps busy.  Arrivals are counted before the queue, and not work
+ * done: an overloaded server does the same work whatever it is asked for, and
+ * its units would all look alike.  Both are averages that decay exponentially,
+ * without network or clock.
+ */
+#include "load_meter.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "hotkeys.h"
+
+#define FORGOTTEN 0.01 /* a decayed count that ends a unit's entry */
+#define HOT_REPORTED                                                           \
+  16                  /* keys in a report; more can't be hot at one server     \
+                       */
+#define HOT_PART 0.02 /* of the server's load, for a key to be reported */
+
+/* Assumed until a first request is served. */
+#define SERVICE_GUESS (5 * CC_MS)
+
+typedef struct
+{
+  double arrivals; /* decayed, without the first */
+  double served;   /* decayed count of service times */
+  double service;  /* their sum, us */
+  gint64 first;    /* first arrival, us */
+  gint64 at;       /* decayed up to then, us */
+} UnitMeter;
+
+struct CcLoadMeter
+{
+  GHashTable *units; /* unit to UnitMeter */
+  UnitMeter all;     /* of all units together */
+  CcHotKeys hot;
+  gint64 hot_at; /* hot keys are decayed up to then, us */
+};
+
+/* A meter that starts at NOW. */
+CcLoadMeter *
+cc_load_meter_new (gint64 now)
+{
+  CcLoadMeter *m = g_new0 (CcLoadMeter, 1);
+
+  m->units = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  m->all.first = m->all.at = m->hot_at = now;
+  cc_hotkeys_init (&m->hot);
+  return m;
+}
+
+/* Frees M. */
+void
+cc_load_meter_free (CcLoadMeter *m)
+{
+  g_hash_table_unref (m->units);
+  g_free (m);
+}
+
+static double
+decay_of (gint64 since, gint64 now)
+{
+  return exp (-(double) MAX (now - since, 0) / (double) CC_METER_TIME);
+}
+
+static void
+decay (UnitMeter *u, gint64 now)
+{
+  double f = decay_of (u->at, now);
+
+  u->arrivals *= f;
+  u->served *= f;
+  u->service *= f;
+  u->at = now;
+}
+
+/* Notes at NOW a request for the key with HASH in UNIT. */
+void
+cc_load_meter_arrived (CcLoadMeter *m, guint unit, guint64 hash, gint64 now)
+{
+  UnitMeter *u = g_hash_table_lookup (m->units, GUINT_TO_POINTER (unit));
+
+  decay (&m->all, now);
+  m->all.arrivals += 1;
+  cc_hotkeys_add (&m->hot, hash, unit);
+  if (u == NULL)
+    {
+      u = g_new0 (UnitMeter, 1);
+      u->first = u->at = now;
+      g_hash_table_insert (m->units, GUINT_TO_POINTER (unit), u);
+      return;
+    }
+  decay (u, now);
+  u->arrivals += 1;
+}
+
+static void
+add_service (UnitMeter *u, gint64 service, gint64 now)
+{
+  decay (u, now);
+  u->served += 1;
+  u->service += (double) service;
+}
+
+/* Notes at NOW that the server took SERVICE (us) for a request in UNIT. */
+void
+cc_load_meter_served (CcLoadMeter *m, guint unit, gint64 service, gint64 now)
+{
+  UnitMeter *u = g_hash_table_lookup (m->units, GUINT_TO_POINTER (unit));
+
+  add_service (&m->all, service, now);
+  if (u != NULL)
+    add_service (u, service, now);
+}
+
+/* Seconds of arrivals that a decayed count of U stands for. */
+static double
+window (const UnitMeter *u, gint64 now)
+{
+  return (1 - decay_of (u->first, now)) * CC_METER_TIME / CC_SECOND;
+}
+
+static double
+mean_service (const UnitMeter *u, const UnitMeter *all)
+{
+  if (u->served >= 1)
+    return u->service / u->served / CC_SECOND;
+  if (all->served > 0)
+    return all->service / all->served / CC_SECOND;
+  return (double) SERVICE_GUESS / CC_SECOND;
+}
+
+/* The loads at NOW, a(ud): unit, slots kept busy.  Floating. */
+GVariant *
+cc_load_meter_loads (CcLoadMeter *m, gint64 now)
+{
+  GVariantBuilder b;
+  GHashTableIter iter;
+  gpointer unit, value;
+
+  decay (&m->all, now);
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(ud)"));
+  g_hash_table_iter_init (&iter, m->units);
+  while (g_hash_table_iter_next (&iter, &unit, &value))
+    {
+      UnitMeter *u = value;
+
+      decay (u, now);
+      if (now - u->first < CC_METER_MATURE)
+        continue;
+      g_variant_builder_add (&b, "(ud)", GPOINTER_TO_UINT (unit),
+                             u->arrivals / window (u, now) *
+                                 mean_service (u, &m->all));
+      if (u->arrivals < FORGOTTEN)
+        g_hash_table_iter_remove (&iter);
+    }
+  return g_variant_builder_end (&b);
+}
+
+static gint
+by_sure_count (gconstpointer a, gconstpointer b)
+{
+  const CcHotKey *x = a, *y = b;
+  double d = (y->count - y->error) - (x->count - x->error);
+
+  return d > 0 ? 1 : d < 0 ? -1 : 0;
+}
+
+/* The hot keys at NOW, a(tud): hash, unit, slots kept busy for certain.
+ * Floating. */
+GVariant *
+cc_load_meter_hot (CcLoadMeter *m, gint64 now)
+{
+  CcHotKeys sorted;
+  GVariantBuilder b;
+  guint n;
+
+  decay (&m->all, now);
+  cc_hotkeys_decay (&m->hot, decay_of (m->hot_at, now));
+  m->hot_at = now;
+  sorted = m->hot;
+  qsort (sorted.keys, sorted.used, sizeof (CcHotKey), by_sure_count);
+  n = now - m->all.first < CC_METER_MATURE ? 0
+                                           : MIN (sorted.used, HOT_REPORTED);
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(tud)"));
+  for (guint i = 0; i < n; i++)
+    {
+      const CcHotKey *k = &sorted.keys[i];
+      double sure = k->count - k->error;
+      const UnitMeter *u =
+          g_hash_table_lookup (m->units, GUINT_TO_POINTER (k->unit));
+
+      if (u == NULL || sure < HOT_PART * m->all.arrivals)
+        break;
+      g_variant_builder_add (&b, "(tud)", k->hash, k->unit,
+                             sure / window (&m->all, now) *
+                                 mean_service (u, &m->all));
+    }
+  return g_variant_builder_end (&b);
+}
--- /dev/null
+++ b/ownership_moves.c
@@ -0,0 +1,318 @@
+/* Safety of ownership, apart from the question of balance.
+ *
+ * A server changes dispatchers, and a unit changes servers, in two versions of
+ * the map.  The first names the new one and, in `from`, the old one, who on
+ * reading it stops and drains.  The second, without `from`, is written only
+ * after the old one's dispatcher reported that it has applied the first.  A
+ * dispatcher that is no longer in the roster has lost its lease, so it has
+ * stopped, and its servers go to another at once under a higher term.
+ *
+ * A hot key is split out of its slice, and folded back into it, by the same
+ * two versions.  The whole slice moves with it, to the server where it is: its
+ * attempts may be for the hot key, a server's grant does not tell the keys of
+ * a slice apart, and only when the slice has stopped has the key.  Other keys
+ * of the slice pause for one move; splits are rare.
+ *
+ * Epochs across splits.  Under its slice or a unit of its own, a key's epoch
+ * only goes up: each change starts above both.  A unit's number is used for
+ * other hot keys later, so its epoch also starts above its last, and by two: a
+ * dispatcher takes an epoch one above the last that it held for the same keys'
+ * next one, keeps its memory of outcomes, and would run a repeat of the new
+ * key's twice (dispatch.c, held_throughout).  The slice's epoch goes up by two
+ * at a fold for the same reason.
+ */
+#include "ownership_moves.h"
+
+/* Above the last epoch, so that it is not taken for the next one. */
+#define EPOCH_GAP 2
+
+static const CcServerReport *
+report_of (GHashTable *reports, const CcMapServer *s, const char *dispatcher)
+{
+  const CcServerReport *r = g_hash_table_lookup (reports, s->name);
+
+  return r != NULL && g_str_equal (r->dispatcher, dispatcher) ? r : NULL;
+}
+
+static guint
+set_state (CcMapServer *s, CcServerState state)
+{
+  if (s->state == state)
+    return 0;
+  s->state = state;
+  return 1;
+}
+
+/* A server that was dropped and is listed again may still run the process that
+ * knows its last term, and refuses lower ones for good.  Terms therefore start
+ * at the map's version, which is above all that were ever given out. */
+static void
+add_server (CcSliceMap *m, const CcRosterServer *l)
+{
+  gint32 i = cc_slicemap_add (m, l->name, l->address, l->zone);
+
+  cc_slicemap_server (m, i)->term = m->version;
+}
+
+/* Takes in servers that joined; marks those that leave or are lost. */
+static guint
+update_servers (CcSliceMap *m, const CcRoster *roster, GHashTable *reports)
+{
+  guint changes = 0;
+
+  for (guint i = 0; i < roster->servers->len; i++)
+    {
+      const CcRosterServer *l = roster->servers->pdata[i];
+
+      if (cc_slicemap_find (m, l->name) >= 0 || l->leaving)
+        continue;
+      add_server (m, l);
+      changes++;
+    }
+  for (guint i = 0; i < m->servers->len; i++)
+    {
+      CcMapServer *s = m->servers->pdata[i];
+      const CcRosterServer *l = cc_roster_server (roster, s->name);
+      const CcServerReport *r = report_of (reports, s, s->dispatcher);
+
+      if (l == NULL)
+        changes += set_state (s, CC_SERVER_GONE);
+      else if (r != NULL && r->lost)
+        changes += set_state (s, CC_SERVER_LOST);
+      else if (l->leaving)
+        changes += set_state (s, CC_SERVER_LEAVING);
+      else if (r != NULL && !r->lost)
+        changes += set_state (s, CC_SERVER_LIVE);
+    }
+  return changes;
+}
+
+static guint
+servers_held (const CcSliceMap *m, const char *id)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < m->servers->len; i++)
+    n += g_str_equal (((CcMapServer *) m->servers->pdata[i])->dispatcher, id);
+  return n;
+}
+
+/* The dispatcher for a server in ZONE: of the same zone if there is one, since
+ * others may be cut off from it, and among those the one that holds fewest. */
+static const CcRosterDispatcher *
+choose_dispatcher (const CcSliceMap *m, const CcRoster *r, const char *zone)
+{
+  const CcRosterDispatcher *best = NULL;
+  guint best_cost = G_MAXUINT;
+
+  for (guint i = 0; i < r->dispatchers->len; i++)
+    {
+      const CcRosterDispatcher *d = r->dispatchers->pdata[i];
+      guint cost = servers_held (m, d->id);
+
+      cost += g_str_equal (d->zone, zone) ? 0 : 100000;
+      if (d->draining || cost >= best_cost)
+        continue;
+      best = d;
+      best_cost = cost;
+    }
+  return best;
+}
+
+static void
+set_text (char **field, const char *value)
+{
+  g_free (*field);
+  *field = g_strdup (value);
+}
+
+/* The first half of a change of dispatchers, or the whole of it if the old one
+ * has no lease any more. */
+static guint
+replace_dispatcher (CcSliceMap *m, CcMapServer *s, const CcRoster *roster)
+{
+  const CcRosterDispatcher *now = cc_roster_dispatcher (roster, s->dispatcher);
+  const CcRosterDispatcher *next;
+
+  if (now != NULL && !now->draining)
+    return 0;
+  next = choose_dispatcher (m, roster, s->zone);
+  if (next == NULL)
+    return 0;
+  set_text (&s->from, now != NULL ? s->dispatcher : "");
+  set_text (&s->dispatcher, next->id);
+  s->term++;
+  return 1;
+}
+
+/* The second half: the old dispatcher has stopped, or has lost its lease. */
+static guint
+finish_handover (CcSliceMap *m, CcMapServer *s, const CcRoster *roster,
+                 GHashTable *reports)
+{
+  const CcServerReport *r = report_of (reports, s, s->from);
+
+  if (cc_roster_dispatcher (roster, s->from) != NULL &&
+      (r == NULL || r->applied < m->version))
+    return 0;
+  set_text (&s->from, "");
+  return 1;
+}
+
+static guint
+update_dispatchers (CcSliceMap *m, const CcRoster *roster, GHashTable *reports)
+{
+  guint changes = 0;
+
+  for (guint i = 0; i < m->servers->len; i++)
+    {
+      CcMapServer *s = m->servers->pdata[i];
+
+      if (s->from[0] != '\0')
+        changes += finish_handover (m, s, roster, reports);
+      else
+        changes += replace_dispatcher (m, s, roster);
+    }
+  return changes;
+}
+
+/* Whether the server that UNIT moves away from has stopped serving it. */
+static gboolean
+has_stopped (const CcSliceMap *m, const CcMapSlice *unit, GHashTable *reports)
+{
+  const CcMapServer *from = cc_slicemap_server (m, unit->from);
+  const CcServerReport *r =
+      from != NULL ? report_of (reports, from, from->dispatcher) : NULL;
+
+  return from != NULL && from->from[0] == '\0' && r != NULL &&
+         r->applied >= m->version;
+}
+
+static gboolean
+is_folded_into (const CcSliceMap *m, guint slice)
+{
+  for (guint i = 0; i < m->hot->len; i++)
+    {
+      const CcMapHot *h = &g_array_index (m->hot, CcMapHot, i);
+
+      if (h->state == CC_HOT_FOLDING && cc_slicemap_slice (m, h->hash) == slice)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Lets hot keys settle, or be part of their slice again.  The slice itself is
+ * not settled before, so nobody owns the key in between. */
+static guint
+finish_hot (CcSliceMap *m, GHashTable *reports)
+{
+  guint changes = 0;
+
+  for (guint i = 0; i < m->hot->len; i++)
+    {
+      CcMapHot *h = &g_array_index (m->hot, CcMapHot, i);
+
+      if (h->unit.from < 0 || !has_stopped (m, &h->unit, reports))
+        continue;
+      h->unit.from = -1;
+      if (h->state == CC_HOT_FOLDING)
+        h->state = CC_HOT_FREE;
+      changes++;
+    }
+  return changes;
+}
+
+/* Lets slices settle whose old server has stopped serving them. */
+static guint
+finish_slices (CcSliceMap *m, GHashTable *reports)
+{
+  guint changes = 0;
+
+  for (guint i = 0; i < m->slices->len; i++)
+    {
+      CcMapSlice *s = cc_slicemap_at (m, i);
+
+      if (s->from < 0 || !has_stopped (m, s, reports) || is_folded_into (m, i))
+        continue;
+      s->from = -1;
+      changes++;
+    }
+  return changes;
+}
+
+/* Takes into M, read at m->version, what ROSTER and REPORTS (a server's name
+ * to its CcServerReport) tell, and ends moves that may end.  Returns how many
+ * changes were made. */
+guint
+cc_moves_update (CcSliceMap *m, const CcRoster *roster, GHashTable *reports)
+{
+  guint changes = update_servers (m, roster, reports);
+
+  changes += update_dispatchers (m, roster, reports);
+  changes += finish_hot (m, reports);
+  return changes + finish_slices (m, reports);
+}
+
+/* Whether SERVER may be given units. */
+gboolean
+cc_moves_can_own (const CcSliceMap *m, gint32 server)
+{
+  const CcMapServer *s = cc_slicemap_server (m, server);
+
+  return s != NULL && s->state == CC_SERVER_LIVE && s->dispatcher[0] != '\0';
+}
+
+/* The first half of a move of UNIT, which must be settled, to server TO. */
+void
+cc_moves_start (CcSliceMap *m, guint unit, gint32 to)
+{
+  CcMapSlice *s = cc_slicemap_at (m, unit);
+
+  s->from = s->server;
+  s->server = to;
+  s->epoch++;
+}
+
+/* The first half of splitting the key with HASH out of its slice, to be owned
+ * by server TO.  Returns the new unit, or -1 if it can't be done now. */
+gint32
+cc_moves_split (CcSliceMap *m, guint64 hash, gint32 to)
+{
+  guint slice = cc_slicemap_unit (m, hash);
+  CcMapSlice *s = cc_slicemap_at (m, slice);
+  gint32 unit;
+  CcMapHot *h;
+
+  if (slice >= m->slices->len || s->from >= 0 || s->server < 0)
+    return -1;
+  unit = cc_slicemap_free_hot (m);
+  if (unit < 0)
+    return -1;
+  h = cc_slicemap_hot (m, (guint) unit);
+  h->hash = hash;
+  h->state = CC_HOT_SPLIT;
+  h->unit.server = to;
+  h->unit.from = s->server;
+  h->unit.epoch = MAX (h->unit.epoch, s->epoch) + EPOCH_GAP;
+  cc_moves_start (m, slice, s->server);
+  return unit;
+}
+
+/* The first half of folding the hot key UNIT back into its slice.  Returns
+ * FALSE if it can't be done now. */
+gboolean
+cc_moves_fold (CcSliceMap *m, guint unit)
+{
+  CcMapHot *h = cc_slicemap_hot (m, unit);
+  CcMapSlice *s = cc_slicemap_at (m, cc_slicemap_slice (m, h->hash));
+
+  if (h->state != CC_HOT_SPLIT || h->unit.from >= 0 || s->from >= 0 ||
+      h->unit.server < 0 || s->server < 0)
+    return FALSE;
+  h->state = CC_HOT_FOLDING;
+  h->unit.from = h->unit.server;
+  h->unit.server = -1;
+  s->from = s->server;
+  s->epoch = MAX (s->epoch, h->unit.epoch) + EPOCH_GAP;
+  return TRUE;
+}
--- /dev/null
+++ b/ownership_moves.h
@@ -0,0 +1,24 @@
+/* The safe steps by which servers change dispatchers and keys change servers.
+ */
+#ifndef CC_OWNERSHIP_MOVES_H
+#define CC_OWNERSHIP_MOVES_H
+
+#include "roster.h"
+#include "slicemap.h"
+
+/* What the server's dispatcher last reported. */
+typedef struct
+{
+  guint64 applied;  /* map version up to which it has stopped what must stop */
+  gboolean lost;    /* it finds the server silent */
+  char *dispatcher; /* who reported */
+} CcServerReport;
+
+guint cc_moves_update (CcSliceMap *m, const CcRoster *roster,
+                       GHashTable *reports);
+gboolean cc_moves_can_own (const CcSliceMap *m, gint32 server);
+void cc_moves_start (CcSliceMap *m, guint unit, gint32 to);
+gint32 cc_moves_split (CcSliceMap *m, guint64 hash, gint32 to);
+gboolean cc_moves_fold (CcSliceMap *m, guint unit);
+
+#endif
--- a/server.c
+++ b/server.c
@@ -38,6 +38,7 @@
   s->shared = shared;
   s->holding = h;
   s->limit = SLOTS;
+  s->meter = cc_load_meter_new (cc_clock_now ());
   cc_queue_init (&s->queue);
   s->sent = g_hash_table_new (NULL, NULL);
   return s;
@@ -245,6 +246,8 @@
   if (s != NULL)
     {
       g_hash_table_remove (s->sent, j);
+      cc_load_meter_served (s->meter, j->slice, cc_clock_now () - j->sent,
+                            cc_clock_now ());
       answer_result (s, j, result);
       cc_server_pump (s);
     }
@@ -402,6 +405,7 @@
   g_hash_table_unref (s->sent);
   cc_queue_clear (&s->queue);
   cc_holding_unref (s->holding);
+  cc_load_meter_free (s->meter);
   s->closed = TRUE;
   if (!s->granting)
     g_free (s);
--- a/server.h
+++ b/server.h
@@ -4,6 +4,7 @@
 
 #include "holding.h"
 #include "job.h"
+#include "load_meter.h"
 #include "outcome.h"
 #include "queue.h"
 #include "tenure.h"
@@ -23,14 +24,15 @@
 {
   CcServerShared *shared;
   CcHolding *holding;
-  CcQueue queue;     /* of CcJob in state QUEUED */
-  GHashTable *sent;  /* set of CcJob in state SENT */
-  guint limit;       /* attempts at the server at once */
-  gboolean granting; /* a grant or probe is in progress */
-  gint64 grant_due;  /* when the next is to be sent, us */
-  gboolean closed;   /* freed when the grant's callback has run */
-  guint64 reported;  /* applied version last reported */
-  gint64 report_due; /* when the next report is to be sent, us */
+  CcLoadMeter *meter; /* loads of its units, for the assigner */
+  CcQueue queue;      /* of CcJob in state QUEUED */
+  GHashTable *sent;   /* set of CcJob in state SENT */
+  guint limit;        /* attempts at the server at once */
+  gboolean granting;  /* a grant or probe is in progress */
+  gint64 grant_due;   /* when the next is to be sent, us */
+  gboolean closed;    /* freed when the grant's callback has run */
+  guint64 reported;   /* applied version last reported */
+  gint64 report_due;  /* when the next report is to be sent, us */
 } CcServer;
 
 CcServer *cc_server_new (CcServerShared *shared, CcHolding *h);
--- a/slicemap.c
+++ b/slicemap.c
@@ -1,10 +1,11 @@
 /* The slice map of one pool, an aggregate with these rules:
  *
- *  - a key belongs to one slice for the life of the pool (xxh3 of its bytes);
- *  - a slice has one owner.  While `from` is set nobody may start to own it:
+ *  - a key belongs to one slice for the life of the pool (xxh3 of its bytes),
+ *    or, while it is hot, to a unit of its own (ownership_moves.c);
+ *  - a unit has one owner.  While `from` is set nobody may start to own it:
  *    the server it leaves works on until its dispatcher has stopped, and only
  *    a later version of the map, without `from`, lets the new one begin;
- *  - the epoch of a slice, and the term of a server, only go up.
+ *  - the epochs of a unit and of a key, and the term of a server, only go up.
  *
  * The map is one row of the platform's table, replaced whole by compare and
  * set on its version.
@@ -36,6 +37,7 @@
   m->pool = g_strdup (pool);
   m->servers = g_ptr_array_new_with_free_func (server_free);
   m->slices = g_array_sized_new (FALSE, TRUE, sizeof (CcMapSlice), slices);
+  m->hot = g_array_new (FALSE, TRUE, sizeof (CcMapHot));
   m->reason = g_strdup ("");
   for (guint i = 0; i < slices; i++)
     {
@@ -56,6 +58,7 @@
   g_free (m->reason);
   g_ptr_array_unref (m->servers);
   g_array_unref (m->slices);
+  g_array_unref (m->hot);
   g_free (m);
 }
 
@@ -74,6 +77,28 @@
   g_ptr_array_add (m->servers, s);
 }
 
+/* A hot key is five numbers in a row: hash, state, server, from, epoch. */
+#define HOT_NUMBERS 5
+
+static void
+parse_hot (JsonArray *a, CcSliceMap *m)
+{
+  guint n = MIN (json_array_get_length (a) / HOT_NUMBERS, CC_HOT_MAX);
+
+  for (guint i = 0; i < n; i++)
+    {
+      guint at = i * HOT_NUMBERS;
+      CcMapHot h = { 0 };
+
+      h.hash = (guint64) json_array_get_int_element (a, at);
+      h.state = (CcHotState) json_array_get_int_element (a, at + 1);
+      h.unit.server = (gint32) json_array_get_int_element (a, at + 2);
+      h.unit.from = (gint32) json_array_get_int_element (a, at + 3);
+      h.unit.epoch = (guint64) json_array_get_int_element (a, at + 4);
+      g_array_append_val (m->hot, h);
+    }
+}
+
 /* Reads a row that cc_slicemap_print wrote.  Returns NULL if it is none. */
 CcSliceMap *
 cc_slicemap_parse (const char *pool, guint64 version, const char *json)
@@ -106,6 +131,8 @@
       s->from = (gint32) json_array_get_int_element (slices, i * 3 + 1);
       s->epoch = (guint64) json_array_get_int_element (slices, i * 3 + 2);
     }
+  if (json_object_has_member (o, "hot"))
+    parse_hot (json_object_get_array_member (o, "hot"), m);
   return m;
 }
 
@@ -123,6 +150,24 @@
   json_builder_end_array (b);
 }
 
+static void
+print_hot (JsonBuilder *b, const CcSliceMap *m)
+{
+  json_builder_set_member_name (b, "hot");
+  json_builder_begin_array (b);
+  for (guint i = 0; i < m->hot->len; i++)
+    {
+      const CcMapHot *h = &g_array_index (m->hot, CcMapHot, i);
+
+      json_builder_add_int_value (b, (gint64) h->hash);
+      json_builder_add_int_value (b, h->state);
+      json_builder_add_int_value (b, h->unit.server);
+      json_builder_add_int_value (b, h->unit.from);
+      json_builder_add_int_value (b, (gint64) h->unit.epoch);
+    }
+  json_builder_end_array (b);
+}
+
 /* The row of M as JSON.  The caller frees it. */
 char *
 cc_slicemap_print (const CcSliceMap *m)
@@ -149,6 +194,7 @@
       json_builder_add_int_value (b, (gint64) s->epoch);
     }
   json_builder_end_array (b);
+  print_hot (b, m);
   json_builder_end_object (b);
   root = json_builder_get_root (b);
   return json_to_string (root, FALSE);
@@ -168,6 +214,52 @@
   return (guint) (((hash >> 32) * m->slices->len) >> 32);
 }
 
+/* The unit of a key with HASH: its own if it was split out, else its slice.
+ * Called for each request: 128 comparisons at most, no allocation. */
+guint
+cc_slicemap_unit (const CcSliceMap *m, guint64 hash)
+{
+  for (guint i = 0; i < m->hot->len; i++)
+    {
+      const CcMapHot *h = &g_array_index (m->hot, CcMapHot, i);
+
+      if (h->hash == hash && h->state != CC_HOT_FREE)
+        return m->slices->len + i;
+    }
+  return cc_slicemap_slice (m, hash);
+}
+
+/* How many units there are: slices and places for hot keys. */
+guint
+cc_slicemap_units (const CcSliceMap *m)
+{
+  return m->slices->len + m->hot->len;
+}
+
+/* The hot key with the number UNIT, or NULL if that is a slice. */
+CcMapHot *
+cc_slicemap_hot (const CcSliceMap *m, guint unit)
+{
+  if (unit < m->slices->len)
+    return NULL;
+  return &g_array_index (m->hot, CcMapHot, unit - m->slices->len);
+}
+
+/* The number of a unit that is free for a hot key, or -1 if all are taken. */
+gint32
+cc_slicemap_free_hot (CcSliceMap *m)
+{
+  CcMapHot h = { 0, CC_HOT_FREE, { -1, -1, 0 } };
+
+  for (guint i = 0; i < m->hot->len; i++)
+    if (g_array_index (m->hot, CcMapHot, i).state == CC_HOT_FREE)
+      return (gint32) (m->slices->len + i);
+  if (m->hot->len >= CC_HOT_MAX)
+    return -1;
+  g_array_append_val (m->hot, h);
+  return (gint32) cc_slicemap_units (m) - 1;
+}
+
 /* The server at INDEX, or NULL if INDEX is none. */
 CcMapServer *
 cc_slicemap_server (const CcSliceMap *m, gint32 index)
@@ -191,18 +283,20 @@
   return -1;
 }
 
-/* The slice's entry; SLICE must be below the number of slices. */
+/* The unit's entry; UNIT must be below the number of units. */
 CcMapSlice *
-cc_slicemap_at (const CcSliceMap *m, guint slice)
+cc_slicemap_at (const CcSliceMap *m, guint unit)
 {
-  return &g_array_index (m->slices, CcMapSlice, slice);
+  if (unit >= m->slices->len)
+    return &cc_slicemap_hot (m, unit)->unit;
+  return &g_array_index (m->slices, CcMapSlice, unit);
 }
 
-/* The server that owns SLICE now, or NULL while it moves or has none. */
+/* The server that owns UNIT now, or NULL while it moves or has none. */
 const CcMapServer *
-cc_slicemap_owner (const CcSliceMap *m, guint slice)
+cc_slicemap_owner (const CcSliceMap *m, guint unit)
 {
-  const CcMapSlice *s = cc_slicemap_at (m, slice);
+  const CcMapSlice *s = cc_slicemap_at (m, unit);
 
   return s->from < 0 ? cc_slicemap_server (m, s->server) : NULL;
 }
@@ -223,13 +317,13 @@
   return (gint32) m->servers->len - 1;
 }
 
-/* How many slices are, or are coming to, SERVER. */
+/* How many units are, or are coming to, SERVER. */
 guint
 cc_slicemap_owned (const CcSliceMap *m, gint32 server)
 {
   guint n = 0;
 
-  for (guint i = 0; i < m->slices->len; i++)
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
     n += cc_slicemap_at (m, i)->server == server ? 1 : 0;
   return n;
 }
@@ -237,7 +331,7 @@
 static gboolean
 is_referenced (const CcSliceMap *m, gint32 server)
 {
-  for (guint i = 0; i < m->slices->len; i++)
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
     if (cc_slicemap_at (m, i)->server == server ||
         cc_slicemap_at (m, i)->from == server)
       return TRUE;
@@ -248,7 +342,7 @@
 remove_server (CcSliceMap *m, gint32 server)
 {
   g_ptr_array_remove_index (m->servers, (guint) server);
-  for (guint i = 0; i < m->slices->len; i++)
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
       CcMapSlice *s = cc_slicemap_at (m, i);
 
@@ -257,12 +351,14 @@
     }
 }
 
-/* Drops servers that are lost and that no slice refers to. */
+/* Drops servers that are gone and that no unit refers to.  A lost one stays
+ * as long as it is listed: taken in anew, it would pass for a live server that
+ * owns nothing, be given slices, and lose them again every second. */
 void
 cc_slicemap_compact (CcSliceMap *m)
 {
   for (gint32 i = (gint32) m->servers->len - 1; i >= 0; i--)
-    if (cc_slicemap_server (m, i)->state == CC_SERVER_LOST &&
+    if (cc_slicemap_server (m, i)->state == CC_SERVER_GONE &&
         !is_referenced (m, i))
       remove_server (m, i);
 }
--- a/slicemap.h
+++ b/slicemap.h
@@ -1,4 +1,7 @@
-/* Which server owns which slice of a pool's keys, and who dispatches to it. */
+/* Which server owns which slice of a pool's keys, and who dispatches to it.
+ *
+ * What is owned is a unit: a slice, numbered from 0, or a hot key that was
+ * split out of its slice, numbered from the number of slices on. */
 #ifndef CC_SLICEMAP_H
 #define CC_SLICEMAP_H
 
@@ -8,7 +11,8 @@
 {
   CC_SERVER_LIVE,    /* may own slices */
   CC_SERVER_LEAVING, /* its slices move away; no new ones */
-  CC_SERVER_LOST     /* silent or gone: as LEAVING, without waiting for it */
+  CC_SERVER_LOST,    /* silent: as LEAVING, without waiting for it */
+  CC_SERVER_GONE     /* listed no more: as LOST, and dropped once empty */
 } CcServerState;
 
 typedef struct
@@ -29,12 +33,31 @@
   guint64 epoch; /* counts its owners; a fence */
 } CcMapSlice;
 
+/* Hot keys that have a unit of their own, at most.  The brief's hottest 110
+ * fit; a row of the table grows by 40 bytes for each. */
+#define CC_HOT_MAX 128
+
+typedef enum
+{
+  CC_HOT_FREE,   /* nobody's; keeps its epoch, so that none comes again */
+  CC_HOT_SPLIT,  /* the key has, or is coming to have, this unit */
+  CC_HOT_FOLDING /* the key goes back to its slice */
+} CcHotState;
+
+typedef struct
+{
+  guint64 hash; /* of the key */
+  CcHotState state;
+  CcMapSlice unit; /* its owner, as for a slice */
+} CcMapHot;
+
 typedef struct
 {
   char *pool;
   guint64 version;    /* of the row it was read from; 0: new */
   GPtrArray *servers; /* of CcMapServer */
   GArray *slices;     /* of CcMapSlice, indexed by slice */
+  GArray *hot;        /* of CcMapHot; its place gives the unit's number */
   char *reason;       /* why the last change was made, for operators */
 } CcSliceMap;
 
@@ -45,10 +68,14 @@
 void cc_slicemap_free (CcSliceMap *m);
 guint64 cc_key_hash (const void *key, gsize length);
 guint cc_slicemap_slice (const CcSliceMap *m, guint64 hash);
+guint cc_slicemap_unit (const CcSliceMap *m, guint64 hash);
+guint cc_slicemap_units (const CcSliceMap *m);
+CcMapHot *cc_slicemap_hot (const CcSliceMap *m, guint unit);
+gint32 cc_slicemap_free_hot (CcSliceMap *m);
 CcMapServer *cc_slicemap_server (const CcSliceMap *m, gint32 index);
 gint32 cc_slicemap_find (const CcSliceMap *m, const char *server);
-CcMapSlice *cc_slicemap_at (const CcSliceMap *m, guint slice);
-const CcMapServer *cc_slicemap_owner (const CcSliceMap *m, guint slice);
+CcMapSlice *cc_slicemap_at (const CcSliceMap *m, guint unit);
+const CcMapServer *cc_slicemap_owner (const CcSliceMap *m, guint unit);
 gint32 cc_slicemap_add (CcSliceMap *m, const char *name, const char *address,
                         const char *zone);
 guint cc_slicemap_owned (const CcSliceMap *m, gint32 server);
--- /dev/null
+++ b/standing.c
@@ -0,0 +1,121 @@
+/* Cold starts and flapping servers, without network or clock.
+ *
+ * Load patterns: a server that joins under load is slow until it is warm; given
+ * its whole share at once it would miss its deadlines.  A server that is lost,
+ * back, lost would be given units and have them taken away each time: churn at
+ * every turn, and its keys unavailable for each loss.  So a server that joins
+ * gets its share in steps, and one that was lost twice in ten minutes has to
+ * stand for a time first, twice as long after each further loss: the moves
+ * that n minutes of flapping cause grow with the logarithm of n.
+ *
+ * The first loss carries no such time: a zone that comes back after a cut
+ * would else leave its load to the others for longer than needed.
+ *
+ * Kept in memory only.  A new assigner takes a server that owns units for a
+ * warm one, and one without units for one that joins now.
+ */
+#include "standing.h"
+
+typedef struct
+{
+  gboolean live;
+  gboolean warm;    /* it owned units when first seen, or when it came */
+  gint64 since;     /* when it became live, us */
+  gint64 last_loss; /* us */
+  guint recent_losses;
+} Standing;
+
+struct CcStandings
+{
+  GHashTable *by_name; /* server to Standing */
+};
+
+/* An empty table. */
+CcStandings *
+cc_standings_new (void)
+{
+  CcStandings *t = g_new0 (CcStandings, 1);
+
+  t->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return t;
+}
+
+/* Frees T. */
+void
+cc_standings_free (CcStandings *t)
+{
+  g_hash_table_unref (t->by_name);
+  g_free (t);
+}
+
+static void
+note_loss (Standing *s, gint64 now)
+{
+  if (now - s->last_loss > CC_FLAP_MEMORY)
+    s->recent_losses = 0;
+  s->recent_losses++;
+  s->last_loss = now;
+}
+
+/* To be told at each step: SERVER is in STATE; OWNS tells whether any unit is
+ * its own. */
+void
+cc_standings_note (CcStandings *t, const char *server, CcServerState state,
+                   gboolean owns, gint64 now)
+{
+  Standing *s = g_hash_table_lookup (t->by_name, server);
+  gboolean live = state == CC_SERVER_LIVE;
+
+  if (s == NULL)
+    {
+      s = g_new0 (Standing, 1);
+      s->last_loss = -CC_FLAP_MEMORY - 1;
+      g_hash_table_insert (t->by_name, g_strdup (server), s);
+    }
+  if (live && !s->live)
+    {
+      s->since = now;
+      s->warm = owns;
+    }
+  if (!live && s->live && state != CC_SERVER_LEAVING)
+    note_loss (s, now);
+  s->live = live;
+}
+
+static gint64
+hold_after (guint losses)
+{
+  if (losses < 2)
+    return 0;
+  return MIN (CC_FLAP_HOLD << MIN (losses - 2, 10), CC_FLAP_MAX);
+}
+
+/* The part of a warm server's load that SERVER is to have at NOW, 0 to 1. */
+double
+cc_standings_share (const CcStandings *t, const char *server, gint64 now)
+{
+  const Standing *s = g_hash_table_lookup (t->by_name, server);
+  gint64 warming;
+
+  if (s == NULL || !s->live)
+    return 0;
+  if (s->warm)
+    return 1;
+  warming = now - s->since - hold_after (s->recent_losses);
+  if (warming < 0)
+    return 0;
+  return MIN (1.0, (double) (warming / CC_WARM_STEP + 1) / CC_WARM_STEPS);
+}
+
+/* Whether SERVER is still to be brought up to its share, rather than to wait
+ * for an imbalance that is worth a move. */
+gboolean
+cc_standings_warming (const CcStandings *t, const char *server, gint64 now)
+{
+  const Standing *s = g_hash_table_lookup (t->by_name, server);
+
+  if (s == NULL || !s->live || s->warm)
+    return FALSE;
+  return now - s->since - hold_after (s->recent_losses) <
+         (CC_WARM_STEPS + 1) * CC_WARM_STEP;
+}
--- a/wire.h
+++ b/wire.h
@@ -73,8 +73,8 @@
   guint32 state;   /* CcServerHealth */
   guint32 running; /* requests in the server */
   guint32 queued;  /* requests waiting */
-  GVariant *loads; /* a(ud): slice, requests a second */
-  GVariant *hot;   /* a(tud): key hash, slice, requests a second */
+  GVariant *loads; /* a(ud): unit, slots it keeps busy */
+  GVariant *hot;   /* a(tud): key hash, its unit, slots */
 } CcMsgReport;
 
 typedef struct
