--- a/assign.c
+++ b/assign.c
@@ -88,8 +88,8 @@
   one->dispatcher = g_strdup (r->instance);
   g_hash_table_insert (reports_of (a, r->pool), g_strdup (r->server), one);
   if (m != NULL)
-    cc_loads_take (planner_of (a, r->pool)->loads, m, r->server, r->loads,
-                   cc_clock_now ());
+    cc_unit_loads_take (planner_of (a, r->pool)->loads, m, r->server, r->loads,
+                        cc_clock_now ());
 }
 
 static void
--- a/assignment.c
+++ b/assignment.c
@@ -56,7 +56,7 @@
 {
   CcPlanner *p = g_new0 (CcPlanner, 1);
 
-  p->loads = cc_loads_new ();
+  p->loads = cc_unit_loads_new ();
   p->standings = cc_standings_new ();
   p->moved_at = g_array_new (FALSE, TRUE, sizeof (gint64));
   return p;
@@ -66,7 +66,7 @@
 void
 cc_planner_free (CcPlanner *p)
 {
-  cc_loads_free (p->loads);
+  cc_unit_loads_free (p->loads);
   cc_standings_free (p->standings);
   g_array_unref (p->moved_at);
   g_free (p);
@@ -112,7 +112,7 @@
   double total = 0;
 
   for (guint i = 0; i < cc_slicemap_units (m); i++)
-    total += cc_loads_of (p->loads, i);
+    total += cc_unit_loads_of (p->loads, i);
   return total;
 }
 
@@ -159,7 +159,7 @@
       const CcMapHot *h = cc_slicemap_hot (m, i);
       gint64 moved = *moved_at (p, i);
       gboolean is_unit = h == NULL || h->state == CC_HOT_SPLIT;
-      CcBalanceUnit u = { .load = cc_loads_of (p->loads, i),
+      CcBalanceUnit u = { .load = cc_unit_loads_of (p->loads, i),
                           .server = s->server,
                           .fixed = s->from >= 0 || !is_unit,
                           .rests = moved > 0 && now - moved < y->rest,
@@ -255,7 +255,7 @@
   guint limit = most - moving;
 
   limit -= MIN (limit, cc_balance_place (b, limit));
-  if (!cc_loads_known (p->loads, now))
+  if (!cc_unit_loads_known (p->loads, now))
     return;
   if (idle)
     {
@@ -298,8 +298,9 @@
   CcPlanner *p = cc_planner_new ();
   guint changes;
 
-  cc_loads_start (p->loads, 1);
-  changes = cc_planner_step (p, m, pool, roster, reports, 1 + CC_LOADS_MATURE);
+  cc_unit_loads_start (p->loads, 1);
+  changes =
+      cc_planner_step (p, m, pool, roster, reports, 1 + CC_UNIT_LOADS_MATURE);
   cc_planner_free (p);
   return changes;
 }
--- a/assignment.h
+++ b/assignment.h
@@ -3,14 +3,14 @@
 #define CC_ASSIGNMENT_H
 
 #include "document.h"
-#include "loads.h"
+#include "unit_loads.h"
 #include "ownership_moves.h"
 
 /* What the assigner keeps of one pool beside the map.  All of it may be lost:
  * a new assigner learns it again. */
 typedef struct
 {
-  CcLoads *loads;
+  CcUnitLoads *loads;
   struct CcStandings *standings;
   GArray *moved_at;  /* of gint64 by unit: its last move, us; 0: never */
   gint64 over_since; /* imbalance is above the trigger since, us; 0: is not */
--- a/dispatch.c
+++ b/dispatch.c
@@ -81,7 +81,7 @@
   CcJob *first = g_hash_table_lookup (d->shared.first_attempts, name);
 
   if (first != NULL)
-    cc_job_add_waiter (first, m);
+    cc_server_join (&d->shared, first, m);
   else
     refuse (d, m, CC_OUTCOME_UNKNOWN, "repeat", 0, FALSE);
 }
@@ -100,7 +100,7 @@
       cc_outcomes_start (d->shared.outcomes, class->pool, slice, j->idempotency,
                          cc_clock_wall ());
     }
-  cc_server_take (s, j);
+  cc_server_take (s, j, class);
 }
 
 static void
@@ -163,7 +163,7 @@
   if (owner != NULL)
     s = find_server (d, class->pool, owner->name);
   if (s != NULL && cc_holding_owns (s->holding, slice))
-    cc_load_meter_arrived (s->meter, slice, hash, cc_clock_now ());
+    cc_unit_meter_arrived (s->meter, slice, hash, cc_clock_now ());
   if (s == NULL || !cc_holding_owns (s->holding, slice))
     refuse (d, m, CC_OUTCOME_NOT_RUN, "moved", MOVED_WAIT_MS, TRUE);
   else if (s->holding->lost)
@@ -179,14 +179,8 @@
 static void
 take_cancel (Dispatch *d, const CcMessage *m)
 {
-  GHashTableIter iter;
-  gpointer server;
-
   ++*d->cancelled;
-  g_hash_table_iter_init (&iter, d->servers);
-  while (g_hash_table_iter_next (&iter, NULL, &server))
-    if (cc_server_cancel (server, m->from, m->u.cancel.request))
-      return;
+  cc_server_cancel (&d->shared, m->from, m->u.cancel.request);
 }
 
 static void
@@ -408,8 +402,8 @@
   m.to = assigner (d, &address);
   if (m.to == 0)
     return;
-  loads = g_variant_ref_sink (cc_load_meter_loads (s->meter, cc_clock_now ()));
-  hot = g_variant_ref_sink (cc_load_meter_hot (s->meter, cc_clock_now ()));
+  loads = g_variant_ref_sink (cc_unit_meter_loads (s->meter, cc_clock_now ()));
+  hot = g_variant_ref_sink (cc_unit_meter_hot (s->meter, cc_clock_now ()));
   m.id = cc_mailbox_next_id (d->mailbox);
   m.expires = cc_clock_wall () + 2 * CC_SECOND;
   m.u.report.instance = d->tenure->id;
@@ -418,7 +412,7 @@
   m.u.report.applied = applied;
   m.u.report.state = s->holding->lost;
   m.u.report.running = s->holding->running;
-  m.u.report.queued = cc_queue_length (&s->queue);
+  m.u.report.queued = cc_queue_length (&s->load.queue);
   m.u.report.loads = loads;
   m.u.report.hot = hot;
   cc_mailbox_send (d->mailbox, address, &m);
@@ -511,6 +505,7 @@
   d->shared.upstream = cc_upstream_new (cc_setting (d->settings, "listen"));
   d->shared.tenure = d->tenure;
   d->shared.outcomes = cc_outcomes_new ();
+  cc_server_shared_init (&d->shared);
   d->shared.first_attempts =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   d->servers =
--- a/ownership_moves.c
+++ b/ownership_moves.c
@@ -43,17 +43,6 @@
   return 1;
 }
 
-/* A server that was dropped and is listed again may still run the process that
- * knows its last term, and refuses lower ones for good.  Terms therefore start
- * at the map's version, which is above all that were ever given out. */
-static void
-add_server (CcSliceMap *m, const CcRosterServer *l)
-{
-  gint32 i = cc_slicemap_add (m, l->name, l->address, l->zone);
-
-  cc_slicemap_server (m, i)->term = m->version;
-}
-
 /* Takes in servers that joined; marks those that leave or are lost. */
 static guint
 update_servers (CcSliceMap *m, const CcRoster *roster, GHashTable *reports)
@@ -66,7 +55,7 @@
 
       if (cc_slicemap_find (m, l->name) >= 0 || l->leaving)
         continue;
-      add_server (m, l);
+      cc_slicemap_add (m, l->name, l->address, l->zone);
       changes++;
     }
   for (guint i = 0; i < m->servers->len; i++)
--- a/test/world.c
+++ b/test/world.c
@@ -130,7 +130,7 @@
         cc_slicemap_at (w->map, i)->from < 0)
       g_variant_builder_add (&b, "(ud)", i, measured (w, world_load (w, i)));
   loads = g_variant_ref_sink (g_variant_builder_end (&b));
-  cc_loads_take (w->planner->loads, w->map, name, loads, w->now);
+  cc_unit_loads_take (w->planner->loads, w->map, name, loads, w->now);
 }
 
 static void
--- a/loads.c
+++ b/unit_loads.c
@@ -1,6 +1,6 @@
 /* Loads come in with the reports of the servers' dispatchers, each for the
  * units its server owns.  Without network or clock. */
-#include "loads.h"
+#include "unit_loads.h"
 
 #include <math.h>
 
@@ -12,7 +12,7 @@
   gint64 taken; /* report that named it, or faded it, last, us */
 } UnitLoad;
 
-struct CcLoads
+struct CcUnitLoads
 {
   GArray *units; /* of UnitLoad */
   gint64 first;  /* reports have come since then, us; 0: none yet */
@@ -20,10 +20,10 @@
 };
 
 /* No loads known. */
-CcLoads *
-cc_loads_new (void)
+CcUnitLoads *
+cc_unit_loads_new (void)
 {
-  CcLoads *l = g_new0 (CcLoads, 1);
+  CcUnitLoads *l = g_new0 (CcUnitLoads, 1);
 
   l->units = g_array_new (FALSE, TRUE, sizeof (UnitLoad));
   return l;
@@ -31,14 +31,14 @@
 
 /* Frees L. */
 void
-cc_loads_free (CcLoads *l)
+cc_unit_loads_free (CcUnitLoads *l)
 {
   g_array_unref (l->units);
   g_free (l);
 }
 
 static UnitLoad *
-load_at (CcLoads *l, guint unit)
+load_at (CcUnitLoads *l, guint unit)
 {
   if (unit >= l->units->len)
     g_array_set_size (l->units, unit + 1);
@@ -49,13 +49,13 @@
 fade (UnitLoad *u, gint64 now)
 {
   if (u->taken > 0 && now > u->taken)
-    u->load *= exp (-(double) (now - u->taken) / (double) CC_LOADS_FADE);
+    u->load *= exp (-(double) (now - u->taken) / (double) CC_UNIT_LOADS_FADE);
   u->taken = now;
 }
 
 /* Reports come in from NOW on, if they did not before. */
 void
-cc_loads_start (CcLoads *l, gint64 now)
+cc_unit_loads_start (CcUnitLoads *l, gint64 now)
 {
   if (l->first == 0)
     l->first = now;
@@ -65,8 +65,8 @@
  * that are not the server's in M are passed over: the report is older than
  * their move. */
 void
-cc_loads_take (CcLoads *l, const CcSliceMap *m, const char *server,
-               GVariant *loads, gint64 now)
+cc_unit_loads_take (CcUnitLoads *l, const CcSliceMap *m, const char *server,
+                    GVariant *loads, gint64 now)
 {
   gint32 index = cc_slicemap_find (m, server);
   GVariantIter iter;
@@ -75,10 +75,10 @@
 
   if (index < 0)
     return;
-  if (now - l->last > CC_LOADS_MATURE)
+  if (now - l->last > CC_UNIT_LOADS_MATURE)
     l->first = 0; /* this assigner was not the active one for a while */
   l->last = now;
-  cc_loads_start (l, now);
+  cc_unit_loads_start (l, now);
   g_variant_iter_init (&iter, loads);
   while (g_variant_iter_next (&iter, "(ud)", &unit, &load))
     {
@@ -95,7 +95,7 @@
 
 /* The load of UNIT as known, in slots kept busy. */
 double
-cc_loads_of (const CcLoads *l, guint unit)
+cc_unit_loads_of (const CcUnitLoads *l, guint unit)
 {
   if (unit >= l->units->len)
     return 0;
@@ -105,14 +105,14 @@
 /* Puts down LOAD for UNIT, which was just split or folded, until its
  * dispatcher has measured it. */
 void
-cc_loads_set (CcLoads *l, guint unit, double load)
+cc_unit_loads_set (CcUnitLoads *l, guint unit, double load)
 {
   load_at (l, unit)->load = MAX (load, 0);
 }
 
 /* Whether loads have come in for long enough to be acted on. */
 gboolean
-cc_loads_known (const CcLoads *l, gint64 now)
+cc_unit_loads_known (const CcUnitLoads *l, gint64 now)
 {
-  return l->first > 0 && now - l->first >= CC_LOADS_MATURE;
+  return l->first > 0 && now - l->first >= CC_UNIT_LOADS_MATURE;
 }
--- a/load_meter.c
+++ b/unit_meter.c
@@ -4,7 +4,7 @@
  * its units would all look alike.  Both are averages that decay exponentially,
  * without network or clock.
  */
-#include "load_meter.h"
+#include "unit_meter.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -29,7 +29,7 @@
   gint64 at;       /* decayed up to then, us */
 } UnitMeter;
 
-struct CcLoadMeter
+struct CcUnitMeter
 {
   GHashTable *units; /* unit to UnitMeter */
   UnitMeter all;     /* of all units together */
@@ -38,10 +38,10 @@
 };
 
 /* A meter that starts at NOW. */
-CcLoadMeter *
-cc_load_meter_new (gint64 now)
+CcUnitMeter *
+cc_unit_meter_new (gint64 now)
 {
-  CcLoadMeter *m = g_new0 (CcLoadMeter, 1);
+  CcUnitMeter *m = g_new0 (CcUnitMeter, 1);
 
   m->units = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   m->all.first = m->all.at = m->hot_at = now;
@@ -51,7 +51,7 @@
 
 /* Frees M. */
 void
-cc_load_meter_free (CcLoadMeter *m)
+cc_unit_meter_free (CcUnitMeter *m)
 {
   g_hash_table_unref (m->units);
   g_free (m);
@@ -76,7 +76,7 @@
 
 /* Notes at NOW a request for the key with HASH in UNIT. */
 void
-cc_load_meter_arrived (CcLoadMeter *m, guint unit, guint64 hash, gint64 now)
+cc_unit_meter_arrived (CcUnitMeter *m, guint unit, guint64 hash, gint64 now)
 {
   UnitMeter *u = g_hash_table_lookup (m->units, GUINT_TO_POINTER (unit));
 
@@ -104,7 +104,7 @@
 
 /* Notes at NOW that the server took SERVICE (us) for a request in UNIT. */
 void
-cc_load_meter_served (CcLoadMeter *m, guint unit, gint64 service, gint64 now)
+cc_unit_meter_served (CcUnitMeter *m, guint unit, gint64 service, gint64 now)
 {
   UnitMeter *u = g_hash_table_lookup (m->units, GUINT_TO_POINTER (unit));
 
@@ -132,7 +132,7 @@
 
 /* The loads at NOW, a(ud): unit, slots kept busy.  Floating. */
 GVariant *
-cc_load_meter_loads (CcLoadMeter *m, gint64 now)
+cc_unit_meter_loads (CcUnitMeter *m, gint64 now)
 {
   GVariantBuilder b;
   GHashTableIter iter;
@@ -169,7 +169,7 @@
 /* The hot keys at NOW, a(tud): hash, unit, slots kept busy for certain.
  * Floating. */
 GVariant *
-cc_load_meter_hot (CcLoadMeter *m, gint64 now)
+cc_unit_meter_hot (CcUnitMeter *m, gint64 now)
 {
   CcHotKeys sorted;
   GVariantBuilder b;
--- a/load_meter.h
+++ b/unit_meter.h
@@ -1,6 +1,6 @@
 /* Measures the load of each unit of one held server. */
-#ifndef CC_LOAD_METER_H
-#define CC_LOAD_METER_H
+#ifndef CC_UNIT_METER_H
+#define CC_UNIT_METER_H
 
 #include "capercrank.h"
 
@@ -12,15 +12,15 @@
 /* A unit is reported from this age on; before, its rate is a guess. */
 #define CC_METER_MATURE (4 * CC_SECOND)
 
-typedef struct CcLoadMeter CcLoadMeter;
+typedef struct CcUnitMeter CcUnitMeter;
 
-CcLoadMeter *cc_load_meter_new (gint64 now);
-void cc_load_meter_free (CcLoadMeter *m);
-void cc_load_meter_arrived (CcLoadMeter *m, guint unit, guint64 hash,
+CcUnitMeter *cc_unit_meter_new (gint64 now);
+void cc_unit_meter_free (CcUnitMeter *m);
+void cc_unit_meter_arrived (CcUnitMeter *m, guint unit, guint64 hash,
                             gint64 now);
-void cc_load_meter_served (CcLoadMeter *m, guint unit, gint64 service,
+void cc_unit_meter_served (CcUnitMeter *m, guint unit, gint64 service,
                            gint64 now);
-GVariant *cc_load_meter_loads (CcLoadMeter *m, gint64 now);
-GVariant *cc_load_meter_hot (CcLoadMeter *m, gint64 now);
+GVariant *cc_unit_meter_loads (CcUnitMeter *m, gint64 now);
+GVariant *cc_unit_meter_hot (CcUnitMeter *m, gint64 now);
 
 #endif
