--- a/server.c
+++ b/server.c
@@ -213,7 +213,7 @@
   cc_histograms_add (&s->shared->wait, j->class_name, j->tenant,
                      j->sent - j->arrived);
   g_hash_table_add (s->sent, j);
-  cc_holding_sent (s->holding, j->slice, j->deadline);
+  cc_holding_sent (s->holding, j->slice);
 }
 
 static gboolean
@@ -319,7 +319,8 @@
   CcServer *s = j->owner;
   gboolean ended = TRUE;
 
-  cc_holding_done (j->holding, j->slice);
+  cc_holding_done (j->holding, j->slice, j->deadline,
+                   result->end != CC_ATTEMPT_LOST);
   if (result->end == CC_ATTEMPT_ANSWERED)
     cc_holding_answered (j->holding, cc_clock_now ());
   if (s != NULL)
--- a/test/test_hotkeys.c
+++ b/test/test_hotkeys.c
@@ -196,8 +196,7 @@
   for (guint r = 0; r < rounds; r++)
     {
       for (guint i = 0; i < 110; i++)
-        heat (w, i, ((guint64) g_rand_int (w->rand) << 32) | 1,
-              2.0 / (i / 4 + 1));
+        heat (w, i, ((guint64) g_rand_int (w->rand) << 32) | 1, 8.0 / (i + 4));
       world_run (w, 240);
       print_message ("round %u: imbalance %.3f, %u splits, %u folds\n", r,
                      world_imbalance (w), (guint) w->planner->splits,
--- a/test/test_slicemap.c
+++ b/test/test_slicemap.c
@@ -280,7 +280,7 @@
   a->memory = d->outcomes;
   a->deadline = wall (s) + CC_SECOND;
   cc_outcomes_start (d->outcomes, "p", unit, id, wall (s));
-  cc_holding_sent (s->held[server], unit, a->deadline);
+  cc_holding_sent (s->held[server], unit);
   g_ptr_array_add (s->running, a);
 }
 
@@ -332,7 +332,7 @@
   if (s->running->len == 0)
     return;
   a = s->running->pdata[pick (s, s->running->len)];
-  cc_holding_done (s->held[a->server], a->unit);
+  cc_holding_done (s->held[a->server], a->unit, a->deadline, TRUE);
   cc_outcomes_finish (a->memory, "p", a->unit, a->id, &run);
   g_ptr_array_remove (s->running, a);
 }
