--- a/dispatch.c
+++ b/dispatch.c
@@ -384,15 +384,16 @@
 }
 
 /* Passes on the memory of the slices that left S.  Comes before the report
- * that lets their next holder begin, so it is mostly there by then. */
-static void
+ * that lets their next holder begin, so it is mostly there by then.  Returns
+ * FALSE while a link is full. */
+static gboolean
 pass_outcomes_on (Dispatch *d, CcServer *s, guint64 applied)
 {
   const CcSliceMap *m = cc_follower_map (d->follower, s->holding->pool);
 
-  if (m != NULL && m->version == applied)
-    cc_transfer_stopped (d->transfer, m, s->holding->name, d->tenure->id,
-                         send_outcomes, d);
+  return m == NULL || m->version != applied ||
+         cc_transfer_stopped (d->transfer, m, s->holding->name, d->tenure->id,
+                              send_outcomes, d);
 }
 
 static void
@@ -400,7 +401,8 @@
 {
   guint64 applied = cc_holding_applied (s->holding, now, cc_clock_wall ());
 
-  pass_outcomes_on (d, s, applied);
+  if (!pass_outcomes_on (d, s, applied))
+    applied = s->reported;
   if (applied == s->reported && now < s->report_due)
     return;
   s->reported = applied;
