capercrankctl with real commands; drains, tokens and bounded bodies

The tool took its command as one flag and could neither drain nor compare. A drain is a row of the table that the assigner's roster reads; a map's reason is read off the two maps, so it covers every way in which a map changes and the lane that decides need not set it.

Found by trying it as a new user on a running deployment (make demo's small.json): - `check` against a server was always answered 428: libsoup's form parser drops "check" without "=". Now check=1; before: "If-Match must name the version", after: "the document is valid". - a chunked body of any length was gathered in memory, at the operators' port and at the callers'. A 300 kB chunked PUT got 409 before, its connection is closed after (curl exit 52). An early handler added for "/" is not asked for "/v1/config" (first try, still 409), so each path has its own. - a submission was compared with whatever document the assigner knew, so one behind the table could let another number of slices through. It now refuses unless it knows the very version that is to be replaced. - after a lost answer, a row that holds another operator's newer document was told as "not known"; it is a conflict: ours can't come into force any more. Ruled out: a JSON diff by index, which shows every pool after an inserted one. CAPERCRANK_OPERATOR_TOKEN: without it 401, with a wrong one 401, right 200. make lint clean; test_document, test_settings, test_map_change pass.

--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,9 @@
 LIBS = $(shell pkg-config --libs $(PKGS)) -lnng -lxxhash -lm
 
 LIB_SRC = admin.c ask.c assignment.c capercrank.c clock.c config_api.c \
-  document.c findings.c follower.c holding.c job.c leader.c lease.c log.c \
-  mailbox.c metrics.c outcome.c platform.c queue.c server.c settings.c \
+  document.c document_diff.c drain_api.c findings.c follower.c holding.c \
+  http_limit.c job.c leader.c lease.c log.c mailbox.c map_change.c metrics.c \
+  operator_http.c outcome.c platform.c queue.c secret.c server.c settings.c \
   slicemap.c tenure.c upstream.c view.c wire.c
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS = entry dispatch assign
@@ -41,7 +42,9 @@
 $(BUILD)/capercrank-%: $(BUILD)/%.o $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
-$(BUILD)/capercrankctl: $(BUILD)/ctl.o $(BUILD)/libcapercrank.a
+CTL_OBJ = $(patsubst %,$(BUILD)/ctl%.o,_call _config _follow _show _table)
+
+$(BUILD)/capercrankctl: $(BUILD)/ctl.o $(CTL_OBJ) $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
 $(BUILD)/test/libtest.a: $(TEST_LIB:%=$(BUILD)/test/%.o)
@@ -50,7 +53,7 @@
 $(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/test/libtest.a $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcmocka
 
--include $(wildcard $(BUILD)/*.d $(BUILD)/test/*.d)
+-include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d)
 .SECONDARY:
 .PHONY: all build-all prove deps demo check format lint test clean
 
--- a/assign.c
+++ b/assign.c
@@ -11,9 +11,11 @@
 #include "assignment.h"
 #include "clock.h"
 #include "config_api.h"
+#include "drain_api.h"
 #include "follower.h"
 #include "leader.h"
 #include "log.h"
+#include "map_change.h"
 #include "metrics.h"
 #include "settings.h"
 
@@ -186,8 +188,10 @@
       const CcInstance *one = a->listed->pdata[i];
 
       if (g_str_equal (one->role, pool))
-        cc_roster_add_server (r, one->name, one->address, one->zone,
-                              one->leaving);
+        cc_roster_add_server (
+            r, one->name, one->address, one->zone,
+            one->leaving ||
+                cc_drain_is_ordered (&a->follower->view, pool, one->name));
     }
   return r;
 }
@@ -204,12 +208,14 @@
 }
 
 static void
-write_map (Assign *a, const CcSliceMap *m)
+write_map (Assign *a, CcSliceMap *m)
 {
   CcTransaction *x = cc_transaction_new ();
   g_autofree char *key = g_strconcat ("map/", m->pool, NULL);
-  g_autofree char *value = cc_slicemap_print (m);
+  g_autofree char *value = NULL;
 
+  cc_slicemap_note_reason (m, cc_follower_map (a->follower, m->pool));
+  value = cc_slicemap_print (m);
   ++*a->steps;
   g_hash_table_add (a->writing, g_strdup (m->pool));
   cc_transaction_check (x, key, m->version);
@@ -346,6 +352,7 @@
 open_ports (Assign *a, const CcSetting *settings, guint64 incarnation)
 {
   g_autofree char *message = NULL;
+  g_auto (GStrv) peers = NULL;
   SoupServer *admin = NULL;
 
   a->mailbox = cc_mailbox_new (cc_setting (settings, "listen"),
@@ -359,9 +366,13 @@
       fprintf (stderr, "capercrank-assign: %s\n", message);
       return FALSE;
     }
-  a->follower = cc_follower_new (a->mailbox, a->platform, "",
-                                 (char *[]){ NULL }, TRUE, on_view_changed, a);
-  cc_config_api_add (admin, a->follower, a->platform);
+  peers = cc_setting_list (settings, "peers");
+  a->follower = cc_follower_new (a->mailbox, a->platform, "", peers, TRUE,
+                                 on_view_changed, a);
+  cc_config_api_add (admin, a->follower, a->platform,
+                     cc_setting (settings, "operator-token"));
+  cc_drain_api_add (admin, a->follower, a->platform,
+                    cc_setting (settings, "operator-token"));
   return TRUE;
 }
 
@@ -380,6 +391,10 @@
       NULL },
     { CC_SETTING_ADDRESS, "platform", NULL, "the platform's service", 0, 0,
       NULL },
+    { CC_SETTING_ADDRESSES, "peers", "",
+      "mailboxes of dispatchers to start from", 0, 0, NULL },
+    { CC_SETTING_STRING, "operator-token", "",
+      "orders must carry it (better by environment)", 0, 0, NULL },
     { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
   };
   Assign a = { 0 };
--- a/config_api.c
+++ b/config_api.c
@@ -1,4 +1,5 @@
 /* PUT /v1/config   submit a document; If-Match names the version it replaces
+ * PUT /v1/config?check=1   check it and change nothing
  * GET /v1/config   the document in force and its version
  * GET /v1/view     all rows known here, for capercrankctl's tables
  *
@@ -14,15 +15,20 @@
 
 #include "admin.h"
 #include "log.h"
+#include "operator_http.h"
 
-#define DOCUMENT_MAX (256 * 1024) /* bytes */
 #define HEAD "config/head"
+#define CHECK "check" /* "check=1" in the query: change nothing */
+#define SUPERSEDED                                                             \
+  "another document was accepted meanwhile; read it, then submit against its " \
+  "version"
 #define STATUS_PRECONDITION_REQUIRED 428 /* RFC 6585; libsoup has no name */
 
 typedef struct
 {
   CcFollower *follower;
   CcPlatform *platform;
+  char *token; /* orders must carry it; "": none is asked for */
 } Api;
 
 typedef struct
@@ -33,56 +39,6 @@
   guint64 base; /* version it replaces */
 } Submit;
 
-static void
-answer_json (SoupServerMessage *m, guint status, JsonBuilder *b)
-{
-  g_autoptr (JsonNode) root = json_builder_get_root (b);
-  g_autofree char *text = json_to_string (root, TRUE);
-
-  cc_http_answer (m, status, "application/json", text);
-}
-
-static void
-answer_error (SoupServerMessage *m, guint status, const char *text,
-              guint64 version)
-{
-  g_autoptr (JsonBuilder) b = json_builder_new ();
-
-  json_builder_begin_object (b);
-  json_builder_set_member_name (b, "error");
-  json_builder_add_string_value (b, text);
-  json_builder_set_member_name (b, "version");
-  json_builder_add_int_value (b, (gint64) version);
-  json_builder_end_object (b);
-  answer_json (m, status, b);
-}
-
-static void
-answer_findings (SoupServerMessage *m, const CcFindings *f)
-{
-  g_autoptr (JsonBuilder) b = json_builder_new ();
-
-  json_builder_begin_object (b);
-  json_builder_set_member_name (b, "error");
-  json_builder_add_string_value (b, "the document is not valid");
-  json_builder_set_member_name (b, "findings");
-  json_builder_begin_array (b);
-  for (guint i = 0; i < f->list->len; i++)
-    {
-      const CcFinding *one = f->list->pdata[i];
-
-      json_builder_begin_object (b);
-      json_builder_set_member_name (b, "place");
-      json_builder_add_string_value (b, one->place);
-      json_builder_set_member_name (b, "text");
-      json_builder_add_string_value (b, one->text);
-      json_builder_end_object (b);
-    }
-  json_builder_end_array (b);
-  json_builder_end_object (b);
-  answer_json (m, SOUP_STATUS_UNPROCESSABLE_ENTITY, b);
-}
-
 static void
 submit_free (Submit *s)
 {
@@ -103,17 +59,36 @@
   json_builder_set_member_name (b, "version");
   json_builder_add_int_value (b, (gint64) version);
   json_builder_end_object (b);
-  answer_json (s->message, SOUP_STATUS_OK, b);
+  cc_operator_answer_json (s->message, SOUP_STATUS_OK, b);
   cc_follower_poll (s->api->follower);
 }
 
-/* After a lost answer: the row tells whether the document was written. */
+/* After a lost answer the row tells.  It holds the document: accepted.  It
+ * holds another one, newer than the version to be replaced: ours is not in
+ * force, and can't come into force any more, since its check fails from now on.
+ * It is unchanged: the write may still be on its way, nobody knows. */
+static void
+answer_by_row (Submit *s, guint64 version, const char *value)
+{
+  if (version > s->base && g_str_equal (value, s->document))
+    answer_accepted (s, version);
+  else if (version > s->base)
+    cc_operator_answer_error (s->message, SOUP_STATUS_CONFLICT, SUPERSEDED,
+                              version);
+  else
+    cc_operator_answer_error (
+        s->message, SOUP_STATUS_GATEWAY_TIMEOUT,
+        "the platform's answer was lost; it is not known whether the "
+        "document will be accepted, ask again",
+        version);
+}
+
 static void
 on_read_back (CcStatus status, guint64 since, guint64 upto, GVariant *rows,
               gpointer data)
 {
   Submit *s = data;
-  const char *key, *value;
+  const char *key, *value = "";
   guint64 version = 0;
   GVariantIter iter;
 
@@ -121,18 +96,9 @@
   if (status == CC_OK)
     {
       g_variant_iter_init (&iter, rows);
-      if (g_variant_iter_next (&iter, "(&st&s)", &key, &version, &value) &&
-          version > s->base && g_str_equal (value, s->document))
-        {
-          answer_accepted (s, version);
-          submit_free (s);
-          return;
-        }
+      g_variant_iter_next (&iter, "(&st&s)", &key, &version, &value);
     }
-  answer_error (s->message, SOUP_STATUS_GATEWAY_TIMEOUT,
-                "the platform's answer was lost; it is not known whether the "
-                "document was accepted, ask again",
-                version);
+  answer_by_row (s, version, value);
   submit_free (s);
 }
 
@@ -149,13 +115,12 @@
   if (status == CC_OK)
     answer_accepted (s, version);
   else if (status == CC_CONFLICT)
-    answer_error (s->message, SOUP_STATUS_CONFLICT,
-                  "another document was accepted meanwhile; read it, then "
-                  "submit against its version",
-                  s->api->follower->document_version);
+    cc_operator_answer_error (s->message, SOUP_STATUS_CONFLICT, SUPERSEDED,
+                              s->api->follower->document_version);
   else
-    answer_error (s->message, SOUP_STATUS_SERVICE_UNAVAILABLE,
-                  "the platform can't be reached; nothing was changed", 0);
+    cc_operator_answer_error (
+        s->message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+        "the platform can't be reached; nothing was changed", 0);
   submit_free (s);
 }
 
@@ -183,9 +148,9 @@
   gboolean good;
 
   cc_findings_init (&f);
-  if (size > DOCUMENT_MAX || !g_utf8_validate (text, (gssize) size, NULL))
+  if (size > CC_DOCUMENT_MAX || !g_utf8_validate (text, (gssize) size, NULL))
     cc_findings_add (&f, "document", "must be UTF-8 of at most %d bytes",
-                     DOCUMENT_MAX);
+                     CC_DOCUMENT_MAX);
   else
     {
       d = cc_document_parse (text, (gssize) size, &f);
@@ -195,11 +160,31 @@
     }
   good = cc_findings_count (&f) == 0;
   if (!good)
-    answer_findings (m, &f);
+    cc_operator_answer_findings (m, &f);
   cc_findings_clear (&f);
   return good;
 }
 
+/* The document is compared with the one this process knows, so that must be
+ * the one it replaces.  A process behind the table would otherwise let through
+ * what must not change, the number of a pool's slices among it. */
+static gboolean
+is_newest_here (Api *api, SoupServerMessage *m, guint64 base)
+{
+  guint64 known = api->follower->document_version;
+
+  if (base == known)
+    return TRUE;
+  if (base < known)
+    cc_operator_answer_error (m, SOUP_STATUS_CONFLICT, SUPERSEDED, known);
+  else
+    cc_operator_answer_error (m, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                              "this instance does not hold that version yet; "
+                              "ask again, or ask another one",
+                              known);
+  return FALSE;
+}
+
 static void
 submit (Api *api, SoupServerMessage *m, gboolean check_only)
 {
@@ -215,17 +200,20 @@
   if (match != NULL &&
       !g_ascii_string_to_unsigned (match, 10, 0, G_MAXINT64, &base, NULL))
     {
-      answer_error (m, SOUP_STATUS_BAD_REQUEST, "If-Match must be a version",
-                    0);
+      cc_operator_answer_error (m, SOUP_STATUS_BAD_REQUEST,
+                                "If-Match must be a version", 0);
       return;
     }
   if (match == NULL && !check_only)
     {
-      answer_error (m, STATUS_PRECONDITION_REQUIRED,
-                    "If-Match must name the version to replace, 0 for none",
-                    api->follower->document_version);
+      cc_operator_answer_error (
+          m, STATUS_PRECONDITION_REQUIRED,
+          "If-Match must name the version to replace, 0 for none",
+          api->follower->document_version);
       return;
     }
+  if (!check_only && !is_newest_here (api, m, base))
+    return;
   if (!check_document (api, m, text, size))
     return;
   if (check_only)
@@ -246,12 +234,15 @@
   (void) server, (void) path;
   if (g_str_equal (method, "PUT"))
     {
-      submit (api, m, query != NULL && g_hash_table_contains (query, "check"));
+      if (!cc_operator_may_order (m, api->token))
+        return;
+      submit (api, m, query != NULL && g_hash_table_contains (query, CHECK));
       return;
     }
   if (!g_str_equal (method, "GET"))
     {
-      answer_error (m, SOUP_STATUS_METHOD_NOT_ALLOWED, "use GET or PUT", 0);
+      cc_operator_answer_error (m, SOUP_STATUS_METHOD_NOT_ALLOWED,
+                                "use GET or PUT", 0);
       return;
     }
   version =
@@ -292,17 +283,30 @@
   for (guint i = 0; i < rows->len; i++)
     add_row (b, rows->pdata[i]);
   json_builder_end_object (b);
-  answer_json (m, SOUP_STATUS_OK, b);
+  cc_operator_answer_json (m, SOUP_STATUS_OK, b);
+}
+
+static void
+api_free (gpointer data)
+{
+  Api *api = data;
+
+  g_free (api->token);
+  g_free (api);
 }
 
-/* Adds the interface to ADMIN.  F and P must outlive it. */
+/* Adds the interface to ADMIN.  F and P must outlive it.  Orders must carry
+ * TOKEN unless it is empty. */
 void
-cc_config_api_add (SoupServer *admin, CcFollower *f, CcPlatform *p)
+cc_config_api_add (SoupServer *admin, CcFollower *f, CcPlatform *p,
+                   const char *token)
 {
   Api *api = g_new0 (Api, 1);
 
   api->follower = f;
   api->platform = p;
+  api->token = g_strdup (token);
+  cc_operator_limit (admin, "/v1/config");
   soup_server_add_handler (admin, "/v1/config", on_config, api, NULL);
-  soup_server_add_handler (admin, "/v1/view", on_view, api, g_free);
+  soup_server_add_handler (admin, "/v1/view", on_view, api, api_free);
 }
--- a/config_api.h
+++ b/config_api.h
@@ -7,6 +7,7 @@
 #include "follower.h"
 #include "platform.h"
 
-void cc_config_api_add (SoupServer *admin, CcFollower *f, CcPlatform *p);
+void cc_config_api_add (SoupServer *admin, CcFollower *f, CcPlatform *p,
+                        const char *token);
 
 #endif
--- a/ctl.c
+++ b/ctl.c
@@ -1,145 +1,156 @@
-/* capercrankctl: the operators' tool.
- *
- *   check FILE             check a document, change nothing
- *   submit FILE [VERSION]  submit it in place of VERSION (default: the newest)
- *   config                 the document in force
- *   view                   all rows known to the instance asked
- */
+/* capercrankctl: the operators' tool.  This file reads the command line; the
+ * commands stand in ctl_config.c, ctl_show.c and ctl_follow.c. */
 #include <stdio.h>
 #include <string.h>
 
-#include <libsoup/soup.h>
+#include <argtable2.h>
 
 #include "capercrank.h"
+#include "ctl.h"
 #include "settings.h"
 
-#define TIMEOUT_S 10
+#define WORDS_MAX 64 /* follow takes an address for each process */
 
-static guint
-call (const char *control, const char *method, const char *path,
-      const char *body, const char *if_match, char **answer, char **etag)
+typedef struct
 {
-  g_autofree char *url = g_strconcat ("http://", control, path, NULL);
-  g_autoptr (SoupSession) s =
-      soup_session_new_with_options ("timeout", TIMEOUT_S, NULL);
-  g_autoptr (SoupMessage) m = soup_message_new (method, url);
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) got = NULL;
-
-  if (body != NULL)
-    {
-      g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
-
-      soup_message_set_request_body_from_bytes (m, "application/json", bytes);
-    }
-  if (if_match != NULL)
-    soup_message_headers_append (soup_message_get_request_headers (m),
-                                 "If-Match", if_match);
-  got = soup_session_send_and_read (s, m, NULL, &error);
-  if (got == NULL)
-    {
-      fprintf (stderr, "capercrankctl: %s: %s\n", control, error->message);
-      return 0;
-    }
-  *answer = g_strndup (g_bytes_get_data (got, NULL), g_bytes_get_size (got));
-  if (etag != NULL)
-    *etag = g_strdup (soup_message_headers_get_one (
-        soup_message_get_response_headers (m), "ETag"));
-  return soup_message_get_status (m);
+  const char *name;
+  const char *words; /* for the usage */
+  const char *help;
+  guint least, most; /* how many words */
+  int (*run) (const CtlOptions *o);
+} Command;
+
+static const Command commands[] = {
+  { "submit", "FILE", "put a document in force, see --if-version", 1, 1,
+    ctl_submit },
+  { "check", "FILE", "check a document and change nothing", 1, 1, ctl_check },
+  { "diff", "FILE", "compare with the document in force; 1 if they differ", 1,
+    1, ctl_diff },
+  { "show", "config|owners|servers|slices|leases|members",
+    "print a table, or the document", 1, 1, ctl_show },
+  { "drain", "POOL/SERVER", "move its keys away, let its work end", 1, 1,
+    ctl_drain },
+  { "undrain", "POOL/SERVER", "let it own keys again", 1, 1, ctl_undrain },
+  { "follow", "ADMIN...", "live counters and class targets of these ports", 1,
+    WORDS_MAX, ctl_follow },
+};
+
+static const Command *
+find_command (const char *name)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (commands); i++)
+    if (g_str_equal (commands[i].name, name))
+      return &commands[i];
+  return NULL;
 }
 
-static int
-print_answer (guint status, const char *answer)
+static void
+print_help (void **args)
 {
-  if (status == 0)
-    return 1;
-  fprintf (status == SOUP_STATUS_OK ? stdout : stderr, "%s\n", answer);
-  return status == SOUP_STATUS_OK ? 0 : 1;
+  printf ("Usage: capercrankctl");
+  arg_print_syntax (stdout, args, "\n");
+  printf ("\nThe operators' tool.\n\nCommands:\n");
+  for (guint i = 0; i < G_N_ELEMENTS (commands); i++)
+    printf ("  %-8s %-44s %s\n", commands[i].name, commands[i].words,
+            commands[i].help);
+  printf ("  %-8s %-44s %s\n", "version", "", "print the version");
+  printf ("\nFlags:\n");
+  arg_print_glossary (stdout, args, "  %-24s %s\n");
+  printf (
+      "\nCAPERCRANK_CONTROL stands for --control; CAPERCRANK_OPERATOR_TOKEN "
+      "is sent with orders.\nExit: 0 done, 1 refused, not reached or "
+      "different, 2 wrong use.\n");
 }
 
 static int
-show (const char *control, const char *path)
+usage_error (const char *format, const char *detail)
 {
-  g_autofree char *answer = NULL;
-  guint status = call (control, "GET", path, NULL, NULL, &answer, NULL);
-
-  return print_answer (status, answer);
+  fprintf (stderr, "capercrankctl: ");
+  fprintf (stderr, format, detail);
+  fprintf (stderr, "; --help lists the commands\n");
+  return CTL_USAGE;
 }
 
-static char *
-newest_version (const char *control)
+static const char *
+setting (const struct arg_str *arg, const char *env, const char *fallback)
 {
-  g_autofree char *answer = NULL;
-  char *etag = NULL;
-
-  if (call (control, "GET", "/v1/config", NULL, NULL, &answer, &etag) == 0)
-    return NULL;
-  return etag;
+  if (arg != NULL && arg->count > 0)
+    return arg->sval[0];
+  return g_getenv (env) != NULL ? g_getenv (env) : fallback;
 }
 
 static int
-submit (const char *control, const char *file, const char *version,
-        gboolean check)
+run_command (const CtlOptions *o, const char *name)
 {
-  g_autofree char *text = NULL;
-  g_autofree char *base = NULL;
-  g_autofree char *answer = NULL;
-  g_autoptr (GError) error = NULL;
-  guint status;
+  const Command *c = find_command (name);
+  guint n = g_strv_length (o->words);
 
-  if (!g_file_get_contents (file, &text, NULL, &error))
+  if (g_str_equal (name, "version"))
     {
-      fprintf (stderr, "capercrankctl: %s\n", error->message);
-      return 2;
+      printf ("capercrankctl %s\n", CC_VERSION);
+      return CTL_DONE;
     }
-  base = version != NULL ? g_strdup (version) : newest_version (control);
-  if (base == NULL)
-    return 1;
-  status = call (control, "PUT", check ? "/v1/config?check" : "/v1/config",
-                 text, base, &answer, NULL);
-  return print_answer (status, answer);
+  if (c == NULL)
+    return usage_error ("there is no command \"%s\"", name);
+  if (n < c->least || n > c->most)
+    return usage_error ("it is written: %s", c->words);
+  if (o->control != NULL && !cc_address_parse (o->control, NULL, NULL))
+    return usage_error ("--control \"%s\" is not IP:PORT", o->control);
+  return c->run (o);
 }
 
-static int
-run (const char *control, char **words)
+/* The words after the command's name, as a vector that ends with NULL. */
+static char **
+words_of (const struct arg_str *arg)
 {
-  guint n = g_strv_length (words);
+  char **words = g_new0 (char *, (gsize) arg->count + 1);
 
-  if (n == 2 && g_str_equal (words[0], "check"))
-    return submit (control, words[1], NULL, TRUE);
-  if ((n == 2 || n == 3) && g_str_equal (words[0], "submit"))
-    return submit (control, words[1], words[2], FALSE);
-  if (n == 1 && g_str_equal (words[0], "config"))
-    return show (control, "/v1/config");
-  if (n == 1 && g_str_equal (words[0], "view"))
-    return show (control, "/v1/view");
-  fprintf (stderr, "usage: capercrankctl --control=IP:PORT "
-                   "--do=\"check FILE | submit FILE [VERSION] | config | "
-                   "view\"\n");
-  return 2;
+  for (int i = 0; i < arg->count; i++)
+    words[i] = g_strdup (arg->sval[i]);
+  return words;
 }
 
 int
 main (int argc, char **argv)
 {
-  CcSetting settings[] = {
-    { CC_SETTING_ADDRESS, "control", NULL,
-      "admin address of any capercrank-assign", 0, 0, NULL },
-    { CC_SETTING_STRING, "do", NULL, "the command", 0, 0, NULL },
-    { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
-  };
-  g_auto (GStrv) words = NULL;
-
-  switch (cc_settings_read (settings, "capercrankctl", "The operators' tool.",
-                            argc, argv))
+  struct arg_str *control = arg_str0 (NULL, "control", "IP:PORT",
+                                      "admin address of any capercrank-assign");
+  struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON, for scripts");
+  struct arg_int *base =
+      arg_int0 (NULL, "if-version", "N", "submit: only in place of version N");
+  struct arg_int *rounds =
+      arg_int0 (NULL, "rounds", "N", "follow: stop after N seconds");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this and leave");
+  struct arg_lit *version =
+      arg_lit0 (NULL, "version", "print the version and leave");
+  struct arg_str *command = arg_str0 (NULL, NULL, "COMMAND", NULL);
+  struct arg_str *words = arg_strn (NULL, NULL, "WORD", 0, WORDS_MAX, NULL);
+  struct arg_end *end = arg_end (20);
+  void *args[] = { control, json,    base,  rounds, help,
+                   version, command, words, end };
+  int faults = arg_parse (argc, argv, args);
+  g_autofree char *base_text = NULL;
+  g_auto (GStrv) list = words_of (words);
+  CtlOptions o = { .json = json->count > 0, .words = list };
+
+  if (help->count > 0)
+    {
+      print_help (args);
+      return CTL_DONE;
+    }
+  if (version->count > 0)
+    return run_command (&o, "version");
+  if (faults > 0)
     {
-    case CC_START_STOP:
-      return 0;
-    case CC_START_FAIL:
-      return 2;
-    case CC_START_RUN:
-      break;
+      arg_print_errors (stderr, end, "capercrankctl");
+      return CTL_USAGE;
     }
-  words = g_strsplit (cc_setting (settings, "do"), " ", -1);
-  return run (cc_setting (settings, "control"), words);
+  if (command->count == 0)
+    return usage_error ("a command is wanted%s", "");
+  if (base->count > 0)
+    o.base = base_text = g_strdup_printf ("%d", base->ival[0]);
+  o.rounds = rounds->count > 0 ? (guint) MAX (rounds->ival[0], 1) : 0;
+  o.control = setting (control, "CAPERCRANK_CONTROL", NULL);
+  o.token = setting (NULL, "CAPERCRANK_OPERATOR_TOKEN", "");
+  return run_command (&o, command->sval[0]);
 }
--- /dev/null
+++ b/ctl_call.c
@@ -0,0 +1,118 @@
+/* capercrankctl's HTTP calls, and how their failures are told. */
+#include "ctl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <libsoup/soup.h>
+
+/* Longer than the platform's timeout and one read after it, so that the
+ * assigner's own verdict on a slow platform arrives. */
+#define TIMEOUT_S 10
+
+/* Frees what A holds. */
+void
+ctl_answer_clear (CtlAnswer *a)
+{
+  g_clear_pointer (&a->body, g_free);
+  g_clear_pointer (&a->etag, g_free);
+}
+
+static void
+add_headers (SoupMessage *m, const CtlOptions *o, const char *if_match)
+{
+  SoupMessageHeaders *h = soup_message_get_request_headers (m);
+  g_autofree char *bearer = g_strconcat ("Bearer ", o->token, NULL);
+
+  if (if_match != NULL)
+    soup_message_headers_append (h, "If-Match", if_match);
+  if (o->token[0] != '\0')
+    soup_message_headers_append (h, "Authorization", bearer);
+}
+
+/* One call to ADDRESS (IP:PORT).  BODY and IF_MATCH may be NULL.  Without an
+ * answer the status is 0 and the reason has been printed. */
+CtlAnswer
+ctl_call (const CtlOptions *o, const char *address, const char *method,
+          const char *path, const char *body, const char *if_match)
+{
+  CtlAnswer a = { 0 };
+  g_autofree char *url = g_strconcat ("http://", address, path, NULL);
+  g_autoptr (SoupSession) s =
+      soup_session_new_with_options ("timeout", TIMEOUT_S, NULL);
+  g_autoptr (SoupMessage) m = soup_message_new (method, url);
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GBytes) got = NULL;
+
+  if (body != NULL)
+    {
+      g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
+
+      soup_message_set_request_body_from_bytes (m, "application/json", bytes);
+    }
+  add_headers (m, o, if_match);
+  got = soup_session_send_and_read (s, m, NULL, &error);
+  if (got == NULL)
+    {
+      fprintf (stderr, "capercrankctl: %s can't be reached: %s\n", address,
+               error->message);
+      return a;
+    }
+  a.status = soup_message_get_status (m);
+  a.body = g_strndup (g_bytes_get_data (got, NULL), g_bytes_get_size (got));
+  a.etag = g_strdup (soup_message_headers_get_one (
+      soup_message_get_response_headers (m), "ETag"));
+  return a;
+}
+
+static void
+print_findings (JsonObject *o)
+{
+  JsonArray *list = json_object_get_array_member (o, "findings");
+
+  for (guint i = 0; i < json_array_get_length (list); i++)
+    {
+      JsonObject *one = json_array_get_object_element (list, i);
+
+      fprintf (stderr, "  %s: %s\n",
+               json_object_get_string_member_with_default (one, "place", ""),
+               json_object_get_string_member_with_default (one, "text", ""));
+    }
+}
+
+static void
+print_error (const CtlAnswer *a)
+{
+  g_autoptr (JsonNode) root = json_from_string (a->body, NULL);
+  JsonObject *o;
+  gint64 version;
+
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    {
+      fprintf (stderr, "capercrankctl: answer %u: %s\n", a->status, a->body);
+      return;
+    }
+  o = json_node_get_object (root);
+  fprintf (stderr, "capercrankctl: %s\n",
+           json_object_get_string_member_with_default (o, "error", "refused"));
+  version = json_object_get_int_member_with_default (o, "version", 0);
+  if (version > 0)
+    fprintf (stderr, "  version in force: %" G_GINT64_FORMAT "\n", version);
+  if (json_object_has_member (o, "findings"))
+    print_findings (o);
+}
+
+/* Tells what A says if it is no success.  Returns the exit code. */
+int
+ctl_report (const CtlOptions *o, const CtlAnswer *a)
+{
+  if (a->status == 0)
+    return CTL_FAILED;
+  if (a->status == SOUP_STATUS_OK)
+    return CTL_DONE;
+  if (o->json)
+    fprintf (stderr, "%s\n", a->body);
+  else
+    print_error (a);
+  return CTL_FAILED;
+}
--- /dev/null
+++ b/drain_api.c
@@ -0,0 +1,159 @@
+/* PUT    /v1/drain/POOL/SERVER   the server's keys move away
+ * DELETE /v1/drain/POOL/SERVER   it may own keys again
+ *
+ * An order is a row drain/POOL/SERVER of the table, so it outlives whoever
+ * took it; the assigner treats the server as if the platform listed it as
+ * leaving.  Both orders say what is to be, not what is to change: given twice
+ * they do no harm, so a lost answer is met by giving the order again. */
+#include "drain_api.h"
+
+#include <string.h>
+
+#include <json-glib/json-glib.h>
+
+#include "admin.h"
+#include "clock.h"
+#include "log.h"
+#include "operator_http.h"
+
+#define PATH "/v1/drain"
+
+typedef struct
+{
+  CcFollower *follower;
+  CcPlatform *platform;
+  char *token; /* orders must carry it; "": none is asked for */
+} Api;
+
+typedef struct
+{
+  Api *api;
+  SoupServerMessage *message;
+  char *key; /* of the row */
+  gboolean drain;
+} Order;
+
+static char *
+key_of (const char *pool, const char *server)
+{
+  return g_strconcat ("drain/", pool, "/", server, NULL);
+}
+
+/* Whether an operator wants SERVER of POOL drained, as far as V knows. */
+gboolean
+cc_drain_is_ordered (const CcView *v, const char *pool, const char *server)
+{
+  g_autofree char *key = key_of (pool, server);
+
+  return cc_view_get (v, key) != NULL;
+}
+
+static void
+on_committed (CcStatus status, guint64 version, gpointer data)
+{
+  Order *o = data;
+
+  if (status == CC_OK)
+    {
+      cc_log (CC_LOG_INFO, "drain", "%s %s by an operator", o->key,
+              o->drain ? "ordered" : "ended");
+      cc_http_answer (o->message, SOUP_STATUS_OK, "application/json", "{}\n");
+      cc_follower_poll (o->api->follower);
+    }
+  else if (status == CC_UNKNOWN)
+    cc_operator_answer_error (o->message, SOUP_STATUS_GATEWAY_TIMEOUT,
+                              "the platform's answer was lost; give the order "
+                              "again, twice does no harm",
+                              version);
+  else
+    cc_operator_answer_error (o->message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                              "the platform can't be reached; nothing was "
+                              "changed, ask again",
+                              version);
+  soup_server_message_unpause (o->message);
+  g_object_unref (o->message);
+  g_free (o->key);
+  g_free (o);
+}
+
+static char *
+order_value (void)
+{
+  return g_strdup_printf ("{\"since_ms\":%" G_GINT64_FORMAT "}",
+                          cc_clock_wall () / CC_MS);
+}
+
+static void
+write_order (Api *api, SoupServerMessage *m, char *key, gboolean drain)
+{
+  Order *o = g_new0 (Order, 1);
+  CcTransaction *x = cc_transaction_new ();
+  g_autofree char *value = drain ? order_value () : NULL;
+
+  o->api = api;
+  o->message = g_object_ref (m);
+  o->key = key;
+  o->drain = drain;
+  cc_transaction_put (x, key, value);
+  soup_server_message_pause (m);
+  cc_platform_commit (api->platform, x, on_committed, o);
+}
+
+/* Only a server that stands in the pool's map can be drained: the rows are
+ * thereby as few as the servers, whoever sends what. */
+static gboolean
+is_known (const Api *api, const char *pool, const char *server)
+{
+  const CcSliceMap *m = cc_follower_map (api->follower, pool);
+
+  return m != NULL && cc_slicemap_find (m, server) >= 0;
+}
+
+static void
+on_drain (SoupServer *server, SoupServerMessage *m, const char *path,
+          GHashTable *query, gpointer data)
+{
+  Api *api = data;
+  const char *method = soup_server_message_get_method (m);
+  gboolean drain = g_str_equal (method, "PUT");
+  g_auto (GStrv) parts = g_strsplit (path, "/", -1);
+
+  (void) server, (void) query;
+  if (!drain && !g_str_equal (method, "DELETE"))
+    cc_operator_answer_error (m, SOUP_STATUS_METHOD_NOT_ALLOWED,
+                              "use PUT or DELETE", 0);
+  else if (!cc_operator_may_order (m, api->token))
+    return;
+  else if (g_strv_length (parts) != 5)
+    cc_operator_answer_error (m, SOUP_STATUS_BAD_REQUEST,
+                              "the path is " PATH "/POOL/SERVER", 0);
+  else if (drain && !is_known (api, parts[3], parts[4]))
+    cc_operator_answer_error (m, SOUP_STATUS_NOT_FOUND,
+                              "there is no such server in the pool's map", 0);
+  else
+    write_order (api, m, key_of (parts[3], parts[4]), drain);
+}
+
+static void
+api_free (gpointer data)
+{
+  Api *api = data;
+
+  g_free (api->token);
+  g_free (api);
+}
+
+/* Adds the orders to ADMIN.  F and P must outlive it.  Orders must carry TOKEN
+ * unless it is empty. */
+void
+cc_drain_api_add (SoupServer *admin, CcFollower *f, CcPlatform *p,
+                  const char *token)
+{
+  Api *api = g_new0 (Api, 1);
+
+  api->follower = f;
+  api->platform = p;
+  api->token = g_strdup (token);
+  cc_operator_limit (admin, PATH);
+  soup_server_add_handler (admin, PATH, on_drain, api, api_free);
+}
--- a/entry.c
+++ b/entry.c
@@ -8,6 +8,7 @@
 #include "ask.h"
 #include "clock.h"
 #include "follower.h"
+#include "http_limit.h"
 #include "log.h"
 #include "metrics.h"
 #include "outcome.h"
@@ -384,11 +385,8 @@
 on_headers (SoupServer *server, SoupServerMessage *m, const char *path,
             GHashTable *query, gpointer data)
 {
-  SoupMessageHeaders *h = soup_server_message_get_request_headers (m);
-
   (void) server, (void) path, (void) query, (void) data;
-  if (soup_message_headers_get_encoding (h) != SOUP_ENCODING_CONTENT_LENGTH ||
-      soup_message_headers_get_content_length (h) <= CC_BODY_MAX)
+  if (cc_http_limit_body (m, CC_BODY_MAX))
     return;
   soup_message_headers_replace (soup_server_message_get_response_headers (m),
                                 "Connection", "close");
--- a/follower.c
+++ b/follower.c
@@ -15,7 +15,8 @@
 #define TICK_MS 100    /* how often the rest is looked at */
 #define POLL_TICKS 2   /* platform asked every 200 ms: 5 reads/s each */
 #define GOSSIP_TICKS 5 /* a peer asked every 500 ms */
-#define LISTENER_KEPT (2 * CC_SECOND) /* without a SYNC it is forgotten */
+#define PLATFORM_SILENT (2 * CC_SECOND) /* longer than one lost answer */
+#define LISTENER_KEPT (2 * CC_SECOND)   /* without a SYNC it is forgotten */
 
 typedef struct
 {
@@ -64,6 +65,7 @@
   f->gossips = gossips;
   f->changed = changed;
   f->data = data;
+  f->platform_told = TRUE;
   return f;
 }
 
@@ -191,6 +193,27 @@
   tell_listeners (f);
 }
 
+/* Tells when the platform falls silent and when it answers again.  One lost
+ * poll is no news: polls are bounded by the platform's timeout and come five
+ * times a second. */
+static void
+note_platform (CcFollower *f, gboolean answered)
+{
+  gint64 now = cc_clock_now ();
+  gboolean silent = !answered && now - f->platform_ok > PLATFORM_SILENT;
+
+  if (answered)
+    f->platform_ok = now;
+  if (answered != f->platform_told && (answered || silent))
+    {
+      f->platform_told = answered;
+      cc_log (answered ? CC_LOG_INFO : CC_LOG_WARNING, "platform",
+              answered ? "it answers"
+                       : "it does not answer; trying on, rows come from peers");
+    }
+  cc_metrics_gauge ("capercrank_platform_reachable", "", f->platform_told);
+}
+
 static void
 on_polled (CcStatus status, guint64 since, guint64 upto, GVariant *rows,
            gpointer data)
@@ -198,9 +221,9 @@
   CcFollower *f = data;
 
   f->polling = FALSE;
+  note_platform (f, status == CC_OK);
   if (status != CC_OK)
     return;
-  f->platform_ok = cc_clock_now ();
   take_rows (f, since, upto, rows);
 }
 
--- /dev/null
+++ b/map_change.c
@@ -0,0 +1,154 @@
+/* The reason is read off the two maps, not reported by whoever decided: every
+ * way in which a map can come to change is then covered, and what operators
+ * read is what was written.
+ *
+ * A handover takes two versions.  The second only completes what the first
+ * began, so it keeps the first one's reason: an operator who looks a second
+ * later still reads what set it off. */
+#include "map_change.h"
+
+#include <string.h>
+
+#define NAMED_MAX 3 /* names listed in full; more are counted */
+
+/* Things of one kind that happened: the first names, and how many in all. */
+typedef struct
+{
+  GString *names;
+  guint count;
+} Tally;
+
+static void
+tally_add (Tally *t, const char *name)
+{
+  if (t->names == NULL)
+    t->names = g_string_new (NULL);
+  if (t->count < NAMED_MAX)
+    g_string_append_printf (t->names, "%s%s", t->count > 0 ? ", " : "", name);
+  t->count++;
+}
+
+static void
+tally_print (Tally *t, const char *text, GString *into)
+{
+  if (t->count == 0)
+    return;
+  g_string_append_printf (into, "%s%s %s", into->len > 0 ? "; " : "",
+                          t->names->str, text);
+  if (t->count > NAMED_MAX)
+    g_string_append_printf (into, " (and %u more)", t->count - NAMED_MAX);
+  g_string_free (t->names, TRUE);
+}
+
+typedef struct
+{
+  Tally joined, back, leaving, lost, dropped, taken_over, handed_over;
+} ServerTallies;
+
+static void
+note_state (ServerTallies *t, const CcMapServer *now, const CcMapServer *old)
+{
+  if (now->state == old->state)
+    return;
+  if (now->state == CC_SERVER_LIVE)
+    tally_add (&t->back, now->name);
+  else if (now->state == CC_SERVER_LEAVING)
+    tally_add (&t->leaving, now->name);
+  else
+    tally_add (&t->lost, now->name);
+}
+
+static void
+note_dispatcher (ServerTallies *t, const CcMapServer *now,
+                 const CcMapServer *old)
+{
+  if (strcmp (now->dispatcher, old->dispatcher) == 0 ||
+      old->dispatcher[0] == '\0')
+    return;
+  if (now->from[0] != '\0')
+    tally_add (&t->handed_over, now->name);
+  else
+    tally_add (&t->taken_over, now->name);
+}
+
+static void
+note_servers (ServerTallies *t, const CcSliceMap *m, const CcSliceMap *before)
+{
+  for (guint i = 0; i < m->servers->len; i++)
+    {
+      const CcMapServer *now = m->servers->pdata[i];
+      const CcMapServer *old =
+          cc_slicemap_server (before, cc_slicemap_find (before, now->name));
+
+      if (old == NULL)
+        {
+          tally_add (&t->joined, now->name);
+          continue;
+        }
+      note_state (t, now, old);
+      note_dispatcher (t, now, old);
+    }
+  for (guint i = 0; i < before->servers->len; i++)
+    {
+      const CcMapServer *old = before->servers->pdata[i];
+
+      if (cc_slicemap_find (m, old->name) < 0)
+        tally_add (&t->dropped, old->name);
+    }
+}
+
+static void
+print_servers (ServerTallies *t, GString *into)
+{
+  tally_print (&t->joined, "joined", into);
+  tally_print (&t->back, "answers again, or is no longer drained", into);
+  tally_print (&t->leaving, "is leaving or drained", into);
+  tally_print (&t->lost, "is silent or no longer listed", into);
+  tally_print (&t->dropped, "was dropped", into);
+  tally_print (&t->taken_over, "was taken over, its dispatcher lost its lease",
+               into);
+  tally_print (&t->handed_over, "is handed over, its dispatcher drains", into);
+}
+
+/* How many slices began to move or got their first owner. */
+static guint
+moves_begun (const CcSliceMap *m, const CcSliceMap *before)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < MIN (m->slices->len, before->slices->len); i++)
+    if (cc_slicemap_at (m, i)->epoch != cc_slicemap_at (before, i)->epoch)
+      n++;
+  return n;
+}
+
+static void
+set_reason (CcSliceMap *m, const char *text)
+{
+  g_free (m->reason);
+  m->reason = g_strdup (text);
+}
+
+/* Sets M's reason from what differs from BEFORE, the map that it replaces;
+ * NULL if it is the first. */
+void
+cc_slicemap_note_reason (CcSliceMap *m, const CcSliceMap *before)
+{
+  ServerTallies t = { 0 };
+  g_autoptr (GString) text = g_string_new (NULL);
+  guint moves;
+
+  if (before == NULL)
+    {
+      set_reason (m, "the pool is new");
+      return;
+    }
+  moves = moves_begun (m, before);
+  note_servers (&t, m, before);
+  print_servers (&t, text);
+  if (moves > 0)
+    g_string_append_printf (text, "%s%u slices move",
+                            text->len > 0 ? ": " : "balance of load: ", moves);
+  if (text->len > 0)
+    set_reason (m, text->str);
+}
--- /dev/null
+++ b/map_change.h
@@ -0,0 +1,9 @@
+/* Says in words why a slice map changed. */
+#ifndef CC_MAP_CHANGE_H
+#define CC_MAP_CHANGE_H
+
+#include "slicemap.h"
+
+void cc_slicemap_note_reason (CcSliceMap *m, const CcSliceMap *before);
+
+#endif
--- /dev/null
+++ b/operator_http.c
@@ -0,0 +1,109 @@
+/* What the operators' handlers share: answers, and who may give orders.
+ *
+ * With a token set (CAPERCRANK_OPERATOR_TOKEN) an order must carry it; reading
+ * needs none.  It keeps a stray script, or a process that can reach the admin
+ * port, from changing the configuration.  It goes over plain HTTP: whoever can
+ * read the network's traffic can read it. */
+#include "operator_http.h"
+
+#include <string.h>
+
+#include "admin.h"
+#include "http_limit.h"
+#include "secret.h"
+
+#define SCHEME "Bearer "
+
+/* Answers M with STATUS and what B built. */
+void
+cc_operator_answer_json (SoupServerMessage *m, guint status, JsonBuilder *b)
+{
+  g_autoptr (JsonNode) root = json_builder_get_root (b);
+  g_autofree char *text = json_to_string (root, TRUE);
+
+  cc_http_answer (m, status, "application/json", text);
+}
+
+/* Answers M with STATUS, a sentence and the VERSION in force (0: none). */
+void
+cc_operator_answer_error (SoupServerMessage *m, guint status, const char *text,
+                          guint64 version)
+{
+  g_autoptr (JsonBuilder) b = json_builder_new ();
+
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "error");
+  json_builder_add_string_value (b, text);
+  json_builder_set_member_name (b, "version");
+  json_builder_add_int_value (b, (gint64) version);
+  json_builder_end_object (b);
+  cc_operator_answer_json (m, status, b);
+}
+
+/* Answers M with 422 and all findings of F. */
+void
+cc_operator_answer_findings (SoupServerMessage *m, const CcFindings *f)
+{
+  g_autoptr (JsonBuilder) b = json_builder_new ();
+
+  json_builder_begin_object (b);
+  json_builder_set_member_name (b, "error");
+  json_builder_add_string_value (b, "the document is not valid");
+  json_builder_set_member_name (b, "findings");
+  json_builder_begin_array (b);
+  for (guint i = 0; i < f->list->len; i++)
+    {
+      const CcFinding *one = f->list->pdata[i];
+
+      json_builder_begin_object (b);
+      json_builder_set_member_name (b, "place");
+      json_builder_add_string_value (b, one->place);
+      json_builder_set_member_name (b, "text");
+      json_builder_add_string_value (b, one->text);
+      json_builder_end_object (b);
+    }
+  json_builder_end_array (b);
+  json_builder_end_object (b);
+  cc_operator_answer_json (m, SOUP_STATUS_UNPROCESSABLE_ENTITY, b);
+}
+
+/* Whether M carries TOKEN, or TOKEN is empty.  If not, M is answered. */
+gboolean
+cc_operator_may_order (SoupServerMessage *m, const char *token)
+{
+  const char *given = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (m), "Authorization");
+
+  if (token[0] == '\0')
+    return TRUE;
+  if (given != NULL && g_str_has_prefix (given, SCHEME) &&
+      cc_secret_equal (given + strlen (SCHEME), token))
+    return TRUE;
+  soup_message_headers_replace (soup_server_message_get_response_headers (m),
+                                "WWW-Authenticate", "Bearer");
+  cc_operator_answer_error (m, SOUP_STATUS_UNAUTHORIZED,
+                            "orders need the operators' token", 0);
+  return FALSE;
+}
+
+static void
+on_headers (SoupServer *server, SoupServerMessage *m, const char *path,
+            GHashTable *query, gpointer data)
+{
+  (void) server, (void) path, (void) query, (void) data;
+  if (cc_http_limit_body (m, CC_DOCUMENT_MAX))
+    return;
+  soup_message_headers_replace (soup_server_message_get_response_headers (m),
+                                "Connection", "close");
+  cc_operator_answer_error (m, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE,
+                            "the document is too large", 0);
+}
+
+/* Bounds the bodies of requests to PATH of ADMIN.  libsoup asks the early
+ * handler of the very path that a request's handler was added for, so each of
+ * them needs its own. */
+void
+cc_operator_limit (SoupServer *admin, const char *path)
+{
+  soup_server_add_early_handler (admin, path, on_headers, NULL, NULL);
+}
--- /dev/null
+++ b/operator_http.h
@@ -0,0 +1,22 @@
+/* Answers to operators, and who may give orders. */
+#ifndef CC_OPERATOR_HTTP_H
+#define CC_OPERATOR_HTTP_H
+
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
+
+#include "findings.h"
+
+/* Bytes of a document: 256 classes are 27 kB (make capacity), the rest is
+ * for descriptions. */
+#define CC_DOCUMENT_MAX (256 * 1024)
+
+void cc_operator_answer_json (SoupServerMessage *m, guint status,
+                              JsonBuilder *b);
+void cc_operator_answer_error (SoupServerMessage *m, guint status,
+                               const char *text, guint64 version);
+void cc_operator_answer_findings (SoupServerMessage *m, const CcFindings *f);
+gboolean cc_operator_may_order (SoupServerMessage *m, const char *token);
+void cc_operator_limit (SoupServer *admin, const char *path);
+
+#endif
--- /dev/null
+++ b/test/test_map_change.c
@@ -0,0 +1,138 @@
+/* What operators read as the reason of a map's last change. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "map_change.h"
+
+/* A settled map of two servers, each held by a dispatcher of its own. */
+static CcSliceMap *
+settled (void)
+{
+  CcSliceMap *m = cc_slicemap_new ("gate", 4);
+
+  for (gint32 i = 0; i < 2; i++)
+    {
+      CcMapServer *s;
+
+      cc_slicemap_add (m, i == 0 ? "gate-1" : "gate-2", "127.0.0.1:1", "a");
+      s = cc_slicemap_server (m, i);
+      g_free (s->dispatcher);
+      s->dispatcher = g_strdup (i == 0 ? "d1" : "d2");
+      s->term = 1;
+    }
+  for (guint i = 0; i < 4; i++)
+    *cc_slicemap_at (m, i) = (CcMapSlice){ (gint32) (i % 2), -1, 1 };
+  g_free (m->reason);
+  m->reason = g_strdup ("earlier");
+  return m;
+}
+
+static void
+nothing (CcSliceMap *m)
+{
+  (void) m;
+}
+
+static void
+move_one (CcSliceMap *m)
+{
+  *cc_slicemap_at (m, 0) = (CcMapSlice){ 1, 0, 2 };
+}
+
+static void
+join (CcSliceMap *m)
+{
+  cc_slicemap_add (m, "gate-3", "127.0.0.1:3", "a");
+}
+
+static void
+leave (CcSliceMap *m)
+{
+  cc_slicemap_server (m, 0)->state = CC_SERVER_LEAVING;
+  move_one (m);
+}
+
+static void
+lose (CcSliceMap *m)
+{
+  cc_slicemap_server (m, 1)->state = CC_SERVER_LOST;
+}
+
+static void
+take_over (CcSliceMap *m)
+{
+  CcMapServer *s = cc_slicemap_server (m, 0);
+
+  g_free (s->dispatcher);
+  s->dispatcher = g_strdup ("d9");
+}
+
+static void
+hand_over (CcSliceMap *m)
+{
+  CcMapServer *s = cc_slicemap_server (m, 0);
+
+  g_free (s->from);
+  s->from = g_strdup ("d1");
+  take_over (m);
+}
+
+static void
+test_reasons (void **state)
+{
+  static const struct
+  {
+    void (*change) (CcSliceMap *m);
+    const char *reason; /* a part of it */
+  } cases[] = {
+    { nothing, "earlier" },
+    { move_one, "balance of load: 1 slices move" },
+    { join, "gate-3 joined" },
+    { leave, "gate-1 is leaving or drained: 1 slices move" },
+    { lose, "gate-2 is silent" },
+    { take_over, "gate-1 was taken over" },
+    { hand_over, "gate-1 is handed over" },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      CcSliceMap *before = settled (), *m = settled ();
+
+      cases[i].change (m);
+      cc_slicemap_note_reason (m, before);
+      if (strstr (m->reason, cases[i].reason) == NULL)
+        fail_msg ("case %u: \"%s\"", i, m->reason);
+      cc_slicemap_free (before);
+      cc_slicemap_free (m);
+    }
+}
+
+/* The second half of a move only completes it: the first one's reason stays. */
+static void
+test_completion_keeps_reason (void **state)
+{
+  CcSliceMap *before = settled (), *m = settled ();
+
+  leave (before);
+  leave (m);
+  cc_slicemap_at (m, 0)->from = -1;
+  cc_slicemap_note_reason (m, before);
+  assert_string_equal (m->reason, "earlier");
+  cc_slicemap_free (before);
+  cc_slicemap_free (m);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = { cmocka_unit_test (test_reasons),
+                                      cmocka_unit_test (
+                                          test_completion_keeps_reason) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
