--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,12 @@
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo prove
-TEST_LIB = harness records scenarios_lease scenarios_outcome
+TEST_LIB = harness records scenarios_config \
+  scenarios_lease scenarios_outcome
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
+EXAMPLE_BIN = $(patsubst %.c,$(BUILD)/%,$(wildcard examples/*.c))
 DEPLOYMENT ?= hradna
 
 all: $(BIN)
@@ -53,14 +55,17 @@
 $(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/test/libtest.a $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcmocka
 
+$(BUILD)/examples/%: $(BUILD)/examples/%.o $(BUILD)/libcapercrank.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
+
 -include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d)
 .SECONDARY:
-.PHONY: all build-all prove deps demo check format lint test clean
+.PHONY: all build-all prove modules deps demo check format lint test clean
 
 deps:
 	@sh .ci/deps
 
-build-all: $(BIN) $(STAND_BIN) $(TEST_BIN)
+build-all: $(BIN) $(STAND_BIN) $(TEST_BIN) $(EXAMPLE_BIN)
 
 demo: deps
 	@$(MAKE) -s build-all
@@ -70,6 +75,10 @@
 prove: build-all
 	@$(BUILD)/test/prove $(SCENARIO) $(SEED)
 
+# the picture of which module uses which
+modules:
+	@sh test/modules.sh > docs/MODULES.md
+
 SOURCES = $(wildcard *.c *.h test/*.c test/*.h examples/*.c)
 
 format:
--- a/test/harness.c
+++ b/test/harness.c
@@ -170,6 +170,7 @@
   flag (d, "peers", "%s", seeds);
   flag (d, "platform", "%s", platform);
   flag (a, "platform", "%s", platform);
+  flag (a, "peers", "%s,%s", front_d, seeds);
 }
 
 static void
--- a/test/prove.c
+++ b/test/prove.c
@@ -9,7 +9,8 @@
 #define DEPLOYMENT "test/small.json"
 #define LOAD_PERCENT 100
 
-static const Scenario *const groups[] = { lease_scenarios, outcome_scenarios };
+static const Scenario *const groups[] = { config_scenarios, lease_scenarios,
+                                          outcome_scenarios };
 
 /* Waits while the deployment runs. */
 void
--- a/test/prove.h
+++ b/test/prove.h
@@ -18,6 +18,7 @@
   gboolean in_check; /* part of make check */
 } Scenario;
 
+extern const Scenario config_scenarios[];  /* operators racing, cuts */
 extern const Scenario lease_scenarios[];   /* leases, epochs, moves, cuts */
 extern const Scenario outcome_scenarios[]; /* repeats, silence, drains */
 
--- /dev/null
+++ b/test/scenarios_config.c
@@ -0,0 +1,330 @@
+/* Configuration: what operators have had accepted is in force everywhere
+ * within seconds, and nowhere does an older one come back. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "prove.h"
+
+#define IN_FORCE_MS 5000
+#define LOOK_MS 100
+#define PROCESSES_MAX 64
+
+/* One operator's attempt. */
+typedef struct
+{
+  Cluster *cluster;
+  guint instance; /* whose assigner is asked */
+  char *document;
+  char *base;   /* the version it is to replace */
+  guint status; /* HTTP; 0: no answer */
+  char *answer;
+} Attempt;
+
+/* The versions that each process was seen to have in force. */
+typedef struct
+{
+  guint64 seen[PROCESSES_MAX];
+  guint backwards; /* times that a process showed an older one */
+} Watch;
+
+static char *
+admin_of (Cluster *c, const Process *p)
+{
+  g_auto (GStrv) parts = g_strsplit (p->name, "-", 2);
+
+  if (p->pool != NULL || g_strv_length (parts) != 2)
+    return NULL;
+  return cluster_admin (c, parts[0], (guint) atoi (parts[1]));
+}
+
+/* The version in force at P; 0 if it has none or does not answer. */
+static guint64
+version_at (Cluster *c, const Process *p)
+{
+  static const char *const name = "capercrank_configuration_version{} ";
+  g_autofree char *admin = admin_of (c, p);
+  g_autofree char *url = g_strconcat ("http://", admin, "/metrics", NULL);
+  g_autofree char *answer = NULL;
+  const char *at;
+
+  cluster_http ("GET", url, NULL, NULL, &answer);
+  at = strstr (answer, name);
+  return at != NULL ? (guint64) g_ascii_strtod (at + strlen (name), NULL) : 0;
+}
+
+static gboolean
+is_watched (const Process *p, const char *but_zone)
+{
+  return p->pool == NULL && p->zone[0] != '\0' && p->pid != 0 &&
+         g_strcmp0 (p->zone, but_zone) != 0;
+}
+
+/* Looks at every process outside BUT_ZONE (NULL: all).  Returns how many have
+ * another version than WANTED. */
+static guint
+look (Cluster *c, Watch *w, guint64 wanted, const char *but_zone)
+{
+  guint missing = 0;
+
+  for (guint i = 0; i < c->processes->len && i < PROCESSES_MAX; i++)
+    {
+      const Process *p = c->processes->pdata[i];
+      guint64 v;
+
+      if (!is_watched (p, but_zone))
+        continue;
+      v = version_at (c, p);
+      if (v < w->seen[i])
+        {
+          fprintf (stderr,
+                   "%s stepped back from %" G_GUINT64_FORMAT
+                   " to %" G_GUINT64_FORMAT "\n",
+                   p->name, w->seen[i], v);
+          w->backwards++;
+        }
+      w->seen[i] = v;
+      missing += v != wanted ? 1 : 0;
+    }
+  return missing;
+}
+
+/* Waits until WANTED is in force outside BUT_ZONE.  Returns the time it took,
+ * in ms, or -1 if it took longer than IN_FORCE_MS. */
+static gint64
+wait_in_force (Cluster *c, Watch *w, guint64 wanted, const char *but_zone)
+{
+  gint64 start = g_get_monotonic_time ();
+
+  for (;;)
+    {
+      guint missing = look (c, w, wanted, but_zone);
+      gint64 took = (g_get_monotonic_time () - start) / 1000;
+
+      if (missing == 0)
+        {
+          fprintf (stderr,
+                   "version %" G_GUINT64_FORMAT " in force after %d ms\n",
+                   wanted, (int) took);
+          return took;
+        }
+      if (took > IN_FORCE_MS)
+        {
+          fprintf (stderr, "%u processes lack version %" G_GUINT64_FORMAT "\n",
+                   missing, wanted);
+          return -1;
+        }
+      pause_ms (LOOK_MS);
+    }
+}
+
+static gpointer
+submit (gpointer data)
+{
+  Attempt *a = data;
+  g_autofree char *admin = cluster_admin (a->cluster, "assign", a->instance);
+  g_autofree char *url = g_strconcat ("http://", admin, "/v1/config", NULL);
+
+  a->status = cluster_http ("PUT", url, a->document, a->base, &a->answer);
+  return NULL;
+}
+
+/* The document with another description, so that the two differ. */
+static char *
+document_with (Cluster *c, const char *description)
+{
+  const char *at = strstr (c->document, "\"description\"");
+  const char *end = strchr (at, '\n'); /* the document is printed in lines */
+  g_autofree char *head = g_strndup (c->document, (gsize) (at - c->document));
+
+  return g_strdup_printf ("%s\"description\" : \"%s\",%s", head, description,
+                          end);
+}
+
+static guint64
+accepted_version (const Attempt *a)
+{
+  const char *at = strstr (a->answer, "\"version\"");
+
+  return a->status == 200 && at != NULL
+             ? g_ascii_strtoull (strchr (at, ':') + 1, NULL, 10)
+             : 0;
+}
+
+static void
+attempt_init (Attempt *a, Cluster *c, guint instance, const char *text,
+              guint64 base)
+{
+  *a = (Attempt){ .cluster = c, .instance = instance };
+  a->document = document_with (c, text);
+  a->base = g_strdup_printf ("%" G_GUINT64_FORMAT, base);
+}
+
+static void
+attempt_clear (Attempt *a)
+{
+  g_free (a->document);
+  g_free (a->base);
+  g_free (a->answer);
+}
+
+/* Two operators submit at once through two assigners, both in place of BASE.
+ * Returns the version of the one that was accepted, 0 if it was not exactly
+ * one, or the other was not told why. */
+static guint64
+race (Cluster *c, guint64 base)
+{
+  Attempt a, b;
+  GThread *other;
+  guint64 version = 0;
+
+  attempt_init (&a, c, 1, "first operator", base);
+  attempt_init (&b, c, 2, "second operator", base);
+  other = g_thread_new ("operator", submit, &b);
+  submit (&a);
+  g_thread_join (other);
+  fprintf (stderr, "first: %u %s\nsecond: %u %s\n", a.status, a.answer,
+           b.status, b.answer);
+  if (a.status == 200 && b.status == 409)
+    version = accepted_version (&a);
+  else if (a.status == 409 && b.status == 200)
+    version = accepted_version (&b);
+  if (strstr (a.status == 409 ? a.answer : b.answer, "accepted meanwhile") ==
+      NULL)
+    version = 0;
+  attempt_clear (&a);
+  attempt_clear (&b);
+  return version;
+}
+
+static guint64
+version_now (Cluster *c)
+{
+  return version_at (c, cluster_find (c, "assign-1"));
+}
+
+static guint
+race_of_operators (Cluster *c, GRand *rand)
+{
+  Watch w = { 0 };
+  guint races = 0;
+
+  (void) rand;
+  for (guint i = 0; i < 4; i++)
+    {
+      guint64 version = race (c, version_now (c));
+
+      if (version == 0 || wait_in_force (c, &w, version, NULL) < 0)
+        return 0;
+      races++;
+    }
+  return w.backwards == 0 ? races : 0;
+}
+
+/* The platform acts and never answers while both submit. */
+static guint
+race_with_lost_answers (Cluster *c, GRand *rand)
+{
+  Watch w = { 0 };
+  guint64 version;
+
+  (void) rand;
+  look (c, &w, 0, NULL);
+  cluster_platform (c, "lose", 0);
+  version = race (c, version_now (c));
+  cluster_platform (c, "up", 0);
+  if (version == 0 || wait_in_force (c, &w, version, NULL) < 0)
+    return 0;
+  return w.backwards == 0 ? 1 : 0;
+}
+
+static void
+cut_off (Cluster *c, const char *zone)
+{
+  static const char *const others[] = { "a", "b", "c", "platform" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (others); i++)
+    if (!g_str_equal (others[i], zone))
+      cluster_relay (c, "cut", zone, others[i]);
+}
+
+static void
+restart_instance (Cluster *c, guint i)
+{
+  static const char *const programs[] = { "dispatch", "entry", "assign" };
+
+  for (guint k = 0; k < G_N_ELEMENTS (programs); k++)
+    {
+      g_autofree char *name = g_strdup_printf ("%s-%u", programs[k], i);
+
+      cluster_signal (c, name, SIGKILL);
+      cluster_restart (c, name);
+    }
+}
+
+/* Whether the three processes of instance I have WANTED in force within the
+ * time. */
+static gboolean
+instance_has (Cluster *c, guint i, guint64 wanted)
+{
+  static const char *const programs[] = { "dispatch", "entry", "assign" };
+  guint have = 0;
+
+  for (guint t = 0; t < IN_FORCE_MS && have < 3; t += LOOK_MS)
+    {
+      have = 0;
+      pause_ms (LOOK_MS);
+      for (guint k = 0; k < G_N_ELEMENTS (programs); k++)
+        {
+          g_autofree char *name = g_strdup_printf ("%s-%u", programs[k], i);
+
+          have += version_at (c, cluster_find (c, name)) == wanted ? 1 : 0;
+        }
+    }
+  if (have < 3)
+    fprintf (stderr, "%u of 3 of instance %u have it\n", have, i);
+  return have == 3;
+}
+
+static guint
+start_in_cut_zone (Cluster *c, GRand *rand)
+{
+  Watch w = { 0 };
+  guint64 before = race (c, version_now (c)), after;
+
+  (void) rand;
+  if (before == 0 || wait_in_force (c, &w, before, NULL) < 0)
+    return 0;
+  cut_off (c, "a"); /* instances 3 and 6 */
+  after = race (c, before);
+  restart_instance (c, 6);
+  for (guint i = 0; i < c->processes->len && i < PROCESSES_MAX; i++)
+    if (g_str_has_suffix (((Process *) c->processes->pdata[i])->name, "-6"))
+      w.seen[i] = 0; /* another process of that name */
+  if (after == 0 || wait_in_force (c, &w, after, "a") < 0 ||
+      !instance_has (c, 6, before))
+    return 0;
+  cluster_relay (c, "heal", "", "");
+  return wait_in_force (c, &w, after, NULL) >= 0 && w.backwards == 0 ? 1 : 0;
+}
+
+const Scenario config_scenarios[] = {
+  /* Two operators read the same version and submit in the same second, through
+   * two assigners.  One is accepted, the other is told that it was overtaken;
+   * the accepted one is in force at every process within 5 s. */
+  { "config-race", "Two operators submit conflicting documents at once.", 12, 1,
+    race_of_operators, TRUE },
+  /* The same while the platform writes and its answers are lost: who asked
+   * reads the row and sees whose document it holds. */
+  { "config-race-lost-answers",
+    "Two operators submit while the platform's answers are lost.", 14, 1,
+    race_with_lost_answers, FALSE },
+  /* A zone is cut off from all while a newer document is accepted elsewhere.
+   * An instance that starts in the zone takes the newest its neighbour holds,
+   * and after the cut nobody goes back to it. */
+  { "config-start-in-cut-zone",
+    "An instance starts in a zone cut off from all.", 22, 1, start_in_cut_zone,
+    FALSE },
+  { NULL, NULL, 0, 0, NULL, FALSE }
+};
