--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # make          build the programs
 # make demo     run a deployment of today on loopback, with an audit
+# make capacity measure the slopes of docs/CAPACITY.md
 # make check    warnings as errors, formatter, linter, all tests
 # Packages are listed in .ci/packages; make deps installs what is missing.
 
@@ -22,9 +23,9 @@
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
-STAND_INS = platform upstream relay load demo prove
-TEST_LIB = harness records scenarios_config \
-  scenarios_lease scenarios_outcome
+STAND_INS = platform upstream relay load demo prove capacity
+TEST_LIB = capacity_fleet capacity_links capacity_parts harness records scenarios_config \
+  scenarios_lease scenarios_outcome slopes
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
@@ -60,7 +61,7 @@
 
 -include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d)
 .SECONDARY:
-.PHONY: all build-all prove modules deps demo check format lint test clean
+.PHONY: all build-all prove capacity modules deps demo check format lint test clean
 
 deps:
 	@sh .ci/deps
@@ -75,6 +76,10 @@
 prove: build-all
 	@$(BUILD)/test/prove $(SCENARIO) $(SEED)
 
+# make capacity [PART=parts|links|fleet|requests], about three minutes
+capacity: build-all
+	@$(BUILD)/test/capacity $(PART)
+
 # the picture of which module uses which
 modules:
 	@sh test/modules.sh > docs/MODULES.md
--- a/test/relay.c
+++ b/test/relay.c
@@ -10,7 +10,10 @@
  *   PUT /heal            all cuts end
  *   PUT /silence?a=X&b=Y open connections between X and Y swallow everything
  *                        for good, new ones work
- * Each answers with the number of connections it touched. */
+ * Each answers with the number of connections it touched.
+ *   GET /traffic         a line for each front: its name, bytes passed both
+ * ways
+ */
 #define _GNU_SOURCE
 #include <errno.h>
 #include <fcntl.h>
@@ -41,6 +44,7 @@
 {
   GSocketAddress *real;
   End end;
+  guint64 passed; /* bytes, both ways */
 } Front;
 
 typedef struct Link Link;
@@ -65,6 +69,7 @@
 };
 
 static GPtrArray *links;
+static GPtrArray *fronts;
 static GPtrArray *rules;
 static GHashTable *sources; /* IP to End */
 
@@ -120,6 +125,7 @@
 
   if (n <= 0)
     return n < 0 && errno == EAGAIN;
+  f->link->front->passed += (guint64) n;
   f->filled = (gsize) n;
   f->written = 0;
   return TRUE;
@@ -265,6 +271,7 @@
   GSocket *s = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                              G_SOCKET_PROTOCOL_TCP, NULL);
 
+  g_ptr_array_add (fronts, front);
   front->real = parse_address (f[2]);
   front->end.zone = g_strdup (f[3]);
   front->end.name = g_strdup (f[4]);
@@ -373,6 +380,23 @@
   answer_count (m, n);
 }
 
+static void
+on_traffic (SoupServer *server, SoupServerMessage *m, const char *path,
+            GHashTable *query, gpointer data)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+
+  (void) server, (void) path, (void) query, (void) data;
+  for (guint i = 0; i < fronts->len; i++)
+    {
+      const Front *f = fronts->pdata[i];
+
+      g_string_append_printf (text, "%s %" G_GUINT64_FORMAT "\n", f->end.name,
+                              f->passed);
+    }
+  cc_http_answer (m, SOUP_STATUS_OK, "text/plain", text->str);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -391,12 +415,14 @@
                         argv) != CC_START_RUN)
     return 2;
   links = g_ptr_array_new ();
+  fronts = g_ptr_array_new ();
   rules = g_ptr_array_new ();
   sources = g_hash_table_new (g_str_hash, g_str_equal);
   read_map (cc_setting (settings, "map"));
   soup_server_add_handler (control, "/cut", on_cut, NULL, NULL);
   soup_server_add_handler (control, "/heal", on_heal, NULL, NULL);
   soup_server_add_handler (control, "/silence", on_silence, NULL, NULL);
+  soup_server_add_handler (control, "/traffic", on_traffic, NULL, NULL);
   if (!cc_http_listen (control, cc_setting (settings, "control"), &message))
     {
       fprintf (stderr, "relay: %s\n", message);
