--- a/entry.c
+++ b/entry.c
@@ -8,6 +8,7 @@
 #include "ask.h"
 #include "clock.h"
 #include "follower.h"
+#include "histograms.h"
 #include "http_limit.h"
 #include "log.h"
 #include "metrics.h"
@@ -25,7 +26,8 @@
   CcRouter *router;
   SoupServer *callers;
   GHashTable *stats; /* class name to Stats */
-  gint64 stop_at;    /* 0: not stopping */
+  CcHistograms latency;
+  gint64 stop_at; /* 0: not stopping */
 } Entry;
 
 /* Counters of one class, looked up once. */
@@ -33,7 +35,6 @@
 {
   CcCounter *outcomes[3];
   CcCounter *in_target;
-  CcHistogram *latency;
 } Stats;
 
 /* One caller's request and its open connection. */
@@ -43,6 +44,8 @@
   SoupServerMessage *message;
   CcAsk *ask;
   Stats *stats;
+  CcHistogram *of_class;
+  CcHistogram *of_tenant;
   gint64 within; /* the class's target, us */
   gint64 started;
   gulong disconnected;
@@ -99,7 +102,6 @@
       s->outcomes[i] = cc_metrics_counter ("capercrank_requests", with_outcome);
     }
   s->in_target = cc_metrics_counter ("capercrank_requests_in_target", label);
-  s->latency = cc_metrics_histogram ("capercrank_request_seconds", label);
   g_hash_table_insert (e->stats, g_strdup (class), s);
   return s;
 }
@@ -110,7 +112,8 @@
   gint64 took = cc_clock_now () - c->started;
 
   ++*c->stats->outcomes[outcome];
-  cc_histogram_add (c->stats->latency, took);
+  cc_histogram_add (c->of_class, took);
+  cc_histogram_add (c->of_tenant, took);
   if (outcome == CC_OUTCOME_RUN && took <= c->within)
     ++*c->stats->in_target;
 }
@@ -233,7 +236,8 @@
   if (key == NULL || !cc_idempotency_time (key, &wall))
     cc_findings_add (&c->findings, CC_HDR_IDEMPOTENCY,
                      "a UUID of version 7 is required for this class");
-  else if (wall > cc_clock_wall () + CC_SKEW_MAX)
+  /* By this clock; the dispatcher's may be ahead of it and have run the key. */
+  else if (wall > cc_clock_wall () + CC_SKEW_MAX + CC_INSTANCE_SKEW_MAX)
     cc_findings_add (&c->findings, CC_HDR_IDEMPOTENCY,
                      "its time is in the future, set the caller's clock");
 }
@@ -336,6 +340,8 @@
   c->entry = e;
   c->message = g_object_ref (m);
   c->stats = find_stats (e, class->name);
+  c->of_class = cc_histograms_class (&e->latency, class->name);
+  c->of_tenant = cc_histograms_tenant (&e->latency, w.tenant);
   c->within = class->within;
   c->started = cc_clock_now ();
   g_signal_connect (m, "finished", G_CALLBACK (on_finished), c);
@@ -513,6 +519,7 @@
       break;
     }
   e.stats = g_hash_table_new (g_str_hash, g_str_equal);
+  cc_histograms_init (&e.latency, "capercrank_request_seconds");
   if (!open_ports (&e, settings, cc_clock_incarnation ()))
     return 1;
   seeds = cc_setting_list (settings, "dispatchers");
