--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # make          build the programs
 # make demo     run a deployment of today on loopback, with an audit
+# make capacity measure the slopes of docs/CAPACITY.md
 # make check    warnings as errors, formatter, linter, all tests
 # Packages are listed in .ci/packages; make deps installs what is missing.
 
@@ -20,11 +21,13 @@
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo prove bench bench_path \
-  bare_relay
-TEST_LIB = balancer harness records scenarios_lease scenarios_outcome world
+  bare_relay capacity
+# The rest of test/ is shared by them and by the tests.
+TEST_LIB = $(filter-out test_% $(STAND_INS),$(patsubst test/%.c,%,$(wildcard test/*.c)))
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
+EXAMPLE_BIN = $(patsubst %.c,$(BUILD)/%,$(wildcard examples/*.c))
 DEPLOYMENT ?= hradna
 
 all: $(BIN)
@@ -32,7 +35,7 @@
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	@echo '  CC $<'
-	@$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -MMD -c $< -o $@
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -MMD -MP -c $< -o $@
 
 $(BUILD)/libcapercrank.a: $(LIB_OBJ)
 	@rm -f $@ && ar rcs $@ $^
@@ -40,7 +43,9 @@
 $(BUILD)/capercrank-%: $(BUILD)/%.o $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
-$(BUILD)/capercrankctl: $(BUILD)/ctl.o $(BUILD)/libcapercrank.a
+CTL_OBJ = $(patsubst %,$(BUILD)/ctl%.o,_call _config _follow _show _table)
+
+$(BUILD)/capercrankctl: $(BUILD)/ctl.o $(CTL_OBJ) $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
 $(BUILD)/test/libtest.a: $(TEST_LIB:%=$(BUILD)/test/%.o)
@@ -49,7 +54,10 @@
 $(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/test/libtest.a $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcmocka
 
--include $(wildcard $(BUILD)/*.d $(BUILD)/test/*.d)
+$(BUILD)/examples/%: $(BUILD)/examples/%.o $(BUILD)/libcapercrank.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
+
+-include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d)
 .SECONDARY:
 bench: $(BUILD)/test/bench
 	@$(BUILD)/test/bench $(SEED)
@@ -58,12 +66,13 @@
 bench-path: build-all
 	@$(BUILD)/test/bench_path
 
-.PHONY: all bench bench-path build-all prove deps demo check format lint test clean
+.PHONY: all bench bench-path build-all prove capacity modules deps demo check \
+  format lint test clean
 
 deps:
 	@sh .ci/deps
 
-build-all: $(BIN) $(STAND_BIN) $(TEST_BIN)
+build-all: $(BIN) $(STAND_BIN) $(TEST_BIN) $(EXAMPLE_BIN)
 
 demo: deps
 	@$(MAKE) -s build-all
@@ -73,6 +82,14 @@
 prove: build-all
 	@$(BUILD)/test/prove $(SCENARIO) $(SEED)
 
+# make capacity [PART=parts|links|fleet|requests], about three minutes
+capacity: build-all
+	@$(BUILD)/test/capacity $(PART)
+
+# the picture of which module uses which
+modules:
+	@sh test/modules.sh > docs/MODULES.md
+
 SOURCES = $(wildcard *.c *.h test/*.c test/*.h examples/*.c)
 
 format:
