An idempotent attempt on a silent connection is given up for a fresh one

Cause: a read on a connection that went silent was unknown at its deadline, 2 s later, and held one of four slots until then. Ruled out: a second attempt beside the first, since a key has one owner and it would take a fifth slot; an age alone, which would hedge against slow servers. Change: hedge.c gives up an attempt that is far older than its kind takes and was overtaken by four answers; the next one opens a connection, in the budget.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 LIB_SRC = admin.c admission.c ask.c assignment.c capercrank.c clock.c \
   config_api.c cost.c document.c findings.c follower.c grants.c headers.c \
-  histograms.c holding.c job.c leader.c lease.c limit.c load.c log.c \
+  hedge.c histograms.c holding.c job.c leader.c lease.c limit.c load.c log.c \
   mailbox.c metrics.c outcome.c outcome_transfer.c platform.c queue.c \
   retry.c server.c settings.c slicemap.c tenure.c timers.c upstream.c view.c \
   waiters.c wire.c
@@ -25,7 +25,7 @@
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo prove bench bench_path \
   bare_relay
-TEST_LIB = balancer harness records scenarios_lease scenarios_outcome
+TEST_LIB = balancer bench_run harness records scenarios_lease scenarios_outcome
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
--- a/cost.c
+++ b/cost.c
@@ -76,6 +76,13 @@
     adjust (cost, took);
 }
 
+/* Whether work of KIND was ever answered. */
+gboolean
+cc_costs_known (const CcCosts *c, guint kind)
+{
+  return g_hash_table_contains (c->kinds, GUINT_TO_POINTER (kind));
+}
+
 /* The estimate for KIND; the server's whole work if KIND was never seen. */
 CcCost
 cc_costs_of (const CcCosts *c, guint kind)
--- a/cost.h
+++ b/cost.h
@@ -21,6 +21,7 @@
 void cc_costs_init (CcCosts *c);
 void cc_costs_clear (CcCosts *c);
 void cc_costs_add (CcCosts *c, guint kind, gint64 took);
+gboolean cc_costs_known (const CcCosts *c, guint kind);
 CcCost cc_costs_of (const CcCosts *c, guint kind);
 
 #endif
--- a/load.c
+++ b/load.c
@@ -155,6 +155,7 @@
   if (w->tries++ == 0)
     cc_retries_first (&l->retries, w->class_id);
   w->sent = now;
+  w->answers = l->answers;
   l->running++;
   l->running_long += w->is_long ? 1 : 0;
   l->running_cost[w->is_long] += w->cost;
@@ -173,6 +174,14 @@
   return STALL_MIN + STALL_FACTOR * cost;
 }
 
+/* Whether the server has answered nothing since W was sent; if it has, W's
+ * connection is to blame. */
+static gboolean
+is_silent (const CcLoad *l, const CcWaiting *w)
+{
+  return l->answers == w->answers;
+}
+
 /* W's attempt ended at NOW.  One given up here tells of the server only if it
  * took far too long: a caller with a deadline of 5 ms must not lower a good
  * server's limit. */
@@ -188,6 +197,7 @@
   switch (end)
     {
     case CC_LOAD_ANSWERED:
+      l->answers++;
       l->progress = now;
       cc_costs_add (&l->costs, w->kind, now - w->sent);
       cc_limit_answered (&l->limit, saturated, now);
@@ -199,29 +209,45 @@
     case CC_LOAD_UNSENT:
       break;
     case CC_LOAD_CANCELLED:
-      if (now - w->sent > stall_limit (w->cost))
+      if (is_silent (l, w) && now - w->sent > stall_limit (w->cost))
         cc_limit_lost (&l->limit, now);
       break;
     case CC_LOAD_LOST:
-      cc_limit_lost (&l->limit, now);
+      if (is_silent (l, w))
+        cc_limit_lost (&l->limit, now);
       break;
     }
 }
 
 /* Puts W, whose attempt failed with F, back into the queue if the budget and
- * the class's target allow another.  Returns FALSE if not. */
+ * the deadline allow another.  Returns FALSE if not. */
 gboolean
 cc_load_retry (CcLoad *l, CcWaiting *w, CcFailure f, gint64 now)
 {
   gint64 again = now + estimate (l, w).mean;
 
-  if (again > w->due ||
+  if (again > w->arrived + w->left ||
       !cc_retries_take (&l->retries, w->class_id, w->once_only, f, w->tries))
     return FALSE;
   cc_queue_push (&l->queue, w);
   return TRUE;
 }
 
+/* Whether W's attempt is to be cancelled and tried again, see hedge.c.  Not
+ * the second, whose connection was new; nor work of a kind never measured,
+ * which may take long by its nature. */
+gboolean
+cc_load_hedge (const CcLoad *l, const CcWaiting *w, gint64 now)
+{
+  CcHedgeAsk a = { .once_only = w->once_only,
+                   .age = now - w->sent,
+                   .overtaken = l->answers - w->answers,
+                   .cost = cc_costs_of (&l->costs, w->kind) };
+
+  return w->tries == 1 && cc_costs_known (&l->costs, w->kind) &&
+         cc_hedge_decide (&a);
+}
+
 /* Whether the server has work and has been silent far longer than that
  * takes. */
 gboolean
--- a/load.h
+++ b/load.h
@@ -4,6 +4,7 @@
 
 #include "admission.h"
 #include "cost.h"
+#include "hedge.h"
 #include "limit.h"
 #include "queue.h"
 #include "retry.h"
@@ -18,6 +19,7 @@
   guint running;          /* attempts in the server */
   guint running_long;     /* long ones among them */
   gint64 running_cost[2]; /* expected time of usual and of long ones, us */
+  guint64 answers;        /* of the server, ever */
   gint64 progress;        /* last answer, or send to the idle server, us */
 } CcLoad;
 
@@ -44,6 +46,7 @@
 CcWaiting *cc_load_next (CcLoad *l, CcMaySend may, gpointer data, gint64 now);
 void cc_load_done (CcLoad *l, const CcWaiting *w, CcLoadEnd end, gint64 now);
 gboolean cc_load_retry (CcLoad *l, CcWaiting *w, CcFailure f, gint64 now);
+gboolean cc_load_hedge (const CcLoad *l, const CcWaiting *w, gint64 now);
 gboolean cc_load_stalled (const CcLoad *l, gint64 now);
 guint32 cc_load_wait_ms (const CcLoad *l, gint64 now);
 
--- a/queue.h
+++ b/queue.h
@@ -20,6 +20,7 @@
   gint64 left;        /* to the deadline at arrival, us */
   gboolean once_only; /* not idempotent */
   gint64 sent;        /* when its attempt left, us */
+  guint64 answers;    /* of the server when it was sent */
   guint tries;        /* attempts so far */
   gpointer item;      /* the queue's user's own */
   GSequenceIter *place; /* in the queue; NULL: not in it */
--- a/server.c
+++ b/server.c
@@ -37,6 +37,7 @@
 {
   shared->waiters = cc_waiters_new ();
   shared->retried = cc_metrics_counter ("capercrank_attempts_retried", "");
+  shared->hedged = cc_metrics_counter ("capercrank_attempts_hedged", "");
   cc_histograms_init (&shared->wait, "capercrank_queue_seconds");
   cc_histograms_init (&shared->service, "capercrank_service_seconds");
 }
@@ -193,7 +194,8 @@
                 .slice = j->slice,
                 .epoch = slice->epoch,
                 .run_id = run_id,
-                .once_only = j->once_only };
+                .once_only = j->once_only,
+                .fresh = j->waiting.tries > 1 };
 
   j->sent = cc_clock_now ();
   j->attempt = cc_upstream_send (s->shared->upstream, &o, on_attempt_done, j);
@@ -383,6 +385,27 @@
   g_list_free (jobs);
 }
 
+/* Closes connections that swallowed an idempotent attempt; on_attempt_done
+ * then tries again.  Seldom more than four to look at. */
+static void
+hedge (CcServer *s, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer job;
+
+  g_hash_table_iter_init (&iter, s->sent);
+  while (g_hash_table_iter_next (&iter, &job, NULL))
+    {
+      CcJob *j = job;
+
+      if (j->state == CC_JOB_SENT && cc_load_hedge (&s->load, &j->waiting, now))
+        {
+          ++*s->shared->hedged;
+          cc_attempt_cancel (j->attempt);
+        }
+    }
+}
+
 /* Looks at the server's health and grant at NOW.  Called every 20 ms or so. */
 void
 cc_server_tick (CcServer *s, gint64 now)
@@ -400,6 +423,7 @@
     }
   if (cc_load_stalled (&s->load, now))
     flush_all (s, "stalled", wait_ms (s), FALSE);
+  hedge (s, now);
   cc_server_renew_grant (s, now);
   cc_server_pump (s);
 }
--- a/server.h
+++ b/server.h
@@ -22,6 +22,7 @@
   CcOutcomes *outcomes;
   GHashTable *first_attempts; /* "pool/slice/idempotency key" to CcJob */
   GHashTable *waiters;        /* CcWaiter to the CcJob that will answer it */
+  CcCounter *hedged;          /* attempts given up for a fresh one */
   CcCounter *retried;         /* attempts made again */
   CcHistograms wait;          /* in the queue, by class and by tenant */
   CcHistograms service;       /* in the server, the same */
--- /dev/null
+++ b/test/bench_run.c
@@ -0,0 +1,348 @@
+/* Discrete events of one side.  Naive: accept all, first in first out, four
+ * slots for ever, three tries each.  A server has four slots and works half to
+ * one and a half times its class's mean; a frozen one takes attempts and never
+ * answers. */
+#include "bench_run.h"
+
+#define NAIVE_TRIES 3
+#define TICK (20 * CC_MS) /* of the dispatcher */
+
+static gint
+by_time (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  const Event *x = a, *y = b;
+
+  return x->at <= y->at ? -1 : 1;
+}
+
+static void
+schedule (Run *run, gint64 at, EventKind kind, gpointer item)
+{
+  Event *e = g_new (Event, 1);
+
+  *e = (Event){ at, kind, item };
+  g_sequence_insert_sorted (run->events, e, by_time, NULL);
+}
+
+/* The key that is hot at AT, another each second. */
+guint
+hot_key_at (gint64 at)
+{
+  return (guint) (at / CC_SECOND) * 7 % KEYS;
+}
+
+static gboolean
+is_hot (const Scenario *s, const Request *q)
+{
+  return (s->hot_tenant > 0 && q->tenant == 0) || q->is_long ||
+         (s->hot_key > 0 && q->key == hot_key_at (q->at));
+}
+
+static void
+count (Run *run, const Request *q, gboolean ran, gint64 took)
+{
+  gboolean good = ran && took <= run->class->within;
+
+  if (q->at < COUNTED_FROM)
+    return;
+  run->r.counted++;
+  run->r.in_target += good;
+  if (good)
+    run->r.tenant[q->tenant]++;
+  if (ran)
+    cc_histogram_add (&run->r.answered, took);
+  if (is_hot (run->scenario, q))
+    return;
+  run->r.other++;
+  run->r.other_in_target += good;
+}
+
+static void
+refuse (Run *run, Request *q)
+{
+  q->state = STATE_ENDED;
+  count (run, q, FALSE, 0);
+  if (q->at < COUNTED_FROM)
+    return;
+  run->r.refused++;
+  cc_histogram_add (&run->r.told, run->now - q->at);
+}
+
+static gboolean
+is_frozen (const Run *run, guint server)
+{
+  return run->scenario->frozen && server == 0 && run->now >= 2 * CC_SECOND;
+}
+
+static void
+work (Run *run, guint server)
+{
+  Server *s = &run->servers[server];
+
+  while (s->working < SLOTS && s->waiting.length > 0 &&
+         !is_frozen (run, server))
+    {
+      Attempt *a = g_queue_pop_head (&s->waiting);
+
+      if (a->request == NULL)
+        {
+          g_free (a);
+          continue;
+        }
+      s->working++;
+      schedule (run, run->now + a->work, EVENT_DONE, a);
+    }
+}
+
+static void
+send (Run *run, Request *q)
+{
+  guint server = q->key % run->class->servers;
+  double slow =
+      server == 0 && run->scenario->slow > 0 ? run->scenario->slow : 1;
+  Attempt *a = g_new0 (Attempt, 1);
+
+  a->request = q;
+  a->server = server;
+  a->work = (gint64) ((double) q->work * slow);
+  q->attempt = a;
+  q->state = STATE_SENT;
+  q->tries++;
+  g_hash_table_add (run->servers[server].sent_set, q);
+  if (q->is_silent && q->tries == 1)
+    return;
+  g_queue_push_tail (&run->servers[server].waiting, a);
+  work (run, server);
+}
+
+static void
+pump (Run *run, guint server)
+{
+  Server *s = &run->servers[server];
+  CcWaiting *w;
+  Request *q;
+
+  if (run->ours)
+    while ((w = cc_load_next (&s->load, NULL, NULL, run->now)) != NULL)
+      send (run, w->item);
+  while (!run->ours && s->sent < SLOTS &&
+         (q = g_queue_pop_head (&s->naive)) != NULL)
+    {
+      s->sent++;
+      send (run, q);
+    }
+}
+
+static void
+arrive (Run *run, Request *q)
+{
+  guint server = q->key % run->class->servers;
+  Server *s = &run->servers[server];
+
+  q->state = STATE_QUEUED;
+  q->expires = run->now + run->class->timeout;
+  schedule (run, q->expires, EVENT_EXPIRED, q);
+  if (!run->ours)
+    g_queue_push_tail (&s->naive, q);
+  else
+    {
+      q->waiting = (CcWaiting){ .due = run->now + run->class->within,
+                                .arrived = run->now,
+                                .class_id = 1,
+                                .kind = 1 + (guint) q->is_long,
+                                .tenant = q->tenant + 1,
+                                .slice = q->key + 1,
+                                .within = run->class->within,
+                                .left = run->class->timeout,
+                                .once_only = run->class->once_only,
+                                .item = q };
+      if (!cc_load_offer (&s->load, &q->waiting, run->now).admitted)
+        refuse (run, q);
+    }
+  pump (run, server);
+}
+
+static void
+slot_back (Run *run, guint server, Request *q, CcLoadEnd end)
+{
+  Server *s = &run->servers[server];
+
+  q->attempt = NULL;
+  g_hash_table_remove (s->sent_set, q);
+  if (run->ours)
+    cc_load_done (&s->load, &q->waiting, end, run->now);
+  else
+    s->sent--;
+}
+
+static void
+on_done (Run *run, Attempt *a)
+{
+  guint server = a->server;
+  Request *q = a->request;
+
+  if (is_frozen (run, server))
+    return;
+  run->servers[server].working--;
+  if (q != NULL)
+    {
+      slot_back (run, server, q, CC_LOAD_ANSWERED);
+      q->state = STATE_ENDED;
+      count (run, q, TRUE, run->now - q->at);
+    }
+  g_free (a);
+  work (run, server);
+  pump (run, server);
+}
+
+static void
+give_up (Run *run, Request *q)
+{
+  if (!run->ours && q->tries < NAIVE_TRIES)
+    {
+      arrive (run, q);
+      return;
+    }
+  q->state = STATE_ENDED;
+  count (run, q, FALSE, 0);
+  run->r.unknown += q->at >= COUNTED_FROM;
+}
+
+static void
+on_expired (Run *run, Request *q)
+{
+  guint server = q->key % run->class->servers;
+
+  if (run->now < q->expires || q->state == STATE_ENDED)
+    return;
+  if (q->state == STATE_SENT)
+    {
+      q->attempt->request = NULL;
+      slot_back (run, server, q, CC_LOAD_CANCELLED);
+      give_up (run, q);
+    }
+  else if (run->ours)
+    {
+      cc_queue_remove (&run->servers[server].load.queue, &q->waiting);
+      refuse (run, q);
+    }
+  else
+    {
+      q->tries++;
+      g_queue_remove (&run->servers[server].naive, q);
+      give_up (run, q);
+    }
+  pump (run, server);
+}
+
+static void
+hedge (Run *run, Server *s)
+{
+  g_autoptr (GList) sent = g_hash_table_get_keys (s->sent_set);
+
+  for (GList *i = sent; i != NULL; i = i->next)
+    {
+      Request *q = i->data;
+
+      if (!cc_load_hedge (&s->load, &q->waiting, run->now))
+        continue;
+      q->attempt->request = NULL;
+      slot_back (run, q->key % run->class->servers, q, CC_LOAD_LOST);
+      if (cc_load_retry (&s->load, &q->waiting, CC_FAIL_UNKNOWN, run->now))
+        q->state = STATE_QUEUED;
+      else
+        give_up (run, q);
+    }
+}
+
+/* What the dispatcher does every tick: a stalled server's queue is refused. */
+static void
+on_tick (Run *run)
+{
+  for (guint i = 0; run->ours && i < run->class->servers; i++)
+    {
+      CcLoad *l = &run->servers[i].load;
+      g_autoptr (GPtrArray) items = NULL;
+
+      hedge (run, &run->servers[i]);
+      pump (run, i);
+      if (!cc_load_stalled (l, run->now))
+        continue;
+      items = cc_queue_items (&l->queue);
+      for (guint k = 0; k < items->len; k++)
+        {
+          CcWaiting *w = items->pdata[k];
+
+          cc_queue_remove (&l->queue, w);
+          refuse (run, w->item);
+        }
+    }
+  if (run->now < (SECONDS + 1) * CC_SECOND)
+    schedule (run, run->now + TICK, EVENT_TICK, NULL);
+}
+
+static void
+handle (Run *run, const Event *e)
+{
+  run->now = e->at;
+  switch (e->kind)
+    {
+    case EVENT_DONE:
+      on_done (run, e->item);
+      break;
+    case EVENT_EXPIRED:
+      on_expired (run, e->item);
+      break;
+    case EVENT_TICK:
+      on_tick (run);
+      break;
+    }
+}
+
+static void
+run_events (Run *run, gint64 until)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (run->events);
+
+  while (!g_sequence_iter_is_end (first) &&
+         ((Event *) g_sequence_get (first))->at <= until)
+    {
+      Event e = *(Event *) g_sequence_get (first);
+
+      g_sequence_remove (first);
+      handle (run, &e);
+      first = g_sequence_get_begin_iter (run->events);
+    }
+}
+
+/* Runs ARRIVALS (of Request) through RUN, whose class, scenario and side are
+ * set, and fills in its result. */
+void
+run_side (Run *run, const GArray *arrivals)
+{
+  g_autofree Request *requests =
+      g_memdup2 (arrivals->data, arrivals->len * sizeof (Request));
+
+  run->servers = g_new0 (Server, run->class->servers);
+  run->events = g_sequence_new (g_free);
+  for (guint i = 0; i < run->class->servers; i++)
+    {
+      cc_load_init (&run->servers[i].load);
+      run->servers[i].sent_set = g_hash_table_new (NULL, NULL);
+    }
+  schedule (run, 0, EVENT_TICK, NULL);
+  for (guint i = 0; i < arrivals->len; i++)
+    {
+      run_events (run, requests[i].at);
+      run->now = requests[i].at;
+      arrive (run, &requests[i]);
+    }
+  run_events (run, G_MAXINT64);
+  for (guint i = 0; i < run->class->servers; i++)
+    {
+      cc_load_clear (&run->servers[i].load);
+      g_hash_table_unref (run->servers[i].sent_set);
+    }
+  g_sequence_free (run->events);
+  g_free (run->servers);
+}
--- /dev/null
+++ b/test/test_hedge.c
@@ -0,0 +1,89 @@
+/* When an attempt at idempotent work is given up for a fresh one. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "load.h"
+
+typedef struct
+{
+  const char *name;
+  CcHedgeAsk ask;
+  gboolean again;
+} Case;
+
+/* once-only, age in us, overtaken, cost of mean and deviation in us */
+static const Case cases[] = {
+  { "silent connection", { FALSE, 40000, 4, { 4000, 1000 } }, TRUE },
+  { "slow server: slow for all", { FALSE, 40000, 3, { 4000, 1000 } }, FALSE },
+  { "frozen server", { FALSE, 900000, 0, { 4000, 1000 } }, FALSE },
+  { "once-only", { TRUE, 900000, 900, { 4000, 1000 } }, FALSE },
+  { "long by nature", { FALSE, 90000, 90, { 80000, 20000 } }, FALSE },
+  { "a lost packet", { FALSE, 15000, 99, { 1000, 100 } }, FALSE },
+};
+
+static void
+test_cases (void **state)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    if (cc_hedge_decide (&cases[i].ask) != cases[i].again)
+      fail_msg ("%s", cases[i].name);
+}
+
+static void
+answer (CcLoad *l, CcWaiting *w, gint64 now)
+{
+  *w = (CcWaiting){ .within = 100 * CC_MS, .left = CC_SECOND, .kind = 1 };
+  assert_true (cc_load_offer (l, w, now).admitted);
+  assert_ptr_equal (cc_load_next (l, NULL, NULL, now), w);
+  cc_load_done (l, w, CC_LOAD_ANSWERED, now + 4 * CC_MS);
+}
+
+/* A read goes out on a connection that has gone silent.  Others are answered
+ * meanwhile.  The caller would be told "unknown" at the deadline; instead the
+ * attempt is given up, the limit stays, since the server is well, and the
+ * read goes out again.  The second attempt is never given up. */
+static void
+test_silent_connection (void **state)
+{
+  CcWaiting silent = { .within = 100 * CC_MS, .left = CC_SECOND, .kind = 1 };
+  CcWaiting other;
+  guint limit;
+  CcLoad l;
+
+  cc_load_init (&l);
+  for (guint i = 0; i < 20; i++)
+    answer (&l, &other, i * 10 * CC_MS);
+  silent.arrived = 200 * CC_MS;
+  assert_true (cc_load_offer (&l, &silent, silent.arrived).admitted);
+  assert_non_null (cc_load_next (&l, NULL, NULL, silent.arrived));
+  for (guint i = 0; i < 4; i++)
+    {
+      assert_false (cc_load_hedge (&l, &silent, 230 * CC_MS));
+      answer (&l, &other, (201 + i) * CC_MS);
+    }
+  assert_true (cc_load_hedge (&l, &silent, 230 * CC_MS));
+  limit = l.limit.limit;
+  cc_load_done (&l, &silent, CC_LOAD_LOST, 230 * CC_MS);
+  assert_int_equal (l.limit.limit, limit);
+  assert_true (cc_load_retry (&l, &silent, CC_FAIL_UNKNOWN, 230 * CC_MS));
+  assert_ptr_equal (cc_load_next (&l, NULL, NULL, 230 * CC_MS), &silent);
+  for (guint i = 0; i < 12; i++)
+    answer (&l, &other, (231 + i) * CC_MS);
+  assert_false (cc_load_hedge (&l, &silent, 400 * CC_MS));
+  cc_load_clear (&l);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_silent_connection),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/upstream.c
+++ b/upstream.c
@@ -196,7 +196,7 @@
   a->done = done;
   a->data = data;
   soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
-  if (o->once_only || !is_reusable (o->method))
+  if (o->once_only || o->fresh || !is_reusable (o->method))
     cc_http_once (message);
   if (o->body != NULL && g_bytes_get_size (o->body) > 0)
     soup_message_set_request_body_from_bytes (message, NULL, o->body);
--- a/upstream.h
+++ b/upstream.h
@@ -24,6 +24,7 @@
   guint64 epoch;
   const char *run_id;
   gboolean once_only;
+  gboolean fresh; /* on a new connection: a kept one may have gone silent */
 } CcOrder;
 
 typedef enum
