--- a/Makefile
+++ b/Makefile
@@ -12,14 +12,10 @@
 CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
 LIBS = $(shell pkg-config --libs $(PKGS)) -lnng -lxxhash -lm
 
-LIB_SRC = admin.c admission.c ask.c assignment.c capercrank.c clock.c \
-  config_api.c cost.c document.c findings.c follower.c grants.c headers.c \
-  hedge.c histograms.c holding.c job.c leader.c lease.c limit.c load.c log.c \
-  mailbox.c metrics.c outcome.c outcome_transfer.c platform.c queue.c \
-  retry.c server.c settings.c slicemap.c tenure.c timers.c upstream.c view.c \
-  waiters.c wire.c
-LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS = entry dispatch assign
+# Every source here but the programs' own.
+LIB_SRC = $(filter-out $(PROGRAMS:%=%.c) ctl%.c,$(wildcard *.c))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
--- a/test/bench_run.c
+++ b/test/bench_run.c
@@ -68,6 +68,13 @@
   cc_histogram_add (&run->r.told, run->now - q->at);
 }
 
+/* The owner of Q's key. */
+static guint
+server_of (const Run *run, const Request *q)
+{
+  return q->key % MAX (run->class->servers, 1);
+}
+
 static gboolean
 is_frozen (const Run *run, guint server)
 {
@@ -97,7 +104,7 @@
 static void
 send (Run *run, Request *q)
 {
-  guint server = q->key % run->class->servers;
+  guint server = server_of (run, q);
   double slow =
       server == 0 && run->scenario->slow > 0 ? run->scenario->slow : 1;
   Attempt *a = g_new0 (Attempt, 1);
@@ -136,7 +143,7 @@
 static void
 arrive (Run *run, Request *q)
 {
-  guint server = q->key % run->class->servers;
+  guint server = server_of (run, q);
   Server *s = &run->servers[server];
 
   q->state = STATE_QUEUED;
@@ -211,7 +218,7 @@
 static void
 on_expired (Run *run, Request *q)
 {
-  guint server = q->key % run->class->servers;
+  guint server = server_of (run, q);
 
   if (run->now < q->expires || q->state == STATE_ENDED)
     return;
@@ -247,7 +254,7 @@
       if (!cc_load_hedge (&s->load, &q->waiting, run->now))
         continue;
       q->attempt->request = NULL;
-      slot_back (run, q->key % run->class->servers, q, CC_LOAD_LOST);
+      slot_back (run, server_of (run, q), q, CC_LOAD_LOST);
       if (cc_load_retry (&s->load, &q->waiting, CC_FAIL_UNKNOWN, run->now))
         q->state = STATE_QUEUED;
       else
