--- a/dispatch.c
+++ b/dispatch.c
@@ -144,6 +144,8 @@
   const CcMapServer *owner = NULL;
   CcServer *s = NULL;
   guint slice = 0;
+  guint64 hash =
+      cc_key_hash (g_bytes_get_data (r->key, NULL), g_bytes_get_size (r->key));
 
   if (d->follower->document != NULL)
     class = cc_document_class (d->follower->document, r->class_name);
@@ -151,13 +153,13 @@
     map = cc_follower_map (d->follower, class->pool);
   if (map != NULL)
     {
-      slice =
-          cc_slicemap_slice (map, cc_key_hash (g_bytes_get_data (r->key, NULL),
-                                               g_bytes_get_size (r->key)));
+      slice = cc_slicemap_unit (map, hash);
       owner = cc_slicemap_owner (map, slice);
     }
   if (owner != NULL)
     s = find_server (d, class->pool, owner->name);
+  if (s != NULL && cc_holding_owns (s->holding, slice))
+    cc_unit_meter_arrived (s->meter, slice, hash, cc_clock_now ());
   if (s == NULL || !cc_holding_owns (s->holding, slice))
     refuse (d, m, CC_OUTCOME_NOT_RUN, "moved", MOVED_WAIT_MS, TRUE);
   else if (s->holding->lost)
@@ -216,7 +218,7 @@
 static void
 note_slices (Dispatch *d, const CcSliceMap *m)
 {
-  for (guint i = 0; i < m->slices->len; i++)
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
       const CcMapServer *owner = cc_slicemap_owner (m, i);
 
@@ -350,10 +352,14 @@
 {
   g_autofree char *address = NULL;
   CcMessage m = { .kind = CC_MSG_REPORT };
+  g_autoptr (GVariant) loads = NULL;
+  g_autoptr (GVariant) hot = NULL;
 
   m.to = assigner (d, &address);
   if (m.to == 0)
     return;
+  loads = g_variant_ref_sink (cc_unit_meter_loads (s->meter, cc_clock_now ()));
+  hot = g_variant_ref_sink (cc_unit_meter_hot (s->meter, cc_clock_now ()));
   m.id = cc_mailbox_next_id (d->mailbox);
   m.expires = cc_clock_wall () + 2 * CC_SECOND;
   m.u.report.instance = d->tenure->id;
@@ -363,6 +369,8 @@
   m.u.report.state = s->holding->lost;
   m.u.report.running = s->holding->running;
   m.u.report.queued = cc_queue_length (&s->load.queue);
+  m.u.report.loads = loads;
+  m.u.report.hot = hot;
   cc_mailbox_send (d->mailbox, address, &m);
 }
 
@@ -384,15 +392,16 @@
 }
 
 /* Passes on the memory of the slices that left S.  Comes before the report
- * that lets their next holder begin, so it is mostly there by then. */
-static void
+ * that lets their next holder begin, so it is mostly there by then.  Returns
+ * FALSE while a link is full. */
+static gboolean
 pass_outcomes_on (Dispatch *d, CcServer *s, guint64 applied)
 {
   const CcSliceMap *m = cc_follower_map (d->follower, s->holding->pool);
 
-  if (m != NULL && m->version == applied)
-    cc_transfer_stopped (d->transfer, m, s->holding->name, d->tenure->id,
-                         send_outcomes, d);
+  return m == NULL || m->version != applied ||
+         cc_transfer_stopped (d->transfer, m, s->holding->name, d->tenure->id,
+                              send_outcomes, d);
 }
 
 static void
@@ -400,7 +409,8 @@
 {
   guint64 applied = cc_holding_applied (s->holding, now, cc_clock_wall ());
 
-  pass_outcomes_on (d, s, applied);
+  if (!pass_outcomes_on (d, s, applied))
+    applied = s->reported;
   if (applied == s->reported && now < s->report_due)
     return;
   s->reported = applied;
--- a/server.c
+++ b/server.c
@@ -51,6 +51,7 @@
 
   s->shared = shared;
   s->holding = h;
+  s->meter = cc_unit_meter_new (cc_clock_now ());
   cc_load_init (&s->load);
   s->sent = g_hash_table_new (NULL, NULL);
   return s;
@@ -211,7 +212,7 @@
   cc_histograms_add (&s->shared->wait, j->class_name, j->tenant,
                      j->sent - j->arrived);
   g_hash_table_add (s->sent, j);
-  cc_holding_sent (s->holding, j->slice, j->deadline);
+  cc_holding_sent (s->holding, j->slice);
 }
 
 static gboolean
@@ -317,7 +318,8 @@
   CcServer *s = j->owner;
   gboolean ended = TRUE;
 
-  cc_holding_done (j->holding, j->slice);
+  cc_holding_done (j->holding, j->slice, j->deadline,
+                   result->end != CC_ATTEMPT_LOST);
   if (result->end == CC_ATTEMPT_ANSWERED)
     cc_holding_answered (j->holding, cc_clock_now ());
   if (s != NULL)
@@ -326,6 +328,8 @@
         cc_histograms_add (&s->shared->service, j->class_name, j->tenant,
                            cc_clock_now () - j->sent);
       g_hash_table_remove (s->sent, j);
+      cc_unit_meter_served (s->meter, j->slice, cc_clock_now () - j->sent,
+                            cc_clock_now ());
       cc_load_done (&s->load, &j->waiting, load_end (j, result->end),
                     cc_clock_now ());
       ended = answer_result (s, j, result);
@@ -465,6 +469,7 @@
   g_hash_table_unref (s->sent);
   cc_load_clear (&s->load);
   cc_holding_unref (s->holding);
+  cc_unit_meter_free (s->meter);
   s->closed = TRUE;
   if (!s->granting)
     g_free (s);
