A request whose link is lost is answered within half a second

Cause: idempotent work sent over a link that was lost was held until its deadline when its dispatcher did not come back; a takeover takes seconds, so that was a wait for nothing.

--- a/ask.c
+++ b/ask.c
@@ -4,8 +4,8 @@
  * because ownership moved; that is proof.  Anything else that goes wrong after
  * the message left is unknown, and said so at once if the class is once-only.
  * An idempotent request whose link was lost or went silent is sent again when
- * the link is back or ownership has moved, until its deadline; since it may
- * have run the first time, "not-run" is never said of it any more.
+ * the link is back or ownership has moved, if that is within LINK_BACK_MAX;
+ * since it may have run the first time, "not-run" is never said of it any more.
  *
  * While a key's ownership moves, its asks are parked here for PARK_MAX at the
  * most, the usual time of a move several times over; then they are refused
@@ -17,9 +17,13 @@
 #include "timers.h"
 
 #define PARK_MAX (250 * CC_MS) /* a move takes 10 to 50 ms */
-#define PARK_RETRY_MS 10       /* parked asks look again this often */
-#define TAKEOVER_WAIT_MS 1000  /* a lost dispatcher is replaced in 2 to 3 s */
-#define MOVE_WAIT_MS 100       /* a move that took longer than PARK_MAX */
+/* A lost or silent link to a process that lives is back within 200 ms (the
+ * mailbox's RECONNECT_MAX_MS and a ping).  After that its servers are being
+ * taken over, which takes seconds: the request is answered. */
+#define LINK_BACK_MAX (500 * CC_MS)
+#define PARK_RETRY_MS 10      /* parked asks look again this often */
+#define TAKEOVER_WAIT_MS 1000 /* a lost dispatcher is replaced in 2 to 3 s */
+#define MOVE_WAIT_MS 100      /* a move that took longer than PARK_MAX */
 #define ANSWER_GRACE                                                           \
   (30 * CC_MS) /* for the dispatcher's word on the deadline */
 
@@ -164,10 +168,9 @@
 
   a->state = ASK_PARKED;
   g_hash_table_add (r->parked, a);
-  if (a->may_have_run)
-    a->park_until = G_MAXINT64; /* the deadline's timer ends it */
-  else if (a->park_until == 0)
-    a->park_until = cc_clock_now () + PARK_MAX;
+  if (a->park_until == 0)
+    a->park_until =
+        cc_clock_now () + (a->may_have_run ? LINK_BACK_MAX : PARK_MAX);
   if (r->retry == 0)
     r->retry = g_timeout_add (PARK_RETRY_MS, on_retry, r);
 }
@@ -241,7 +244,7 @@
       finish_with (a, CC_OUTCOME_NOT_RUN, "busy", MOVE_WAIT_MS);
       return FALSE;
     default:
-      if (a->may_have_run)
+      if (a->may_have_run && cc_clock_now () < a->park_until)
         {
           park (a);
           return TRUE;
@@ -348,6 +351,7 @@
     }
   ++*r->resent;
   a->may_have_run = TRUE;
+  a->park_until = 0;
   g_hash_table_remove (r->asks, &a->id);
   park (a);
 }
--- a/entry.c
+++ b/entry.c
@@ -163,7 +163,8 @@
       break;
     case CC_OUTCOME_UNKNOWN:
       answer_outcome (c->message, SOUP_STATUS_GATEWAY_TIMEOUT, r->outcome,
-                      r->reason, "the request may have been run", 0);
+                      r->reason, "the request may have been run",
+                      r->retry_after);
       break;
     }
   soup_server_message_unpause (c->message);
--- a/test/test_ask.c
+++ b/test/test_ask.c
@@ -33,6 +33,7 @@
 {
   guint calls;
   CcOutcome outcome;
+  guint32 retry_after; /* ms */
   char reason[20];
   char body[20];
 } Answer;
@@ -151,6 +152,7 @@
 
   a->calls++;
   a->outcome = r->outcome;
+  a->retry_after = r->retry_after;
   g_strlcpy (a->reason, r->reason != NULL ? r->reason : "", sizeof a->reason);
   memcpy (a->body, body != NULL ? body : "", MIN (size, sizeof a->body - 1));
 }
@@ -275,7 +277,10 @@
 }
 
 /* The dispatcher ends: once-only work is unknown at once, and idempotent work
- * that may have run is never said to be not-run, whatever follows. */
+ * that may have run is never said to be not-run, whatever follows.  A link that
+ * does not come back soon means a takeover, which takes longer than the
+ * request may be held: it is answered then, seconds before its deadline, and
+ * told when to come back. */
 static void
 lost_link_tells_the_truth (void **state)
 {
@@ -283,7 +288,7 @@
 
   (void) state;
   ask (&once, TRUE, 2000);
-  ask (&again, FALSE, 700);
+  ask (&again, FALSE, 5000);
   turn_for (100);
   cc_mailbox_free (dispatcher.box);
   turn_for (200);
@@ -294,6 +299,7 @@
   turn_for (600);
   assert_int_equal (again.calls, 1);
   assert_int_equal (again.outcome, CC_OUTCOME_UNKNOWN);
+  assert_true (again.retry_after > 0);
 }
 
 int
