make bench-assignment, and a hot key that moves on real processes

Cause: no run showed imbalance and churn against a naive assigner, or that keys have one owner while hot keys split and servers leave and join.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,9 @@
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
-STAND_INS = platform upstream relay load demo prove bench
-TEST_LIB = balancer harness records scenarios_lease scenarios_outcome world
+STAND_INS = platform upstream relay load demo prove bench bench_assignment
+TEST_LIB = balancer harness records scenarios_assignment scenarios_lease \
+  scenarios_outcome world
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
@@ -58,7 +59,7 @@
 bench: $(BUILD)/test/bench
 	@$(BUILD)/test/bench $(SEED)
 
-.PHONY: all bench build-all prove deps demo check format lint test clean
+.PHONY: all bench build-all prove bench-assignment deps demo check format lint test clean
 
 deps:
 	@sh .ci/deps
@@ -73,6 +74,11 @@
 prove: build-all
 	@$(BUILD)/test/prove $(SCENARIO) $(SEED)
 
+# make bench-assignment SEED=7 MOVE_MS=60; MOVE_MS is measured by make prove
+MOVE_MS ?= 200
+bench-assignment: build-all
+	@$(BUILD)/test/bench_assignment $(SEED) $(MOVE_MS)
+
 SOURCES = $(wildcard *.c *.h test/*.c test/*.h examples/*.c)
 
 format:
--- a/assign.c
+++ b/assign.c
@@ -260,6 +260,9 @@
   labels = g_strdup_printf ("pool=\"%s\"", pool->name);
   cc_metrics_gauge ("capercrank_imbalance", labels, p->imbalance);
   cc_metrics_gauge ("capercrank_units_moved", labels, (double) p->moves);
+  cc_metrics_gauge ("capercrank_move_seconds_sum", labels,
+                    (double) p->move_time / CC_SECOND);
+  cc_metrics_gauge ("capercrank_move_seconds_count", labels, (double) p->ended);
   cc_metrics_gauge ("capercrank_hot_splits", labels, (double) p->splits);
   cc_metrics_gauge ("capercrank_hot_folds", labels, (double) p->folds);
   cc_roster_free (roster);
--- a/assignment.c
+++ b/assignment.c
@@ -72,6 +72,7 @@
   p->hot = cc_hot_units_new ();
   p->standings = cc_standings_new ();
   p->moved_at = g_array_new (FALSE, TRUE, sizeof (gint64));
+  p->began = g_array_new (FALSE, TRUE, sizeof (gint64));
   return p;
 }
 
@@ -83,15 +84,35 @@
   cc_hot_units_free (p->hot);
   cc_standings_free (p->standings);
   g_array_unref (p->moved_at);
+  g_array_unref (p->began);
   g_free (p);
 }
 
 static gint64 *
-moved_at (CcPlanner *p, guint unit)
+time_at (GArray *times, guint unit)
 {
-  if (unit >= p->moved_at->len)
-    g_array_set_size (p->moved_at, unit + 1);
-  return &g_array_index (p->moved_at, gint64, unit);
+  if (unit >= times->len)
+    g_array_set_size (times, unit + 1);
+  return &g_array_index (times, gint64, unit);
+}
+
+/* Measures how long units are without an owner, which is what a move costs. */
+static void
+time_moves (CcPlanner *p, const CcSliceMap *m, gint64 now)
+{
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
+    {
+      gint64 *began = time_at (p->began, i);
+      gboolean moves = cc_slicemap_at (m, i)->from >= 0;
+
+      if (moves && *began == 0)
+        *began = now;
+      if (moves || *began == 0)
+        continue;
+      p->move_time += now - *began;
+      p->ended++;
+      *began = 0;
+    }
 }
 
 static gboolean
@@ -171,7 +192,7 @@
     {
       const CcMapSlice *s = cc_slicemap_at (m, i);
       const CcMapHot *h = cc_slicemap_hot (m, i);
-      gint64 moved = *moved_at (p, i);
+      gint64 moved = *time_at (p->moved_at, i);
       gboolean is_unit = h == NULL || h->state == CC_HOT_SPLIT;
       CcBalanceUnit u = { .load = cc_unit_loads_of (p->loads, i),
                           .server = s->server,
@@ -253,7 +274,7 @@
       const CcBalanceMove *one = &g_array_index (b->moves, CcBalanceMove, i);
 
       if (cc_slicemap_at (m, one->unit)->server >= 0)
-        *moved_at (p, one->unit) = now;
+        *time_at (p->moved_at, one->unit) = now;
       cc_moves_start (m, one->unit, one->to);
     }
   p->moves += b->moves->len;
@@ -275,7 +296,7 @@
       return 1;
     }
   p->splits++;
-  *moved_at (p, (guint) unit) = now;
+  *time_at (p->moved_at, (guint) unit) = now;
   return 1;
 }
 
@@ -322,6 +343,7 @@
   if (hot == 0)
     choose_moves (b, p, m, y, idle, now);
   changes += hot + apply_moves (p, m, b, now);
+  time_moves (p, m, now);
   cc_balance_free (b);
   cc_slicemap_compact (m);
   return changes;
--- a/assignment.h
+++ b/assignment.h
@@ -15,6 +15,9 @@
   CcHotUnits *hot;
   struct CcStandings *standings;
   GArray *moved_at;  /* of gint64 by unit: its last move, us; 0: never */
+  GArray *began;     /* of gint64 by unit: when its move began, us; 0: none */
+  gint64 move_time;  /* all that moves that have ended took, us */
+  guint64 ended;     /* moves that have ended */
   gint64 over_since; /* imbalance is above the trigger since, us; 0: is not */
   double budget;     /* units that evening out may still move */
   gint64 budget_at;  /* when the budget was last brought up to date, us */
--- a/test/prove.c
+++ b/test/prove.c
@@ -10,7 +10,8 @@
 #define LOAD_PERCENT 100
 #define TWINS_PERCENT "20" /* of once-only requests come twice */
 
-static const Scenario *const groups[] = { lease_scenarios, outcome_scenarios };
+static const Scenario *const groups[] = { lease_scenarios, outcome_scenarios,
+                                          assignment_scenarios };
 
 /* Waits while the deployment runs. */
 void
--- a/test/prove.h
+++ b/test/prove.h
@@ -18,8 +18,9 @@
   gboolean in_check; /* part of make check */
 } Scenario;
 
-extern const Scenario lease_scenarios[];   /* leases, epochs, moves, cuts */
-extern const Scenario outcome_scenarios[]; /* repeats, silence, drains */
+extern const Scenario lease_scenarios[];      /* leases, epochs, moves, cuts */
+extern const Scenario assignment_scenarios[]; /* load, hot keys, joins */
+extern const Scenario outcome_scenarios[];    /* repeats, silence, drains */
 
 /* Names of scenarios in which a balancer asks for readiness and no once-only
  * answer may be unknown; NULL ends. */
--- /dev/null
+++ b/test/scenarios_assignment.c
@@ -0,0 +1,129 @@
+/* Moves of ownership for load, under load: hot keys, joins and leaves. */
+#include <stdio.h>
+#include <string.h>
+
+#include <json-glib/json-glib.h>
+
+#include "prove.h"
+
+#define HOT_SECONDS 14
+
+/* Requests for one key of each pool, each several times what a key has. */
+static const char hot_requests[] =
+    "[{\"class\":\"browse\",\"rate\":120,\"method\":\"GET\",\"path\":\"/slots/"
+    "1\",\"key\":\"castle-%s\",\"keys\":1,\"tenants\":40,\"body\":0},"
+    "{\"class\":\"book once\",\"rate\":40,\"method\":\"POST\",\"path\":"
+    "\"/groups/1\",\"key\":\"group-%s\",\"keys\":1,\"tenants\":25,\"body\":400}"
+    "]";
+
+/* A copy of the deployment's file with requests for the key NUMBER only. */
+static char *
+write_hot_deployment (Cluster *c, const char *number)
+{
+  g_autoptr (JsonParser) parser = json_parser_new ();
+  g_autofree char *name = g_strdup_printf ("hot-%s.json", number);
+  g_autofree char *requests = g_strdup_printf (hot_requests, number, number);
+  char *path = g_build_filename (c->folder, name, NULL);
+  g_autofree char *text = NULL;
+  JsonNode *root;
+
+  if (!json_parser_load_from_file (parser, c->file, NULL))
+    g_error ("can't read %s", c->file);
+  root = json_parser_get_root (parser);
+  json_object_set_member (json_node_get_object (root), "requests",
+                          json_from_string (requests, NULL));
+  text = json_to_string (root, FALSE);
+  g_file_set_contents (path, text, -1, NULL);
+  return path;
+}
+
+static int
+heat (Cluster *c, const char *number, guint seed)
+{
+  g_autofree char *hot = write_hot_deployment (c, number);
+  char *file = c->file;
+  int load;
+
+  c->file = hot;
+  load = cluster_load (c, HOT_SECONDS, 100, 1, seed);
+  c->file = file;
+  return load;
+}
+
+static double
+value_in (const char *metrics, const char *name)
+{
+  double sum = 0;
+  const char *at = metrics;
+
+  while (at != NULL && (at = strstr (at, name)) != NULL)
+    {
+      const char *end = strstr (at, "} ");
+
+      sum += end != NULL ? g_ascii_strtod (end + 2, NULL) : 0;
+      at = end;
+    }
+  return sum;
+}
+
+/* The sum of a gauge over all pools and assigners. */
+static double
+gauge (Cluster *c, const char *name)
+{
+  double sum = 0;
+
+  for (guint i = 1; i <= c->instances; i++)
+    {
+      g_autofree char *admin = cluster_admin (c, "assign", i);
+      g_autofree char *url = g_strconcat ("http://", admin, "/metrics", NULL);
+      g_autofree char *text = NULL;
+
+      if (cluster_http ("GET", url, NULL, NULL, &text) == 200)
+        sum += value_in (text, name);
+    }
+  return sum;
+}
+
+static void
+list_both (Cluster *c, const char *state)
+{
+  cluster_list (c, "catalogue-6", state);
+  cluster_list (c, "group-booking-4", state);
+}
+
+static guint
+hot_key_moves (Cluster *c, GRand *rand)
+{
+  double before = gauge (c, "capercrank_units_moved"), left, joined, splits;
+  int load = heat (c, "11", g_rand_int (rand) >> 1);
+  gboolean good;
+
+  pause_ms (6000);
+  list_both (c, "leaving");
+  pause_ms (3000);
+  list_both (c, "gone");
+  good = cluster_wait (load) == 0;
+  left = gauge (c, "capercrank_units_moved");
+  load = heat (c, "12", g_rand_int (rand) >> 1);
+  pause_ms (3000);
+  list_both (c, "live");
+  good = cluster_wait (load) == 0 && good;
+  pause_ms (2000);
+  joined = gauge (c, "capercrank_units_moved");
+  splits = gauge (c, "capercrank_hot_splits");
+  fprintf (stderr,
+           "%.0f hot keys split, %.0f units moved for hot keys and leaves, "
+           "%.0f for joins, a move took %.0f ms\n",
+           splits, left - before, joined - left,
+           1e3 * gauge (c, "capercrank_move_seconds_sum") /
+               gauge (c, "capercrank_move_seconds_count"));
+  return good && splits >= 2 && left > before && joined > left;
+}
+
+const Scenario assignment_scenarios[] = {
+  { "hot-key-moves",
+    "One key of each pool is hot, then another, while two servers leave and "
+    "join; keys change owners all the time and none has two.",
+    40, 1, hot_key_moves, FALSE },
+  { NULL, NULL, 0, 0, NULL, FALSE }
+};
