--- a/ask.c
+++ b/ask.c
@@ -2,7 +2,10 @@
  *
  * An ask is sent again only after the dispatcher said that it was not run
  * because ownership moved; that is proof.  Anything else that goes wrong after
- * the message left is unknown, and said so at once.
+ * the message left is unknown, and said so at once if the class is once-only.
+ * An idempotent request whose link was lost or went silent is sent again when
+ * the link is back or ownership has moved, until its deadline; since it may
+ * have run the first time, "not-run" is never said of it any more.
  *
  * While a key's ownership moves, its asks are parked here for PARK_MAX at the
  * most, the usual time of a move several times over; then they are refused
@@ -11,6 +14,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "timers.h"
 
 #define PARK_MAX (250 * CC_MS) /* a move takes 10 to 50 ms */
 #define PARK_RETRY_MS 10       /* parked asks look again this often */
@@ -33,7 +37,9 @@
   char *address;       /* of the dispatcher it was sent to */
   guint64 incarnation; /* of that dispatcher */
   gint64 park_until;   /* us; 0: not parked before */
-  guint timer;         /* fires at the deadline */
+  gboolean once_only;
+  gboolean may_have_run; /* it was sent over a link that was lost since */
+  CcTimer timer;         /* fires at the deadline */
   char *class_name;
   char *pool;
   char *tenant;
@@ -58,6 +64,7 @@
   CcCounter *late;    /* answers that nobody waited for any more */
   CcCounter *crossed; /* answers from a process that was not asked */
   CcCounter *rerouted;
+  CcCounter *resent; /* idempotent ones after a lost link */
   CcCounter *links_lost;
 };
 
@@ -76,6 +83,7 @@
   r->late = cc_metrics_counter ("capercrank_answers_late", "");
   r->crossed = cc_metrics_counter ("capercrank_answers_crossed", "");
   r->rerouted = cc_metrics_counter ("capercrank_requests_rerouted", "");
+  r->resent = cc_metrics_counter ("capercrank_requests_resent", "");
   r->links_lost = cc_metrics_counter ("capercrank_links_lost", "");
   return r;
 }
@@ -87,9 +95,7 @@
     g_hash_table_remove (a->router->asks, &a->id);
   else
     g_hash_table_remove (a->router->parked, a);
-  if (a->timer != 0)
-    g_source_remove (a->timer);
-  a->timer = 0;
+  cc_timer_stop (&a->timer);
 }
 
 static void
@@ -111,8 +117,12 @@
 static void
 finish (CcAsk *a, const CcMsgReply *reply)
 {
+  CcMsgReply r = *reply;
+
+  if (a->may_have_run && r.outcome == CC_OUTCOME_NOT_RUN)
+    r.outcome = CC_OUTCOME_UNKNOWN;
   detach (a);
-  a->done (reply, a->data);
+  a->done (&r, a->data);
   ask_free (a);
 }
 
@@ -126,17 +136,15 @@
   finish (a, &r);
 }
 
-static gboolean
+static void
 on_deadline (gpointer data)
 {
   CcAsk *a = data;
 
-  a->timer = 0;
   if (a->state == ASK_SENT)
     finish_with (a, CC_OUTCOME_UNKNOWN, "deadline", 0);
   else
     finish_with (a, CC_OUTCOME_NOT_RUN, "deadline", MOVE_WAIT_MS);
-  return G_SOURCE_REMOVE;
 }
 
 static gboolean
@@ -156,7 +164,9 @@
 
   a->state = ASK_PARKED;
   g_hash_table_add (r->parked, a);
-  if (a->park_until == 0)
+  if (a->may_have_run)
+    a->park_until = G_MAXINT64; /* the deadline's timer ends it */
+  else if (a->park_until == 0)
     a->park_until = cc_clock_now () + PARK_MAX;
   if (r->retry == 0)
     r->retry = g_timeout_add (PARK_RETRY_MS, on_retry, r);
@@ -231,6 +241,11 @@
       finish_with (a, CC_OUTCOME_NOT_RUN, "busy", MOVE_WAIT_MS);
       return FALSE;
     default:
+      if (a->may_have_run)
+        {
+          park (a);
+          return TRUE;
+        }
       finish_with (a, CC_OUTCOME_NOT_RUN, "unreachable", TAKEOVER_WAIT_MS);
       return FALSE;
     }
@@ -262,9 +277,10 @@
   a->key = g_bytes_ref (w->key);
   a->body = g_bytes_ref (w->body);
   a->deadline = w->deadline;
+  a->once_only = w->class->once_only;
   a->done = done;
   a->data = data;
-  a->timer = g_timeout_add ((guint) (MAX (left, 0) / CC_MS), on_deadline, a);
+  cc_timer_start (&a->timer, left, on_deadline, a);
   return route (a) ? a : NULL;
 }
 
@@ -320,8 +336,25 @@
   park (a);
 }
 
-/* The link to ADDRESS came up or was lost.  What had been sent over a lost link
- * may have run, and its answer may not come: unknown, said now. */
+static void
+lose_link (CcAsk *a)
+{
+  CcRouter *r = a->router;
+
+  if (a->once_only)
+    {
+      finish_with (a, CC_OUTCOME_UNKNOWN, "link", 0);
+      return;
+    }
+  ++*r->resent;
+  a->may_have_run = TRUE;
+  g_hash_table_remove (r->asks, &a->id);
+  park (a);
+}
+
+/* The link to ADDRESS came up, or was lost: closed by the peer, or silent.
+ * What had been sent over a lost link may have run, and its answer may not
+ * come. */
 void
 cc_router_link (CcRouter *r, const char *address, gboolean up)
 {
@@ -337,7 +370,7 @@
     if (g_str_equal (((CcAsk *) ask)->address, address))
       g_ptr_array_add (lost, ask);
   for (guint i = 0; i < lost->len; i++)
-    finish_with (lost->pdata[i], CC_OUTCOME_UNKNOWN, "link", 0);
+    lose_link (lost->pdata[i]);
 }
 
 /* Ownership may have changed: looks at all parked asks again. */
--- a/server.c
+++ b/server.c
@@ -37,6 +37,7 @@
 {
   shared->waiters = cc_waiters_new ();
   shared->retried = cc_metrics_counter ("capercrank_attempts_retried", "");
+  shared->pools_dropped = cc_metrics_counter ("capercrank_pools_dropped", "");
   cc_histograms_init (&shared->wait, "capercrank_queue_seconds");
   cc_histograms_init (&shared->service, "capercrank_service_seconds");
 }
@@ -80,9 +81,7 @@
   remember (s, j, r);
   cc_waiters_forget (s->shared->waiters, j);
   cc_job_answer (j, s->shared->mailbox, r);
-  if (j->timer != 0)
-    g_source_remove (j->timer);
-  j->timer = 0;
+  cc_timer_stop (&j->timer);
 }
 
 static void
@@ -121,21 +120,19 @@
   cc_job_free (j);
 }
 
-static gboolean
+static void
 on_deadline (gpointer data)
 {
   CcJob *j = data;
   CcServer *s = j->owner;
 
-  j->timer = 0;
   if (j->state == CC_JOB_QUEUED)
     {
       drop_queued (s, j, "deadline", wait_ms (s), FALSE);
-      return G_SOURCE_REMOVE;
+      return;
     }
   end_unknown (s, j, "deadline");
   cc_attempt_cancel (j->attempt);
-  return G_SOURCE_REMOVE;
 }
 
 static void
@@ -176,7 +173,7 @@
       return;
     }
   cc_waiters_add (s->shared->waiters, j);
-  j->timer = g_timeout_add ((guint) (left / CC_MS) + 1, on_deadline, j);
+  cc_timer_start (&j->timer, left, on_deadline, j);
   cc_server_pump (s);
 }
 
@@ -408,6 +405,7 @@
     }
   if (cc_load_stalled (&s->load, now))
     flush_all (s, "stalled", wait_ms (s), FALSE);
+  cc_server_check_connections (s, now);
   cc_server_renew_grant (s, now);
   cc_server_pump (s);
 }
--- a/upstream.c
+++ b/upstream.c
@@ -20,12 +20,15 @@
 
 #include "admin.h"
 #include "clock.h"
+#include "headers.h"
 
+#define HEADERS_USUAL 512           /* bytes; more makes the buffer grow */
 #define GRANT_TIMEOUT (600 * CC_MS) /* below CC_SERVER_SUSPECT */
 
 struct CcUpstream
 {
-  SoupSession *session;
+  char *source;         /* IP:PORT, where connections come from */
+  GHashTable *sessions; /* server's address to SoupSession */
   SoupSession *control; /* grants, not queued behind work */
 };
 
@@ -58,11 +61,35 @@
 {
   CcUpstream *u = g_new0 (CcUpstream, 1);
 
-  u->session = cc_http_client (source, CC_CONNECTIONS_MAX);
+  u->source = g_strdup (source);
+  u->sessions =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_object_unref);
   u->control = cc_http_client (source, CC_CONNECTIONS_MAX);
   return u;
 }
 
+/* Each server has a session, whose pool of connections can be dropped. */
+static SoupSession *
+session_of (CcUpstream *u, const char *address)
+{
+  SoupSession *s = g_hash_table_lookup (u->sessions, address);
+
+  if (s == NULL)
+    {
+      s = cc_http_client (u->source, CC_CONNECTIONS_MAX);
+      g_hash_table_insert (u->sessions, g_strdup (address), s);
+    }
+  return s;
+}
+
+/* Work sent to ADDRESS from now on gets fresh connections.  Attempts in
+ * progress keep theirs, which are closed when the last of them has ended. */
+void
+cc_upstream_drop_pool (CcUpstream *u, const char *address)
+{
+  g_hash_table_remove (u->sessions, address);
+}
+
 static gboolean
 passes_on (const char *name)
 {
@@ -90,11 +117,11 @@
 static void
 fill_headers (SoupMessageHeaders *h, const CcOrder *o)
 {
-  GVariantIter iter;
+  CcHeadersIter iter;
   const char *name, *value;
 
-  g_variant_iter_init (&iter, o->headers);
-  while (g_variant_iter_next (&iter, "(&s&s)", &name, &value))
+  cc_headers_iter (&iter, o->headers);
+  while (cc_headers_next (&iter, &name, &value))
     if (passes_on (name))
       soup_message_headers_append (h, name, value);
   add_number (h, CC_HDR_TERM, o->term);
@@ -109,14 +136,13 @@
 {
   SoupMessageHeadersIter iter;
   const char *name, *value;
-  GVariantBuilder b;
+  GString *packed = g_string_sized_new (HEADERS_USUAL);
 
-  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(ss)"));
   soup_message_headers_iter_init (&iter, h);
   while (soup_message_headers_iter_next (&iter, &name, &value))
     if (passes_on (name) && g_utf8_validate (value, -1, NULL))
-      g_variant_builder_add (&b, "(ss)", name, value);
-  return g_variant_ref_sink (g_variant_builder_end (&b));
+      cc_headers_add (packed, name, value);
+  return cc_headers_take (packed);
 }
 
 static void
@@ -201,8 +227,9 @@
     soup_message_set_request_body_from_bytes (message, NULL, o->body);
   fill_headers (soup_message_get_request_headers (message), o);
   g_signal_connect (message, "starting", G_CALLBACK (on_starting), a);
-  soup_session_send_and_read_async (u->session, message, G_PRIORITY_DEFAULT,
-                                    a->cancel, on_answer, a);
+  soup_session_send_and_read_async (session_of (u, o->address), message,
+                                    G_PRIORITY_DEFAULT, a->cancel, on_answer,
+                                    a);
   return a;
 }
 
--- a/upstream.h
+++ b/upstream.h
@@ -16,7 +16,7 @@
   const char *address; /* IP:PORT of the server */
   const char *method;
   const char *path;
-  GVariant *headers; /* a(ss), as the caller sent them */
+  GVariant *headers; /* packed, as the caller sent them */
   GBytes *body;
   gint64 deadline; /* wall clock, us */
   guint64 term;
@@ -39,7 +39,7 @@
 {
   CcAttemptEnd end;
   guint status;
-  GVariant *headers; /* a(ss) */
+  GVariant *headers; /* packed, see headers.h */
   GBytes *body;
 } CcAttemptResult;
 
@@ -51,6 +51,7 @@
 CcUpstream *cc_upstream_new (const char *source);
 CcAttempt *cc_upstream_send (CcUpstream *u, const CcOrder *o,
                              CcAttemptDone done, gpointer data);
+void cc_upstream_drop_pool (CcUpstream *u, const char *address);
 void cc_attempt_cancel (CcAttempt *a);
 void cc_upstream_grant (CcUpstream *u, const CcHolding *h, const char *holder,
                         CcGrantDone done, gpointer data);
