--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo prove
-TEST_LIB = harness records scenarios_lease scenarios_outcome
+TEST_LIB = harness ownership records scenarios_lease scenarios_outcome
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
--- a/holding.c
+++ b/holding.c
@@ -175,7 +175,7 @@
 
 /* Notes the end of an attempt, answered or given up. */
 void
-cc_holding_done (CcHolding *h, guint slice)
+cc_holding_done (CcHolding *h, guint slice, gint64 deadline, gboolean answered)
 {
   CcHeldSlice *s = held (h, slice);
 
--- a/holding.h
+++ b/holding.h
@@ -56,7 +56,8 @@
 gboolean cc_holding_owns (const CcHolding *h, guint slice);
 gboolean cc_holding_may_send (const CcHolding *h, guint slice, gint64 now);
 void cc_holding_sent (CcHolding *h, guint slice, gint64 deadline);
-void cc_holding_done (CcHolding *h, guint slice);
+void cc_holding_done (CcHolding *h, guint slice, gint64 deadline,
+                      gboolean answered);
 gboolean cc_holding_may_grant (const CcHolding *h, gint64 now);
 void cc_holding_grant_sent (CcHolding *h, gint64 now);
 void cc_holding_grant_acked (CcHolding *h, guint64 serial, gint64 sent);
--- a/lease.c
+++ b/lease.c
@@ -71,6 +71,15 @@
   l->sent_at = 0;
 }
 
+/* After a lost answer the row was read and is not there.  Returns TRUE if the
+ * id is to be given up. */
+gboolean
+cc_lease_missing (CcLease *l)
+{
+  l->sent_at = 0;
+  return l->registered;
+}
+
 /* Peers promised, when asked at ASKED_AT, not to take over for a term. */
 void
 cc_lease_extend (CcLease *l, gint64 asked_at)
--- a/server.c
+++ b/server.c
@@ -239,7 +239,8 @@
   CcJob *j = data;
   CcServer *s = j->owner;
 
-  cc_holding_done (j->holding, j->slice);
+  cc_holding_done (j->holding, j->slice, j->deadline,
+                   result->end != CC_ATTEMPT_LOST);
   if (result->end == CC_ATTEMPT_ANSWERED)
     cc_holding_answered (j->holding, cc_clock_now ());
   if (s != NULL)
--- a/tenure.c
+++ b/tenure.c
@@ -176,10 +176,8 @@
         cc_lease_found (&t->lease, version, sequence_in (value));
         return;
       }
-  if (t->lease.registered)
+  if (cc_lease_missing (&t->lease))
     lose_lease (t);
-  else
-    cc_lease_failed (&t->lease);
 }
 
 static void
