A busy server that doesn't check grants gives its slices up

Cause: quiet_at took the deadline of every attempt, answered or not, so a server with traffic was never quiet and its slices stayed between two owners for good. Only an attempt that ended without an answer can still be inside, so only its deadline is waited for now.

--- a/holding.c
+++ b/holding.c
@@ -162,24 +162,28 @@
   return !h->checks_grants || (s->granted && now < h->granted_until);
 }
 
-/* Notes an attempt that leaves; DEADLINE is on the wall clock. */
+/* Notes an attempt that leaves. */
 void
-cc_holding_sent (CcHolding *h, guint slice, gint64 deadline)
+cc_holding_sent (CcHolding *h, guint slice)
 {
   CcHeldSlice *s = held (h, slice);
 
   s->running++;
   h->running++;
-  h->quiet_at = MAX (h->quiet_at, deadline + CC_SKEW_MAX);
 }
 
-/* Notes the end of an attempt, answered or given up. */
+/* Notes the end of an attempt with DEADLINE (wall clock).  Without an answer it
+ * may still be inside the server: then its deadline is waited for before the
+ * slice may begin elsewhere.  Answered attempts are not, or a busy server that
+ * doesn't check grants would never be quiet and its slices never move. */
 void
 cc_holding_done (CcHolding *h, guint slice, gint64 deadline, gboolean answered)
 {
   CcHeldSlice *s = held (h, slice);
 
   h->running--;
+  if (!answered)
+    h->quiet_at = MAX (h->quiet_at, deadline + CC_SKEW_MAX);
   if (--s->running == 0 && !s->owned)
     leave_slice (h, slice);
 }
--- a/holding.h
+++ b/holding.h
@@ -42,7 +42,7 @@
   gint64 granted_until; /* it honours the grant at least until then, us */
   gint64 grant_sent;    /* last time a grant was sent, us; 0: never */
   gint64 answered;      /* last answer to a grant or a probe, us */
-  gint64 quiet_at;      /* wall clock: every attempt's deadline is past */
+  gint64 quiet_at;      /* wall clock: no unanswered attempt is inside */
   guint running;        /* attempts at the server, all slices */
   gboolean lost;        /* judged silent */
 } CcHolding;
@@ -55,7 +55,7 @@
                         const char *me);
 gboolean cc_holding_owns (const CcHolding *h, guint slice);
 gboolean cc_holding_may_send (const CcHolding *h, guint slice, gint64 now);
-void cc_holding_sent (CcHolding *h, guint slice, gint64 deadline);
+void cc_holding_sent (CcHolding *h, guint slice);
 void cc_holding_done (CcHolding *h, guint slice, gint64 deadline,
                       gboolean answered);
 gboolean cc_holding_may_grant (const CcHolding *h, gint64 now);
--- a/server.c
+++ b/server.c
@@ -165,7 +165,7 @@
     }
   j->state = CC_JOB_SENT;
   g_hash_table_add (s->sent, j);
-  cc_holding_sent (s->holding, j->slice, j->deadline);
+  cc_holding_sent (s->holding, j->slice);
 }
 
 static CcJob *
--- a/test/ownership.c
+++ b/test/ownership.c
@@ -580,7 +580,7 @@
   e->epochs[slice] = s->epoch;
   e->term = h->holding->term;
   e->deadline = a.deadline;
-  cc_holding_sent (h->holding, slice, a.deadline);
+  cc_holding_sent (h->holding, slice);
   g_array_append_val (h->attempts, a);
   post (w, e);
 }
