A server that left the map and came back is granted again

Cause: its term began anew at 1 while the server, not restarted, knew a higher one and refused every grant as older; its slices were unserved for good, and the fence had gone back. The term now starts from the map's version, which is above all its terms.

--- a/slicemap.c
+++ b/slicemap.c
@@ -207,7 +207,11 @@
   return s->from < 0 ? cc_slicemap_server (m, s->server) : NULL;
 }
 
-/* Adds a server without dispatcher or slices.  Returns its index. */
+/* Adds a server without dispatcher or slices.  Returns its index.
+ *
+ * Its term starts from the map's version, which is above every term it ever
+ * had: a server that left the map and comes back without a restart still knows
+ * its last term, and would refuse every grant of a count that began anew. */
 gint32
 cc_slicemap_add (CcSliceMap *m, const char *name, const char *address,
                  const char *zone)
@@ -219,6 +223,7 @@
   s->zone = g_strdup (zone);
   s->dispatcher = g_strdup ("");
   s->from = g_strdup ("");
+  s->term = m->version;
   g_ptr_array_add (m->servers, s);
   return (gint32) m->servers->len - 1;
 }
