A dispatcher hands over a server that it never came to hold

Cause: a drain may name a dispatcher in from before it saw the map that gave it the server; it then held nothing, reported nothing, and the next holder waited for as long as its lease stood. It takes the server on now in order to report.

--- a/dispatch.c
+++ b/dispatch.c
@@ -307,6 +307,8 @@
   g_hash_table_remove (d->servers, key);
 }
 
+/* A server that this process is to hand over is taken on even if it never held
+ * it, having missed the map that said so: the next holder waits for its word. */
 static void
 update_server (Dispatch *d, const CcSliceMap *m, gint32 index)
 {
@@ -316,7 +318,7 @@
   gboolean leaving = g_str_equal (one->from, me);
   CcServer *s = find_server (d, m->pool, one->name);
 
-  if (s == NULL && mine)
+  if (s == NULL && (mine || leaving))
     s = take_server (d, m, one);
   if (s == NULL)
     return;
