--- a/test/ownership.c
+++ b/test/ownership.c
@@ -91,6 +91,7 @@
   gboolean alive;
   guint64 life;
   gint64 paused_until, restart_at, skew;
+  gint64 deaf_until; /* polls fail, peers are heard in part */
   CcView view;
   gint64 poll_due, sync_due, step_due;
   guint64 told[PEERS]; /* rows sent to each peer, up to here */
@@ -207,7 +208,7 @@
   double p = g_rand_double (w->rand);
   gboolean rough = w->now < CHAOS;
 
-  if (rough && p < 0.02)
+  if (rough && p < (e->kind == EV_ROWS && e->call == 0 ? 0.3 : 0.02))
     {
       event_free (e);
       return;
@@ -958,7 +959,7 @@
   Event *e;
   guint other = (guint) g_rand_int_range (w->rand, 0, DISPATCHERS);
 
-  if (w->now >= p->poll_due)
+  if (w->now >= p->poll_due && w->now >= p->deaf_until)
     {
       p->poll_due = w->now + 200 * CC_MS;
       e = event (EV_POLL, p->index, 0);
@@ -1074,7 +1075,7 @@
 {
   Peer *p = &w->peers[g_rand_int_range (w->rand, 0, PEERS)];
 
-  switch (g_rand_int_range (w->rand, 0, 4))
+  switch (g_rand_int_range (w->rand, 0, 5))
     {
     case 0:
       end_peer (p);
@@ -1083,6 +1084,9 @@
     case 1:
       p->draining = p->alive;
       break;
+    case 2:
+      p->deaf_until = pause_length (w);
+      break;
     default:
       p->paused_until = pause_length (w);
     }
