Grants end by the wall clock; rows after a gap are refused

Cause 1: a grant's life counted from its receipt, so one that waited in a frozen server's buffers let it run on waking what had been sent with it, while its slices were another's; and the 100 ms margin did not cover two wall clocks once the end is absolute. Cause 2: a view took a peer's rows despite a gap, so an assigner could see a map without the member row of a dispatcher it names and take it for lost. Cause 3: an assigner counted itself complete by rows of peers, who skip leases; it then missed the last renewal and every takeover of that lease was refused for good.

--- a/follower.c
+++ b/follower.c
@@ -298,14 +298,28 @@
   send_rows (f, m->reply_to, l);
 }
 
+/* A peer's rows lack those that it skips when it polls.  Who skips nothing, an
+ * assigner, takes them but is not complete by them: it would never be given the
+ * last renewal of a lease, take the lease for older than it is, and have each
+ * takeover refused for good. */
+static guint64
+complete_to (const CcFollower *f, guint64 upto)
+{
+  gboolean wants_all = f->platform != NULL && f->skip[0] == '\0';
+
+  return wants_all ? MIN (upto, f->view.upto) : upto;
+}
+
 /* Handles a SYNC or ROWS message. */
 void
 cc_follower_receive (CcFollower *f, const CcMessage *m)
 {
+  const CcMsgRows *r = &m->u.rows;
+
   if (m->kind == CC_MSG_SYNC)
     answer_sync (f, m);
   else if (m->kind == CC_MSG_ROWS)
-    take_rows (f, m->u.rows.since, m->u.rows.upto, m->u.rows.rows);
+    take_rows (f, r->since, complete_to (f, r->upto), r->rows);
 }
 
 /* The newest map of POOL, or NULL.  Valid until the view changes. */
--- a/holding.h
+++ b/holding.h
@@ -5,9 +5,12 @@
 
 #include "slicemap.h"
 
-/* How long a server honours a grant, by its own clock from receipt.  Below
- * the lease's term, so that a server cut off from its dispatcher has stopped
- * before anybody takes over. */
+/* How long a server honours a grant, from when it was sent: the grant carries
+ * its end by the wall clock, and the server takes the earlier of that and this
+ * span from its receipt.  Receipt alone is not enough: a grant that waited in
+ * the buffers of a frozen server would let it run, on waking, what was sent
+ * with it, while its slices are another's.  Below the lease's term, so that a
+ * server cut off from its dispatcher has stopped before anybody takes over. */
 #define CC_GRANT_TTL (1500 * CC_MS)
 #define CC_GRANT_PERIOD (400 * CC_MS)
 
@@ -15,8 +18,8 @@
 #define CC_SERVER_SUSPECT (700 * CC_MS)
 /* No answer for this long: the server is lost, its slices go elsewhere. */
 #define CC_SERVER_LOST_AFTER (1000 * CC_MS)
-/* Clocks of two machines may differ in rate; 0.1% of a grant is 1.5 ms. */
-#define CC_GRANT_MARGIN (100 * CC_MS)
+/* The end of a grant is compared on the server's wall clock. */
+#define CC_GRANT_MARGIN CC_SKEW_MAX
 
 typedef struct
 {
--- a/test/upstream.c
+++ b/test/upstream.c
@@ -223,6 +223,18 @@
     }
 }
 
+/* How long a grant is honoured from now, us: its span, or to its end by the
+ * wall clock if that is sooner. */
+static gint64
+grant_life (JsonObject *o)
+{
+  gint64 life = json_object_get_int_member (o, "ttl_ms") * CC_MS;
+  gint64 left =
+      json_object_get_int_member (o, "expires_ms") * CC_MS - cc_clock_wall ();
+
+  return MIN (life, left);
+}
+
 static void
 on_grant (SoupServer *server, SoupServerMessage *m, const char *path,
           GHashTable *query, gpointer data)
@@ -243,8 +255,7 @@
       return;
     }
   u->term = term;
-  u->lapses =
-      cc_clock_now () + json_object_get_int_member (o, "ttl_ms") * CC_MS;
+  u->lapses = cc_clock_now () + grant_life (o);
   take_slices (u, json_object_get_array_member (o, "slices"));
   cc_http_answer (m, SOUP_STATUS_OK, "application/json", "{}");
 }
--- a/upstream.c
+++ b/upstream.c
@@ -277,8 +277,9 @@
       s,
       "{\"holder\":\"%s\",\"pool\":\"%s\",\"term\":%" G_GUINT64_FORMAT
       ",\"serial\":%" G_GUINT64_FORMAT ",\"ttl_ms\":%" G_GINT64_FORMAT
-      ",\"slices\":[",
-      holder, h->pool, h->term, h->serial, CC_GRANT_TTL / CC_MS);
+      ",\"expires_ms\":%" G_GINT64_FORMAT ",\"slices\":[",
+      holder, h->pool, h->term, h->serial, CC_GRANT_TTL / CC_MS,
+      (cc_clock_wall () + CC_GRANT_TTL) / CC_MS);
   g_hash_table_iter_init (&iter, h->slices);
   while (g_hash_table_iter_next (&iter, &slice, &one))
     {
--- a/view.c
+++ b/view.c
@@ -141,8 +141,14 @@
   return g_variant_builder_end (&walk.builder);
 }
 
-/* Takes a peer's ROWS (a(sts)), complete from SINCE to UPTO.  Returns how many
- * were news. */
+/* Takes ROWS (a(sts)), complete from SINCE to UPTO.  Returns how many were
+ * news.
+ *
+ * Rows with a gap before them are refused: what stands in the gap may be what
+ * they rest on.  An assigner that saw a map without the member row of a
+ * dispatcher it names would take that dispatcher for lost, and give its servers
+ * away while it still sends.  The next question tells the giver where to start.
+ */
 guint
 cc_view_apply (CcView *v, guint64 since, guint64 upto, GVariant *rows)
 {
@@ -151,6 +157,8 @@
   guint64 version;
   guint news = 0;
 
+  if (since > v->upto)
+    return 0;
   g_variant_iter_init (&iter, rows);
   while (g_variant_iter_next (&iter, "(&st&s)", &key, &version, &value))
     news += cc_view_put (v, key, version, value) ? 1 : 0;
