An id whose registration is in doubt is given up

Cause: a first write whose answer was lost, and that was not found, was written again under the same id; the late one lands after the id lapsed and was deleted, since it only checks that there is no row, and the holder on waking finds its row and sends beside its successor.

--- a/lease.c
+++ b/lease.c
@@ -71,13 +71,15 @@
   l->sent_at = 0;
 }
 
-/* After a lost answer the row was read and is not there.  Returns TRUE if the
- * id is to be given up. */
-gboolean
+/* After a lost answer the row was read and is not there.  The id is to be given
+ * up, even if it was never registered: the first write may land yet.  It checks
+ * that there is no row, which is true again after the id was registered by a
+ * second write, lapsed and was deleted; the holder would find its row, renew,
+ * and send beside its successor. */
+void
 cc_lease_missing (CcLease *l)
 {
-  l->sent_at = 0;
-  return l->registered;
+  cc_lease_init (l);
 }
 
 /* Peers promised, when asked at ASKED_AT, not to take over for a term. */
--- a/tenure.c
+++ b/tenure.c
@@ -102,7 +102,8 @@
 static void
 lose_lease (CcTenure *t)
 {
-  cc_log (CC_LOG_WARNING, "lease", "%s was taken over", t->id);
+  cc_log (CC_LOG_WARNING, "lease", "%s is given up, its row is not there",
+          t->id);
   cc_lease_revoked (&t->lease);
   tell (t);
   choose_id (t);
@@ -176,8 +177,8 @@
         cc_lease_found (&t->lease, version, sequence_in (value));
         return;
       }
-  if (cc_lease_missing (&t->lease))
-    lose_lease (t);
+  cc_lease_missing (&t->lease);
+  lose_lease (t);
 }
 
 static void
