A probe that fails waits for its next turn

Cause: a failed probe set the next one due at once, since its serial is never the holding's; against a server that refuses connections that is a loop without pause.

--- a/grants.c
+++ b/grants.c
@@ -20,7 +20,7 @@
     cc_holding_answered (s->holding, cc_clock_now ());
   if (status == CC_OK && serial != 0)
     cc_holding_grant_acked (s->holding, serial, sent);
-  if (serial != s->holding->serial)
+  if (status != CC_UNKNOWN && serial != s->holding->serial)
     s->grant_due = 0;
   cc_server_tick (s, cc_clock_now ());
   cc_server_pump (s);
