--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 LIB_SRC = admin.c admission.c ask.c assignment.c capercrank.c clock.c \
   config_api.c cost.c document.c findings.c follower.c grants.c histograms.c \
   holding.c job.c leader.c lease.c limit.c load.c log.c mailbox.c metrics.c \
-  outcome.c platform.c queue.c retry.c server.c settings.c slicemap.c \
+  outcome.c platform.c promise.c queue.c retry.c server.c settings.c slicemap.c \
   tenure.c upstream.c view.c waiters.c wire.c
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS = entry dispatch assign
--- a/lease.c
+++ b/lease.c
@@ -82,11 +82,13 @@
   cc_lease_init (l);
 }
 
-/* Peers promised, when asked at ASKED_AT, not to take over for a term. */
+/* Peers promised, when asked at ASKED_AT, not to take over for a term.  Counts
+ * only at a NOW at which the lease still stands: a promise can come late, from
+ * a voter that has forgotten what it released before its restart. */
 void
-cc_lease_extend (CcLease *l, gint64 asked_at)
+cc_lease_extend (CcLease *l, gint64 asked_at, gint64 now)
 {
-  if (asked_at < l->valid_until)
+  if (now < l->valid_until)
     l->valid_until = MAX (l->valid_until, asked_at + CC_LEASE_TERM);
 }
 
--- a/lease.h
+++ b/lease.h
@@ -41,7 +41,7 @@
 void cc_lease_renewed (CcLease *l, guint64 version);
 void cc_lease_found (CcLease *l, guint64 version, guint64 sequence);
 void cc_lease_missing (CcLease *l);
-void cc_lease_extend (CcLease *l, gint64 asked_at);
+void cc_lease_extend (CcLease *l, gint64 asked_at, gint64 now);
 void cc_lease_failed (CcLease *l);
 void cc_lease_revoked (CcLease *l);
 
