Serving goes on through an outage of the platform: voters wired in

Dispatchers ask for promises when a renewal is a second late; the assigner deletes a lapsed lease only after a majority released it, checking the voters' row, which it changes by one voter when all leases have seen the last change. The takeover part moved out of assign.c.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
   config_api.c cost.c document.c findings.c follower.c grants.c histograms.c \
   holding.c job.c leader.c lease.c limit.c load.c log.c mailbox.c metrics.c \
   outcome.c platform.c promise.c queue.c retry.c server.c settings.c slicemap.c \
-  tenure.c upstream.c view.c waiters.c wire.c
+  takeover.c tenure.c upstream.c view.c voters.c voting.c waiters.c wire.c
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS = entry dispatch assign
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
--- a/assign.c
+++ b/assign.c
@@ -16,6 +16,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "settings.h"
+#include "takeover.h"
 
 #define TICK_MS 50
 #define INSTANCES_PERIOD (500 * CC_MS)
@@ -27,16 +28,15 @@
   CcPlatform *platform;
   CcFollower *follower;
   CcLeader leader;
-  GHashTable *watches;  /* lease id to CcLeaseWatch */
-  GHashTable *reports;  /* pool to (server to CcServerReport) */
-  GHashTable *writing;  /* pools whose map is being written */
-  GHashTable *revoking; /* lease ids being deleted */
-  GPtrArray *listed;    /* of CcInstance, servers of the platform's list */
+  CcVoting *voting;
+  CcTakeover *takeover;
+  GHashTable *reports; /* pool to (server to CcServerReport) */
+  GHashTable *writing; /* pools whose map is being written */
+  GPtrArray *listed;   /* of CcInstance, servers of the platform's list */
   gboolean have_list;
   gboolean listing;
   gint64 list_due;
   CcCounter *steps;
-  CcCounter *takeovers;
 } Assign;
 
 typedef struct
@@ -84,6 +84,8 @@
     take_report (a, &m->u.report);
   else if (m->kind == CC_MSG_ROWS)
     cc_follower_receive (a->follower, m);
+  else if (m->kind == CC_MSG_VOTE)
+    cc_voting_receive (a->voting, m);
 }
 
 static void
@@ -109,64 +111,6 @@
   g_free (w);
 }
 
-static void
-on_revoked (CcStatus status, guint64 version, gpointer data)
-{
-  Write *w = data;
-
-  (void) version;
-  g_hash_table_remove (w->assign->revoking, w->name);
-  if (status == CC_OK)
-    {
-      ++*w->assign->takeovers;
-      cc_log (CC_LOG_WARNING, "takeover", "lease of %s lapsed, deleted",
-              w->name);
-    }
-  cc_follower_poll (w->assign->follower);
-  write_free (w);
-}
-
-/* Deletes a lapsed lease.  The check on its version makes the deletion and a
- * renewal that was just written exclude each other. */
-static void
-delete_lease (Assign *a, const char *id, const CcRow *row)
-{
-  CcTransaction *x = cc_transaction_new ();
-  g_autofree char *member = g_strconcat ("member/", id, NULL);
-
-  g_hash_table_add (a->revoking, g_strdup (id));
-  cc_transaction_check (x, row->key, row->version);
-  cc_transaction_put (x, row->key, NULL);
-  cc_transaction_put (x, member, NULL);
-  cc_platform_commit (a->platform, x, on_revoked, write_new (a, id));
-}
-
-static void
-watch_leases (Assign *a, gint64 now)
-{
-  g_autoptr (GPtrArray) rows = cc_view_list (&a->follower->view, "lease/");
-
-  for (guint i = 0; i < rows->len; i++)
-    {
-      const CcRow *row = rows->pdata[i];
-      const char *id = row->key + strlen ("lease/");
-      CcLeaseWatch *w = g_hash_table_lookup (a->watches, id);
-
-      if (g_str_equal (id, "assign"))
-        continue;
-      if (w == NULL)
-        {
-          w = g_new0 (CcLeaseWatch, 1);
-          g_hash_table_insert (a->watches, g_strdup (id), w);
-        }
-      cc_lease_watch (w, row->version, now);
-      if (cc_leader_is_active (&a->leader, now) &&
-          cc_lease_watch_lapsed (w, now) &&
-          !g_hash_table_contains (a->revoking, id))
-        delete_lease (a, id, row);
-    }
-}
-
 static CcRoster *
 roster_of (Assign *a, const char *pool)
 {
@@ -295,7 +239,7 @@
   cc_leader_tick (&a->leader, &a->follower->view, now);
   active = cc_leader_is_active (&a->leader, now);
   cc_metrics_gauge ("capercrank_assigner_active", "", active);
-  watch_leases (a, now);
+  cc_takeover_tick (a->takeover, active, now);
   if (active && !a->listing && now >= a->list_due)
     {
       a->listing = TRUE;
@@ -361,6 +305,8 @@
     }
   a->follower = cc_follower_new (a->mailbox, a->platform, "",
                                  (char *[]){ NULL }, TRUE, on_view_changed, a);
+  a->voting = cc_voting_new (a->mailbox, a->follower, NULL);
+  a->takeover = cc_takeover_new (a->platform, a->follower, a->voting);
   cc_config_api_add (admin, a->follower, a->platform);
   return TRUE;
 }
@@ -400,13 +346,10 @@
   a.platform =
       cc_platform_new (cc_setting (settings, "platform"),
                        cc_setting (settings, "listen"), PLATFORM_TIMEOUT);
-  a.watches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   a.reports = g_hash_table_new (g_str_hash, g_str_equal);
   a.writing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  a.revoking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   a.listed = g_ptr_array_new_with_free_func (instance_free);
   a.steps = cc_metrics_counter ("capercrank_assignment_steps", "");
-  a.takeovers = cc_metrics_counter ("capercrank_takeovers", "");
   if (!open_ports (&a, settings, incarnation))
     return 1;
   id = g_strdup_printf ("%s.%" G_GINT64_MODIFIER "x",
--- a/dispatch.c
+++ b/dispatch.c
@@ -17,6 +17,7 @@
 #include "metrics.h"
 #include "server.h"
 #include "settings.h"
+#include "voting.h"
 
 #define TICK_MS 20
 #define REPORT_PERIOD (200 * CC_MS)
@@ -38,6 +39,7 @@
   CcMailbox *mailbox;
   CcFollower *follower;
   CcTenure *tenure;
+  CcVoting *voting;
   CcServerShared shared;
   GHashTable *servers;   /* "pool/server" to CcServer */
   GHashTable *last_held; /* "pool/slice" to LastHeld */
@@ -202,6 +204,8 @@
     case CC_MSG_REPORT:
     case CC_MSG_OUTCOMES:
     case CC_MSG_VOTE:
+      cc_voting_receive (d->voting, m);
+      break;
     case CC_MSG_RELAY:
       break;
     }
@@ -439,6 +443,16 @@
   exit (0);
 }
 
+static void
+tend_lease (Dispatch *d, gint64 now)
+{
+  const CcRow *voters = cc_view_get (&d->follower->view, "voters");
+
+  d->tenure->informed = d->follower->platform_ok > 0;
+  d->tenure->voters_seen = voters != NULL ? voters->version : 0;
+  cc_voting_tick (d->voting, now);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -447,6 +461,8 @@
   GHashTableIter iter;
   gpointer server;
 
+  tend_lease (d, now);
+
   g_hash_table_iter_init (&iter, d->servers);
   while (g_hash_table_iter_next (&iter, NULL, &server))
     {
@@ -573,6 +589,7 @@
                             cc_setting (settings, "zone"),
                             cc_setting_advertised (settings), incarnation,
                             on_tenure, &d);
+  d.voting = cc_voting_new (d.mailbox, d.follower, d.tenure);
   init_shared (&d);
   cc_follower_start (d.follower);
   cc_tenure_start (d.tenure);
--- a/promise.c
+++ b/promise.c
@@ -22,6 +22,10 @@
  */
 #include "promise.h"
 
+/* Leases a voter keeps in mind: registrations of dispatchers in its life.  Past
+ * that it neither promises nor releases for new ones, until it is restarted. */
+#define LEASES_MAX 20000
+
 typedef struct
 {
   gint64 promised_until; /* us; 0: never promised */
@@ -43,12 +47,13 @@
   g_clear_pointer (&v->leases, g_hash_table_unref);
 }
 
+/* What was said of lease ID; NULL if too many are known. */
 static Said *
 said_of (CcVoter *v, const char *id)
 {
   Said *s = g_hash_table_lookup (v->leases, id);
 
-  if (s != NULL)
+  if (s != NULL || g_hash_table_size (v->leases) >= LEASES_MAX)
     return s;
   s = g_new0 (Said, 1);
   g_hash_table_insert (v->leases, g_strdup (id), s);
@@ -65,7 +70,7 @@
   if (now < v->quiet_until)
     return FALSE;
   s = said_of (v, id);
-  if (version <= s->released)
+  if (s == NULL || version <= s->released)
     return FALSE;
   s->promised_until = MAX (s->promised_until, now + CC_PROMISE_TERM);
   return TRUE;
@@ -81,7 +86,7 @@
   if (now < v->quiet_until)
     return FALSE;
   s = said_of (v, id);
-  if (now < s->promised_until)
+  if (s == NULL || now < s->promised_until)
     return FALSE;
   s->released = MAX (s->released, version);
   return TRUE;
--- /dev/null
+++ b/takeover.c
@@ -0,0 +1,223 @@
+/* Watches the dispatchers' leases.  A lease is deleted, and its holder's
+ * servers given to others, when
+ *
+ *  - its row has not changed for a term and a margin since it was first seen
+ *    (lease.h); and
+ *  - a majority of the voters has released it (promise.h).
+ *
+ * The deletion checks the row's version, so a renewal that was just written and
+ * the deletion exclude each other, and the version of the voters' row, so that
+ * nobody is asked who doesn't vote any more. */
+#include "takeover.h"
+
+#include <string.h>
+
+#include <json-glib/json-glib.h>
+
+#include "log.h"
+#include "metrics.h"
+#include "voters.h"
+
+#define LEASE "lease/"
+#define VOTERS_ROW "voters"
+
+struct CcTakeover
+{
+  CcPlatform *platform;
+  CcFollower *follower;
+  CcVoting *voting;
+  GHashTable *watches;    /* lease id to CcLeaseWatch */
+  GHashTable *deleting;   /* set of lease ids */
+  GPtrArray *voters;      /* of CcVoterAt, as in the row */
+  guint64 voters_version; /* of the row; 0: none */
+  gboolean writing;       /* a change of voters is on its way */
+  CcCounter *deleted;
+};
+
+typedef struct
+{
+  CcTakeover *takeover;
+  char *id;
+} Deletion;
+
+/* For the assigner that follows the table by F. */
+CcTakeover *
+cc_takeover_new (CcPlatform *platform, CcFollower *f, CcVoting *voting)
+{
+  CcTakeover *t = g_new0 (CcTakeover, 1);
+
+  t->platform = platform;
+  t->follower = f;
+  t->voting = voting;
+  t->watches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  t->deleting = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  t->voters = cc_voters_parse (NULL);
+  t->deleted = cc_metrics_counter ("capercrank_takeovers", "");
+  return t;
+}
+
+static void
+on_deleted (CcStatus status, guint64 version, gpointer data)
+{
+  Deletion *d = data;
+
+  (void) version;
+  g_hash_table_remove (d->takeover->deleting, d->id);
+  if (status == CC_OK)
+    {
+      ++*d->takeover->deleted;
+      cc_log (CC_LOG_WARNING, "takeover", "lease of %s lapsed, deleted", d->id);
+    }
+  cc_follower_poll (d->takeover->follower);
+  g_free (d->id);
+  g_free (d);
+}
+
+static void
+delete_lease (CcTakeover *t, const char *id, const CcRow *row, guint64 voters)
+{
+  CcTransaction *x = cc_transaction_new ();
+  g_autofree char *member = g_strconcat ("member/", id, NULL);
+  Deletion *d = g_new0 (Deletion, 1);
+
+  d->takeover = t;
+  d->id = g_strdup (id);
+  g_hash_table_add (t->deleting, g_strdup (id));
+  cc_transaction_check (x, row->key, row->version);
+  cc_transaction_check (x, VOTERS_ROW, voters);
+  cc_transaction_put (x, row->key, NULL);
+  cc_transaction_put (x, member, NULL);
+  cc_platform_commit (t->platform, x, on_deleted, d);
+}
+
+static CcLeaseWatch *
+watch_of (CcTakeover *t, const char *id)
+{
+  CcLeaseWatch *w = g_hash_table_lookup (t->watches, id);
+
+  if (w != NULL)
+    return w;
+  w = g_new0 (CcLeaseWatch, 1);
+  g_hash_table_insert (t->watches, g_strdup (id), w);
+  return w;
+}
+
+static void
+look_at (CcTakeover *t, const CcRow *row, gboolean active, gint64 now)
+{
+  const char *id = row->key + strlen (LEASE);
+  CcLeaseWatch *w = watch_of (t, id);
+  guint64 voters;
+
+  cc_lease_watch (w, row->version, now);
+  if (active && cc_lease_watch_lapsed (w, now) &&
+      !g_hash_table_contains (t->deleting, id) &&
+      cc_voting_release (t->voting, id, row->version, now, &voters))
+    delete_lease (t, id, row, voters);
+}
+
+static guint64
+voters_seen (const CcRow *lease)
+{
+  g_autoptr (JsonNode) root = json_from_string (lease->value, NULL);
+
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return 0;
+  return (guint64) json_object_get_int_member_with_default (
+      json_node_get_object (root), "voters", 0);
+}
+
+static gboolean
+all_have_seen (const CcTakeover *t, const GPtrArray *leases)
+{
+  for (guint i = 0; i < leases->len; i++)
+    {
+      const CcRow *row = leases->pdata[i];
+
+      if (!g_str_equal (row->key, LEASE "assign") &&
+          voters_seen (row) < t->voters_version)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+on_voters_written (CcStatus status, guint64 version, gpointer data)
+{
+  CcTakeover *t = data;
+
+  (void) status, (void) version;
+  t->writing = FALSE;
+  t->voters_version = 0; /* read it again: what was written may not stand */
+  cc_follower_poll (t->follower);
+}
+
+static void
+read_voters (CcTakeover *t)
+{
+  const CcRow *row = cc_view_get (&t->follower->view, VOTERS_ROW);
+
+  if (row == NULL || row->version == t->voters_version)
+    return;
+  g_ptr_array_unref (t->voters);
+  t->voters = cc_voters_parse (row->value);
+  t->voters_version = row->version;
+}
+
+static GPtrArray *
+list_members (const CcTakeover *t)
+{
+  GPtrArray *members = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, t->follower->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CcMember *m = value;
+      CcVoterAt *v = g_new0 (CcVoterAt, 1);
+
+      v->address = m->address;
+      v->zone = m->zone;
+      g_ptr_array_add (members, v);
+    }
+  return members;
+}
+
+static void
+keep_voters (CcTakeover *t, const GPtrArray *leases, gint64 now)
+{
+  g_autoptr (GPtrArray) members = NULL;
+  g_autofree char *value = NULL;
+  CcTransaction *x;
+
+  if (t->writing)
+    return;
+  read_voters (t);
+  members = list_members (t);
+  if (!all_have_seen (t, leases) || !cc_voters_step (t->voters, members, now))
+    return;
+  value = cc_voters_print (t->voters);
+  x = cc_transaction_new ();
+  cc_transaction_check (x, VOTERS_ROW, t->voters_version);
+  cc_transaction_put (x, VOTERS_ROW, value);
+  t->writing = TRUE;
+  cc_platform_commit (t->platform, x, on_voters_written, t);
+}
+
+/* Looks at all leases at NOW; only the ACTIVE assigner acts. */
+void
+cc_takeover_tick (CcTakeover *t, gboolean active, gint64 now)
+{
+  g_autoptr (GPtrArray) leases = cc_view_list (&t->follower->view, LEASE);
+
+  for (guint i = 0; i < leases->len; i++)
+    {
+      const CcRow *row = leases->pdata[i];
+
+      if (!g_str_equal (row->key, LEASE "assign"))
+        look_at (t, row, active, now);
+    }
+  if (active)
+    keep_voters (t, leases, now);
+}
--- a/tenure.c
+++ b/tenure.c
@@ -128,7 +128,9 @@
 }
 
 /* Renews the lease; the first time, and when draining begins, the member row
- * is written in the same transaction. */
+ * is written in the same transaction.  The row tells which voters this process
+ * knows, since they change only when all know the last change; who registers
+ * must know the present ones (voters.h). */
 static void
 write_lease (CcTenure *t, gint64 now)
 {
@@ -138,8 +140,12 @@
   g_autofree char *value = NULL;
   guint64 sequence = cc_lease_begin (&t->lease, now);
 
-  value = g_strdup_printf ("{\"sequence\":%" G_GUINT64_FORMAT "}", sequence);
+  value = g_strdup_printf ("{\"sequence\":%" G_GUINT64_FORMAT
+                           ",\"voters\":%" G_GUINT64_FORMAT "}",
+                           sequence, t->voters_seen);
   cc_transaction_check (x, lease, t->lease.version);
+  if (!t->lease.registered)
+    cc_transaction_check (x, "voters", t->voters_seen);
   cc_transaction_put (x, lease, value);
   if (!t->lease.registered || (t->draining && !t->drain_written))
     {
@@ -229,7 +235,7 @@
   gint64 now = cc_clock_now ();
 
   tell (t);
-  if (t->calling || t->closed)
+  if (t->calling || t->closed || (!t->informed && !t->closing))
     return G_SOURCE_CONTINUE;
   if (t->closing)
     delete_rows (t);
--- a/test/test_promise.c
+++ b/test/test_promise.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "promise.h"
+#include "voters.h"
 
 #define VOTERS 5
 #define TICK (10 * CC_MS)
@@ -423,6 +424,55 @@
   cc_ballot_clear (&assigner);
 }
 
+static guint
+missing_in (const GPtrArray *a, const GPtrArray *b)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < a->len; i++)
+    n += !cc_voters_have (b, ((CcVoterAt *) a->pdata[i])->address);
+  return n;
+}
+
+/* Members come and go at random.  Between two sets of voters one voter differs,
+ * so any two majorities share one; the set never falls below three again. */
+static void
+test_voters_change_by_one (void **state)
+{
+  CcVoterAt all[15];
+  char addresses[15][2] = { { 0 } };
+  GPtrArray *voters = cc_voters_parse (NULL);
+  GRand *rand = g_rand_new_with_seed (1);
+  guint changes = 0;
+
+  (void) state;
+  for (guint i = 0; i < 15; i++)
+    {
+      addresses[i][0] = (char) ('a' + i);
+      all[i] =
+          (CcVoterAt){ addresses[i], (char *[]){ "x", "y", "z" }[i % 3], 0 };
+    }
+  for (guint t = 1; t < 20000; t++)
+    {
+      g_autoptr (GPtrArray) members = g_ptr_array_new ();
+      g_autofree char *text = cc_voters_print (voters);
+      g_autoptr (GPtrArray) before = cc_voters_parse (text);
+
+      for (guint i = 0; i < 15; i++)
+        if (g_rand_int_range (rand, 0, 1 + (gint32) (t / 100 + i) % 7) == 0)
+          g_ptr_array_add (members, &all[i]);
+      changes += cc_voters_step (voters, members, (gint64) t * CC_SECOND);
+      if (before->len > 0)
+        assert_true (
+            missing_in (before, voters) + missing_in (voters, before) <= 1);
+      assert_true (before->len == 0 || voters->len >= CC_VOTERS_MIN);
+      assert_true (voters->len <= CC_VOTERS_MAX);
+    }
+  assert_true (changes > 20);
+  g_ptr_array_unref (voters);
+  g_rand_free (rand);
+}
+
 int
 main (void)
 {
@@ -430,6 +480,7 @@
     cmocka_unit_test (test_schedules),
     cmocka_unit_test (test_omissions),
     cmocka_unit_test (test_released_is_refused),
+    cmocka_unit_test (test_voters_change_by_one),
   };
 
   return cmocka_run_group_tests_name ("promise", tests, NULL, NULL);
--- /dev/null
+++ b/voters.c
@@ -0,0 +1,178 @@
+/* Which dispatchers vote (promise.h), without network or clock.
+ *
+ * The set changes by one voter at a time: any majority of a set shares a voter
+ * with any majority of the next, but not with one of the set after that.  So
+ * the assigner makes a change only when every dispatcher has seen the last one,
+ * which each writes into its lease row, and a takeover checks the version of
+ * the voters' row.
+ *
+ * Voters are spread over the zones, so that the loss of one leaves a majority.
+ */
+#include "voters.h"
+
+#include <json-glib/json-glib.h>
+
+#include "promise.h"
+
+static void
+voter_free (gpointer data)
+{
+  CcVoterAt *v = data;
+
+  g_free (v->address);
+  g_free (v->zone);
+  g_free (v);
+}
+
+static void
+add_voter (GPtrArray *voters, const char *address, const char *zone)
+{
+  CcVoterAt *v = g_new0 (CcVoterAt, 1);
+
+  v->address = g_strdup (address);
+  v->zone = g_strdup (zone);
+  g_ptr_array_add (voters, v);
+}
+
+/* The voters (of CcVoterAt) in a row; none if JSON is NULL or damaged.  The
+ * caller unrefs. */
+GPtrArray *
+cc_voters_parse (const char *json)
+{
+  GPtrArray *voters = g_ptr_array_new_with_free_func (voter_free);
+  g_autoptr (JsonNode) root =
+      json != NULL ? json_from_string (json, NULL) : NULL;
+  JsonArray *list;
+
+  if (root == NULL || !JSON_NODE_HOLDS_ARRAY (root))
+    return voters;
+  list = json_node_get_array (root);
+  for (guint i = 0; i < json_array_get_length (list); i++)
+    {
+      JsonArray *one = json_array_get_array_element (list, i);
+
+      add_voter (voters, json_array_get_string_element (one, 0),
+                 json_array_get_string_element (one, 1));
+    }
+  return voters;
+}
+
+/* The row that names VOTERS.  The caller frees it. */
+char *
+cc_voters_print (const GPtrArray *voters)
+{
+  g_autoptr (JsonBuilder) b = json_builder_new ();
+  g_autoptr (JsonNode) root = NULL;
+
+  json_builder_begin_array (b);
+  for (guint i = 0; i < voters->len; i++)
+    {
+      const CcVoterAt *v = voters->pdata[i];
+
+      json_builder_begin_array (b);
+      json_builder_add_string_value (b, v->address);
+      json_builder_add_string_value (b, v->zone);
+      json_builder_end_array (b);
+    }
+  json_builder_end_array (b);
+  root = json_builder_get_root (b);
+  return json_to_string (root, FALSE);
+}
+
+/* Whether the one at ADDRESS is among VOTERS. */
+gboolean
+cc_voters_have (const GPtrArray *voters, const char *address)
+{
+  for (guint i = 0; i < voters->len; i++)
+    if (g_str_equal (((CcVoterAt *) voters->pdata[i])->address, address))
+      return TRUE;
+  return FALSE;
+}
+
+static guint
+in_zone (const GPtrArray *voters, const char *zone)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < voters->len; i++)
+    n += g_str_equal (((CcVoterAt *) voters->pdata[i])->zone, zone);
+  return n;
+}
+
+/* The member that isn't a voter and whose zone has the fewest. */
+static const CcVoterAt *
+next_voter (const GPtrArray *voters, const GPtrArray *members)
+{
+  const CcVoterAt *best = NULL;
+
+  for (guint i = 0; i < members->len; i++)
+    {
+      const CcVoterAt *m = members->pdata[i];
+
+      if (!cc_voters_have (voters, m->address) &&
+          (best == NULL ||
+           in_zone (voters, m->zone) < in_zone (voters, best->zone)))
+        best = m;
+    }
+  return best;
+}
+
+static void
+note_missed (GPtrArray *voters, const GPtrArray *members, gint64 now)
+{
+  for (guint i = 0; i < voters->len; i++)
+    {
+      CcVoterAt *v = voters->pdata[i];
+
+      if (cc_voters_have (members, v->address))
+        v->missed = 0;
+      else if (v->missed == 0)
+        v->missed = now;
+    }
+}
+
+static gboolean
+drop_missed (GPtrArray *voters, gint64 now)
+{
+  for (guint i = 0; i < voters->len; i++)
+    {
+      const CcVoterAt *v = voters->pdata[i];
+
+      if (v->missed == 0 || now < v->missed + CC_VOTER_MISSED)
+        continue;
+      g_ptr_array_remove_index (voters, i);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+add_one (GPtrArray *voters, const GPtrArray *members)
+{
+  const CcVoterAt *next = next_voter (voters, members);
+
+  if (next == NULL || voters->len >= CC_VOTERS_MAX)
+    return FALSE;
+  add_voter (voters, next->address, next->zone);
+  return TRUE;
+}
+
+/* Changes VOTERS by one, or from none to the first few, as MEMBERS (of
+ * CcVoterAt, the dispatchers that stand) call for at NOW.  Returns whether it
+ * did.  A voter that is missed makes room only if it can be replaced. */
+gboolean
+cc_voters_step (GPtrArray *voters, const GPtrArray *members, gint64 now)
+{
+  note_missed (voters, members, now);
+  if (voters->len == 0)
+    {
+      if (members->len < CC_VOTERS_MIN)
+        return FALSE;
+      while (voters->len < CC_VOTERS_MIN)
+        add_one (voters, members);
+      return TRUE;
+    }
+  if (add_one (voters, members))
+    return TRUE;
+  return voters->len > CC_VOTERS_MIN && drop_missed (voters, now);
+}
--- /dev/null
+++ b/voters.h
@@ -0,0 +1,28 @@
+/* The dispatchers that vote on leases: the row that names them. */
+#ifndef CC_VOTERS_H
+#define CC_VOTERS_H
+
+#include "capercrank.h"
+
+/* Fewer than this and there are none: of two, the loss of one would forbid
+ * every takeover. */
+#define CC_VOTERS_MIN 3
+
+/* A voter without a member row for this long is replaced.  Longer than a
+ * process takes to start again at the same address. */
+#define CC_VOTER_MISSED (10 * CC_SECOND)
+
+typedef struct
+{
+  char *address; /* of its mailbox; tells a voter from the others */
+  char *zone;
+  gint64 missed; /* assigner: since when it has no member row, us; 0: it has */
+} CcVoterAt;
+
+GPtrArray *cc_voters_parse (const char *json);
+char *cc_voters_print (const GPtrArray *voters);
+gboolean cc_voters_have (const GPtrArray *voters, const char *address);
+gboolean cc_voters_step (GPtrArray *voters, const GPtrArray *members,
+                         gint64 now);
+
+#endif
