--- a/test/prove.c
+++ b/test/prove.c
@@ -3,6 +3,7 @@
  * check runs the few that belong to make check. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "prove.h"
 
@@ -30,6 +31,37 @@
   g_setenv ("CAPERCRANK_HEALTH_PORT", calm ? "8081" : "0", TRUE);
 }
 
+/* A counter or gauge of one process, all its labels together; 0 if it doesn't
+ * answer. */
+guint
+read_metric (Cluster *c, const char *program, guint instance, const char *name)
+{
+  g_autofree char *admin = cluster_admin (c, program, instance);
+  g_autofree char *url = g_strconcat ("http://", admin, "/metrics", NULL);
+  g_autofree char *text = NULL;
+  g_auto (GStrv) lines = NULL;
+  double sum = 0;
+
+  cluster_http ("GET", url, NULL, NULL, &text);
+  lines = g_strsplit (text, "\n", -1);
+  for (guint i = 0; lines[i] != NULL; i++)
+    if (g_str_has_prefix (lines[i], name) &&
+        (lines[i][strlen (name)] == ' ' || lines[i][strlen (name)] == '{'))
+      sum += g_ascii_strtod (strrchr (lines[i], ' '), NULL);
+  return (guint) sum;
+}
+
+/* The same over all of PROGRAM's processes. */
+guint
+sum_metric (Cluster *c, const char *program, const char *name)
+{
+  guint sum = 0;
+
+  for (guint i = 1; i <= c->instances; i++)
+    sum += read_metric (c, program, i, name);
+  return sum;
+}
+
 static gboolean
 prove (const char *bin, const Scenario *s, guint seed)
 {
--- a/test/prove.h
+++ b/test/prove.h
@@ -26,5 +26,8 @@
 extern const char *const calm_scenarios[];
 
 void pause_ms (guint ms);
+guint read_metric (Cluster *c, const char *program, guint instance,
+                   const char *name);
+guint sum_metric (Cluster *c, const char *program, const char *name);
 
 #endif
--- a/test/scenarios_lease.c
+++ b/test/scenarios_lease.c
@@ -1,100 +1,312 @@
-/* Failures of leases, ownership and the platform. */
+/* Failures of leases, ownership and the platform.  Each run returns how often
+ * the processes themselves counted that the fault reached them. */
 #include <signal.h>
+#include <stdio.h>
+#include <string.h>
 
 #include "prove.h"
 
-static char *
-pick (GRand *rand, Cluster *c, const char *program)
+#define PAST_LEASE 6000 /* ms; longer than any lease and its takeover */
+
+static guint
+pick (GRand *rand, Cluster *c)
+{
+  return (guint) g_rand_int_range (rand, 1, (gint32) c->instances + 1);
+}
+
+static void
+signal_one (Cluster *c, const char *program, guint instance, int sig)
 {
-  return g_strdup_printf (
-      "%s-%d", program, g_rand_int_range (rand, 1, (gint32) c->instances + 1));
+  g_autofree char *name = g_strdup_printf ("%s-%u", program, instance);
+
+  if (sig != 0)
+    cluster_signal (c, name, sig);
+  else
+    cluster_restart (c, name);
+}
+
+static guint
+takeovers (Cluster *c)
+{
+  return sum_metric (c, "assign", "capercrank_takeovers");
 }
 
 static guint
 kill_dispatcher (Cluster *c, GRand *rand)
 {
-  g_autofree char *name = pick (rand, c, "dispatch");
+  guint before = takeovers (c), i = pick (rand, c);
+
+  signal_one (c, "dispatch", i, SIGKILL);
+  pause_ms (PAST_LEASE);
+  signal_one (c, "dispatch", i, 0);
+  return takeovers (c) - before;
+}
+
+static guint
+kill_two_dispatchers (Cluster *c, GRand *rand)
+{
+  guint before = takeovers (c), i = pick (rand, c);
+  guint j = i % c->instances + 1;
 
-  cluster_signal (c, name, SIGKILL);
-  pause_ms (6000);
-  cluster_restart (c, name);
-  return 1;
+  signal_one (c, "dispatch", i, SIGKILL);
+  signal_one (c, "dispatch", j, SIGKILL);
+  pause_ms (PAST_LEASE);
+  signal_one (c, "dispatch", i, 0);
+  signal_one (c, "dispatch", j, 0);
+  return takeovers (c) - before >= 2 ? 2 : 0;
 }
 
 static guint
 freeze_dispatcher (Cluster *c, GRand *rand)
 {
-  g_autofree char *name = pick (rand, c, "dispatch");
+  guint before = takeovers (c), i = pick (rand, c);
 
-  cluster_signal (c, name, SIGSTOP);
+  signal_one (c, "dispatch", i, SIGSTOP);
   pause_ms (5000);
-  cluster_signal (c, name, SIGCONT);
-  return 1;
+  signal_one (c, "dispatch", i, SIGCONT);
+  return takeovers (c) - before;
+}
+
+static guint
+active_assigner (Cluster *c)
+{
+  for (guint i = 1; i <= c->instances; i++)
+    if (read_metric (c, "assign", i, "capercrank_assigner_active") == 1)
+      return i;
+  return 0;
+}
+
+/* A dispatcher is lost with it, so that there is something to decide. */
+static guint
+kill_assigner (Cluster *c, GRand *rand)
+{
+  guint active = active_assigner (c), i = pick (rand, c), next;
+
+  if (active == 0)
+    return 0;
+  signal_one (c, "assign", active, SIGKILL);
+  signal_one (c, "dispatch", i, SIGKILL);
+  pause_ms (PAST_LEASE);
+  next = active_assigner (c);
+  signal_one (c, "assign", active, 0);
+  signal_one (c, "dispatch", i, 0);
+  return next != 0 && next != active ? takeovers (c) : 0;
+}
+
+static guint
+instances_of (Cluster *c, const char *zone, int sig)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < c->processes->len; i++)
+    {
+      const Process *p = c->processes->pdata[i];
+
+      if (p->pool != NULL || !g_str_equal (p->zone, zone))
+        continue;
+      if (sig != 0)
+        cluster_signal (c, p->name, sig);
+      else
+        cluster_restart (c, p->name);
+      n++;
+    }
+  return n;
+}
+
+static guint
+kill_zone (Cluster *c, GRand *rand)
+{
+  (void) rand;
+  instances_of (c, "a", SIGKILL);
+  pause_ms (PAST_LEASE);
+  instances_of (c, "a", 0);
+  return takeovers (c);
 }
 
 static guint
 freeze_server (Cluster *c, GRand *rand)
 {
+  guint before = sum_metric (c, "assign", "capercrank_assignment_steps");
+
   (void) rand;
   cluster_signal (c, "catalogue-1", SIGSTOP);
   cluster_signal (c, "gate-payment-1", SIGSTOP);
-  pause_ms (6000);
+  pause_ms (PAST_LEASE);
   cluster_signal (c, "catalogue-1", SIGCONT);
   cluster_signal (c, "gate-payment-1", SIGCONT);
-  return 1;
+  return sum_metric (c, "assign", "capercrank_assignment_steps") - before;
 }
 
+/* The server answers no health call and holds work that began before it froze;
+ * on waking that work would take effect beside the new owner's. */
 static guint
-platform_down (Cluster *c, GRand *rand)
+freeze_server_inside (Cluster *c, GRand *rand)
 {
+  guint steps = sum_metric (c, "assign", "capercrank_assignment_steps");
+
   (void) rand;
-  cluster_platform (c, "down", 0);
-  pause_ms (6000);
+  cluster_behave (c, "group-booking-1", "work_us=300000");
+  cluster_behave (c, "gate-payment-1", "work_us=300000");
+  pause_ms (1000);
+  cluster_signal (c, "group-booking-1", SIGSTOP);
+  cluster_signal (c, "gate-payment-1", SIGSTOP);
+  pause_ms (PAST_LEASE);
+  cluster_signal (c, "group-booking-1", SIGCONT);
+  cluster_signal (c, "gate-payment-1", SIGCONT);
+  cluster_behave (c, "group-booking-1", "work_us=12000");
+  cluster_behave (c, "gate-payment-1", "work_us=8000");
+  return sum_metric (c, "assign", "capercrank_assignment_steps") - steps;
+}
+
+static guint
+freeze_entry (Cluster *c, GRand *rand)
+{
+  guint i = pick (rand, c);
+  guint before = read_metric (c, "entry", i, "capercrank_messages_received");
+
+  signal_one (c, "entry", i, SIGSTOP);
+  pause_ms (4000);
+  signal_one (c, "entry", i, SIGCONT);
+  pause_ms (500);
+  return read_metric (c, "entry", i, "capercrank_messages_received") > before;
+}
+
+static guint
+extensions (Cluster *c)
+{
+  return sum_metric (c, "dispatch", "capercrank_lease_extensions");
+}
+
+static guint
+platform_fault (Cluster *c, const char *mode, guint ms)
+{
+  guint before = extensions (c);
+
+  cluster_platform (c, mode, ms);
+  pause_ms (PAST_LEASE);
   cluster_platform (c, "up", 0);
-  return 1;
+  return extensions (c) - before;
+}
+
+static guint
+platform_down (Cluster *c, GRand *rand)
+{
+  (void) rand;
+  return platform_fault (c, "down", 0);
+}
+
+/* Slower than the calls' limit: every write lands after it was given up. */
+static guint
+platform_slow (Cluster *c, GRand *rand)
+{
+  (void) rand;
+  return platform_fault (c, "slow", 900);
+}
+
+/* Every write takes effect and no answer comes, while a server leaves and a
+ * dispatcher is lost: renewals, a move and a takeover at once. */
+static guint
+platform_loses (Cluster *c, GRand *rand)
+{
+  guint i = pick (rand, c);
+  guint before = sum_metric (c, "dispatch", "capercrank_platform_failures");
+
+  cluster_list (c, "catalogue-2", "leaving");
+  signal_one (c, "dispatch", i, SIGKILL);
+  platform_fault (c, "lose", 0);
+  signal_one (c, "dispatch", i, 0);
+  return sum_metric (c, "dispatch", "capercrank_platform_failures") > before;
 }
 
 static guint
 cut_zone_from_platform (Cluster *c, GRand *rand)
 {
+  guint before = extensions (c);
+
   (void) rand;
   cluster_relay (c, "cut", "a", "platform");
-  pause_ms (6000);
-  return cluster_relay (c, "heal", "", "");
+  pause_ms (PAST_LEASE);
+  cluster_relay (c, "heal", "", "");
+  return extensions (c) - before;
 }
 
 static guint
-cut_zone_from_all (Cluster *c, GRand *rand)
+cut_zone_from_others (Cluster *c, GRand *rand)
 {
   guint touched = 0;
 
   (void) rand;
   touched += cluster_relay (c, "cut", "a", "b");
   touched += cluster_relay (c, "cut", "a", "c");
-  cluster_relay (c, "cut", "a", "platform");
-  pause_ms (6000);
+  pause_ms (PAST_LEASE);
   cluster_relay (c, "heal", "", "");
   return touched;
 }
 
+static guint
+cut_zone_from_all (Cluster *c, GRand *rand)
+{
+  guint before = takeovers (c);
+
+  (void) rand;
+  cluster_relay (c, "cut", "a", "b");
+  cluster_relay (c, "cut", "a", "c");
+  cluster_relay (c, "cut", "a", "platform");
+  pause_ms (PAST_LEASE);
+  cluster_relay (c, "heal", "", "");
+  return takeovers (c) - before;
+}
+
+/* Cut, healed, cut otherwise, healed, and the table down at the end. */
+static guint
+cut_again (Cluster *c, GRand *rand)
+{
+  guint hits = cut_zone_from_all (c, rand);
+
+  pause_ms (3000);
+  hits = MIN (hits, cut_zone_from_platform (c, rand));
+  pause_ms (1000);
+  return MIN (hits, platform_down (c, rand));
+}
+
 const Scenario lease_scenarios[] = {
   { "kill-dispatcher",
     "Callers get unknown for what was in flight and not-run until its servers "
     "are taken over.",
     14, 1, kill_dispatcher, TRUE },
+  { "kill-two-dispatchers", "Two are lost in the same moment.", 14, 1,
+    kill_two_dispatchers, FALSE },
+  { "kill-assigner",
+    "The active assigner is lost with a dispatcher; another decides.", 16, 1,
+    kill_assigner, FALSE },
+  { "kill-zone", "All processes of a zone's instances are lost at once.", 14, 1,
+    kill_zone, FALSE },
   { "freeze-dispatcher",
     "It is paused past its lease and comes back unaware; it must send nothing.",
-    14, 1, freeze_dispatcher, FALSE },
-  { "freeze-server",
-    "Servers freeze with work inside and come back; their slices have moved.",
+    14, 1, freeze_dispatcher, TRUE },
+  { "freeze-server", "Servers freeze and come back; their slices have moved.",
     14, 1, freeze_server, FALSE },
+  { "freeze-server-inside",
+    "Servers freeze with work begun, and finish it after the move.", 16, 1,
+    freeze_server_inside, FALSE },
+  { "freeze-entry", "Its callers wait; answers that come late are dropped.", 12,
+    1, freeze_entry, FALSE },
   { "platform-down",
     "The table is down for longer than any lease; serving goes on.", 14, 1,
-    platform_down, FALSE },
+    platform_down, TRUE },
+  { "platform-slow", "Every write lands after it was given up.", 14, 1,
+    platform_slow, FALSE },
+  { "platform-loses",
+    "Writes take effect, their answers are lost: renewals, a move, a takeover.",
+    16, 1, platform_loses, FALSE },
   { "cut-zone-from-platform",
     "A zone loses the platform, other zones are reachable.", 14, 1,
     cut_zone_from_platform, FALSE },
+  { "cut-zone-from-others", "A zone loses the others and keeps the platform.",
+    14, 1, cut_zone_from_others, FALSE },
   { "cut-zone-from-all", "A zone loses the others and the platform.", 14, 1,
     cut_zone_from_all, FALSE },
+  { "cut-again", "Cuts and outages one after another, healed between.", 32, 1,
+    cut_again, FALSE },
   { NULL, NULL, 0, 0, NULL, FALSE }
 };
--- a/test/scenarios_outcome.c
+++ b/test/scenarios_outcome.c
@@ -15,35 +15,6 @@
          cluster_relay (c, "silence", "b", "catalogue-1");
 }
 
-/* Sum of a counter or gauge over all of PROGRAM's processes, or one of them. */
-static guint
-read_metric (Cluster *c, const char *program, guint instance, const char *name)
-{
-  g_autofree char *admin = cluster_admin (c, program, instance);
-  g_autofree char *url = g_strconcat ("http://", admin, "/metrics", NULL);
-  g_autofree char *text = NULL;
-  g_auto (GStrv) lines = NULL;
-  double sum = 0;
-
-  cluster_http ("GET", url, NULL, NULL, &text);
-  lines = g_strsplit (text, "\n", -1);
-  for (guint i = 0; lines[i] != NULL; i++)
-    if (g_str_has_prefix (lines[i], name) &&
-        (lines[i][strlen (name)] == ' ' || lines[i][strlen (name)] == '{'))
-      sum += g_ascii_strtod (strrchr (lines[i], ' '), NULL);
-  return (guint) sum;
-}
-
-static guint
-sum_metric (Cluster *c, const char *program, const char *name)
-{
-  guint sum = 0;
-
-  for (guint i = 1; i <= c->instances; i++)
-    sum += read_metric (c, program, i, name);
-  return sum;
-}
-
 static guint
 repeats (Cluster *c, GRand *rand)
 {
