A silent server that doesn't check grants keeps its slices while work may be inside

Now such a server keeps its slices until it answers again and had 3 s to end its work, or is not listed; one with nothing unanswered is moved at once, as before.

--- a/dispatch.c
+++ b/dispatch.c
@@ -366,7 +366,7 @@
   m.u.report.pool = s->holding->pool;
   m.u.report.server = s->holding->name;
   m.u.report.applied = applied;
-  m.u.report.state = s->holding->lost;
+  m.u.report.state = cc_holding_is_lost (s->holding);
   m.u.report.running = s->holding->running;
   m.u.report.queued = cc_queue_length (&s->load.queue);
   cc_mailbox_send (d->mailbox, address, &m);
--- a/holding.c
+++ b/holding.c
@@ -10,9 +10,12 @@
  *  - servers that check grants have acknowledged a list without them, so that
  *    an attempt still in a frozen server's buffers will be refused; or, if the
  *    server is silent, its last grant has lapsed by its own clock;
- *  - servers that don't check are waited for until the deadline of every
- *    attempt that may still be inside has passed, since they drop work whose
- *    deadline is over.
+ *  - servers that don't check are asked nothing: an attempt that ended without
+ *    an answer may be inside.  Work that was begun before a freeze takes effect
+ *    on waking, whatever its deadline, so the slices of a silent server with
+ *    such an attempt stay with it until it answers again and has had time to
+ *    end its work, or the platform doesn't list it any more.  This costs time
+ *    in which its keys are unavailable; anything else costs a second owner.
  */
 #include "holding.h"
 
@@ -32,6 +35,8 @@
   h->answered = now;
   h->grant_sent = now; /* a predecessor may have sent one up to now */
   h->quiet_at = quiet_at;
+  h->doubt = quiet_at > 0;
+  h->alive_since = now;
   h->serial = 1;
   return h;
 }
@@ -126,6 +131,7 @@
   if (m->version <= h->map_version)
     return;
   h->map_version = m->version;
+  h->gone = s->state == CC_SERVER_GONE;
   h->handing_over = g_str_equal (s->from, me);
   h->active = g_str_equal (s->dispatcher, me) && s->from[0] == '\0';
   if (h->active)
@@ -183,7 +189,10 @@
 
   h->running--;
   if (!answered)
-    h->quiet_at = MAX (h->quiet_at, deadline + CC_SKEW_MAX);
+    {
+      h->quiet_at = MAX (h->quiet_at, deadline + CC_SKEW_MAX);
+      h->doubt = TRUE;
+    }
   if (--s->running == 0 && !s->owned)
     leave_slice (h, slice);
 }
@@ -223,6 +232,8 @@
 void
 cc_holding_answered (CcHolding *h, gint64 now)
 {
+  if (now >= h->answered + CC_SERVER_SUSPECT)
+    h->alive_since = now;
   h->answered = MAX (h->answered, now);
 }
 
@@ -251,13 +262,31 @@
   return FALSE;
 }
 
+/* Whether the server is silent and its slices may be served elsewhere. */
+gboolean
+cc_holding_is_lost (const CcHolding *h)
+{
+  return h->lost && (h->checks_grants || !h->doubt);
+}
+
+static void
+settle (CcHolding *h, gint64 now, gint64 wall)
+{
+  gboolean lively = now < h->answered + CC_SERVER_SUSPECT &&
+                    now >= h->alive_since + CC_SERVER_SETTLE;
+
+  if (wall >= h->quiet_at && (lively || h->gone))
+    h->doubt = FALSE;
+}
+
 /* The newest map version of which everything that it took from this server
  * has certainly stopped; 0 if that can't be said yet. */
 guint64
-cc_holding_applied (const CcHolding *h, gint64 now, gint64 wall)
+cc_holding_applied (CcHolding *h, gint64 now, gint64 wall)
 {
   gboolean fenced;
 
+  settle (h, now, wall);
   if (has_leftovers (h))
     return 0;
   if (h->handing_over)
@@ -266,6 +295,6 @@
     fenced = h->acked_serial == h->serial ||
              now >= h->grant_sent + CC_GRANT_TTL + CC_GRANT_MARGIN;
   else
-    fenced = wall >= h->quiet_at;
+    fenced = !h->doubt;
   return fenced ? h->map_version : 0;
 }
--- a/holding.h
+++ b/holding.h
@@ -18,6 +18,9 @@
 #define CC_SERVER_SUSPECT (700 * CC_MS)
 /* No answer for this long: the server is lost, its slices go elsewhere. */
 #define CC_SERVER_LOST_AFTER (1000 * CC_MS)
+/* A server that doesn't check grants, and answers again, has by then ended what
+ * it had begun: the longest deadline of today's classes of such pools. */
+#define CC_SERVER_SETTLE (3 * CC_SECOND)
 /* The end of a grant is compared on the server's wall clock. */
 #define CC_GRANT_MARGIN CC_SKEW_MAX
 
@@ -45,7 +48,10 @@
   gint64 granted_until; /* it honours the grant at least until then, us */
   gint64 grant_sent;    /* last time a grant was sent, us; 0: never */
   gint64 answered;      /* last answer to a grant or a probe, us */
-  gint64 quiet_at;      /* wall clock: no unanswered attempt is inside */
+  gboolean doubt;       /* an unanswered attempt may be inside the server */
+  gint64 quiet_at;      /* wall clock: the deadlines of those are past */
+  gint64 alive_since;   /* it has answered without a silence since then, us */
+  gboolean gone;        /* the platform doesn't list it any more */
   guint running;        /* attempts at the server, all slices */
   gboolean lost;        /* judged silent */
 } CcHolding;
@@ -66,6 +72,7 @@
 void cc_holding_grant_acked (CcHolding *h, guint64 serial, gint64 sent);
 void cc_holding_answered (CcHolding *h, gint64 now);
 gboolean cc_holding_judge (CcHolding *h, gint64 now);
-guint64 cc_holding_applied (const CcHolding *h, gint64 now, gint64 wall);
+gboolean cc_holding_is_lost (const CcHolding *h);
+guint64 cc_holding_applied (CcHolding *h, gint64 now, gint64 wall);
 
 #endif
--- a/test/ownership.c
+++ b/test/ownership.c
@@ -629,7 +629,7 @@
       e->server = i;
       e->keys[0] = g_strdup (p->id);
       e->applied = applied;
-      e->lost = h->holding->lost;
+      e->lost = cc_holding_is_lost (h->holding);
       post (w, e);
     }
 }
@@ -662,7 +662,7 @@
       cc_holding_may_send (h->holding, slice, w->now))
     send_work (w, p, i, slice);
   if (w->omit == OMIT_QUIET)
-    h->holding->quiet_at = 0;
+    h->holding->doubt = FALSE;
   report (w, p, i);
 }
 
@@ -757,8 +757,8 @@
   t->last = w->now;
 }
 
-/* Work ends.  A server that doesn't check grants drops what is overdue, which
- * is all that may be asked of it (docs/PROOFS.md). */
+/* Work ends.  A server that doesn't check grants lets all take effect that it
+ * has begun, whatever its deadline. */
 static void
 tick_server (World *w, Server *s)
 {
@@ -769,7 +769,7 @@
       if (w->now < k.ends)
         continue;
       g_array_remove_index_fast (s->works, i);
-      if (s->checks ? is_granted (w, s, &k) : wall (w, s->skew) <= k.deadline)
+      if (!s->checks || is_granted (w, s, &k))
         judge_effect (w, s, &k);
       answer (w, s, &k);
     }
