--- a/lease.h
+++ b/lease.h
@@ -15,8 +15,8 @@
 #define CC_LEASE_PERIOD (400 * CC_MS)
 
 /* A watcher waits this much longer than the term.  Two clocks of BOOTTIME
- * drift by less than 0.1% (under 2 ms in a term); the rest is for a send decided
- * just before the lapse that left the process just after. */
+ * drift by less than 0.1% (under 2 ms in a term); the rest is for a send
+ * decided just before the lapse that left the process just after. */
 #define CC_LEASE_MARGIN (200 * CC_MS)
 
 typedef struct
