--- a/test/harness.c
+++ b/test/harness.c
@@ -349,6 +349,11 @@
     }
 }
 
+/* Part of a run's folder.  A network is free again a minute after a run, when
+ * its connections are forgotten; the next run in it would append its records to
+ * the first one's, and the audit find epochs that go back. */
+static guint clusters_started;
+
 /* Starts all of DEPLOYMENT (a file), programs taken from BIN, and submits its
  * document.  If RELAYED, every link can be cut by cluster_relay. */
 Cluster *
@@ -369,7 +374,8 @@
       json_to_string (json_object_get_member (root, "document"), TRUE);
   c->net = choose_net ();
   c->instances = (guint) json_object_get_int_member (root, "instances");
-  c->folder = g_strdup_printf ("%s/run/%u-%u", bin, c->net, (guint) getpid ());
+  c->folder = g_strdup_printf ("%s/run/%u-%u-%u", bin, c->net,
+                               (guint) getpid (), ++clusters_started);
   g_mkdir_with_parents (c->folder, 0755);
   c->processes = g_ptr_array_new ();
   add_all (c, root);
