--- a/server.c
+++ b/server.c
@@ -37,6 +37,7 @@
 {
   shared->waiters = cc_waiters_new ();
   shared->retried = cc_metrics_counter ("capercrank_attempts_retried", "");
+  shared->hedged = cc_metrics_counter ("capercrank_attempts_hedged", "");
   shared->pools_dropped = cc_metrics_counter ("capercrank_pools_dropped", "");
   cc_histograms_init (&shared->wait, "capercrank_queue_seconds");
   cc_histograms_init (&shared->service, "capercrank_service_seconds");
@@ -195,7 +196,8 @@
                 .slice = j->slice,
                 .epoch = slice->epoch,
                 .run_id = run_id,
-                .once_only = j->once_only };
+                .once_only = j->once_only,
+                .fresh = j->waiting.tries > 1 };
 
   j->sent = cc_clock_now ();
   j->attempt = cc_upstream_send (s->shared->upstream, &o, on_attempt_done, j);
--- a/server.h
+++ b/server.h
@@ -24,6 +24,7 @@
   CcOutcomes *outcomes;
   GHashTable *first_attempts; /* "pool/slice/idempotency key" to CcJob */
   GHashTable *waiters;        /* CcWaiter to the CcJob that will answer it */
+  CcCounter *hedged;          /* attempts given up for a fresh one */
   CcCounter *retried;         /* attempts made again */
   CcCounter *pools_dropped;   /* silent kept connections to a server */
   CcHistograms wait;          /* in the queue, by class and by tenant */
