--- a/dispatch.c
+++ b/dispatch.c
@@ -18,6 +18,7 @@
 #include "outcome_transfer.h"
 #include "server.h"
 #include "settings.h"
+#include "voting.h"
 
 #define TICK_MS 20
 #define REPORT_PERIOD (200 * CC_MS)
@@ -32,6 +33,7 @@
   CcMailbox *mailbox;
   CcFollower *follower;
   CcTenure *tenure;
+  CcVoting *voting;
   CcServerShared shared;
   CcTransfer *transfer; /* memory of outcomes, between dispatchers */
   GHashTable *servers;  /* "pool/server" to CcServer */
@@ -203,6 +205,8 @@
     case CC_MSG_REPLY:
     case CC_MSG_REPORT:
     case CC_MSG_VOTE:
+      cc_voting_receive (d->voting, m);
+      break;
     case CC_MSG_RELAY:
     case CC_MSG_PING:
       break;
@@ -259,6 +263,9 @@
   g_hash_table_remove (d->servers, key);
 }
 
+/* A server that this process is to hand over is taken on even if it never held
+ * it, having missed the map that said so: the next holder waits for its word.
+ */
 static void
 update_server (Dispatch *d, const CcSliceMap *m, gint32 index)
 {
@@ -268,7 +275,7 @@
   gboolean leaving = g_str_equal (one->from, me);
   CcServer *s = find_server (d, m->pool, one->name);
 
-  if (s == NULL && mine)
+  if (s == NULL && (mine || leaving))
     s = take_server (d, m, one);
   if (s == NULL)
     return;
@@ -366,7 +373,7 @@
   m.u.report.pool = s->holding->pool;
   m.u.report.server = s->holding->name;
   m.u.report.applied = applied;
-  m.u.report.state = s->holding->lost;
+  m.u.report.state = cc_holding_is_lost (s->holding);
   m.u.report.running = s->holding->running;
   m.u.report.queued = cc_queue_length (&s->load.queue);
   m.u.report.loads = loads;
@@ -432,6 +439,16 @@
   exit (0);
 }
 
+static void
+tend_lease (Dispatch *d, gint64 now)
+{
+  const CcRow *voters = cc_view_get (&d->follower->view, "voters");
+
+  d->tenure->informed = d->follower->platform_ok > 0;
+  d->tenure->voters_seen = voters != NULL ? voters->version : 0;
+  cc_voting_tick (d->voting, now);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -440,6 +457,8 @@
   GHashTableIter iter;
   gpointer server;
 
+  tend_lease (d, now);
+
   g_hash_table_iter_init (&iter, d->servers);
   while (g_hash_table_iter_next (&iter, NULL, &server))
     {
@@ -567,6 +586,7 @@
                             cc_setting (settings, "zone"),
                             cc_setting_advertised (settings), incarnation,
                             on_tenure, &d);
+  d.voting = cc_voting_new (d.mailbox, d.follower, d.tenure);
   init_shared (&d);
   cc_follower_start (d.follower);
   cc_tenure_start (d.tenure);
--- a/tenure.c
+++ b/tenure.c
@@ -102,7 +102,8 @@
 static void
 lose_lease (CcTenure *t)
 {
-  cc_log (CC_LOG_WARNING, "lease", "%s was taken over", t->id);
+  cc_log (CC_LOG_WARNING, "lease", "%s is given up, its row is not there",
+          t->id);
   cc_lease_revoked (&t->lease);
   tell (t);
   choose_id (t);
@@ -127,7 +128,9 @@
 }
 
 /* Renews the lease; the first time, and when draining begins, the member row
- * is written in the same transaction. */
+ * is written in the same transaction.  The row tells which voters this process
+ * knows, since they change only when all know the last change; who registers
+ * must know the present ones (voters.h). */
 static void
 write_lease (CcTenure *t, gint64 now)
 {
@@ -137,8 +140,12 @@
   g_autofree char *value = NULL;
   guint64 sequence = cc_lease_begin (&t->lease, now);
 
-  value = g_strdup_printf ("{\"sequence\":%" G_GUINT64_FORMAT "}", sequence);
+  value = g_strdup_printf ("{\"sequence\":%" G_GUINT64_FORMAT
+                           ",\"voters\":%" G_GUINT64_FORMAT "}",
+                           sequence, t->voters_seen);
   cc_transaction_check (x, lease, t->lease.version);
+  if (!t->lease.registered)
+    cc_transaction_check (x, "voters", t->voters_seen);
   cc_transaction_put (x, lease, value);
   if (!t->lease.registered || (t->draining && !t->drain_written))
     {
@@ -176,10 +183,8 @@
         cc_lease_found (&t->lease, version, sequence_in (value));
         return;
       }
-  if (t->lease.registered)
-    lose_lease (t);
-  else
-    cc_lease_failed (&t->lease);
+  cc_lease_missing (&t->lease);
+  lose_lease (t);
 }
 
 static void
@@ -230,7 +235,7 @@
   gint64 now = cc_clock_now ();
 
   tell (t);
-  if (t->calling || t->closed)
+  if (t->calling || t->closed || (!t->informed && !t->closing))
     return G_SOURCE_CONTINUE;
   if (t->closing)
     delete_rows (t);
--- a/test/prove.h
+++ b/test/prove.h
@@ -18,14 +18,18 @@
   gboolean in_check; /* part of make check */
 } Scenario;
 
-extern const Scenario config_scenarios[];  /* operators racing, cuts */
-extern const Scenario lease_scenarios[];   /* leases, epochs, moves, cuts */
-extern const Scenario outcome_scenarios[]; /* repeats, silence, drains */
+extern const Scenario config_scenarios[];     /* operators racing, cuts */
+extern const Scenario lease_scenarios[];      /* leases, epochs, moves, cuts */
+extern const Scenario outcome_scenarios[];    /* repeats, silence, drains */
+extern const Scenario assignment_scenarios[]; /* load, hot keys, joins */
 
 /* Names of scenarios in which a balancer asks for readiness and no once-only
  * answer may be unknown; NULL ends. */
 extern const char *const calm_scenarios[];
 
 void pause_ms (guint ms);
+guint read_metric (Cluster *c, const char *program, guint instance,
+                   const char *name);
+guint sum_metric (Cluster *c, const char *program, const char *name);
 
 #endif
