--- a/dispatch.c
+++ b/dispatch.c
@@ -206,6 +206,7 @@
       cc_voting_receive (d->voting, m);
       break;
     case CC_MSG_RELAY:
+    case CC_MSG_PING:
       break;
     }
 }
