--- a/server.c
+++ b/server.c
@@ -50,6 +50,7 @@
 
   s->shared = shared;
   s->holding = h;
+  s->meter = cc_unit_meter_new (cc_clock_now ());
   cc_load_init (&s->load);
   s->sent = g_hash_table_new (NULL, NULL);
   return s;
@@ -329,6 +330,8 @@
         cc_histograms_add (&s->shared->service, j->class_name, j->tenant,
                            cc_clock_now () - j->sent);
       g_hash_table_remove (s->sent, j);
+      cc_unit_meter_served (s->meter, j->slice, cc_clock_now () - j->sent,
+                            cc_clock_now ());
       cc_load_done (&s->load, &j->waiting, load_end (j, result->end),
                     cc_clock_now ());
       ended = answer_result (s, j, result);
@@ -468,6 +471,7 @@
   g_hash_table_unref (s->sent);
   cc_load_clear (&s->load);
   cc_holding_unref (s->holding);
+  cc_unit_meter_free (s->meter);
   s->closed = TRUE;
   if (!s->granting)
     g_free (s);
--- a/server.h
+++ b/server.h
@@ -8,6 +8,7 @@
 #include "holding.h"
 #include "job.h"
 #include "load.h"
+#include "unit_meter.h"
 #include "metrics.h"
 #include "outcome.h"
 #include "tenure.h"
@@ -33,10 +34,11 @@
 {
   CcServerShared *shared;
   CcHolding *holding;
-  CcLoad load;       /* jobs in state QUEUED, and what may be sent */
-  GHashTable *sent;  /* set of CcJob in state SENT */
-  gboolean granting; /* a grant or probe is in progress */
-  gint64 grant_due;  /* when the next is to be sent, us */
+  CcUnitMeter *meter; /* loads of its units, for the assigner */
+  CcLoad load;        /* jobs in state QUEUED, and what may be sent */
+  GHashTable *sent;   /* set of CcJob in state SENT */
+  gboolean granting;  /* a grant or probe is in progress */
+  gint64 grant_due;   /* when the next is to be sent, us */
   CcConnectionHealth connections;
   gboolean closed;   /* freed when the grant's callback has run */
   guint64 reported;  /* applied version last reported */
--- a/test/ownership.c
+++ b/test/ownership.c
@@ -107,6 +107,7 @@
   CcSliceMap *map;
   /* assigner */
   GHashTable *watches, *reports;
+  CcPlanner *planner;
   gboolean leaving[SERVERS], listed[SERVERS];
   gint64 list_due;
 } Peer;
@@ -875,7 +876,7 @@
                       : cc_slicemap_new (POOL, SLICES);
   CcRoster *r = roster_of (w, p);
 
-  if (cc_assignment_step (m, &pool, r, p->reports) > 0)
+  if (cc_planner_step (p->planner, m, &pool, r, p->reports, w->now) > 0)
     {
       Event *e = begin_call (w, p, EV_COMMIT);
 
@@ -1022,6 +1023,7 @@
   p->watches = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->reports =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, report_free);
+  p->planner = cc_planner_new ();
   choose_id (p);
 }
 
@@ -1033,6 +1035,7 @@
   p->alive = FALSE;
   cc_view_clear (&p->view);
   g_hash_table_unref (p->watches);
+  cc_planner_free (p->planner);
   g_hash_table_unref (p->reports);
   g_clear_pointer (&p->map, cc_slicemap_free);
   for (guint i = 0; i < SERVERS; i++)
