Pools that keep: a zone cut off serves on, taken over when its instance is gone

Case 4 of being cut off, "cut_off": "keep": holdings of such pools are served without a lease; the assigner replaces their dispatcher only when its instance isn't listed any more or has registered anew (cut_off.c), which a process does only after it let go of all it held. The setting can't be taken back, since a zone cut off goes by the old document. The stand-in's list names instances, role entry.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 LIBS = $(shell pkg-config --libs $(PKGS)) -lnng -lxxhash -lm
 
 LIB_SRC = admin.c admission.c ask.c assignment.c balance.c body_limit.c \
-  capercrank.c clock.c config_api.c connection_health.c connections.c cost.c \
+  capercrank.c clock.c config_api.c connection_health.c connections.c cost.c cut_off.c \
   document.c findings.c follower.c grants.c hangup.c histograms.c holding.c \
   hot_units.c hotkeys.c job.c leader.c lease.c limit.c link_health.c load.c \
   log.c mailbox.c metrics.c outcome.c outcome_transfer.c ownership_moves.c \
--- a/assign.c
+++ b/assign.c
@@ -131,12 +131,13 @@
 }
 
 static CcRoster *
-roster_of (Assign *a, const char *pool)
+roster_of (Assign *a, const CcPool *pool)
 {
   CcRoster *r = cc_roster_new ();
   GHashTableIter iter;
   gpointer value;
 
+  r->keeps = pool->cut_off == CC_CUT_OFF_KEEP;
   g_hash_table_iter_init (&iter, a->follower->members);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -148,9 +149,11 @@
     {
       const CcInstance *one = a->listed->pdata[i];
 
-      if (g_str_equal (one->role, pool))
+      if (g_str_equal (one->role, pool->name))
         cc_roster_add_server (r, one->name, one->address, one->zone,
                               one->leaving);
+      else if (g_str_equal (one->role, "entry"))
+        cc_roster_add_instance (r, one->name);
     }
   return r;
 }
@@ -196,7 +199,7 @@
     return;
   m = row != NULL ? cc_slicemap_parse (pool->name, row->version, row->value)
                   : cc_slicemap_new (pool->name, pool->slices);
-  roster = roster_of (a, pool->name);
+  roster = roster_of (a, pool);
   if (m != NULL &&
       cc_planner_step (p, m, pool, roster, reports_of (a, pool->name),
                        cc_clock_now ()) > 0)
--- a/dispatch.c
+++ b/dispatch.c
@@ -166,7 +166,7 @@
     refuse (d, m, CC_OUTCOME_NOT_RUN, "moved", MOVED_WAIT_MS, TRUE);
   else if (s->holding->lost)
     refuse (d, m, CC_OUTCOME_NOT_RUN, "server-lost", 1000, FALSE);
-  else if (!cc_tenure_is_valid (d->tenure, cc_clock_now ()))
+  else if (!cc_server_may_serve (s, cc_clock_now ()))
     refuse (d, m, CC_OUTCOME_NOT_RUN, "no-lease", 500, TRUE);
   else if (class->once_only)
     take_once_only (d, m, s, class, slice);
@@ -246,6 +246,7 @@
     quiet_at += cc_document_longest (d->follower->document, m->pool);
   s = cc_server_new (&d->shared, cc_holding_new (m->pool, one, checks,
                                                  cc_clock_now (), quiet_at));
+  s->holding->keeps = pool != NULL && pool->cut_off == CC_CUT_OFF_KEEP;
   g_hash_table_insert (d->servers, g_strconcat (m->pool, "/", one->name, NULL),
                        s);
   cc_log (CC_LOG_INFO, "server", "%s/%s is held here, term %" G_GUINT64_FORMAT,
@@ -327,14 +328,15 @@
     }
 }
 
+/* The lease was gained or lost, or the id given up: what was held under another
+ * id is let go of before the new one is registered (cut_off.c). */
 static void
 on_tenure (CcTenure *t, gboolean held, gpointer data)
 {
   Dispatch *d = data;
 
-  (void) t;
-  if (held)
-    on_view_changed (d->follower, d);
+  (void) t, (void) held;
+  on_view_changed (d->follower, d);
 }
 
 static guint64
--- a/document.c
+++ b/document.c
@@ -296,6 +296,11 @@
       if (old != NULL && old->slices != p->slices)
         cc_findings_add (f, place, "is %u for the life of the pool, not %u",
                          old->slices, p->slices);
+      /* A zone that is cut off goes by the old document: it would serve on
+       * while its servers are taken over. */
+      if (old != NULL && old->cut_off == CC_CUT_OFF_KEEP &&
+          p->cut_off == CC_CUT_OFF_RELEASE)
+        cc_findings_add (f, p->name, "keeps \"cut_off\": \"keep\" for life");
     }
 }
 
--- a/grants.c
+++ b/grants.c
@@ -41,7 +41,7 @@
 cc_server_renew_grant (CcServer *s, gint64 now)
 {
   if (s->granting || now < s->grant_due || !s->holding->active ||
-      !cc_tenure_is_valid (s->shared->tenure, now))
+      !cc_server_may_serve (s, now))
     return;
   s->granting = TRUE;
   s->grant_due = now + CC_GRANT_PERIOD;
--- a/holding.c
+++ b/holding.c
@@ -19,8 +19,11 @@
  */
 #include "holding.h"
 
-/* A server just taken on at NOW.  QUIET_AT (wall clock) is when no attempt of
- * an earlier dispatcher can be inside any more. */
+/* A server just taken on at NOW.  It is given less time than later to answer,
+ * and with that only one grant: each grant has to lapse before its slices can
+ * be served elsewhere, and a zone that is cut off takes its servers along.
+ * QUIET_AT (wall clock) is when no attempt of an earlier dispatcher can be
+ * inside any more. */
 CcHolding *
 cc_holding_new (const char *pool, const CcMapServer *s, gboolean checks_grants,
                 gint64 now, gint64 quiet_at)
@@ -32,7 +35,7 @@
   h->address = g_strdup (s->address);
   h->checks_grants = checks_grants;
   h->slices = g_hash_table_new_full (NULL, NULL, NULL, g_free);
-  h->answered = now;
+  h->answered = now - (CC_SERVER_LOST_AFTER - CC_SERVER_SUSPECT);
   h->grant_sent = now; /* a predecessor may have sent one up to now */
   h->quiet_at = quiet_at;
   h->doubt = quiet_at > 0;
--- a/holding.h
+++ b/holding.h
@@ -41,6 +41,7 @@
   gboolean active;       /* this dispatcher may send to it */
   gboolean handing_over; /* another waits until this one has stopped */
   gboolean checks_grants;
+  gboolean keeps;       /* served on without a lease, cut_off.c */
   GHashTable *slices;   /* slice to CcHeldSlice */
   guint64 map_version;  /* the newest map that was taken in */
   guint64 serial;       /* counts changes of the list of granted slices */
--- a/ownership_moves.c
+++ b/ownership_moves.c
@@ -23,6 +23,8 @@
  */
 #include "ownership_moves.h"
 
+#include "cut_off.h"
+
 /* Above the last epoch, so that it is not taken for the next one. */
 #define EPOCH_GAP 2
 
@@ -123,7 +125,8 @@
   const CcRosterDispatcher *now = cc_roster_dispatcher (roster, s->dispatcher);
   const CcRosterDispatcher *next;
 
-  if (now != NULL && !now->draining)
+  if (now != NULL ? !now->draining
+                  : !cc_cut_off_has_stopped (roster, s->dispatcher))
     return 0;
   next = choose_dispatcher (m, roster, s->zone);
   if (next == NULL)
@@ -141,7 +144,8 @@
 {
   const CcServerReport *r = report_of (reports, s, s->from);
 
-  if (cc_roster_dispatcher (roster, s->from) != NULL &&
+  if ((cc_roster_dispatcher (roster, s->from) != NULL ||
+       !cc_cut_off_has_stopped (roster, s->from)) &&
       (r == NULL || r->applied < m->version))
     return 0;
   set_text (&s->from, "");
--- a/roster.c
+++ b/roster.c
@@ -9,6 +9,7 @@
 
   r->dispatchers = g_ptr_array_new ();
   r->servers = g_ptr_array_new ();
+  r->instances = g_ptr_array_new_with_free_func (g_free);
   return r;
 }
 
@@ -35,6 +36,7 @@
     }
   g_ptr_array_unref (r->dispatchers);
   g_ptr_array_unref (r->servers);
+  g_ptr_array_unref (r->instances);
   g_free (r);
 }
 
@@ -51,6 +53,13 @@
   g_ptr_array_add (r->dispatchers, d);
 }
 
+/* Adds an instance of ours that is listed. */
+void
+cc_roster_add_instance (CcRoster *r, const char *name)
+{
+  g_ptr_array_add (r->instances, g_strdup (name));
+}
+
 /* Adds a server that is listed for the pool. */
 void
 cc_roster_add_server (CcRoster *r, const char *name, const char *address,
--- a/roster.h
+++ b/roster.h
@@ -23,6 +23,8 @@
 {
   GPtrArray *dispatchers; /* of CcRosterDispatcher: leases that stand */
   GPtrArray *servers;     /* of CcRosterServer: the pool's, as listed */
+  GPtrArray *instances;   /* names of our instances, as listed */
+  gboolean keeps;         /* the pool is served on without a lease */
 } CcRoster;
 
 CcRoster *cc_roster_new (void);
@@ -31,6 +33,7 @@
                                gboolean draining);
 void cc_roster_add_server (CcRoster *r, const char *name, const char *address,
                            const char *zone, gboolean leaving);
+void cc_roster_add_instance (CcRoster *r, const char *name);
 const CcRosterServer *cc_roster_server (const CcRoster *r, const char *name);
 const CcRosterDispatcher *cc_roster_dispatcher (const CcRoster *r,
                                                 const char *id);
--- a/server.c
+++ b/server.c
@@ -42,6 +42,14 @@
   cc_histograms_init (&shared->service, "capercrank_service_seconds");
 }
 
+/* Whether work may be accepted for, and sent to, S at NOW as far as the lease
+ * goes. */
+gboolean
+cc_server_may_serve (const CcServer *s, gint64 now)
+{
+  return s->holding->keeps || cc_tenure_is_valid (s->shared->tenure, now);
+}
+
 /* A server with an empty queue; takes over the caller's reference to H. */
 CcServer *
 cc_server_new (CcServerShared *shared, CcHolding *h)
@@ -235,7 +243,7 @@
       gint64 now = cc_clock_now ();
       CcWaiting *w;
 
-      if (!cc_tenure_is_valid (s->shared->tenure, now))
+      if (!cc_server_may_serve (s, now))
         return;
       w = cc_load_next (&s->load, may_send, s, now);
       if (w == NULL)
--- a/server.h
+++ b/server.h
@@ -45,6 +45,7 @@
   gint64 report_due; /* when the next report is to be sent, us */
 } CcServer;
 
+gboolean cc_server_may_serve (const CcServer *s, gint64 now);
 CcServer *cc_server_new (CcServerShared *shared, CcHolding *h);
 void cc_server_free (CcServer *s);
 void cc_server_take (CcServer *s, CcJob *j, const CcClass *class);
--- a/tenure.c
+++ b/tenure.c
@@ -107,6 +107,7 @@
   cc_lease_revoked (&t->lease);
   tell (t);
   choose_id (t);
+  t->changed (t, FALSE, t->data);
 }
 
 static void
--- a/test/harness.c
+++ b/test/harness.c
@@ -230,18 +230,22 @@
   for (guint i = 0; i < c->processes->len; i++)
     {
       const Process *p = c->processes->pdata[i];
-      const char *state =
-          p->pool ? g_hash_table_lookup (c->states, p->name) : "gone";
-      g_autofree char *address = front (c, p->ip, SERVER_PORT);
+      gboolean ours = g_str_has_prefix (p->name, "dispatch-");
+      g_autofree char *name =
+          ours ? g_strconcat ("i", p->name + strlen ("dispatch-"), NULL)
+               : g_strdup (p->name);
+      const char *state = g_hash_table_lookup (c->states, name);
+      g_autofree char *address = front (c, p->ip, ours ? 7002 : SERVER_PORT);
 
       if (state == NULL)
         state = "live";
-      if (g_str_equal (state, "gone"))
+      if (g_str_equal (state, "gone") || (p->pool == NULL && !ours))
         continue;
       g_string_append_printf (s,
                               "%s{\"name\":\"%s\",\"role\":\"%s\",\"zone\":"
                               "\"%s\",\"address\":\"%s\",\"state\":\"%s\"}",
-                              comma, p->name, p->pool, p->zone, address, state);
+                              comma, name, ours ? "entry" : p->pool, p->zone,
+                              address, state);
       comma = ",";
     }
   g_string_append (s, "]}");
@@ -408,7 +412,8 @@
   cluster_http ("PUT", url, "", NULL, NULL);
 }
 
-/* Changes a server's state in the platform's list: "live", "leaving", "gone".
+/* Changes the state of a server, or of instance "i3", in the platform's list:
+ * "live", "leaving", "gone".
  */
 void
 cluster_list (Cluster *c, const char *server, const char *state)
--- a/test/scenarios_lease.c
+++ b/test/scenarios_lease.c
@@ -243,20 +243,76 @@
   return touched;
 }
 
+static void
+cut_zone (Cluster *c, gboolean from_platform)
+{
+  cluster_relay (c, "cut", "a", "b");
+  cluster_relay (c, "cut", "a", "c");
+  if (from_platform)
+    cluster_relay (c, "cut", "a", "platform");
+}
+
 static guint
 cut_zone_from_all (Cluster *c, GRand *rand)
 {
   guint before = takeovers (c);
 
   (void) rand;
-  cluster_relay (c, "cut", "a", "b");
-  cluster_relay (c, "cut", "a", "c");
-  cluster_relay (c, "cut", "a", "platform");
+  cut_zone (c, TRUE);
   pause_ms (PAST_LEASE);
   cluster_relay (c, "heal", "", "");
   return takeovers (c) - before;
 }
 
+static gboolean
+submit_keep (Cluster *c)
+{
+  g_auto (GStrv) parts = g_strsplit (c->document, "\"checks_grants\"", -1);
+  g_autofree char *text =
+      g_strjoinv ("\"cut_off\" : \"keep\", \"checks_grants\"", parts);
+  g_autofree char *admin = cluster_admin (c, "assign", 1);
+  g_autofree char *url = g_strconcat ("http://", admin, "/v1/config", NULL);
+
+  for (guint version = 1; version < 200; version++)
+    {
+      g_autofree char *match = g_strdup_printf ("%u", version);
+
+      if (cluster_http ("PUT", url, text, match, NULL) == 200)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Pools with "cut_off": "keep".  A zone is cut off from all; its dispatchers
+ * serve their zone's callers on, without a lease, and nobody takes over.  Then
+ * one of its instances is lost and listed as gone: only then is it replaced. */
+static guint
+cut_off_keep (Cluster *c, GRand *rand)
+{
+  guint before, served, held;
+
+  (void) rand;
+  if (!submit_keep (c))
+    return 0;
+  pause_ms (2000);
+  cut_zone (c, TRUE);
+  pause_ms (4000);
+  before = read_metric (c, "entry", 3, "capercrank_requests_in_target");
+  pause_ms (2000);
+  served = read_metric (c, "entry", 3, "capercrank_requests_in_target");
+  held = read_metric (c, "dispatch", 3, "capercrank_lease_held");
+  cluster_relay (c, "heal", "", "");
+  pause_ms (3000);
+  cluster_signal (c, "dispatch-3", SIGKILL);
+  cluster_list (c, "i3", "gone");
+  pause_ms (PAST_LEASE);
+  cluster_list (c, "i3", "live");
+  cluster_restart (c, "dispatch-3");
+  fprintf (stderr, "%u served in the cut zone without a lease (held %u)\n",
+           served - before, held);
+  return held == 0 ? served - before : 0;
+}
+
 /* Cut, healed, cut otherwise, healed, and the table down at the end. */
 static guint
 cut_again (Cluster *c, GRand *rand)
@@ -306,6 +362,9 @@
     14, 1, cut_zone_from_others, FALSE },
   { "cut-zone-from-all", "A zone loses the others and the platform.", 14, 1,
     cut_zone_from_all, FALSE },
+  { "cut-off-keep",
+    "A zone cut off from all serves on without a lease; an instance is gone.",
+    24, 1, cut_off_keep, FALSE },
   { "cut-again", "Cuts and outages one after another, healed between.", 32, 1,
     cut_again, FALSE },
   { NULL, NULL, 0, 0, NULL, FALSE }
