--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,8 @@
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo prove bench
-TEST_LIB = balancer harness ownership records scenarios_lease \
+TEST_LIB = balancer harness ownership ownership_assigner \
+  ownership_dispatcher ownership_server records scenarios_lease \
   scenarios_outcome world
 SCENARIO ?= check
 SEED ?= 1
