A pool's change to keep reaches servers already held; maps check the document

A map is now written only against the document it was computed from, or an assigner that is behind could take over what a dispatcher already keeps.

--- a/assign.c
+++ b/assign.c
@@ -180,6 +180,8 @@
   ++*a->steps;
   g_hash_table_add (a->writing, g_strdup (m->pool));
   cc_transaction_check (x, key, m->version);
+  /* A dispatcher may already go by a newer document, which says "keep". */
+  cc_transaction_check (x, "config/head", a->follower->document_version);
   cc_transaction_put (x, key, value);
   cc_platform_commit (a->platform, x, on_map_written, write_new (a, m->pool));
 }
--- a/dispatch.c
+++ b/dispatch.c
@@ -246,7 +246,6 @@
     quiet_at += cc_document_longest (d->follower->document, m->pool);
   s = cc_server_new (&d->shared, cc_holding_new (m->pool, one, checks,
                                                  cc_clock_now (), quiet_at));
-  s->holding->keeps = pool != NULL && pool->cut_off == CC_CUT_OFF_KEEP;
   g_hash_table_insert (d->servers, g_strconcat (m->pool, "/", one->name, NULL),
                        s);
   cc_log (CC_LOG_INFO, "server", "%s/%s is held here, term %" G_GUINT64_FORMAT,
@@ -264,6 +263,14 @@
   g_hash_table_remove (d->servers, key);
 }
 
+static gboolean
+keeps (const Dispatch *d, const char *name)
+{
+  const CcPool *pool = cc_document_pool (d->follower->document, name);
+
+  return pool != NULL && pool->cut_off == CC_CUT_OFF_KEEP;
+}
+
 /* A server that this process is to hand over is taken on even if it never held
  * it, having missed the map that said so: the next holder waits for its word.
  */
@@ -285,6 +292,7 @@
       drop_server (d, s);
       return;
     }
+  s->holding->keeps = keeps (d, m->pool);
   if (m->version <= s->holding->map_version)
     return;
   cc_holding_update (s->holding, m, index, me);
