--- a/Makefile
+++ b/Makefile
@@ -12,20 +12,15 @@
 CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
 LIBS = $(shell pkg-config --libs $(PKGS)) -lnng -lxxhash -lm
 
-LIB_SRC = admin.c admission.c ask.c assignment.c balance.c body_limit.c \
-  capercrank.c clock.c config_api.c connection_health.c connections.c cost.c cut_off.c \
-  document.c findings.c follower.c grants.c hangup.c histograms.c holding.c \
-  hot_units.c hotkeys.c job.c leader.c lease.c limit.c link_health.c load.c \
-  log.c mailbox.c metrics.c outcome.c outcome_transfer.c ownership_moves.c \
-  platform.c promise.c queue.c retry.c roster.c server.c settings.c \
-  slicemap.c standing.c takeover.c tenure.c unit_loads.c unit_meter.c \
-  upstream.c view.c voters.c voting.c waiters.c wire.c
-LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 PROGRAMS = entry dispatch assign
+# Every source here but the programs' own.
+LIB_SRC = $(filter-out $(PROGRAMS:%=%.c) ctl%.c,$(wildcard *.c))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
-STAND_INS = platform upstream relay load demo prove bench
+STAND_INS = platform upstream relay load demo prove bench bench_path \
+  bare_relay
 TEST_LIB = balancer harness ownership ownership_assigner \
   ownership_dispatcher ownership_server records scenarios_lease \
   scenarios_outcome world
@@ -61,7 +56,11 @@
 bench: $(BUILD)/test/bench
 	@$(BUILD)/test/bench $(SEED)
 
-.PHONY: all bench build-all prove deps demo check format lint test clean
+# one entry and one dispatcher beside a bare relay by libsoup
+bench-path: build-all
+	@$(BUILD)/test/bench_path
+
+.PHONY: all bench bench-path build-all prove deps demo check format lint test clean
 
 deps:
 	@sh .ci/deps
--- a/job.h
+++ b/job.h
@@ -5,6 +5,7 @@
 #include "holding.h"
 #include "mailbox.h"
 #include "queue.h"
+#include "timers.h"
 #include "upstream.h"
 
 typedef enum
@@ -32,14 +33,14 @@
   char *idempotency; /* "" if none */
   char *method;
   char *path;
-  GVariant *headers; /* a(ss) */
+  GVariant *headers; /* packed, see headers.h */
   GBytes *body;
   char *pool;
   guint slice;
   gint64 deadline; /* wall clock, us */
   gint64 arrived;  /* us */
   gint64 sent;     /* when the attempt left, us */
-  guint timer;     /* source that fires at the deadline */
+  CcTimer timer;   /* fires at the deadline */
   CcHolding *holding;
   CcAttempt *attempt; /* in state SENT */
   gpointer owner;     /* of the timer's and attempt's callbacks */
--- a/outcome_transfer.c
+++ b/outcome_transfer.c
@@ -133,8 +133,8 @@
   guchar outcome;
 
   g_variant_iter_init (&iter, o->entries);
-  while (g_variant_iter_next (&iter, "(&syu@a(ss)@ay)", &id, &outcome,
-                              &r.status, &r.headers, &body))
+  while (g_variant_iter_next (&iter, "(&syu@ay@ay)", &id, &outcome, &r.status,
+                              &r.headers, &body))
     {
       r.outcome =
           outcome == CC_OUTCOME_RUN ? CC_OUTCOME_RUN : CC_OUTCOME_UNKNOWN;
@@ -180,7 +180,7 @@
   g_ptr_array_add (p->chunks,
                    g_variant_ref_sink (g_variant_builder_end (p->builder)));
   g_variant_builder_unref (p->builder);
-  p->builder = g_variant_builder_new (G_VARIANT_TYPE ("a(syua(ss)ay)"));
+  p->builder = g_variant_builder_new (G_VARIANT_TYPE ("a(syuayay)"));
   p->entries = 0;
   p->bytes = 0;
 }
@@ -199,16 +199,15 @@
   Packing *p = data;
   gsize size = 0;
   gconstpointer body = r->body != NULL ? g_bytes_get_data (r->body, &size) : "";
-  GVariant *headers =
-      r->headers != NULL
-          ? r->headers
-          : g_variant_new_array (G_VARIANT_TYPE ("(ss)"), NULL, 0);
+  GVariant *headers = r->headers != NULL
+                          ? r->headers
+                          : g_variant_new_array (G_VARIANT_TYPE_BYTE, NULL, 0);
 
   if (p->entries > 0 && (p->entries >= CC_TRANSFER_ENTRIES ||
                          p->bytes + size_of (r) > CC_TRANSFER_BYTES))
     close_chunk (p);
   g_variant_builder_add (
-      p->builder, "(syu@a(ss)@ay)", id, (guchar) r->outcome, r->status, headers,
+      p->builder, "(syu@ay@ay)", id, (guchar) r->outcome, r->status, headers,
       g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, body, size, 1));
   p->entries++;
   p->bytes += size_of (r);
@@ -220,7 +219,7 @@
   Packing p = { 0 };
 
   p.chunks = g_ptr_array_new_with_free_func ((GDestroyNotify) g_variant_unref);
-  p.builder = g_variant_builder_new (G_VARIANT_TYPE ("a(syua(ss)ay)"));
+  p.builder = g_variant_builder_new (G_VARIANT_TYPE ("a(syuayay)"));
   cc_outcomes_each (t->outcomes, pool, slice, pack, &p);
   close_chunk (&p);
   g_variant_builder_unref (p.builder);
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -10,6 +10,7 @@
 #include <gio/gio.h>
 
 #include "clock.h"
+#include "headers.h"
 #include "upstream.h"
 
 #define WAIT_MS 2000
@@ -173,7 +174,7 @@
 on_done (const CcAttemptResult *r, gpointer data)
 {
   Got *g = data;
-  GVariantIter iter;
+  CcHeadersIter iter;
   const char *name, *value;
 
   g->done = TRUE;
@@ -182,8 +183,8 @@
   g->body = r->body != NULL ? g_bytes_ref (r->body) : NULL;
   if (r->headers == NULL)
     return;
-  g_variant_iter_init (&iter, r->headers);
-  while (g_variant_iter_next (&iter, "(&s&s)", &name, &value))
+  cc_headers_iter (&iter, r->headers);
+  while (cc_headers_next (&iter, &name, &value))
     g->encoded |= g_str_equal (name, "Content-Encoding");
 }
 
@@ -210,8 +211,7 @@
 send_order (CcUpstream *u, const char *method, const char *path,
             gboolean once_only, Got *got)
 {
-  g_autoptr (GVariant) headers = g_variant_ref_sink (
-      g_variant_new_array (G_VARIANT_TYPE ("(ss)"), NULL, 0));
+  g_autoptr (GVariant) headers = cc_headers_take (g_string_new (NULL));
   g_autoptr (GBytes) body = g_bytes_new_static ("12345", 5);
   CcOrder o = { .address = raw.address,
                 .method = method,
