An assigner that can't ask the voters makes place for another

After a second of questions that a majority left unanswered it resigns and holds back for 3 s. Also: a candidate that was active once checked a version of the row that was gone, and never became active again. Scenario cut-off-assigner is new and not run yet.

--- a/assign.c
+++ b/assign.c
@@ -274,6 +274,8 @@
   active = cc_leader_is_active (&a->leader, now);
   cc_metrics_gauge ("capercrank_assigner_active", "", active);
   cc_takeover_tick (a->takeover, active, now);
+  if (active && cc_voting_is_isolated (a->voting, now))
+    cc_leader_resign (&a->leader);
   if (active && !a->listing && now >= a->list_due)
     {
       a->listing = TRUE;
--- a/leader.c
+++ b/leader.c
@@ -14,6 +14,9 @@
 #define ROW "lease/assign"
 #define ACTIVE_ROW "assign/active"
 
+/* Others look every 50 ms at a view that is 200 ms old at the most. */
+#define RESIGN_HOLD (3 * CC_SECOND)
+
 /* Makes L a candidate with ID, which dispatchers reach at ADDRESS. */
 void
 cc_leader_init (CcLeader *l, CcPlatform *platform, const char *id,
@@ -86,10 +89,10 @@
   tell (l, cc_leader_is_active (l, now));
   if (row != NULL && row->version > l->seen)
     l->seen = row->version;
-  if (row == NULL && !l->lease.registered)
+  if (row == NULL && !cc_leader_is_active (l, now))
     l->seen = 0;
   cc_lease_watch (&l->watch, l->seen, now);
-  if (l->calling)
+  if (l->calling || now < l->hold_until)
     return;
   if (mine || cc_leader_is_active (l, now))
     {
@@ -103,10 +106,14 @@
 static void
 on_resigned (CcStatus status, guint64 version, gpointer data)
 {
-  (void) status, (void) version, (void) data;
+  CcLeader *l = data;
+
+  (void) status, (void) version;
+  l->calling = FALSE;
 }
 
-/* Gives the lease up, so that another can take it at once. */
+/* Gives the lease up, so that another can take it at once; this one waits for
+ * RESIGN_HOLD, or it would be the first to find the place free. */
 void
 cc_leader_resign (CcLeader *l)
 {
@@ -118,6 +125,7 @@
   cc_transaction_check (x, ROW, l->seen);
   cc_transaction_put (x, ROW, NULL);
   cc_lease_revoked (&l->lease);
+  l->hold_until = cc_clock_now () + RESIGN_HOLD;
   l->calling = TRUE;
   cc_platform_commit (l->platform, x, on_resigned, l);
 }
--- a/test/scenarios_lease.c
+++ b/test/scenarios_lease.c
@@ -264,6 +264,40 @@
   return takeovers (c) - before;
 }
 
+static const char *
+zone_of (Cluster *c, const char *program, guint instance)
+{
+  g_autofree char *name = g_strdup_printf ("%s-%u", program, instance);
+
+  return cluster_find (c, name)->zone;
+}
+
+/* The active assigner's zone is cut off from the others and keeps the platform;
+ * a dispatcher elsewhere is lost.  The assigner can't ask a majority of the
+ * voters and has to make place for one that can. */
+static guint
+cut_off_assigner (Cluster *c, GRand *rand)
+{
+  static const char *const zones[] = { "a", "b", "c" };
+  guint active = active_assigner (c), lost = 0, before = takeovers (c), next;
+  const char *zone = active != 0 ? zone_of (c, "assign", active) : "";
+
+  (void) rand;
+  for (guint i = 0; active != 0 && i < G_N_ELEMENTS (zones); i++)
+    if (!g_str_equal (zones[i], zone))
+      cluster_relay (c, "cut", zone, zones[i]);
+  for (guint i = 1; i <= c->instances; i++)
+    if (!g_str_equal (zone_of (c, "dispatch", i), zone))
+      lost = i;
+  signal_one (c, "dispatch", lost, SIGKILL);
+  pause_ms (PAST_LEASE);
+  next = active_assigner (c);
+  cluster_relay (c, "heal", "", "");
+  signal_one (c, "dispatch", lost, 0);
+  pause_ms (1000);
+  return next != active ? takeovers (c) - before : 0;
+}
+
 static gboolean
 submit_keep (Cluster *c)
 {
@@ -362,6 +396,9 @@
     14, 1, cut_zone_from_others, FALSE },
   { "cut-zone-from-all", "A zone loses the others and the platform.", 14, 1,
     cut_zone_from_all, FALSE },
+  { "cut-off-assigner",
+    "The active assigner reaches the platform, but no majority of the voters.",
+    16, 1, cut_off_assigner, FALSE },
   { "cut-off-keep",
     "A zone cut off from all serves on without a lease; an instance is gone.",
     24, 1, cut_off_keep, FALSE },
--- a/voting.c
+++ b/voting.c
@@ -16,14 +16,16 @@
  * lease ends. */
 #define RENEWAL_LATE (2 * CC_LEASE_PERIOD)
 #define ASK_PERIOD (CC_LEASE_PERIOD / 2)
+#define ISOLATED_AFTER CC_SECOND /* five questions without an answer */
 #define VOTE_EXPIRY (CC_SECOND + CC_SKEW_MAX) /* later it counts no more */
 
 /* An assigner's question about one lease. */
 typedef struct
 {
   CcBallot ballot;
-  gint64 due;      /* when to ask again, us */
-  gboolean agreed; /* a majority released it */
+  gint64 due;        /* when to ask again, us */
+  gboolean agreed;   /* a majority released it */
+  GHashTable *heard; /* set of voters that answered the last question at all */
 } Release;
 
 struct CcVoting
@@ -37,6 +39,7 @@
   guint64 voters_version; /* of the row that VOTERS was read from */
   GPtrArray *voters;
   GHashTable *releases; /* lease id to Release */
+  gint64 unheard_since; /* too few voters answer since then, us; 0: enough */
   CcCounter *promised;
   CcCounter *released;
   CcCounter *refused;
@@ -49,6 +52,7 @@
   Release *r = data;
 
   cc_ballot_clear (&r->ballot);
+  g_hash_table_unref (r->heard);
   g_free (r);
 }
 
@@ -149,10 +153,33 @@
   if (r == NULL || !cc_voters_have (v->voters, m->reply_to) ||
       r->ballot.voters != v->voters_version)
     return;
-  if (cc_ballot_count (&r->ballot, m->u.vote.ballot, m->reply_to))
+  if (m->u.vote.ballot == r->ballot.number)
+    g_hash_table_add (r->heard, g_strdup (m->reply_to));
+  if (m->u.vote.what == CC_VOTE_RELEASED &&
+      cc_ballot_count (&r->ballot, m->u.vote.ballot, m->reply_to))
     r->agreed = TRUE;
 }
 
+/* Judges the question that is about to be put again. */
+static void
+note_heard (CcVoting *v, Release *r, gint64 now)
+{
+  if (g_hash_table_size (r->heard) >= r->ballot.needed)
+    v->unheard_since = 0;
+  else if (v->unheard_since == 0)
+    v->unheard_since = now;
+  g_hash_table_remove_all (r->heard);
+}
+
+/* Whether an assigner has had no answer from a majority of the voters for so
+ * long that another should be active: with the platform in reach, but cut off
+ * from the other zones, it would keep its place and take nothing over. */
+gboolean
+cc_voting_is_isolated (const CcVoting *v, gint64 now)
+{
+  return v->unheard_since != 0 && now >= v->unheard_since + ISOLATED_AFTER;
+}
+
 static void
 vote (CcVoting *v, const CcMessage *m)
 {
@@ -188,9 +215,8 @@
         on_promised (v, m);
       break;
     case CC_VOTE_RELEASED:
-      on_released (v, m);
-      break;
     case CC_VOTE_REFUSED:
+      on_released (v, m);
       break;
     }
 }
@@ -211,6 +237,7 @@
   if (r == NULL)
     {
       r = g_new0 (Release, 1);
+      r->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       g_hash_table_insert (v->releases, g_strdup (id), r);
     }
   if (r->agreed && r->ballot.version == version &&
@@ -218,6 +245,8 @@
     return TRUE;
   if (now < r->due)
     return FALSE;
+  if (r->due != 0 && now < r->due + ASK_PERIOD)
+    note_heard (v, r, now);
   r->due = now + ASK_PERIOD;
   r->agreed = FALSE;
   ask_all (v, &r->ballot, CC_VOTE_RELEASE, id, version, now);
