--- a/leader.c
+++ b/leader.c
@@ -16,6 +16,7 @@
 
 /* Others look every 50 ms at a view that is 200 ms old at the most. */
 #define RESIGN_HOLD (3 * CC_SECOND)
+#define DOUBT (300 * CC_MS) /* by then a poll shows what was written */
 
 /* Makes L a candidate with ID, which dispatchers reach at ADDRESS. */
 void
@@ -38,6 +39,13 @@
   return cc_lease_is_valid (&l->lease, now);
 }
 
+static char *
+value_of (const CcLeader *l, guint64 sequence)
+{
+  return g_strdup_printf ("{\"id\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT "}",
+                          l->id, sequence);
+}
+
 static void
 on_written (CcStatus status, guint64 version, gpointer data)
 {
@@ -49,17 +57,37 @@
       cc_lease_renewed (&l->lease, version);
       l->seen = version;
     }
+  else if (status == CC_UNKNOWN)
+    l->doubt_until = cc_clock_now () + DOUBT;
   else
     cc_lease_failed (&l->lease);
 }
 
+/* A renewal whose answer was lost counts if the view shows what it wrote.
+ * Without this a table that takes writes and loses its answers had no active
+ * assigner for as long, and nothing was taken over. */
+static void
+settle_doubt (CcLeader *l, const CcRow *row, gint64 now)
+{
+  g_autofree char *wanted = value_of (l, l->lease.sequence);
+
+  if (l->doubt_until == 0)
+    return;
+  if (row != NULL && g_str_equal (row->value, wanted))
+    cc_lease_found (&l->lease, row->version, l->lease.sequence);
+  else if (now >= l->doubt_until)
+    cc_lease_failed (&l->lease);
+  else
+    return;
+  l->doubt_until = 0;
+}
+
 static void
 write_row (CcLeader *l, gint64 now, gboolean first)
 {
   CcTransaction *x = cc_transaction_new ();
   guint64 sequence = cc_lease_begin (&l->lease, now);
-  g_autofree char *value = g_strdup_printf (
-      "{\"id\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT "}", l->id, sequence);
+  g_autofree char *value = value_of (l, sequence);
 
   cc_transaction_check (x, ROW, l->seen);
   cc_transaction_put (x, ROW, value);
@@ -92,7 +120,9 @@
   if (row == NULL && !cc_leader_is_active (l, now))
     l->seen = 0;
   cc_lease_watch (&l->watch, l->seen, now);
-  if (l->calling || now < l->hold_until)
+  if (!l->calling)
+    settle_doubt (l, row, now);
+  if (l->calling || l->doubt_until != 0 || now < l->hold_until)
     return;
   if (mine || cc_leader_is_active (l, now))
     {
--- a/leader.h
+++ b/leader.h
@@ -12,6 +12,7 @@
   CcLease lease;
   CcLeaseWatch watch; /* of the row while another holds it */
   guint64 seen;       /* version of the row in the view; 0: none */
+  gint64 doubt_until; /* an answer was lost: the view may tell, us; 0: no */
   gint64 hold_until;  /* resigned; takes no lease before, us */
   gboolean calling;
   gboolean told;
