--- a/test/run_all.sh
+++ b/test/run_all.sh
@@ -20,7 +20,7 @@
 done
 "$bin/test/prove" check 1 >"$out.one" 2>"$out.log"
 cat "$out.one" >>"$out"
-grep -q '^not ok' "$out.one" && cat "$out.log"
+grep -q '^not ok' "$out.one" && cat "$out.log" "$out.one"
 rm -f "$out.one" "$out.log"
 passed=$(grep -c '^ok' "$out")
 failed=0
