Each run of prove has a folder of its own

Cause of the two failures of make check (repeats-after-kill, server-leaves: "older epoch later"): prove check runs six scenarios in one process, the fifth and sixth got the nets, and so the folders, of the first and second, whose records the servers appended to; with hot keys split out, the audit saw the first run's epochs as older owners. Seen in the record files: two groups of lines 90 s apart.

--- a/test/harness.c
+++ b/test/harness.c
@@ -359,6 +359,7 @@
 Cluster *
 cluster_start (const char *bin, const char *deployment, gboolean relayed)
 {
+  static guint runs;
   g_autoptr (JsonParser) parser = json_parser_new ();
   JsonObject *root;
   Cluster *c = g_new0 (Cluster, 1);
@@ -374,7 +375,10 @@
       json_to_string (json_object_get_member (root, "document"), TRUE);
   c->net = choose_net ();
   c->instances = (guint) json_object_get_int_member (root, "instances");
-  c->folder = g_strdup_printf ("%s/run/%u-%u", bin, c->net, (guint) getpid ());
+  /* Counted: a later run of this process may get the same net, and servers
+   * append to their records, so the audit would compare two runs as one. */
+  c->folder = g_strdup_printf ("%s/run/%u-%u-%u", bin, c->net,
+                               (guint) getpid (), ++runs);
   g_mkdir_with_parents (c->folder, 0755);
   c->processes = g_ptr_array_new ();
   add_all (c, root);
