--- a/assign.c
+++ b/assign.c
@@ -133,12 +133,13 @@
 }
 
 static CcRoster *
-roster_of (Assign *a, const char *pool)
+roster_of (Assign *a, const CcPool *pool)
 {
   CcRoster *r = cc_roster_new ();
   GHashTableIter iter;
   gpointer value;
 
+  r->keeps = pool->cut_off == CC_CUT_OFF_KEEP;
   g_hash_table_iter_init (&iter, a->follower->members);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -150,11 +151,13 @@
     {
       const CcInstance *one = a->listed->pdata[i];
 
-      if (g_str_equal (one->role, pool))
-        cc_roster_add_server (
-            r, one->name, one->address, one->zone,
-            one->leaving ||
-                cc_drain_is_ordered (&a->follower->view, pool, one->name));
+      if (g_str_equal (one->role, pool->name))
+        cc_roster_add_server (r, one->name, one->address, one->zone,
+                              one->leaving ||
+                                  cc_drain_is_ordered (&a->follower->view,
+                                                       pool->name, one->name));
+      else if (g_str_equal (one->role, "entry"))
+        cc_roster_add_instance (r, one->name);
     }
   return r;
 }
@@ -183,6 +186,8 @@
   ++*a->steps;
   g_hash_table_add (a->writing, g_strdup (m->pool));
   cc_transaction_check (x, key, m->version);
+  /* A dispatcher may already go by a newer document, which says "keep". */
+  cc_transaction_check (x, "config/head", a->follower->document_version);
   cc_transaction_put (x, key, value);
   cc_platform_commit (a->platform, x, on_map_written, write_new (a, m->pool));
 }
@@ -202,7 +207,7 @@
     return;
   m = row != NULL ? cc_slicemap_parse (pool->name, row->version, row->value)
                   : cc_slicemap_new (pool->name, pool->slices);
-  roster = roster_of (a, pool->name);
+  roster = roster_of (a, pool);
   if (m != NULL &&
       cc_planner_step (p, m, pool, roster, reports_of (a, pool->name),
                        cc_clock_now ()) > 0)
@@ -278,6 +283,8 @@
   active = cc_leader_is_active (&a->leader, now);
   cc_metrics_gauge ("capercrank_assigner_active", "", active);
   cc_takeover_tick (a->takeover, active, now);
+  if (active && cc_voting_is_isolated (a->voting, now))
+    cc_leader_resign (&a->leader);
   if (active && !a->listing && now >= a->list_due)
     {
       a->listing = TRUE;
--- a/dispatch.c
+++ b/dispatch.c
@@ -166,7 +166,7 @@
     refuse (d, m, CC_OUTCOME_NOT_RUN, "moved", MOVED_WAIT_MS, TRUE);
   else if (s->holding->lost)
     refuse (d, m, CC_OUTCOME_NOT_RUN, "server-lost", 1000, FALSE);
-  else if (!cc_tenure_is_valid (d->tenure, cc_clock_now ()))
+  else if (!cc_server_may_serve (s, cc_clock_now ()))
     refuse (d, m, CC_OUTCOME_NOT_RUN, "no-lease", 500, TRUE);
   else if (class->once_only)
     take_once_only (d, m, s, class, slice);
@@ -263,6 +263,14 @@
   g_hash_table_remove (d->servers, key);
 }
 
+static gboolean
+keeps (const Dispatch *d, const char *name)
+{
+  const CcPool *pool = cc_document_pool (d->follower->document, name);
+
+  return pool != NULL && pool->cut_off == CC_CUT_OFF_KEEP;
+}
+
 /* A server that this process is to hand over is taken on even if it never held
  * it, having missed the map that said so: the next holder waits for its word.
  */
@@ -284,6 +292,7 @@
       drop_server (d, s);
       return;
     }
+  s->holding->keeps = keeps (d, m->pool);
   if (m->version <= s->holding->map_version)
     return;
   cc_holding_update (s->holding, m, index, me);
@@ -327,14 +336,15 @@
     }
 }
 
+/* The lease was gained or lost, or the id given up: what was held under another
+ * id is let go of before the new one is registered (cut_off.c). */
 static void
 on_tenure (CcTenure *t, gboolean held, gpointer data)
 {
   Dispatch *d = data;
 
-  (void) t;
-  if (held)
-    on_view_changed (d->follower, d);
+  (void) t, (void) held;
+  on_view_changed (d->follower, d);
 }
 
 static guint64
--- a/test/harness.c
+++ b/test/harness.c
@@ -231,18 +231,22 @@
   for (guint i = 0; i < c->processes->len; i++)
     {
       const Process *p = c->processes->pdata[i];
-      const char *state =
-          p->pool ? g_hash_table_lookup (c->states, p->name) : "gone";
-      g_autofree char *address = front (c, p->ip, SERVER_PORT);
+      gboolean ours = g_str_has_prefix (p->name, "dispatch-");
+      g_autofree char *name =
+          ours ? g_strconcat ("i", p->name + strlen ("dispatch-"), NULL)
+               : g_strdup (p->name);
+      const char *state = g_hash_table_lookup (c->states, name);
+      g_autofree char *address = front (c, p->ip, ours ? 7002 : SERVER_PORT);
 
       if (state == NULL)
         state = "live";
-      if (g_str_equal (state, "gone"))
+      if (g_str_equal (state, "gone") || (p->pool == NULL && !ours))
         continue;
       g_string_append_printf (s,
                               "%s{\"name\":\"%s\",\"role\":\"%s\",\"zone\":"
                               "\"%s\",\"address\":\"%s\",\"state\":\"%s\"}",
-                              comma, p->name, p->pool, p->zone, address, state);
+                              comma, name, ours ? "entry" : p->pool, p->zone,
+                              address, state);
       comma = ",";
     }
   g_string_append (s, "]}");
@@ -350,16 +354,12 @@
     }
 }
 
-/* Part of a run's folder.  A network is free again a minute after a run, when
- * its connections are forgotten; the next run in it would append its records to
- * the first one's, and the audit find epochs that go back. */
-static guint clusters_started;
-
 /* Starts all of DEPLOYMENT (a file), programs taken from BIN, and submits its
  * document.  If RELAYED, every link can be cut by cluster_relay. */
 Cluster *
 cluster_start (const char *bin, const char *deployment, gboolean relayed)
 {
+  static guint runs;
   g_autoptr (JsonParser) parser = json_parser_new ();
   JsonObject *root;
   Cluster *c = g_new0 (Cluster, 1);
@@ -375,8 +375,11 @@
       json_to_string (json_object_get_member (root, "document"), TRUE);
   c->net = choose_net ();
   c->instances = (guint) json_object_get_int_member (root, "instances");
+  /* Counted: a network is free again a minute after a run; the next run in it
+   * would append to the first one's records, and the audit find epochs that go
+   * back. */
   c->folder = g_strdup_printf ("%s/run/%u-%u-%u", bin, c->net,
-                               (guint) getpid (), ++clusters_started);
+                               (guint) getpid (), ++runs);
   g_mkdir_with_parents (c->folder, 0755);
   c->processes = g_ptr_array_new ();
   add_all (c, root);
@@ -415,7 +418,8 @@
   cluster_http ("PUT", url, "", NULL, NULL);
 }
 
-/* Changes a server's state in the platform's list: "live", "leaving", "gone".
+/* Changes the state of a server, or of instance "i3", in the platform's list:
+ * "live", "leaving", "gone".
  */
 void
 cluster_list (Cluster *c, const char *server, const char *state)
--- a/test/test_ownership.c
+++ b/test/test_ownership.c
@@ -96,6 +96,8 @@
   assert_int_equal (green, 0);
 }
 
+static const CcPool pool = { .name = (char *) "p", .slices = 4 };
+
 static CcSliceMap *
 map_held_by (const char *dispatcher)
 {
@@ -134,7 +136,7 @@
   (void) state;
   cc_roster_add_dispatcher (r, "d1", "z", FALSE);
   cc_roster_add_server (r, "x", "a", "z", FALSE);
-  assert_true (cc_assignment_step (m, NULL, r, reports) > 0);
+  assert_true (cc_assignment_step (m, &pool, r, reports) > 0);
   assert_string_equal (cc_slicemap_server (m, 0)->dispatcher, "d1");
   assert_string_equal (cc_slicemap_server (m, 0)->from, "");
 
@@ -171,12 +173,12 @@
   for (guint64 i = 1; i <= 20; i++)
     {
       m->version = lost.applied = well.applied = i;
-      cc_assignment_step (m, NULL, r, reports);
+      cc_assignment_step (m, &pool, r, reports);
     }
   assert_true (cc_slicemap_find (m, "x") >= 0);
   assert_int_equal (cc_slicemap_owned (m, cc_slicemap_find (m, "x")), 0);
   assert_int_equal (cc_slicemap_owned (m, cc_slicemap_find (m, "y")), 4);
-  assert_int_equal (cc_assignment_step (m, NULL, r, reports), 0);
+  assert_int_equal (cc_assignment_step (m, &pool, r, reports), 0);
   cc_roster_free (r);
   cc_slicemap_free (m);
   g_hash_table_unref (reports);
