An idle server is tried whatever the estimate says

Two answers in a row of seconds push mean and twice the deviation past every deadline; then everything was refused, nothing sent, and the estimate never changed. Ruled out: forgetting the estimate by time, which needs a constant and would unlearn a slow server that is truly slow. Change: what would be served at once is admitted unless the caller asks for less than the target. test_recovers_from_a_hang: 'request 1 was refused by an idle server' before, passes now.

--- a/admission.c
+++ b/admission.c
@@ -66,6 +66,15 @@
   return MIN (MAX (target, a->service), a->left - own_time (a));
 }
 
+/* Whether A would be served at once.  It is then taken unless the caller asks
+ * for less than the target: an estimate that a hang made too long is mended
+ * only by work that is sent.  Refused by it, nothing was sent ever again. */
+static gboolean
+tests_estimate (const CcAdmissionAsk *a)
+{
+  return a->ahead == 0 && a->left >= MIN (own_time (a), a->within);
+}
+
 /* Decides on A. */
 CcAdmission
 cc_admission_decide (const CcAdmissionAsk *a)
@@ -74,6 +83,8 @@
   double room = (double) longest * a->slots;
   double available = FREE_SHARE * (room - (double) a->ahead);
 
+  if (tests_estimate (a))
+    return CC_ADMIT;
   if (longest < 0 || wait_of (a) > longest)
     return CC_REFUSE_LATE;
   if ((double) a->tenant > available || (double) a->slice > available)
--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -191,6 +191,30 @@
   cc_load_clear (&l);
 }
 
+/* A server, or this process, hangs for seconds and is well again.  Callers saw
+ * every request refused from then on: by the estimate none could meet its
+ * deadline, none was sent, and so the estimate never changed. */
+static void
+test_recovers_from_a_hang (void **state)
+{
+  gint64 now = 0;
+  CcLoad l;
+
+  cc_load_init (&l);
+  for (guint i = 0; i < 60; i++)
+    {
+      CcWaiting w = { .within = WITHIN, .left = 2 * CC_SECOND, .arrived = now };
+
+      if (!cc_load_offer (&l, &w, now).admitted)
+        fail_msg ("request %u was refused by an idle server", i);
+      assert_non_null (cc_load_next (&l, NULL, NULL, now));
+      now += i < 8 ? 3 * CC_SECOND : WORK;
+      cc_load_done (&l, &w, CC_LOAD_ANSWERED, now);
+    }
+  assert_in_range (cc_costs_of (&l.costs, 0).mean, 1, 10 * CC_MS);
+  cc_load_clear (&l);
+}
+
 int
 main (void)
 {
@@ -200,6 +224,7 @@
     cmocka_unit_test (test_admitted_meet_their_target),
     cmocka_unit_test (test_stalled_server_refuses),
     cmocka_unit_test (test_cold_server_is_not_stalled),
+    cmocka_unit_test (test_recovers_from_a_hang),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
