The operators' tool proved on running processes; seeds choose zone and instance

Cause: the tool was tried by hand only, and the configuration scenarios ran the same way whatever the seed.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo prove bench capacity
 TEST_LIB = balancer capacity_fleet capacity_links capacity_parts harness \
-  records scenarios_config scenarios_lease scenarios_outcome slopes
+  records scenarios_config scenarios_lease scenarios_operator \
+  scenarios_outcome slopes
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
--- a/test/prove.c
+++ b/test/prove.c
@@ -11,6 +11,7 @@
 #define TWINS_PERCENT "20" /* of once-only requests come twice */
 
 static const Scenario *const groups[] = { config_scenarios, lease_scenarios,
+                                          operator_scenarios,
                                           outcome_scenarios };
 
 /* Waits while the deployment runs. */
--- a/test/prove.h
+++ b/test/prove.h
@@ -18,9 +18,10 @@
   gboolean in_check; /* part of make check */
 } Scenario;
 
-extern const Scenario config_scenarios[];  /* operators racing, cuts */
-extern const Scenario lease_scenarios[];   /* leases, epochs, moves, cuts */
-extern const Scenario outcome_scenarios[]; /* repeats, silence, drains */
+extern const Scenario config_scenarios[];   /* operators racing, cuts */
+extern const Scenario lease_scenarios[];    /* leases, epochs, moves, cuts */
+extern const Scenario operator_scenarios[]; /* the tool */
+extern const Scenario outcome_scenarios[];  /* repeats, silence, drains */
 
 /* Names of scenarios in which a balancer asks for readiness and no once-only
  * answer may be unknown; NULL ends. */
--- a/test/scenarios_config.c
+++ b/test/scenarios_config.c
@@ -169,18 +169,18 @@
   g_free (a->answer);
 }
 
-/* Two operators submit at once through two assigners, both in place of BASE.
- * Returns the version of the one that was accepted, 0 if it was not exactly
- * one, or the other was not told why. */
+/* Two operators submit at once through the assigners of instances X and Y,
+ * both in place of BASE.  Returns the version of the one that was accepted, 0
+ * if it was not exactly one, or the other was not told why. */
 static guint64
-race (Cluster *c, guint64 base)
+race (Cluster *c, guint x, guint y, guint64 base)
 {
   Attempt a, b;
   GThread *other;
   guint64 version = 0;
 
-  attempt_init (&a, c, 1, "first operator", base);
-  attempt_init (&b, c, 2, "second operator", base);
+  attempt_init (&a, c, x, "first operator", base);
+  attempt_init (&b, c, y, "second operator", base);
   other = g_thread_new ("operator", submit, &b);
   submit (&a);
   g_thread_join (other);
@@ -204,16 +204,30 @@
   return version_at (c, cluster_find (c, "assign-1"));
 }
 
+/* An instance in another zone than INSTANCE, and not BUT.  Instances are dealt
+ * out to the zones in turn. */
+static guint
+pick_other (Cluster *c, GRand *rand, guint instance, guint but)
+{
+  guint zones = 3;
+  guint i;
+
+  do
+    i = (guint) g_rand_int_range (rand, 1, (gint32) c->instances + 1);
+  while (i == but || i % zones == instance % zones);
+  return i;
+}
+
 static guint
 race_of_operators (Cluster *c, GRand *rand)
 {
   Watch w = { 0 };
   guint races = 0;
 
-  (void) rand;
   for (guint i = 0; i < 4; i++)
     {
-      guint64 version = race (c, version_now (c));
+      guint x = (guint) g_rand_int_range (rand, 1, (gint32) c->instances + 1);
+      guint64 version = race (c, x, x % c->instances + 1, version_now (c));
 
       if (version == 0 || wait_in_force (c, &w, version, NULL) < 0)
         return 0;
@@ -229,10 +243,11 @@
   Watch w = { 0 };
   guint64 version;
 
-  (void) rand;
+  guint x = (guint) g_rand_int_range (rand, 1, (gint32) c->instances + 1);
+
   look (c, &w, 0, NULL);
   cluster_platform (c, "lose", 0);
-  version = race (c, version_now (c));
+  version = race (c, x, x % c->instances + 1, version_now (c));
   cluster_platform (c, "up", 0);
   if (version == 0 || wait_in_force (c, &w, version, NULL) < 0)
     return 0;
@@ -287,23 +302,37 @@
   return have == 3;
 }
 
+static void
+forget_instance (Cluster *c, Watch *w, guint instance)
+{
+  g_autofree char *end = g_strdup_printf ("-%u", instance);
+
+  for (guint i = 0; i < c->processes->len && i < PROCESSES_MAX; i++)
+    if (g_str_has_suffix (((Process *) c->processes->pdata[i])->name, end))
+      w->seen[i] = 0;
+}
+
+/* Instances 4 to 6 stand one in each zone, and so do 1 to 3, from whom a
+ * process that starts may learn. */
 static guint
 start_in_cut_zone (Cluster *c, GRand *rand)
 {
   Watch w = { 0 };
-  guint64 before = race (c, version_now (c)), after;
+  guint restarted = (guint) g_rand_int_range (rand, 4, 7);
+  guint x = pick_other (c, rand, restarted, 0);
+  guint y = pick_other (c, rand, restarted, x);
+  g_autofree char *name = g_strdup_printf ("entry-%u", restarted);
+  const char *zone = cluster_find (c, name)->zone;
+  guint64 before = race (c, x, y, version_now (c)), after;
 
-  (void) rand;
   if (before == 0 || wait_in_force (c, &w, before, NULL) < 0)
     return 0;
-  cut_off (c, "a"); /* instances 3 and 6 */
-  after = race (c, before);
-  restart_instance (c, 6);
-  for (guint i = 0; i < c->processes->len && i < PROCESSES_MAX; i++)
-    if (g_str_has_suffix (((Process *) c->processes->pdata[i])->name, "-6"))
-      w.seen[i] = 0; /* another process of that name */
-  if (after == 0 || wait_in_force (c, &w, after, "a") < 0 ||
-      !instance_has (c, 6, before))
+  cut_off (c, zone);
+  after = race (c, x, y, before);
+  restart_instance (c, restarted);
+  forget_instance (c, &w, restarted);
+  if (after == 0 || wait_in_force (c, &w, after, zone) < 0 ||
+      !instance_has (c, restarted, before))
     return 0;
   cluster_relay (c, "heal", "", "");
   return wait_in_force (c, &w, after, NULL) >= 0 && w.backwards == 0 ? 1 : 0;
