--- a/body_limit.c
+++ b/body_limit.c
@@ -59,10 +59,13 @@
   return G_SOURCE_REMOVE;
 }
 
-/* In an idle source: libsoup is in the middle of reading when it tells. */
+/* In an idle source, since libsoup is in the middle of reading when it tells.
+ * Paused until then: it reads on as long as data comes, and a caller that sends
+ * fast would keep the main loop from everybody else (53 MB once). */
 static void
 refuse_soon (SoupServerMessage *m)
 {
+  soup_server_message_pause (m);
   soup_message_body_set_accumulate (soup_server_message_get_request_body (m),
                                     FALSE);
   soup_message_body_truncate (soup_server_message_get_request_body (m));
@@ -107,3 +110,17 @@
   g_signal_connect_data (m, "got-chunk", G_CALLBACK (on_chunk), l, limit_free,
                          0);
 }
+
+/* Whether M's body was too large.  Nothing of it is gathered then, and
+ * the connection is taken over from the main loop, but a body that came in one
+ * go still gets here: its handler found no body and read a length that nobody
+ * had set. M is paused, so that libsoup writes nothing before the refusal. */
+gboolean
+cc_body_is_refused (SoupServerMessage *m)
+{
+  if (soup_message_body_get_accumulate (
+          soup_server_message_get_request_body (m)))
+    return FALSE;
+  soup_server_message_pause (m);
+  return TRUE;
+}
--- a/body_limit.h
+++ b/body_limit.h
@@ -5,5 +5,6 @@
 #include <libsoup/soup.h>
 
 void cc_body_limit (SoupServerMessage *m, gsize max);
+gboolean cc_body_is_refused (SoupServerMessage *m);
 
 #endif
--- a/config_api.c
+++ b/config_api.c
@@ -14,6 +14,7 @@
 #include <json-glib/json-glib.h>
 
 #include "admin.h"
+#include "body_limit.h"
 #include "log.h"
 #include "operator_http.h"
 
@@ -232,7 +233,7 @@
   g_autofree char *version = NULL;
 
   (void) server, (void) path;
-  if (cc_operator_is_refused (m))
+  if (cc_body_is_refused (m))
     return;
   if (g_str_equal (method, "PUT"))
     {
--- a/drain_api.c
+++ b/drain_api.c
@@ -12,6 +12,7 @@
 #include <json-glib/json-glib.h>
 
 #include "admin.h"
+#include "body_limit.h"
 #include "clock.h"
 #include "log.h"
 #include "operator_http.h"
@@ -119,7 +120,7 @@
   g_auto (GStrv) parts = g_strsplit (path, "/", -1);
 
   (void) server, (void) query;
-  if (cc_operator_is_refused (m))
+  if (cc_body_is_refused (m))
     return;
   if (!drain && !g_str_equal (method, "DELETE"))
     cc_operator_answer_error (m, SOUP_STATUS_METHOD_NOT_ALLOWED,
--- a/entry.c
+++ b/entry.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "follower.h"
 #include "hangup.h"
+#include "headers.h"
 #include "histograms.h"
 #include "log.h"
 #include "metrics.h"
@@ -18,6 +19,7 @@
 
 #define DRAIN_QUIET (3 * CC_SECOND) /* until the balancer sends no more */
 #define DRAIN_LIMIT (30 * CC_SECOND)
+#define HEADERS_USUAL 512 /* bytes; more makes the buffer grow */
 #define TENANT_DEFAULT "anonymous"
 
 typedef struct
@@ -49,7 +51,7 @@
   CcHistogram *of_tenant;
   gint64 within; /* the class's target, us */
   gint64 started;
-  guint hangup; /* source that tells when the caller has closed; 0: none */
+  CcHangup hangup; /* watch for the caller's closing while it waits */
   gboolean answered;
 } Caller;
 
@@ -124,18 +126,15 @@
 {
   SoupMessageHeaders *h = soup_server_message_get_response_headers (m);
   const char *name, *value;
-  GVariantIter iter;
+  CcHeadersIter iter;
   gsize size = 0;
   gconstpointer body =
       r->body != NULL ? g_bytes_get_data (r->body, &size) : NULL;
 
   soup_server_message_set_status (m, r->status, NULL);
-  if (r->headers != NULL)
-    {
-      g_variant_iter_init (&iter, r->headers);
-      while (g_variant_iter_next (&iter, "(&s&s)", &name, &value))
-        soup_message_headers_append (h, name, value);
-    }
+  cc_headers_iter (&iter, r->headers);
+  while (cc_headers_next (&iter, &name, &value))
+    soup_message_headers_append (h, name, value);
   soup_message_headers_replace (h, CC_HDR_OUTCOME, "run");
   if (r->reason != NULL && r->reason[0] != '\0')
     soup_message_headers_replace (h, CC_HDR_REASON, r->reason);
@@ -151,9 +150,7 @@
 
   c->ask = NULL;
   c->answered = TRUE;
-  if (c->hangup != 0)
-    g_source_remove (c->hangup);
-  c->hangup = 0;
+  cc_hangup_stop (&c->hangup);
   count (c, r->outcome);
   switch (r->outcome)
     {
@@ -181,8 +178,7 @@
   if (c->ask != NULL)
     cc_router_cancel (c->entry->router, c->ask);
   c->ask = NULL;
-  if (c->hangup != 0)
-    g_source_remove (c->hangup);
+  cc_hangup_stop (&c->hangup);
   g_signal_handlers_disconnect_by_data (c->message, c);
   g_object_unref (c->message);
   g_free (c);
@@ -190,19 +186,15 @@
 
 /* The caller closed its side: its request is cancelled, and what may still be
  * read of the answer says the truth. */
-static gboolean
-on_hangup (gint file, GIOCondition condition, gpointer data)
+static void
+on_hangup (gpointer data)
 {
   Caller *c = data;
-  CcAsk *ask = c->ask;
   CcMsgReply r = { .outcome = CC_OUTCOME_UNKNOWN, .reason = "cancelled" };
 
-  (void) file, (void) condition;
-  c->hangup = 0;
-  if (ask != NULL)
-    cc_router_cancel (c->entry->router, ask);
+  if (c->ask != NULL)
+    cc_router_cancel (c->entry->router, c->ask);
   on_outcome (&r, c);
-  return G_SOURCE_REMOVE;
 }
 
 static void
@@ -307,10 +299,9 @@
 {
   SoupMessageHeadersIter iter;
   const char *name, *value;
-  GVariantBuilder b;
+  GString *packed = g_string_sized_new (HEADERS_USUAL);
   gsize size = 0;
 
-  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(ss)"));
   soup_message_headers_iter_init (&iter, c->headers);
   while (soup_message_headers_iter_next (&iter, &name, &value))
     {
@@ -318,12 +309,12 @@
       if (!g_utf8_validate (value, -1, NULL))
         cc_findings_add (&c->findings, name, "is not UTF-8");
       else
-        g_variant_builder_add (&b, "(ss)", name, value);
+        cc_headers_add (packed, name, value);
     }
   if (size > CC_HEADERS_MAX)
     cc_findings_add (&c->findings, "headers", "have over %d bytes",
                      CC_HEADERS_MAX);
-  return g_variant_ref_sink (g_variant_builder_end (&b));
+  return cc_headers_take (packed);
 }
 
 static void
@@ -393,8 +384,8 @@
   if (c->answered)
     c->ask = NULL;
   else
-    c->hangup =
-        cc_hangup_watch (soup_server_message_get_socket (m), on_hangup, c);
+    cc_hangup_watch (&c->hangup, soup_server_message_get_socket (m), on_hangup,
+                     c);
 }
 
 static void
@@ -409,6 +400,8 @@
   gint64 left;
 
   (void) server, (void) path, (void) query;
+  if (cc_body_is_refused (m))
+    return;
   if (e->follower->document == NULL)
     {
       answer_outcome (m, SOUP_STATUS_SERVICE_UNAVAILABLE, CC_OUTCOME_NOT_RUN,
--- a/operator_http.c
+++ b/operator_http.c
@@ -86,20 +86,6 @@
   return FALSE;
 }
 
-/* Whether M's body was too large.  body_limit.c then gathers nothing and takes
- * the connection over from the main loop, but a body that came in one go still
- * gets here: its handler found no body and read a length that nobody had set.
- * M is paused, so that libsoup writes nothing before the refusal. */
-gboolean
-cc_operator_is_refused (SoupServerMessage *m)
-{
-  if (soup_message_body_get_accumulate (
-          soup_server_message_get_request_body (m)))
-    return FALSE;
-  soup_server_message_pause (m);
-  return TRUE;
-}
-
 static void
 on_headers (SoupServer *server, SoupServerMessage *m, const char *path,
             GHashTable *query, gpointer data)
--- a/operator_http.h
+++ b/operator_http.h
@@ -17,7 +17,6 @@
                                const char *text, guint64 version);
 void cc_operator_answer_findings (SoupServerMessage *m, const CcFindings *f);
 gboolean cc_operator_may_order (SoupServerMessage *m, const char *token);
-gboolean cc_operator_is_refused (SoupServerMessage *m);
 void cc_operator_limit (SoupServer *admin, const char *path);
 
 #endif
--- a/server.c
+++ b/server.c
@@ -37,6 +37,7 @@
 {
   shared->waiters = cc_waiters_new ();
   shared->retried = cc_metrics_counter ("capercrank_attempts_retried", "");
+  shared->hedged = cc_metrics_counter ("capercrank_attempts_hedged", "");
   shared->pools_dropped = cc_metrics_counter ("capercrank_pools_dropped", "");
   cc_histograms_init (&shared->wait, "capercrank_queue_seconds");
   cc_histograms_init (&shared->service, "capercrank_service_seconds");
@@ -50,6 +51,7 @@
 
   s->shared = shared;
   s->holding = h;
+  s->meter = cc_unit_meter_new (cc_clock_now ());
   cc_load_init (&s->load);
   s->sent = g_hash_table_new (NULL, NULL);
   return s;
@@ -80,9 +82,7 @@
   remember (s, j, r);
   cc_waiters_forget (s->shared->waiters, j);
   cc_job_answer (j, s->shared->mailbox, r);
-  if (j->timer != 0)
-    g_source_remove (j->timer);
-  j->timer = 0;
+  cc_timer_stop (&j->timer);
 }
 
 static void
@@ -121,21 +121,19 @@
   cc_job_free (j);
 }
 
-static gboolean
+static void
 on_deadline (gpointer data)
 {
   CcJob *j = data;
   CcServer *s = j->owner;
 
-  j->timer = 0;
   if (j->state == CC_JOB_QUEUED)
     {
       drop_queued (s, j, "deadline", wait_ms (s), FALSE);
-      return G_SOURCE_REMOVE;
+      return;
     }
   end_unknown (s, j, "deadline");
   cc_attempt_cancel (j->attempt);
-  return G_SOURCE_REMOVE;
 }
 
 static void
@@ -176,7 +174,7 @@
       return;
     }
   cc_waiters_add (s->shared->waiters, j);
-  j->timer = g_timeout_add ((guint) (left / CC_MS) + 1, on_deadline, j);
+  cc_timer_start (&j->timer, left, on_deadline, j);
   cc_server_pump (s);
 }
 
@@ -198,7 +196,8 @@
                 .slice = j->slice,
                 .epoch = slice->epoch,
                 .run_id = run_id,
-                .once_only = j->once_only };
+                .once_only = j->once_only,
+                .fresh = j->waiting.tries > 1 };
 
   j->sent = cc_clock_now ();
   j->attempt = cc_upstream_send (s->shared->upstream, &o, on_attempt_done, j);
@@ -213,7 +212,7 @@
   cc_histograms_add (&s->shared->wait, j->class_name, j->tenant,
                      j->sent - j->arrived);
   g_hash_table_add (s->sent, j);
-  cc_holding_sent (s->holding, j->slice, j->deadline);
+  cc_holding_sent (s->holding, j->slice);
 }
 
 static gboolean
@@ -319,7 +318,8 @@
   CcServer *s = j->owner;
   gboolean ended = TRUE;
 
-  cc_holding_done (j->holding, j->slice);
+  cc_holding_done (j->holding, j->slice, j->deadline,
+                   result->end != CC_ATTEMPT_LOST);
   if (result->end == CC_ATTEMPT_ANSWERED)
     cc_holding_answered (j->holding, cc_clock_now ());
   if (s != NULL)
@@ -328,6 +328,8 @@
         cc_histograms_add (&s->shared->service, j->class_name, j->tenant,
                            cc_clock_now () - j->sent);
       g_hash_table_remove (s->sent, j);
+      cc_unit_meter_served (s->meter, j->slice, cc_clock_now () - j->sent,
+                            cc_clock_now ());
       cc_load_done (&s->load, &j->waiting, load_end (j, result->end),
                     cc_clock_now ());
       ended = answer_result (s, j, result);
@@ -467,6 +469,7 @@
   g_hash_table_unref (s->sent);
   cc_load_clear (&s->load);
   cc_holding_unref (s->holding);
+  cc_unit_meter_free (s->meter);
   s->closed = TRUE;
   if (!s->granting)
     g_free (s);
--- a/upstream.h
+++ b/upstream.h
@@ -16,7 +16,7 @@
   const char *address; /* IP:PORT of the server */
   const char *method;
   const char *path;
-  GVariant *headers; /* a(ss), as the caller sent them */
+  GVariant *headers; /* packed, as the caller sent them */
   GBytes *body;
   gint64 deadline; /* wall clock, us */
   guint64 term;
@@ -24,6 +24,7 @@
   guint64 epoch;
   const char *run_id;
   gboolean once_only;
+  gboolean fresh; /* on a new connection: a kept one may have gone silent */
 } CcOrder;
 
 typedef enum
@@ -39,7 +40,7 @@
 {
   CcAttemptEnd end;
   guint status;
-  GVariant *headers; /* a(ss) */
+  GVariant *headers; /* packed, see headers.h */
   GBytes *body;
 } CcAttemptResult;
 
--- a/wire.c
+++ b/wire.c
@@ -7,11 +7,11 @@
 #define ENVELOPE "(yytttxsv)"
 #define TYPE_SYNC "(t)"
 #define TYPE_ROWS "(tta(sts))"
-#define TYPE_REQUEST "(sssssxtaya(ss)ay)"
-#define TYPE_REPLY "(ybsuua(ss)ay)"
+#define TYPE_REQUEST "(sssssxtayayay)"
+#define TYPE_REPLY "(ybsuuayay)"
 #define TYPE_CANCEL "(t)"
 #define TYPE_REPORT "(ssstuuua(ud)a(tud))"
-#define TYPE_OUTCOMES "(suttxuba(syua(ss)ay))"
+#define TYPE_OUTCOMES "(suttxuba(syuayay))"
 #define TYPE_VOTE "(ustt)"
 #define TYPE_PING "(bt)"
 #define TYPE_RELAY "(bus)"
@@ -50,20 +50,19 @@
 static GVariant *
 encode_request (const CcMsgRequest *r)
 {
-  return g_variant_new ("(sssssxt@ay@a(ss)@ay)", text (r->class_name),
+  return g_variant_new ("(sssssxt@ay@ay@ay)", text (r->class_name),
                         text (r->tenant), text (r->idempotency),
                         text (r->method), text (r->path), r->deadline, r->epoch,
-                        bytes_variant (r->key), or_empty (r->headers, "a(ss)"),
+                        bytes_variant (r->key), or_empty (r->headers, "ay"),
                         bytes_variant (r->body));
 }
 
 static GVariant *
 encode_reply (const CcMsgReply *r)
 {
-  return g_variant_new ("(ybsuu@a(ss)@ay)", (guchar) r->outcome, r->reroute,
+  return g_variant_new ("(ybsuu@ay@ay)", (guchar) r->outcome, r->reroute,
                         text (r->reason), r->retry_after, r->status,
-                        or_empty (r->headers, "a(ss)"),
-                        bytes_variant (r->body));
+                        or_empty (r->headers, "ay"), bytes_variant (r->body));
 }
 
 static GVariant *
@@ -78,9 +77,9 @@
 static GVariant *
 encode_outcomes (const CcMsgOutcomes *o)
 {
-  return g_variant_new ("(suttxub@a(syua(ss)ay))", text (o->pool), o->slice,
+  return g_variant_new ("(suttxub@a(syuayay))", text (o->pool), o->slice,
                         o->epoch, o->term, o->horizon, o->index, o->last,
-                        or_empty (o->entries, "a(syua(ss)ay)"));
+                        or_empty (o->entries, "a(syuayay)"));
 }
 
 static GVariant *
@@ -141,7 +140,7 @@
 {
   GVariant *key, *body;
 
-  g_variant_get (v, "(&s&s&s&s&sxt@ay@a(ss)@ay)", &r->class_name, &r->tenant,
+  g_variant_get (v, "(&s&s&s&s&sxt@ay@ay@ay)", &r->class_name, &r->tenant,
                  &r->idempotency, &r->method, &r->path, &r->deadline, &r->epoch,
                  &key, &r->headers, &body);
   r->key = take_bytes (key);
@@ -154,7 +153,7 @@
   GVariant *body;
   guchar outcome;
 
-  g_variant_get (v, "(yb&suu@a(ss)@ay)", &outcome, &r->reroute, &r->reason,
+  g_variant_get (v, "(yb&suu@ay@ay)", &outcome, &r->reroute, &r->reason,
                  &r->retry_after, &r->status, &r->headers, &body);
   r->outcome = (CcOutcome) outcome;
   r->body = take_bytes (body);
@@ -190,9 +189,8 @@
                      &r->queued, &r->loads, &r->hot);
       return TRUE;
     case CC_MSG_OUTCOMES:
-      g_variant_get (v, "(&suttxub@a(syua(ss)ay))", &o->pool, &o->slice,
-                     &o->epoch, &o->term, &o->horizon, &o->index, &o->last,
-                     &o->entries);
+      g_variant_get (v, "(&suttxub@a(syuayay))", &o->pool, &o->slice, &o->epoch,
+                     &o->term, &o->horizon, &o->index, &o->last, &o->entries);
       return TRUE;
     case CC_MSG_VOTE:
       g_variant_get (v, "(u&stt)", &m->u.vote.what, &m->u.vote.instance,
--- a/wire.h
+++ b/wire.h
@@ -45,7 +45,7 @@
   gint64 deadline;  /* wall clock, us */
   guint64 epoch;    /* of the slice, as the entry knows it */
   GBytes *key;
-  GVariant *headers; /* a(ss) */
+  GVariant *headers; /* packed, see headers.h */
   GBytes *body;
 } CcMsgRequest;
 
@@ -56,7 +56,7 @@
   const char *reason;  /* one word for the answer's header */
   guint32 retry_after; /* ms; with not-run */
   guint32 status;      /* HTTP status of the server's answer; 0 if none */
-  GVariant *headers;   /* a(ss) */
+  GVariant *headers;   /* packed, see headers.h */
   GBytes *body;
 } CcMsgReply;
 
@@ -74,8 +74,8 @@
   guint32 state;   /* CcServerHealth */
   guint32 running; /* requests in the server */
   guint32 queued;  /* requests waiting */
-  GVariant *loads; /* a(ud): slice, requests a second */
-  GVariant *hot;   /* a(tud): key hash, slice, requests a second */
+  GVariant *loads; /* a(ud): unit, slots it keeps busy */
+  GVariant *hot;   /* a(tud): key hash, its unit, slots */
 } CcMsgReport;
 
 typedef struct
@@ -87,7 +87,7 @@
   gint64 horizon;    /* wall clock, us: older keys are not remembered */
   guint32 index;     /* of this chunk, from 0 */
   gboolean last;     /* the memory of the slice is complete with this */
-  GVariant *entries; /* a(syua(ss)ay): key, outcome, status, headers, body */
+  GVariant *entries; /* a(syuayay): key, outcome, status, headers, body */
 } CcMsgOutcomes;
 
 typedef struct
