A refusal without memory of a key that may be a repeat says unknown

Cause: 'not-run' spoke of the attempt. Ruled out: a header for the number of the attempt (callers would have to know), asking the old dispatcher (it may be gone). Change: an entry that refuses a key older than REPEAT_AGE without having reached a memory says unknown; the dispatcher asks its memory before it refuses for a lost server or lease. The audit now counts a last word of not-run against any effect, also after unknown. test_ask repeat_is_not_denied_without_memory: not-run told for a key 2 s old before, unknown now.

--- a/ask.c
+++ b/ask.c
@@ -14,6 +14,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "outcome.h"
 #include "timers.h"
 
 #define PARK_MAX (250 * CC_MS) /* a move takes 10 to 50 ms */
@@ -21,6 +22,9 @@
  * mailbox's RECONNECT_MAX_MS and a ping).  After that its servers are being
  * taken over, which takes seconds: the request is answered. */
 #define LINK_BACK_MAX (500 * CC_MS)
+/* A first attempt arrives a few ms after its key was made, a repeat after an
+ * answer to the first.  A key older than this may be a repeat's, see refuse. */
+#define REPEAT_AGE (100 * CC_MS)
 #define PARK_RETRY_MS 10      /* parked asks look again this often */
 #define TAKEOVER_WAIT_MS 1000 /* a lost dispatcher is replaced in 2 to 3 s */
 #define MOVE_WAIT_MS 100      /* a move that took longer than PARK_MAX */
@@ -42,6 +46,7 @@
   guint64 incarnation; /* of that dispatcher */
   gint64 park_until;   /* us; 0: not parked before */
   gboolean once_only;
+  gboolean may_repeat;   /* its key is old: an earlier attempt may have run */
   gboolean may_have_run; /* it was sent over a link that was lost since */
   CcTimer timer;         /* fires at the deadline */
   char *class_name;
@@ -140,6 +145,17 @@
   finish (a, &r);
 }
 
+/* Refuses what did not reach a memory of outcomes.  "not-run" is about the
+ * caller's booking, not about one attempt: if an earlier attempt with the same
+ * key may have run, and was answered unknown, the caller would book again under
+ * a new key.  So an old key's refusal says unknown, too. */
+static void
+refuse (CcAsk *a, const char *reason, guint32 wait_ms)
+{
+  finish_with (a, a->may_repeat ? CC_OUTCOME_UNKNOWN : CC_OUTCOME_NOT_RUN,
+               reason, wait_ms);
+}
+
 static void
 on_deadline (gpointer data)
 {
@@ -148,7 +164,7 @@
   if (a->state == ASK_SENT)
     finish_with (a, CC_OUTCOME_UNKNOWN, "deadline", 0);
   else
-    finish_with (a, CC_OUTCOME_NOT_RUN, "deadline", MOVE_WAIT_MS);
+    refuse (a, "deadline", MOVE_WAIT_MS);
 }
 
 static gboolean
@@ -230,7 +246,7 @@
     {
       if (a->park_until != 0 && cc_clock_now () >= a->park_until)
         {
-          finish_with (a, CC_OUTCOME_NOT_RUN, "moving", MOVE_WAIT_MS);
+          refuse (a, "moving", MOVE_WAIT_MS);
           return FALSE;
         }
       park (a);
@@ -241,7 +257,7 @@
     case CC_OK:
       break;
     case CC_FULL:
-      finish_with (a, CC_OUTCOME_NOT_RUN, "busy", MOVE_WAIT_MS);
+      refuse (a, "busy", MOVE_WAIT_MS);
       return FALSE;
     default:
       if (a->may_have_run && cc_clock_now () < a->park_until)
@@ -249,7 +265,7 @@
           park (a);
           return TRUE;
         }
-      finish_with (a, CC_OUTCOME_NOT_RUN, "unreachable", TAKEOVER_WAIT_MS);
+      refuse (a, "unreachable", TAKEOVER_WAIT_MS);
       return FALSE;
     }
   g_hash_table_remove (a->router->parked, a);
@@ -261,6 +277,15 @@
   return TRUE;
 }
 
+static gboolean
+is_old (const char *idempotency)
+{
+  gint64 made;
+
+  return cc_idempotency_time (idempotency, &made) &&
+         made < cc_clock_wall () - REPEAT_AGE;
+}
+
 /* Asks for W.  DONE is called once, maybe before this returns, in which case
  * NULL is returned. */
 CcAsk *
@@ -281,6 +306,7 @@
   a->body = g_bytes_ref (w->body);
   a->deadline = w->deadline;
   a->once_only = w->class->once_only;
+  a->may_repeat = a->once_only && is_old (w->idempotency);
   a->done = done;
   a->data = data;
   cc_timer_start (&a->timer, left, on_deadline, a);
@@ -332,8 +358,7 @@
   if (a->park_until != 0 && cc_clock_now () >= a->park_until)
     {
       park (a);
-      finish_with (a, CC_OUTCOME_NOT_RUN, m->u.reply.reason,
-                   m->u.reply.retry_after);
+      refuse (a, m->u.reply.reason, m->u.reply.retry_after);
       return;
     }
   park (a);
--- a/dispatch.c
+++ b/dispatch.c
@@ -24,6 +24,8 @@
 #define REPORT_PERIOD (200 * CC_MS)
 #define PLATFORM_TIMEOUT (700 * CC_MS) /* three tries within a lease term */
 #define MOVED_WAIT_MS 20
+#define SERVER_LOST_WAIT_MS 1000        /* its slices have moved in about 2 s */
+#define NO_LEASE_WAIT_MS 500            /* a renewal's period */
 #define OUTCOMES_EXPIRE (5 * CC_SECOND) /* a move takes less */
 #define DRAIN_LIMIT (20 * CC_SECOND)    /* SIGTERM: then leave all the same */
 
@@ -101,6 +103,23 @@
   cc_server_take (s, j, class);
 }
 
+/* Nothing of the request has run here.  Without a lease another dispatcher may
+ * have run it meanwhile, so the entry is to ask again. */
+static void
+start_or_refuse (Dispatch *d, const CcMessage *m, CcServer *s,
+                 const CcClass *class, guint slice)
+{
+  if (s->holding->lost)
+    refuse (d, m, CC_OUTCOME_NOT_RUN, "server-lost", SERVER_LOST_WAIT_MS,
+            FALSE);
+  else if (!cc_server_may_serve (s, cc_clock_now ()))
+    refuse (d, m, CC_OUTCOME_NOT_RUN, "no-lease", NO_LEASE_WAIT_MS, TRUE);
+  else
+    start_job (d, m, s, class, slice);
+}
+
+/* The memory is asked before anything is refused: a repeat whose first attempt
+ * ran must hear so, also while its server is lost. */
 static void
 take_once_only (Dispatch *d, const CcMessage *m, CcServer *s,
                 const CcClass *class, guint slice)
@@ -111,7 +130,7 @@
                            m->u.request.idempotency, cc_clock_wall (), &kept))
     {
     case CC_REPEAT_NEW:
-      start_job (d, m, s, class, slice);
+      start_or_refuse (d, m, s, class, slice);
       break;
     case CC_REPEAT_RUNNING:
       join_first (d, m, class->pool, slice);
@@ -164,14 +183,10 @@
     cc_unit_meter_arrived (s->meter, slice, hash, cc_clock_now ());
   if (s == NULL || !cc_holding_owns (s->holding, slice))
     refuse (d, m, CC_OUTCOME_NOT_RUN, "moved", MOVED_WAIT_MS, TRUE);
-  else if (s->holding->lost)
-    refuse (d, m, CC_OUTCOME_NOT_RUN, "server-lost", 1000, FALSE);
-  else if (!cc_server_may_serve (s, cc_clock_now ()))
-    refuse (d, m, CC_OUTCOME_NOT_RUN, "no-lease", 500, TRUE);
   else if (class->once_only)
     take_once_only (d, m, s, class, slice);
   else
-    start_job (d, m, s, class, slice);
+    start_or_refuse (d, m, s, class, slice);
 }
 
 static void
--- a/test/load.c
+++ b/test/load.c
@@ -246,6 +246,7 @@
   gboolean again = outcome != CC_OUTCOME_RUN && a->tries < a->load->repeats;
 
   a->told->told[outcome]++;
+  a->told->last = outcome;
   if (outcome == CC_OUTCOME_RUN)
     check_answer (a, body);
   if (a->is_twin)
--- a/test/records.c
+++ b/test/records.c
@@ -140,7 +140,7 @@
       detail (b, "told run, not recorded", t->marker);
     }
   if (t->told[CC_OUTCOME_NOT_RUN] > 0 && t->told[CC_OUTCOME_RUN] == 0 &&
-      t->told[CC_OUTCOME_UNKNOWN] == 0 && possible > 0)
+      t->last == CC_OUTCOME_NOT_RUN && possible > 0)
     {
       a->lost++;
       detail (b, "told not-run, but recorded", t->marker);
--- a/test/records.h
+++ b/test/records.h
@@ -9,6 +9,7 @@
   char *marker; /* one caller's intent, also its Idempotency-Key */
   gboolean once_only;
   guint told[3];    /* answers by CcOutcome */
+  CcOutcome last;   /* the last of them */
   gboolean crossed; /* an answer was somebody else's */
 } Told;
 
--- a/test/test_ask.c
+++ b/test/test_ask.c
@@ -157,6 +157,8 @@
   memcpy (a->body, body != NULL ? body : "", MIN (size, sizeof a->body - 1));
 }
 
+static char *asked_key; /* Idempotency-Key of the next ask */
+
 static void
 ask (Answer *a, gboolean once_only, guint ms)
 {
@@ -168,7 +170,7 @@
   g_autoptr (GBytes) body = g_bytes_new_static ("", 0);
   CcWish w = { .class = &class,
                .tenant = "t",
-               .idempotency = "",
+               .idempotency = asked_key != NULL ? asked_key : "",
                .method = "GET",
                .path = "/",
                .headers = headers,
@@ -302,6 +304,44 @@
   assert_true (again.retry_after > 0);
 }
 
+/* A UUID of version 7 made AGE_MS ago. */
+static char *
+key_made (gint64 age_ms)
+{
+  guint64 ms = (guint64) (cc_clock_wall () / CC_MS - age_ms);
+
+  return g_strdup_printf ("%08x-%04x-7000-8000-000000000001",
+                          (guint) (ms >> 16), (guint) (ms & 0xffff));
+}
+
+/* No dispatcher can be reached, so nothing remembers this key.  An attempt with
+ * a new key is the first, and truly not run.  An older key may be a repeat
+ * whose first attempt ran: the caller was told unknown then, and "not-run" now
+ * would make it book again under another key. */
+static void
+repeat_is_not_denied_without_memory (void **state)
+{
+  static const struct
+  {
+    gint64 age_ms;
+    CcOutcome told;
+  } cases[] = { { 0, CC_OUTCOME_NOT_RUN }, { 2000, CC_OUTCOME_UNKNOWN } };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Answer a;
+
+      asked_key = key_made (cases[i].age_ms);
+      ask (&a, TRUE, 2000);
+      turn_for (50);
+      assert_int_equal (a.calls, 1);
+      assert_int_equal (a.outcome, cases[i].told);
+      g_free (asked_key);
+      asked_key = NULL;
+    }
+}
+
 int
 main (void)
 {
@@ -311,6 +351,7 @@
     cmocka_unit_test (kept_messages_are_dropped),
     cmocka_unit_test (request_to_absent_is_refused),
     cmocka_unit_test (lost_link_tells_the_truth),
+    cmocka_unit_test (repeat_is_not_denied_without_memory),
   };
 
   return cmocka_run_group_tests (tests, start, NULL);
