Checks of a caller's headers stand in a file of their own

Change: request_check.c takes the checks as they were; refusals before the router go by the rule for keys that may be repeats as well (starting, deadline past). Conclusion: behaviour is the same but for that rule.

--- a/ask.c
+++ b/ask.c
@@ -277,8 +277,10 @@
   return TRUE;
 }
 
-static gboolean
-is_old (const char *idempotency)
+/* Whether a request with this Idempotency-Key may be a repeat: its key was made
+ * longer ago than a first attempt is under way. */
+gboolean
+cc_may_be_repeat (const char *idempotency)
 {
   gint64 made;
 
@@ -306,7 +308,7 @@
   a->body = g_bytes_ref (w->body);
   a->deadline = w->deadline;
   a->once_only = w->class->once_only;
-  a->may_repeat = a->once_only && is_old (w->idempotency);
+  a->may_repeat = a->once_only && cc_may_be_repeat (w->idempotency);
   a->done = done;
   a->data = data;
   cc_timer_start (&a->timer, left, on_deadline, a);
--- a/entry.c
+++ b/entry.c
@@ -15,11 +15,12 @@
 #include "log.h"
 #include "metrics.h"
 #include "outcome.h"
+#include "request_check.h"
 #include "settings.h"
 
 #define DRAIN_QUIET (3 * CC_SECOND) /* until the balancer sends no more */
 #define DRAIN_LIMIT (30 * CC_SECOND)
-#define HEADERS_USUAL 512 /* bytes; more makes the buffer grow */
+#define STARTING_WAIT_MS 1000 /* a dispatcher has answered by then */
 #define TENANT_DEFAULT "anonymous"
 
 typedef struct
@@ -55,14 +56,6 @@
   gboolean answered;
 } Caller;
 
-/* A request's faults, with the place of each. */
-typedef struct
-{
-  SoupServerMessage *message;
-  SoupMessageHeaders *headers;
-  CcFindings findings;
-} Check;
-
 static void
 answer_outcome (SoupServerMessage *m, guint status, CcOutcome outcome,
                 const char *reason, const char *text, guint32 wait_ms)
@@ -198,126 +191,6 @@
   on_outcome (&r, c);
 }
 
-static void
-check_name (Check *c, const char *header, gboolean required)
-{
-  const char *value = soup_message_headers_get_one (c->headers, header);
-
-  if (value == NULL || value[0] == '\0')
-    {
-      if (required)
-        cc_findings_add (&c->findings, header, "is required");
-      return;
-    }
-  if (strlen (value) > CC_NAME_MAX || !g_utf8_validate (value, -1, NULL) ||
-      strpbrk (value, "\"\\") != NULL)
-    cc_findings_add (&c->findings, header,
-                     "must be UTF-8 of at most %d bytes without quotes",
-                     CC_NAME_MAX);
-}
-
-static void
-check_key (Check *c)
-{
-  const char *key = soup_message_headers_get_one (c->headers, CC_HDR_KEY);
-
-  if (key == NULL || key[0] == '\0')
-    cc_findings_add (&c->findings, CC_HDR_KEY, "is required");
-  else if (strlen (key) > CC_KEY_MAX)
-    cc_findings_add (&c->findings, CC_HDR_KEY, "has over %d bytes", CC_KEY_MAX);
-}
-
-/* A length that two readers may take for two lengths makes the rest of the
- * connection somebody else's request (RFC 9112, 6.3). */
-static void
-check_length (Check *c)
-{
-  const char *length =
-      soup_message_headers_get_list (c->headers, "Content-Length");
-  gboolean coded =
-      soup_message_headers_get_one (c->headers, "Transfer-Encoding") != NULL;
-
-  if (length == NULL)
-    return;
-  if (coded || length[0] == '\0' ||
-      strspn (length, "0123456789") != strlen (length))
-    cc_findings_add (&c->findings, "Content-Length",
-                     "must be one whole number, without Transfer-Encoding");
-}
-
-static const CcClass *
-check_class (Check *c, const CcDocument *d)
-{
-  const char *name = soup_message_headers_get_one (c->headers, CC_HDR_CLASS);
-  const CcClass *class = name != NULL ? cc_document_class (d, name) : NULL;
-
-  check_name (c, CC_HDR_CLASS, TRUE);
-  if (class == NULL && name != NULL && name[0] != '\0')
-    cc_findings_add (&c->findings, CC_HDR_CLASS,
-                     "no class of that name is configured");
-  return class;
-}
-
-static void
-check_idempotency (Check *c, const CcClass *class)
-{
-  const char *key =
-      soup_message_headers_get_one (c->headers, CC_HDR_IDEMPOTENCY);
-  gint64 wall;
-
-  if (class == NULL || !class->once_only)
-    return;
-  if (key == NULL || !cc_idempotency_time (key, &wall))
-    cc_findings_add (&c->findings, CC_HDR_IDEMPOTENCY,
-                     "a UUID of version 7 is required for this class");
-  /* By this clock; the dispatcher's may be ahead of it and have run the key. */
-  else if (wall > cc_clock_wall () + CC_SKEW_MAX + CC_INSTANCE_SKEW_MAX)
-    cc_findings_add (&c->findings, CC_HDR_IDEMPOTENCY,
-                     "its time is in the future, set the caller's clock");
-}
-
-/* The time left in us; 0 or less if the deadline is past. */
-static gint64
-check_timeout (Check *c, const CcClass *class)
-{
-  const char *text = soup_message_headers_get_one (c->headers, CC_HDR_TIMEOUT);
-  gint64 most = class != NULL ? class->timeout : CC_SECOND;
-  gint64 ms;
-
-  if (text == NULL)
-    return most;
-  if (!g_ascii_string_to_signed (text, 10, G_MININT32, G_MAXINT32, &ms, NULL))
-    {
-      cc_findings_add (&c->findings, CC_HDR_TIMEOUT,
-                       "must be a whole number of milliseconds");
-      return most;
-    }
-  return MIN (ms * CC_MS, most);
-}
-
-static GVariant *
-copy_headers (Check *c)
-{
-  SoupMessageHeadersIter iter;
-  const char *name, *value;
-  GString *packed = g_string_sized_new (HEADERS_USUAL);
-  gsize size = 0;
-
-  soup_message_headers_iter_init (&iter, c->headers);
-  while (soup_message_headers_iter_next (&iter, &name, &value))
-    {
-      size += strlen (name) + strlen (value);
-      if (!g_utf8_validate (value, -1, NULL))
-        cc_findings_add (&c->findings, name, "is not UTF-8");
-      else
-        cc_headers_add (packed, name, value);
-    }
-  if (size > CC_HEADERS_MAX)
-    cc_findings_add (&c->findings, "headers", "have over %d bytes",
-                     CC_HEADERS_MAX);
-  return cc_headers_take (packed);
-}
-
 static void
 refuse_findings (SoupServerMessage *m, const CcFindings *f)
 {
@@ -350,27 +223,25 @@
 }
 
 static void
-pass_on (Entry *e, Check *check, const CcClass *class, GVariant *headers,
-         gint64 left)
+pass_on (Entry *e, SoupServerMessage *m, const CcCheckedRequest *checked)
 {
-  SoupServerMessage *m = check->message;
+  SoupMessageHeaders *h = soup_server_message_get_request_headers (m);
+  const CcClass *class = checked->class;
   Caller *c = g_new0 (Caller, 1);
-  const char *key = soup_message_headers_get_one (check->headers, CC_HDR_KEY);
+  const char *key = soup_message_headers_get_one (h, CC_HDR_KEY);
   g_autofree char *path = path_of (m);
   g_autoptr (GBytes) key_bytes = g_bytes_new (key, strlen (key));
   g_autoptr (GBytes) body =
       soup_message_body_flatten (soup_server_message_get_request_body (m));
   CcWish w = { .class = class,
-               .tenant =
-                   header_or (check->headers, CC_HDR_TENANT, TENANT_DEFAULT),
-               .idempotency =
-                   header_or (check->headers, CC_HDR_IDEMPOTENCY, ""),
+               .tenant = header_or (h, CC_HDR_TENANT, TENANT_DEFAULT),
+               .idempotency = header_or (h, CC_HDR_IDEMPOTENCY, ""),
                .method = soup_server_message_get_method (m),
                .path = path,
-               .headers = headers,
+               .headers = checked->headers,
                .key = key_bytes,
                .body = body,
-               .deadline = cc_clock_wall () + left };
+               .deadline = cc_clock_wall () + checked->left };
 
   c->entry = e;
   c->message = g_object_ref (m);
@@ -389,48 +260,57 @@
                      c);
 }
 
+/* Refuses M before it came to a router.  See ask.c for why an old key is not
+ * told "not-run". */
+static void
+refuse_early (SoupServerMessage *m, guint status, const char *reason,
+              const char *text, guint32 wait_ms)
+{
+  const char *key = soup_message_headers_get_one (
+      soup_server_message_get_request_headers (m), CC_HDR_IDEMPOTENCY);
+  gboolean repeat = key != NULL && cc_may_be_repeat (key);
+
+  answer_outcome (m, status, repeat ? CC_OUTCOME_UNKNOWN : CC_OUTCOME_NOT_RUN,
+                  reason, text, wait_ms);
+}
+
+static void
+check_and_pass (Entry *e, SoupServerMessage *m)
+{
+  CcCheckedRequest checked = { 0 };
+  CcFindings findings;
+
+  cc_findings_init (&findings);
+  cc_request_check (soup_server_message_get_request_headers (m),
+                    e->follower->document, &findings, &checked);
+  if (cc_findings_count (&findings) > 0)
+    refuse_findings (m, &findings);
+  else if (checked.left <= 0)
+    refuse_early (m, SOUP_STATUS_GATEWAY_TIMEOUT, "deadline",
+                  "the deadline is in the past", 0);
+  else
+    pass_on (e, m, &checked);
+  cc_checked_clear (&checked);
+  cc_findings_clear (&findings);
+}
+
 static void
 on_request (SoupServer *server, SoupServerMessage *m, const char *path,
             GHashTable *query, gpointer data)
 {
   Entry *e = data;
-  Check c = { .message = m,
-              .headers = soup_server_message_get_request_headers (m) };
-  const CcClass *class;
-  g_autoptr (GVariant) headers = NULL;
-  gint64 left;
 
   (void) server, (void) path, (void) query;
   if (cc_body_is_refused (m))
     return;
   if (e->follower->document == NULL)
-    {
-      answer_outcome (m, SOUP_STATUS_SERVICE_UNAVAILABLE, CC_OUTCOME_NOT_RUN,
-                      "starting", "no configuration yet", 1000);
-      return;
-    }
-  if (cc_hangup_has (soup_server_message_get_socket (m)))
-    {
-      answer_outcome (m, SOUP_STATUS_BAD_REQUEST, CC_OUTCOME_NOT_RUN,
-                      "cancelled", "the caller has gone", 0);
-      return;
-    }
-  cc_findings_init (&c.findings);
-  class = check_class (&c, e->follower->document);
-  check_length (&c);
-  check_key (&c);
-  check_name (&c, CC_HDR_TENANT, FALSE);
-  check_idempotency (&c, class);
-  left = check_timeout (&c, class);
-  headers = copy_headers (&c);
-  if (cc_findings_count (&c.findings) > 0)
-    refuse_findings (m, &c.findings);
-  else if (left <= 0)
-    answer_outcome (m, SOUP_STATUS_GATEWAY_TIMEOUT, CC_OUTCOME_NOT_RUN,
-                    "deadline", "the deadline is in the past", 0);
+    refuse_early (m, SOUP_STATUS_SERVICE_UNAVAILABLE, "starting",
+                  "no configuration yet", STARTING_WAIT_MS);
+  else if (cc_hangup_has (soup_server_message_get_socket (m)))
+    refuse_early (m, SOUP_STATUS_BAD_REQUEST, "cancelled",
+                  "the caller has gone", 0);
   else
-    pass_on (e, &c, class, headers, left);
-  cc_findings_clear (&c.findings);
+    check_and_pass (e, m);
 }
 
 static void
