--- a/dispatch.c
+++ b/dispatch.c
@@ -12,194 +12,18 @@
 
 #include "admin.h"
 #include "clock.h"
-#include "follower.h"
+#include "dispatcher.h"
 #include "log.h"
 #include "metrics.h"
-#include "outcome_transfer.h"
-#include "server.h"
-#include "settings.h"
-#include "voting.h"
 
 #define TICK_MS 20
-#define REPORT_PERIOD (200 * CC_MS)
 #define PLATFORM_TIMEOUT (700 * CC_MS) /* three tries within a lease term */
-#define MOVED_WAIT_MS 20
-#define SERVER_LOST_WAIT_MS 1000        /* its slices have moved in about 2 s */
-#define NO_LEASE_WAIT_MS 500            /* a renewal's period */
-#define OUTCOMES_EXPIRE (5 * CC_SECOND) /* a move takes less */
-#define DRAIN_LIMIT (20 * CC_SECOND)    /* SIGTERM: then leave all the same */
-
-typedef struct
-{
-  CcSetting *settings;
-  CcMailbox *mailbox;
-  CcFollower *follower;
-  CcTenure *tenure;
-  CcVoting *voting;
-  CcServerShared shared;
-  CcTransfer *transfer; /* memory of outcomes, between dispatchers */
-  GHashTable *servers;  /* "pool/server" to CcServer */
-  gint64 stop_at;       /* while stopping: when to leave at the latest, us */
-  CcCounter *refused;   /* requests for what is not held here */
-  CcCounter *repeats;   /* once-only requests answered from memory */
-  CcCounter *cancelled;
-  CcCounter *received;  /* chunks of outcomes from earlier holders */
-  CcCounter *passed_on; /* chunks of outcomes sent to next holders */
-} Dispatch;
-
-static void
-refuse (Dispatch *d, const CcMessage *m, CcOutcome outcome, const char *reason,
-        guint32 wait_ms, gboolean reroute)
-{
-  CcMsgReply r = { .outcome = outcome,
-                   .reroute = reroute,
-                   .reason = reason,
-                   .retry_after = wait_ms };
-
-  ++*d->refused;
-  cc_reply_send (d->mailbox, m->reply_to, m->from, m->id, &r);
-}
-
-static void
-answer_again (Dispatch *d, const CcMessage *m, const CcRemembered *kept)
-{
-  CcMsgReply r = { .outcome = kept->outcome,
-                   .reason = "repeat",
-                   .status = kept->status,
-                   .headers = kept->headers,
-                   .body = kept->body };
-
-  ++*d->repeats;
-  cc_reply_send (d->mailbox, m->reply_to, m->from, m->id, &r);
-}
-
-static void
-join_first (Dispatch *d, const CcMessage *m, const char *pool, guint slice)
-{
-  g_autofree char *name =
-      cc_first_attempt_name (pool, slice, m->u.request.idempotency);
-  CcJob *first = g_hash_table_lookup (d->shared.first_attempts, name);
-
-  if (first != NULL)
-    cc_server_join (&d->shared, first, m);
-  else
-    refuse (d, m, CC_OUTCOME_UNKNOWN, "repeat", 0, FALSE);
-}
-
-static void
-start_job (Dispatch *d, const CcMessage *m, CcServer *s, const CcClass *class,
-           guint slice)
-{
-  CcJob *j = cc_job_new (m, class->pool, class->once_only, slice);
-
-  if (class->once_only)
-    {
-      g_hash_table_insert (
-          d->shared.first_attempts,
-          cc_first_attempt_name (class->pool, slice, j->idempotency), j);
-      cc_outcomes_start (d->shared.outcomes, class->pool, slice, j->idempotency,
-                         cc_clock_wall ());
-    }
-  cc_server_take (s, j, class);
-}
-
-/* Nothing of the request has run here.  Without a lease another dispatcher may
- * have run it meanwhile, so the entry is to ask again. */
-static void
-start_or_refuse (Dispatch *d, const CcMessage *m, CcServer *s,
-                 const CcClass *class, guint slice)
-{
-  if (s->holding->lost)
-    refuse (d, m, CC_OUTCOME_NOT_RUN, "server-lost", SERVER_LOST_WAIT_MS,
-            FALSE);
-  else if (!cc_server_may_serve (s, cc_clock_now ()))
-    refuse (d, m, CC_OUTCOME_NOT_RUN, "no-lease", NO_LEASE_WAIT_MS, TRUE);
-  else
-    start_job (d, m, s, class, slice);
-}
-
-/* The memory is asked before anything is refused: a repeat whose first attempt
- * ran must hear so, also while its server is lost. */
-static void
-take_once_only (Dispatch *d, const CcMessage *m, CcServer *s,
-                const CcClass *class, guint slice)
-{
-  const CcRemembered *kept = NULL;
-
-  switch (cc_outcomes_ask (d->shared.outcomes, class->pool, slice,
-                           m->u.request.idempotency, cc_clock_wall (), &kept))
-    {
-    case CC_REPEAT_NEW:
-      start_or_refuse (d, m, s, class, slice);
-      break;
-    case CC_REPEAT_RUNNING:
-      join_first (d, m, class->pool, slice);
-      break;
-    case CC_REPEAT_DONE:
-      answer_again (d, m, kept);
-      break;
-    case CC_REPEAT_TOO_OLD:
-      refuse (d, m, CC_OUTCOME_UNKNOWN, "forgotten", 0, FALSE);
-      break;
-    case CC_REPEAT_AHEAD:
-    case CC_REPEAT_MALFORMED:
-      refuse (d, m, CC_OUTCOME_NOT_RUN, "idempotency-key", 0, FALSE);
-      break;
-    }
-}
-
-static CcServer *
-find_server (Dispatch *d, const char *pool, const char *name)
-{
-  g_autofree char *key = g_strconcat (pool, "/", name, NULL);
-
-  return g_hash_table_lookup (d->servers, key);
-}
-
-static void
-take_request (Dispatch *d, const CcMessage *m)
-{
-  const CcMsgRequest *r = &m->u.request;
-  const CcClass *class = NULL;
-  CcSliceMap *map = NULL;
-  const CcMapServer *owner = NULL;
-  CcServer *s = NULL;
-  guint slice = 0;
-  guint64 hash =
-      cc_key_hash (g_bytes_get_data (r->key, NULL), g_bytes_get_size (r->key));
-
-  if (d->follower->document != NULL)
-    class = cc_document_class (d->follower->document, r->class_name);
-  if (class != NULL)
-    map = cc_follower_map (d->follower, class->pool);
-  if (map != NULL)
-    {
-      slice = cc_slicemap_unit (map, hash);
-      owner = cc_slicemap_owner (map, slice);
-    }
-  if (owner != NULL)
-    s = find_server (d, class->pool, owner->name);
-  if (s != NULL && cc_holding_owns (s->holding, slice))
-    cc_unit_meter_arrived (s->meter, slice, hash, cc_clock_now ());
-  if (s == NULL || !cc_holding_owns (s->holding, slice))
-    refuse (d, m, CC_OUTCOME_NOT_RUN, "moved", MOVED_WAIT_MS, TRUE);
-  else if (class->once_only)
-    take_once_only (d, m, s, class, slice);
-  else
-    start_or_refuse (d, m, s, class, slice);
-}
-
-static void
-take_cancel (Dispatch *d, const CcMessage *m)
-{
-  ++*d->cancelled;
-  cc_server_cancel (&d->shared, m->from, m->u.cancel.request);
-}
+#define DRAIN_LIMIT (20 * CC_SECOND)   /* SIGTERM: then leave all the same */
 
 static void
 on_message (const CcMessage *m, gpointer data)
 {
-  Dispatch *d = data;
+  CcDispatcher *d = data;
 
   switch (m->kind)
     {
@@ -208,10 +32,10 @@
       cc_follower_receive (d->follower, m);
       break;
     case CC_MSG_REQUEST:
-      take_request (d, m);
+      cc_intake_request (d, m);
       break;
     case CC_MSG_CANCEL:
-      take_cancel (d, m);
+      cc_intake_cancel (d, m);
       break;
     case CC_MSG_OUTCOMES:
       ++*d->received;
@@ -235,7 +59,7 @@
 }
 
 static void
-note_slices (Dispatch *d, const CcSliceMap *m)
+note_slices (CcDispatcher *d, const CcSliceMap *m)
 {
   for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
@@ -248,7 +72,7 @@
 }
 
 static CcServer *
-take_server (Dispatch *d, const CcSliceMap *m, const CcMapServer *one)
+take_server (CcDispatcher *d, const CcSliceMap *m, const CcMapServer *one)
 {
   const CcPool *pool = d->follower->document != NULL
                            ? cc_document_pool (d->follower->document, m->pool)
@@ -269,7 +93,7 @@
 }
 
 static void
-drop_server (Dispatch *d, CcServer *s)
+drop_server (CcDispatcher *d, CcServer *s)
 {
   g_autofree char *key =
       g_strconcat (s->holding->pool, "/", s->holding->name, NULL);
@@ -279,7 +103,7 @@
 }
 
 static gboolean
-keeps (const Dispatch *d, const char *name)
+keeps (const CcDispatcher *d, const char *name)
 {
   const CcPool *pool = cc_document_pool (d->follower->document, name);
 
@@ -290,13 +114,13 @@
  * it, having missed the map that said so: the next holder waits for its word.
  */
 static void
-update_server (Dispatch *d, const CcSliceMap *m, gint32 index)
+update_server (CcDispatcher *d, const CcSliceMap *m, gint32 index)
 {
   const CcMapServer *one = cc_slicemap_server (m, index);
   const char *me = d->tenure->id;
   gboolean mine = g_str_equal (one->dispatcher, me) && one->from[0] == '\0';
   gboolean leaving = g_str_equal (one->from, me);
-  CcServer *s = find_server (d, m->pool, one->name);
+  CcServer *s = cc_dispatcher_server (d, m->pool, one->name);
 
   if (s == NULL && (mine || leaving))
     s = take_server (d, m, one);
@@ -315,7 +139,7 @@
 }
 
 static void
-drop_unlisted (Dispatch *d, const CcSliceMap *m)
+drop_unlisted (CcDispatcher *d, const CcSliceMap *m)
 {
   GList *all = g_hash_table_get_values (d->servers);
 
@@ -333,7 +157,7 @@
 static void
 on_view_changed (CcFollower *f, gpointer data)
 {
-  Dispatch *d = data;
+  CcDispatcher *d = data;
   GHashTableIter iter;
   gpointer map;
 
@@ -356,102 +180,14 @@
 static void
 on_tenure (CcTenure *t, gboolean held, gpointer data)
 {
-  Dispatch *d = data;
+  CcDispatcher *d = data;
 
   (void) t, (void) held;
   on_view_changed (d->follower, d);
 }
 
-static guint64
-assigner (Dispatch *d, char **address)
-{
-  const CcRow *row = cc_view_get (&d->follower->view, "assign/active");
-  g_autoptr (JsonNode) root =
-      row != NULL ? json_from_string (row->value, NULL) : NULL;
-  JsonObject *o;
-
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    return 0;
-  o = json_node_get_object (root);
-  *address =
-      g_strdup (json_object_get_string_member_with_default (o, "address", ""));
-  return (guint64) json_object_get_int_member_with_default (o, "incarnation",
-                                                            0);
-}
-
-static void
-send_report (Dispatch *d, CcServer *s, guint64 applied)
-{
-  g_autofree char *address = NULL;
-  CcMessage m = { .kind = CC_MSG_REPORT };
-  g_autoptr (GVariant) loads = NULL;
-  g_autoptr (GVariant) hot = NULL;
-
-  m.to = assigner (d, &address);
-  if (m.to == 0)
-    return;
-  loads = g_variant_ref_sink (cc_unit_meter_loads (s->meter, cc_clock_now ()));
-  hot = g_variant_ref_sink (cc_unit_meter_hot (s->meter, cc_clock_now ()));
-  m.id = cc_mailbox_next_id (d->mailbox);
-  m.expires = cc_clock_wall () + 2 * CC_SECOND;
-  m.u.report.instance = d->tenure->id;
-  m.u.report.pool = s->holding->pool;
-  m.u.report.server = s->holding->name;
-  m.u.report.applied = applied;
-  m.u.report.state = cc_holding_is_lost (s->holding);
-  m.u.report.running = s->holding->running;
-  m.u.report.queued = cc_queue_length (&s->load.queue);
-  m.u.report.loads = loads;
-  m.u.report.hot = hot;
-  cc_mailbox_send (d->mailbox, address, &m);
-}
-
-static CcStatus
-send_outcomes (const char *to, const CcMsgOutcomes *o, gpointer data)
-{
-  Dispatch *d = data;
-  const CcMember *member = cc_follower_member (d->follower, to);
-  CcMessage m = { .kind = CC_MSG_OUTCOMES };
-
-  if (member == NULL)
-    return CC_GONE;
-  m.to = member->incarnation;
-  m.id = cc_mailbox_next_id (d->mailbox);
-  m.expires = cc_clock_wall () + OUTCOMES_EXPIRE;
-  m.u.outcomes = *o;
-  ++*d->passed_on;
-  return cc_mailbox_send (d->mailbox, member->address, &m);
-}
-
-/* Passes on the memory of the slices that left S.  Comes before the report
- * that lets their next holder begin, so it is mostly there by then.  Returns
- * FALSE while a link is full. */
-static gboolean
-pass_outcomes_on (Dispatch *d, CcServer *s, guint64 applied)
-{
-  const CcSliceMap *m = cc_follower_map (d->follower, s->holding->pool);
-
-  return m == NULL || m->version != applied ||
-         cc_transfer_stopped (d->transfer, m, s->holding->name, d->tenure->id,
-                              send_outcomes, d);
-}
-
-static void
-report_if_due (Dispatch *d, CcServer *s, gint64 now)
-{
-  guint64 applied = cc_holding_applied (s->holding, now, cc_clock_wall ());
-
-  if (!pass_outcomes_on (d, s, applied))
-    applied = s->reported;
-  if (applied == s->reported && now < s->report_due)
-    return;
-  s->reported = applied;
-  s->report_due = now + REPORT_PERIOD;
-  send_report (d, s, applied);
-}
-
 static void
-go_on_stopping (Dispatch *d, gint64 now)
+go_on_stopping (CcDispatcher *d, gint64 now)
 {
   if (d->stop_at == 0)
     return;
@@ -465,7 +201,7 @@
 }
 
 static void
-tend_lease (Dispatch *d, gint64 now)
+tend_lease (CcDispatcher *d, gint64 now)
 {
   const CcRow *voters = cc_view_get (&d->follower->view, "voters");
 
@@ -477,7 +213,7 @@
 static gboolean
 on_tick (gpointer data)
 {
-  Dispatch *d = data;
+  CcDispatcher *d = data;
   gint64 now = cc_clock_now ();
   GHashTableIter iter;
   gpointer server;
@@ -488,7 +224,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &server))
     {
       cc_server_tick (server, now);
-      report_if_due (d, server, now);
+      cc_report_if_due (d, server, now);
     }
   cc_metrics_gauge ("capercrank_servers_held", "",
                     g_hash_table_size (d->servers));
@@ -501,7 +237,7 @@
 static gboolean
 on_stop (gpointer data)
 {
-  Dispatch *d = data;
+  CcDispatcher *d = data;
 
   if (d->stop_at != 0)
     return G_SOURCE_CONTINUE;
@@ -515,7 +251,7 @@
 static const char *
 why_not_ready (gpointer data)
 {
-  Dispatch *d = data;
+  CcDispatcher *d = data;
 
   if (d->stop_at != 0)
     return "draining\n";
@@ -531,7 +267,7 @@
 }
 
 static void
-init_shared (Dispatch *d)
+init_shared (CcDispatcher *d)
 {
   d->shared.mailbox = d->mailbox;
   d->shared.upstream = cc_upstream_new (cc_setting (d->settings, "listen"));
@@ -551,7 +287,7 @@
 }
 
 static gboolean
-open_ports (Dispatch *d, guint64 incarnation)
+open_ports (CcDispatcher *d, guint64 incarnation)
 {
   g_autofree char *message = NULL;
 
@@ -584,7 +320,7 @@
       0, NULL },
     { CC_SETTING_STRING, NULL, NULL, NULL, 0, 0, NULL }
   };
-  Dispatch d = { .settings = settings };
+  CcDispatcher d = { .settings = settings };
   guint64 incarnation = cc_clock_incarnation ();
   CcPlatform *platform;
   g_auto (GStrv) peers = NULL;
--- /dev/null
+++ b/reports.c
@@ -0,0 +1,100 @@
+/* A dispatcher's reports: to the assigner, of what each server has stopped and
+ * what it bears; to the next holder, the memory of outcomes that moves along.
+ */
+#include "dispatcher.h"
+
+#include <json-glib/json-glib.h>
+
+#include "clock.h"
+
+#define REPORT_PERIOD (200 * CC_MS)
+#define OUTCOMES_EXPIRE (5 * CC_SECOND) /* a move takes less */
+
+static guint64
+assigner (CcDispatcher *d, char **address)
+{
+  const CcRow *row = cc_view_get (&d->follower->view, "assign/active");
+  g_autoptr (JsonNode) root =
+      row != NULL ? json_from_string (row->value, NULL) : NULL;
+  JsonObject *o;
+
+  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
+    return 0;
+  o = json_node_get_object (root);
+  *address =
+      g_strdup (json_object_get_string_member_with_default (o, "address", ""));
+  return (guint64) json_object_get_int_member_with_default (o, "incarnation",
+                                                            0);
+}
+
+static void
+send_report (CcDispatcher *d, CcServer *s, guint64 applied)
+{
+  g_autofree char *address = NULL;
+  CcMessage m = { .kind = CC_MSG_REPORT };
+  g_autoptr (GVariant) loads = NULL;
+  g_autoptr (GVariant) hot = NULL;
+
+  m.to = assigner (d, &address);
+  if (m.to == 0)
+    return;
+  loads = g_variant_ref_sink (cc_unit_meter_loads (s->meter, cc_clock_now ()));
+  hot = g_variant_ref_sink (cc_unit_meter_hot (s->meter, cc_clock_now ()));
+  m.id = cc_mailbox_next_id (d->mailbox);
+  m.expires = cc_clock_wall () + 2 * CC_SECOND;
+  m.u.report.instance = d->tenure->id;
+  m.u.report.pool = s->holding->pool;
+  m.u.report.server = s->holding->name;
+  m.u.report.applied = applied;
+  m.u.report.state = cc_holding_is_lost (s->holding);
+  m.u.report.running = s->holding->running;
+  m.u.report.queued = cc_queue_length (&s->load.queue);
+  m.u.report.loads = loads;
+  m.u.report.hot = hot;
+  cc_mailbox_send (d->mailbox, address, &m);
+}
+
+static CcStatus
+send_outcomes (const char *to, const CcMsgOutcomes *o, gpointer data)
+{
+  CcDispatcher *d = data;
+  const CcMember *member = cc_follower_member (d->follower, to);
+  CcMessage m = { .kind = CC_MSG_OUTCOMES };
+
+  if (member == NULL)
+    return CC_GONE;
+  m.to = member->incarnation;
+  m.id = cc_mailbox_next_id (d->mailbox);
+  m.expires = cc_clock_wall () + OUTCOMES_EXPIRE;
+  m.u.outcomes = *o;
+  ++*d->passed_on;
+  return cc_mailbox_send (d->mailbox, member->address, &m);
+}
+
+/* Passes on the memory of the slices that left S.  Comes before the report
+ * that lets their next holder begin, so it is mostly there by then.  Returns
+ * FALSE while a link is full. */
+static gboolean
+pass_outcomes_on (CcDispatcher *d, CcServer *s, guint64 applied)
+{
+  const CcSliceMap *m = cc_follower_map (d->follower, s->holding->pool);
+
+  return m == NULL || m->version != applied ||
+         cc_transfer_stopped (d->transfer, m, s->holding->name, d->tenure->id,
+                              send_outcomes, d);
+}
+
+/* Reports S to the assigner if its state changed or it is time. */
+void
+cc_report_if_due (CcDispatcher *d, CcServer *s, gint64 now)
+{
+  guint64 applied = cc_holding_applied (s->holding, now, cc_clock_wall ());
+
+  if (!pass_outcomes_on (d, s, applied))
+    applied = s->reported;
+  if (applied == s->reported && now < s->report_due)
+    return;
+  s->reported = applied;
+  s->report_due = now + REPORT_PERIOD;
+  send_report (d, s, applied);
+}
