--- a/assign.c
+++ b/assign.c
@@ -233,31 +233,6 @@
     plan_pool (a, d->pools->pdata[i]);
 }
 
-static CcInstance *
-copy_instance (const CcInstance *from)
-{
-  CcInstance *i = g_new0 (CcInstance, 1);
-
-  i->name = g_strdup (from->name);
-  i->role = g_strdup (from->role);
-  i->zone = g_strdup (from->zone);
-  i->address = g_strdup (from->address);
-  i->leaving = from->leaving;
-  return i;
-}
-
-static void
-instance_free (gpointer data)
-{
-  CcInstance *i = data;
-
-  g_free (i->name);
-  g_free (i->role);
-  g_free (i->zone);
-  g_free (i->address);
-  g_free (i);
-}
-
 static void
 on_instances (CcStatus status, GPtrArray *instances, gpointer data)
 {
@@ -267,9 +242,8 @@
   if (status != CC_OK)
     return;
   a->have_list = TRUE;
-  g_ptr_array_set_size (a->listed, 0);
-  for (guint i = 0; i < instances->len; i++)
-    g_ptr_array_add (a->listed, copy_instance (instances->pdata[i]));
+  g_ptr_array_unref (a->listed);
+  a->listed = g_ptr_array_ref (instances);
 }
 
 static gboolean
@@ -403,7 +377,7 @@
   a.reports = g_hash_table_new (g_str_hash, g_str_equal);
   a.planners = g_hash_table_new (g_str_hash, g_str_equal);
   a.writing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  a.listed = g_ptr_array_new_with_free_func (instance_free);
+  a.listed = g_ptr_array_new ();
   a.steps = cc_metrics_counter ("capercrank_assignment_steps", "");
   if (!open_ports (&a, settings, incarnation))
     return 1;
--- a/platform.h
+++ b/platform.h
@@ -29,7 +29,8 @@
 /* ROWS (a(sts)) is complete from SINCE to UPTO if STATUS is CC_OK. */
 typedef void (*CcChangesDone) (CcStatus status, guint64 since, guint64 upto,
                                GVariant *rows, gpointer data);
-/* INSTANCES (of CcInstance) is valid during the call, if STATUS is CC_OK. */
+/* INSTANCES (of CcInstance) holds the list if STATUS is CC_OK; who keeps it
+ * takes a reference. */
 typedef void (*CcInstancesDone) (CcStatus status, GPtrArray *instances,
                                  gpointer data);
 
