--- a/entry.c
+++ b/entry.c
@@ -126,8 +126,11 @@
 
   soup_server_message_set_status (m, r->status, NULL);
   cc_headers_iter (&iter, r->headers);
+  /* libsoup writes a Date of its own beside any that is there; two would be
+   * malformed. */
   while (cc_headers_next (&iter, &name, &value))
-    soup_message_headers_append (h, name, value);
+    if (g_ascii_strcasecmp (name, "Date") != 0)
+      soup_message_headers_append (h, name, value);
   soup_message_headers_replace (h, CC_HDR_OUTCOME, "run");
   if (r->reason != NULL && r->reason[0] != '\0')
     soup_message_headers_replace (h, CC_HDR_REASON, r->reason);
