A comment that the formatter tore in two stands whole

Cause: in outcome_transfer.c one comment was split over two fields and read as two half sentences. Change: it stands above both; no code changed.

--- a/outcome_transfer.c
+++ b/outcome_transfer.c
@@ -25,9 +25,10 @@
   char *server;
   guint64 epoch; /* of the slice */
   guint64 term;  /* of the server */
-  guint64
-      passed_epoch;    /* of the next hold that it was last passed on to; the */
-  guint64 passed_term; /* name may still change before the move is settled */
+  /* Of the next hold that it was last passed on to; the name may still change
+   * before the move is settled. */
+  guint64 passed_epoch;
+  guint64 passed_term;
 } Hold;
 
 /* Chunks that came for a hold. */
