Calls that are given up reset their connection; a stopping entry refuses what it can't end

Ruled out: a granter that went on after its duty, since the grant's line shows it given up as late 5 s before. Change: such closes are resets (SO_LINGER 0). Change: 503 for those that may not end in time.

--- a/callers.c
+++ b/callers.c
@@ -17,6 +17,13 @@
 /* When to come back while no configuration is known. */
 #define STARTING_RETRY (300 * CC_MS)
 
+/* When a caller that met a stopping process may come back: it reaches another
+ * at once. */
+#define STOPPING_RETRY (20 * CC_MS)
+/* Time that a request is given when the process is about to end: the longest
+ * of today's take 1.7 s. */
+#define LAST_NEED (2200 * CC_MS)
+
 /* Ends of requests, as they are counted. */
 typedef enum
 {
@@ -43,7 +50,7 @@
   CcRoutes *routes;  /* in force; NULL: none known yet */
   GHashTable *stats; /* pool to Stats */
   guint pending;     /* requests taken in and not answered */
-  gboolean draining; /* each answer ends its connection */
+  gint64 stop_at;    /* all must be answered by then, us; 0: not draining */
 };
 
 /* One request and its connection. */
@@ -104,7 +111,7 @@
 static void
 prepare_answer (CcCallers *c, SoupServerMessage *m)
 {
-  if (c->draining)
+  if (c->stop_at != 0)
     soup_message_headers_replace (soup_server_message_get_response_headers (m),
                                   "Connection", "close");
 }
@@ -329,6 +336,19 @@
   answer (c, m, status, reason, retry_after);
 }
 
+/* Whether a request with WORD on ROUTE could still be at work when the process
+ * ends.  Broken off then, nobody would know whether it ran. */
+static gboolean
+comes_too_late (const CcCallers *c, const CcRoute *route,
+                const CcCallerWord *word)
+{
+  gint64 need = MIN (route->timeout, LAST_NEED);
+
+  if (word->left >= 0)
+    need = MIN (need, word->left);
+  return c->stop_at != 0 && cc_clock_now () + need > c->stop_at;
+}
+
 static void
 on_request (SoupServer *server, SoupServerMessage *m, const char *path,
             GHashTable *query, gpointer data)
@@ -354,6 +374,9 @@
     refuse (c, m, SOUP_STATUS_NOT_FOUND, "no-route", &word, 0);
   else if (cc_hangup_has (soup_server_message_get_socket (m)))
     refuse (c, m, SOUP_STATUS_BAD_GATEWAY, "cancelled", &word, 0);
+  else if (comes_too_late (c, route, &word))
+    refuse (c, m, SOUP_STATUS_SERVICE_UNAVAILABLE, "stopping", &word,
+            STOPPING_RETRY);
   else if ((pool = cc_route_next_pool (route)) == NULL)
     refuse (c, m, SOUP_STATUS_SERVICE_UNAVAILABLE, "no-pool", &word,
             STARTING_RETRY);
@@ -399,11 +422,12 @@
   return c->routes;
 }
 
-/* From now on each answer ends its connection, so that callers go elsewhere. */
+/* The process ends at STOP_AT, us of cc_clock_now.  From now on each answer
+ * ends its connection, so that callers go elsewhere. */
 void
-cc_callers_drain (CcCallers *c)
+cc_callers_drain (CcCallers *c, gint64 stop_at)
 {
-  c->draining = TRUE;
+  c->stop_at = stop_at;
 }
 
 /* Closes the listening socket and what is idle. */
--- a/http_link.c
+++ b/http_link.c
@@ -27,8 +27,9 @@
 #define KEEPALIVE_IDLE_S 1   /* seconds without a byte before a probe */
 #define KEEPALIVE_PERIOD_S 1 /* seconds between probes */
 #define KEEPALIVE_PROBES 2   /* unanswered ones that end a connection */
-#define USER_TIMEOUT_MS 2500 /* bytes unacknowledged for so long: it is dead   \
-                              */
+#define USER_TIMEOUT_MS                                                        \
+  2500 /* bytes unacknowledged for so long: it is dead                         \
+        */
 /* Bound on one answer, so that a broken server can't fill the memory. */
 #define ANSWER_MAX (16 * 1024 * 1024)
 
@@ -130,6 +131,22 @@
   g_source_attach (c->source, NULL);
 }
 
+/* Makes the close of C a reset.
+ *
+ * The failure: the peer is cut off, a call to it is given up, and its bytes
+ * wait in the kernel.  After a plain close they are still delivered when the
+ * link heals.  The symptom: a grant of keys that were given to another long ago
+ * arrives and is honoured, or work begins whose caller was told that it failed.
+ * A reset drops what has not been delivered. */
+static void
+drop_unsent (Connection *c)
+{
+  const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+  (void) setsockopt (g_socket_get_fd (c->socket), SOL_SOCKET, SO_LINGER,
+                     &at_once, sizeof at_once);
+}
+
 static void
 connection_close (Connection *c)
 {
@@ -207,7 +224,10 @@
       r.body = body;
     }
   else
-    c->tainted = TRUE;
+    {
+      c->tainted = TRUE;
+      drop_unsent (c);
+    }
   cc_timer_stop (&call->timer);
   retire (c);
   call->done (&r, call->data);
@@ -681,6 +701,7 @@
 cc_http_cancel (CcHttpCall *c)
 {
   c->connection->tainted = TRUE;
+  drop_unsent (c->connection);
   retire (c->connection);
   call_free (c);
 }
