--- a/edge.h
+++ b/edge.h
@@ -39,6 +39,7 @@
 /* Keys FROM to TO, both included, for one server. */
 typedef struct
 {
+  const char *server; /* its id */
   guint from;
   guint to;
   guint64 fence;       /* grows with each holder */
@@ -58,6 +59,7 @@
 char *cc_edge_grant_head (const CcKeyGrant *g, GBytes **body);
 char *cc_edge_release_head (const CcKeyGrant *g, GBytes **body);
 const char *cc_edge_handoff (const CcHttpResult *r);
+gboolean cc_edge_is_other_server (const CcHttpResult *r);
 
 CcRoutes *cc_edge_read_routes (const char *value, char **why);
 const char *cc_edge_routes_key (void);
--- a/gateway.c
+++ b/gateway.c
@@ -133,7 +133,7 @@
                          cc_edge_read_listing, cc_mirror_trouble (g->mirror),
                          cc_clock_now (), on_target_changed, g))
     cc_timer_start (&g->recheck, RECHECK, update_targets, g);
-  cc_granter_targets_changed (g->granter);
+  cc_granter_targets_changed (g->granter, cc_mirror_trouble (g->mirror));
   cc_forwarder_pump (g->forwarder);
 }
 
--- a/granter.c
+++ b/granter.c
@@ -100,6 +100,7 @@
   guint rank;
   gint64 predecessor_until;
   gint64 targets_changed; /* us */
+  gint64 plan_after; /* until then upstreams may be missing by mistake, us */
   gboolean replan;
   GHashTable *pools;  /* keyed pools in the configuration: name to Pool */
   GPtrArray *writing; /* of Grant, in the write in progress */
@@ -194,11 +195,14 @@
   g->rank = rank;
 }
 
-/* The upstreams that may own keys have changed. */
+/* The upstreams that may own keys have changed.  TROUBLE is when their list's
+ * keeper last failed, us; 0: never. */
 void
-cc_granter_targets_changed (CcGranter *g)
+cc_granter_targets_changed (CcGranter *g, gint64 trouble)
 {
   g->targets_changed = cc_clock_now ();
+  if (trouble != 0)
+    g->plan_after = trouble + CC_RETURN_GRACE;
   g->replan = TRUE;
 }
 
@@ -528,8 +532,8 @@
 {
   const CcTarget *t =
       cc_targets_find (x->granter->setup.targets, x->range->owner);
-  CcKeyGrant what = { x->range->from, x->range->to, x->range->fence,
-                      CC_GRANT_HOLD, x->handoff };
+  CcKeyGrant what = { x->range->owner, x->range->from, x->range->to,
+                      x->range->fence, CC_GRANT_HOLD,  x->handoff };
   g_autoptr (GBytes) body = NULL;
   g_autofree char *head = NULL;
   g_autofree char *whole = NULL;
@@ -544,15 +548,29 @@
   call_upstream (x, t->listing.address, whole, body, CALL_WITHIN, on_granted);
 }
 
+static void
+released (Grant *x, const char *handoff)
+{
+  x->released = TRUE;
+  x->not_before = 0;
+  g_free (x->handoff);
+  x->handoff = g_strdup (handoff);
+}
+
 static void
 on_released (const CcHttpResult *r, gpointer data)
 {
   Grant *x = data;
-  const char *handoff;
 
   if (!call_returned (x))
     return;
   x->not_before = cc_clock_now () + CALL_RETRY;
+  if (cc_edge_is_other_server (r))
+    {
+      /* Its address is another's: it has ended, and holds nothing. */
+      released (x, NULL);
+      return;
+    }
   if (r->end != CC_HTTP_ANSWERED || r->status != 200)
     {
       cc_event (CC_EVENT_STATE, "release-unanswered", "pool", x->pool,
@@ -561,17 +579,14 @@
                 cc_event_int (r->status), NULL);
       return;
     }
-  handoff = cc_edge_handoff (r);
-  x->released = TRUE;
-  x->not_before = 0;
-  g_free (x->handoff);
-  x->handoff = g_strdup (handoff);
+  released (x, cc_edge_handoff (r));
 }
 
 static void
 send_release (Grant *x, const CcTarget *t)
 {
-  CcKeyGrant what = { .from = x->range->from,
+  CcKeyGrant what = { .server = x->range->previous,
+                      .from = x->range->from,
                       .to = x->range->to,
                       .fence = x->range->previous_fence };
   g_autoptr (GBytes) body = NULL;
@@ -781,6 +796,7 @@
     cc_view_put (&view, key, version, value);
   cc_key_ranges_read (&p->ranges, &view, p->name);
   cc_view_clear (&view);
+  cc_key_ranges_fill (&p->ranges);
   fence = cc_key_ranges_top_fence (&p->ranges);
   for (guint k = 0; k < p->ranges.list->len; k++)
     {
@@ -985,7 +1001,7 @@
   if (g_hash_table_size (g->pools) == 0 && !g->resigning)
     return;
   if (g->duty.held && g->loaded && g->replan && !g->resigning &&
-      cc_duty_may_change (&g->duty, now))
+      now >= g->plan_after && cc_duty_may_change (&g->duty, now))
     plan_all (g);
   if (g->duty.held && g->loaded && !g->resigning && step_grants (g, now))
     {
--- a/granter.h
+++ b/granter.h
@@ -19,7 +19,7 @@
 CcGranter *cc_granter_new (const CcGranterSetup *setup);
 void cc_granter_configure (CcGranter *g, const CcRoutes *routes);
 void cc_granter_rank (CcGranter *g, guint rank);
-void cc_granter_targets_changed (CcGranter *g);
+void cc_granter_targets_changed (CcGranter *g, gint64 trouble);
 void cc_granter_resign (CcGranter *g);
 gboolean cc_granter_has_resigned (const CcGranter *g);
 
--- a/http_link.c
+++ b/http_link.c
@@ -205,6 +205,16 @@
   watch (c, G_IO_IN | G_IO_HUP | G_IO_ERR);
 }
 
+/* A kept connection was silent or dead: so may be all that are kept from the
+ * same time.  Tried one after the other, each would cost a call its whole
+ * time-out. */
+static void
+doubt_idle (Peer *p)
+{
+  while (p->idle->len > 0)
+    connection_close (p->idle->pdata[0]);
+}
+
 static void
 finish (CcHttpCall *call, CcHttpEnd end, const char *why)
 {
@@ -227,6 +237,8 @@
     {
       c->tainted = TRUE;
       drop_unsent (c);
+      if (c->used)
+        doubt_idle (c->peer);
     }
   cc_timer_stop (&call->timer);
   retire (c);
@@ -712,8 +724,8 @@
 {
   Peer *p = g_hash_table_lookup (h->peers, address);
 
-  while (p != NULL && p->idle->len > 0)
-    connection_close (p->idle->pdata[0]);
+  if (p != NULL)
+    doubt_idle (p);
 }
 
 /* Connections that are open now. */
--- a/key_plan.c
+++ b/key_plan.c
@@ -163,7 +163,7 @@
 
       if (find_owner (p, r->owner, r->born) != NULL || take_back (p, r))
         continue;
-      if (keys_of (r) > piece && piece >= RANGE_LEAST)
+      if (keys_of (r) >= piece + RANGE_LEAST && piece >= RANGE_LEAST)
         cut (p, r, (guint) (keys_of (r) - piece));
       give (p, r, least (p));
     }
--- a/key_ranges.c
+++ b/key_ranges.c
@@ -2,6 +2,8 @@
  * one row that it changes and not the map of a whole pool. */
 #include "key_ranges.h"
 
+#include "edge.h"
+
 #include <string.h>
 
 #include <json-glib/json-glib.h>
@@ -162,6 +164,25 @@
     }
 }
 
+/* Keys that no row names go to the owner of those before them.
+ *
+ * A range that is cut takes two rows.  The process that cut it may have ended
+ * after the row of the lower part, and nobody was granted the upper one then:
+ * it is still with whom it was cut from. */
+void
+cc_key_ranges_fill (CcKeyRanges *r)
+{
+  for (guint i = 0; i < r->list->len; i++)
+    {
+      CcKeyRange *one = r->list->pdata[i];
+      guint next = i + 1 < r->list->len
+                       ? ((CcKeyRange *) r->list->pdata[i + 1])->from
+                       : CC_KEYS;
+
+      one->to = next - 1;
+    }
+}
+
 /* The range that KEY is in, or NULL. */
 CcKeyRange *
 cc_key_ranges_find (const CcKeyRanges *r, guint key)
--- a/mirror.c
+++ b/mirror.c
@@ -22,7 +22,7 @@
 /* Pause after a failed call; doubled each time up to the longest.  The longest
  * bounds how late a change is seen when the service is back. */
 #define PAUSE_FIRST (60 * CC_MS)
-#define PAUSE_MAX (500 * CC_MS)
+#define PAUSE_MAX (350 * CC_MS)
 #define PEER_PERIOD (400 * CC_MS) /* between questions to peers */
 #define PEER_WITHIN (300 * CC_MS) /* a peer in reach answers in 10 ms */
 
@@ -220,8 +220,10 @@
   if (t->view.upto == 0 || !t->complete)
     cc_table_read (t->mirror->table, t->name, NULL, on_read, t);
   else
-    cc_table_watch (t->mirror->table, t->name, t->view.upto, WATCH_WAIT,
-                    on_watched, t);
+    /* After trouble the first answer is wanted at once, whether or not anything
+     * has changed: until then deletions are doubted (targets.h). */
+    cc_table_watch (t->mirror->table, t->name, t->view.upto,
+                    t->in_trouble ? 0 : WATCH_WAIT, on_watched, t);
 }
 
 /* Begins to follow. */
--- a/targets.h
+++ b/targets.h
@@ -7,8 +7,12 @@
 
 /* An upstream that is missing from the list is taken as gone only this long
  * after the list's keeper was last in trouble: entries that lapsed meanwhile
- * are back within two seconds of its return. */
-#define CC_VANISH_GRACE (2500 * CC_MS)
+ * are back within two seconds of its return.  Shorter than that, since one that
+ * left just then may be sent to for two seconds and no longer. */
+#define CC_VANISH_GRACE (1750 * CC_MS)
+
+/* Keys are moved only after all that lapsed must be back. */
+#define CC_RETURN_GRACE (2500 * CC_MS)
 
 /* An upstream that is leaving, or has left the list, still serves for two
  * seconds at least.  Requests for its keys go there until shortly before. */
