Keys move by load: hot regions are cut and spread, reports by datagram

Weighed: the granter's own sample (5 requests a second of a hot region: too few to act within a second), upstreams' words on load (say which, not which keys). Change: entries report counts by 16 keys and measured work times every 400 ms; the plan goes by load and capacity.

--- a/duty.h
+++ b/duty.h
@@ -20,7 +20,7 @@
  * watchers' look and the first grants it stays below CC_GRANT_HOLD minus
  * CC_GRANT_RENEW. */
 #define CC_DUTY_TERM (2000 * CC_MS)
-#define CC_DUTY_RENEW (600 * CC_MS) /* two lost renewals cost nothing */
+#define CC_DUTY_RENEW (650 * CC_MS) /* two lost renewals cost nothing */
 #define CC_DUTY_MARGIN (250 * CC_MS)
 /* A holder that can't reach the table service renews what it granted before,
  * to the same upstreams under the same fence, for so long.  It outlasts an
--- a/forward.c
+++ b/forward.c
@@ -96,6 +96,7 @@
   GPtrArray *tried; /* of CcTarget */
   CcHttpCall *call;
   gint64 sent;
+  double work_share; /* part of its time at the upstream that is work */
   CcTimer timer;
   CcExchangeDone done;
   gpointer data;
@@ -228,12 +229,12 @@
   static const CcPickWord silent = { 0 };
   gint64 now = cc_clock_now ();
 
-  cc_pick_ended (&e->target->load, how, now - e->sent,
+  cc_pick_ended (&e->target->load, how, now - e->sent, e->work_share,
                  word != NULL ? word : &silent, now);
   cc_backlog_ended (&e->pool->backlog, now);
   if (how == CC_PICK_ANSWERED)
-    e->pool->usual +=
-        USUAL_WEIGHT * ((double) (now - e->sent) - e->pool->usual);
+    e->pool->usual += USUAL_WEIGHT * ((double) (now - e->sent) * e->work_share -
+                                      e->pool->usual);
 }
 
 static void
@@ -463,7 +464,7 @@
   e->attempts++;
   if (!fresh)
     g_ptr_array_add (e->tried, t);
-  cc_pick_sent (&t->load);
+  e->work_share = cc_pick_sent (&t->load, now);
   cc_timer_start (&e->timer, left + ANSWER_GRACE, on_give_up, e);
   return TRUE;
 }
@@ -476,7 +477,7 @@
   CcTarget *t;
 
   *moving = FALSE;
-  if (r == NULL)
+  if (r == NULL || e->word.key < 0)
     return NULL;
   if (r->previous != NULL)
     {
@@ -707,6 +708,8 @@
   CcExchange *e = exchange_new (f, s, done, data);
   gboolean admitted = is_admitted (e);
 
+  if (e->keyed && e->word.key >= 0)
+    cc_heat_link_asked (f->setup.heat, e->pool->name, (guint) e->word.key);
   cc_retry_budget_first (&e->pool->budget, &f->setup.retry_bound);
   cc_backlog_push (&e->pool->backlog, &e->entry);
   cc_timer_start (&e->timer, left_of (e, e->began), on_give_up, e);
--- a/forward.h
+++ b/forward.h
@@ -3,6 +3,7 @@
 #define CC_FORWARD_H
 
 #include "edge.h"
+#include "heat_link.h"
 #include "retry_budget.h"
 
 typedef struct CcForwarder CcForwarder;
@@ -49,6 +50,7 @@
   CcHttp *http;
   CcTargets *targets;
   const char *zone; /* of this instance */
+  CcHeatLink *heat; /* is told which keys are asked for */
   CcRetryBound retry_bound;
 } CcForwarderSetup;
 
--- a/gateway.c
+++ b/gateway.c
@@ -15,6 +15,7 @@
 #include "edge.h"
 #include "event_log.h"
 #include "granter.h"
+#include "heat_link.h"
 #include "metrics.h"
 #include "mirror.h"
 #include "settings.h"
@@ -51,6 +52,8 @@
   CcTimer registering;
   CcTimer recheck;
   CcTimer gauges;
+  CcTimer heat_due;
+  CcHeatLink *heat;
   CcTimer drain;
   gint64 stop_at; /* 0: not stopping */
   gint64 quiet_at;
@@ -213,6 +216,57 @@
   cc_table_commit (g->table, c, on_registered, g);
 }
 
+/* ---- reports to the granter ---- */
+
+static void
+on_heat_count (const char *pool, guint bucket, guint count, gpointer data)
+{
+  cc_granter_heat (((Gateway *) data)->granter, pool, bucket, count);
+}
+
+static void
+on_heat_service (const char *target, double service, gpointer data)
+{
+  cc_granter_service (((Gateway *) data)->granter, target, service);
+}
+
+/* Whether the time of T was measured since the last report. */
+static gboolean
+is_measured (const CcTarget *t, gint64 now)
+{
+  return t->load.service > 0 && now - t->load.service_at < CC_HEAT_PERIOD;
+}
+
+static void
+on_heat_due (gpointer data)
+{
+  Gateway *g = data;
+  const CcRow *row =
+      cc_view_get (cc_mirror_view (g->mirror, CC_TABLE_STATE), CC_GRANTER_KEY);
+  gint64 now = cc_clock_now ();
+  GVariantBuilder services;
+  GHashTableIter i;
+  gpointer value;
+
+  cc_timer_start (&g->heat_due, CC_HEAT_PERIOD, on_heat_due, g);
+  if (row == NULL)
+    return;
+  g_variant_builder_init (&services, G_VARIANT_TYPE ("a(sd)"));
+  g_hash_table_iter_init (&i, g->targets.by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const CcTarget *t = value;
+      const CcRoutes *routes = cc_callers_routes (g->callers);
+      const CcRoutePool *pool =
+          routes != NULL ? cc_routes_pool (routes, t->listing.pool) : NULL;
+
+      if (pool != NULL && pool->keyed && is_measured (t, now))
+        g_variant_builder_add (&services, "(sd)", t->listing.id,
+                               t->load.service);
+    }
+  cc_heat_link_report (g->heat, row->value, g_variant_builder_end (&services));
+}
+
 /* ---- rows that changed ---- */
 
 static void
@@ -373,8 +427,8 @@
   return G_SOURCE_CONTINUE;
 }
 
-static void
-build (Gateway *g)
+static gboolean
+build (Gateway *g, char **message)
 {
   CcForwarderSetup forwarding = {
     .targets = &g->targets,
@@ -386,13 +440,20 @@
                      .window = cc_setting_number (g->settings, "retry-window") *
                                CC_SECOND }
   };
-  CcGranterSetup granting = { .targets = &g->targets, .instance = g->instance };
+  CcGranterSetup granting = { .targets = &g->targets,
+                              .instance = g->instance,
+                              .address = g->address };
   g_autofree char *ip = NULL;
 
   cc_address_parse (g->address, &ip, NULL);
   g->http = cc_http_new (ip);
   g->table = cc_table_new (g->http, cc_setting (g->settings, "table"));
   cc_targets_init (&g->targets);
+  g->heat =
+      cc_heat_link_new (g->address, on_heat_count, on_heat_service, g, message);
+  if (g->heat == NULL)
+    return FALSE;
+  forwarding.heat = g->heat;
   forwarding.http = g->http;
   granting.http = g->http;
   granting.table = g->table;
@@ -401,6 +462,7 @@
   g->granter = cc_granter_new (&granting);
   g->mirror = cc_mirror_new (g->table, g->http, on_rows, pick_peer, g);
   g->seeds = cc_setting_list (g->settings, "seeds");
+  return TRUE;
 }
 
 static int
@@ -409,8 +471,7 @@
   g_autofree char *message = NULL;
 
   cc_event_setup ("capercrank-gateway", g->instance, STDOUT_FILENO);
-  build (g);
-  if (!listen_all (g, &message))
+  if (!build (g, &message) || !listen_all (g, &message))
     {
       fprintf (stderr, "capercrank-gateway: %s\n", message);
       return 1;
@@ -419,6 +480,7 @@
             cc_setting (g->settings, "zone"), "table",
             cc_setting (g->settings, "table"), NULL);
   cc_mirror_start (g->mirror);
+  on_heat_due (g);
   registration (g);
   on_gauges (g);
   g_unix_signal_add (SIGHUP, on_reload, g);
--- a/granter.c
+++ b/granter.c
@@ -45,6 +45,16 @@
 #define PLAN_MAX 80
 /* A list of upstreams that is still filling is not divided yet. */
 #define SETTLE (700 * CC_MS)
+/* How often load is looked at, after the first BALANCE_FIRST of a duty in which
+ * reports come in.  A range that moved rests for a while, so that a move is
+ * judged by what it changed. */
+#define BALANCE_PERIOD (400 * CC_MS)
+#define BALANCE_FIRST (3 * CC_SECOND)
+#define RANGE_REST (2 * CC_SECOND)
+/* Time that an unmeasured upstream takes for a request, us, and how much a new
+ * report weighs. */
+#define SERVICE_UNKNOWN 200000.0
+#define SERVICE_WEIGHT 0.2
 /* More than half of the owners silent for so long: it is this process that is
  * cut off, and another may reach them. */
 #define CUT_OFF_AFTER (1800 * CC_MS)
@@ -74,6 +84,7 @@
   gint64 not_before; /* of the next call, us */
   gint64 answered;   /* the owner last answered, us */
   gint64 call_began;
+  gint64 moved_at; /* when its owner last changed, us; 0: not seen */
 } Grant;
 
 typedef struct
@@ -81,6 +92,7 @@
   char *name;
   CcKeyRanges ranges;
   GPtrArray *grants; /* of Grant */
+  CcKeyHeat heat;
 } Pool;
 
 struct CcGranter
@@ -102,8 +114,11 @@
   gint64 targets_changed; /* us */
   gint64 plan_after; /* until then upstreams may be missing by mistake, us */
   gboolean replan;
-  GHashTable *pools;  /* keyed pools in the configuration: name to Pool */
-  GPtrArray *writing; /* of Grant, in the write in progress */
+  gboolean announce;   /* the row that says where reports go is to be written */
+  gint64 balance_at;   /* when load is looked at next, us */
+  GHashTable *service; /* upstream to its measured time, double in us */
+  GHashTable *pools;   /* keyed pools in the configuration: name to Pool */
+  GPtrArray *writing;  /* of Grant, in the write in progress */
   CcTimer tick;
   CcCounter *moves;
 };
@@ -147,6 +162,7 @@
                            cc_clock_incarnation ());
   g->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
   g->writing = g_ptr_array_new ();
+  g->service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g->moves = cc_metrics_counter ("capercrank_key_ranges_moved", "");
   g->rank = WATCH_RANKS;
   cc_timer_start (&g->tick, TICK, on_tick, g);
@@ -229,8 +245,17 @@
 
 /* ---- planning ---- */
 
-/* The upstreams of P that may get keys, in order of their ids so that plans
- * repeat.  Cold ones are as good as others: they own nothing to lose. */
+/* Requests a second that T can serve. */
+static double
+capacity_of (const CcGranter *g, const CcTarget *t)
+{
+  const double *service = g_hash_table_lookup (g->service, t->listing.id);
+
+  return MAX (t->listing.slots, 1) * 1e6 /
+         (service != NULL ? MAX (*service, 1000.0) : SERVICE_UNKNOWN);
+}
+
+/* The upstreams of P that may get keys. */
 static GArray *
 owners_of (const CcGranter *g, const Pool *p)
 {
@@ -242,7 +267,7 @@
       const CcTarget *t = all->pdata[i];
       CcKeyOwner o = { .id = t->listing.id,
                        .born = t->listing.born,
-                       .slots = MAX (t->listing.slots, 1) };
+                       .capacity = capacity_of (g, t) };
 
       if (t->state == CC_TARGET_READY)
         g_array_append_val (owners, o);
@@ -328,6 +353,7 @@
   x->owner_doubt = 0;
   x->held = FALSE;
   x->not_before = 0;
+  x->moved_at = cc_clock_now ();
 }
 
 static void
@@ -357,6 +383,7 @@
           x->owner_until = source->owner_until;
           x->owner_doubt = source->owner_doubt;
           x->held = source->held && r->previous == NULL;
+          x->moved_at = cc_clock_now ();
         }
     }
   for (guint i = 0; i < before->len; i++)
@@ -378,6 +405,7 @@
   g_autoptr (GArray) owners = NULL;
   g_autoptr (GPtrArray) changed = g_ptr_array_new ();
   g_autoptr (GArray) before = note_before (p);
+  gint64 now = cc_clock_now ();
 
   if (p->ranges.list->len == 0 && cc_clock_now () - g->targets_changed < SETTLE)
     {
@@ -385,7 +413,22 @@
       return;
     }
   owners = owners_of (g, p);
-  cc_key_plan (&p->ranges, owners, changed, PLAN_MAX);
+  cc_key_heat_fade (&p->heat, now);
+  for (guint i = 0; i < p->grants->len; i++)
+    {
+      Grant *x = p->grants->pdata[i];
+
+      x->range->rests = !x->held || now - x->moved_at < RANGE_REST;
+    }
+  {
+    CcKeyPlan plan = { .ranges = &p->ranges,
+                       .owners = owners,
+                       .heat = &p->heat,
+                       .limit = PLAN_MAX,
+                       .changed = changed };
+
+    cc_key_plan (&plan);
+  }
   for (guint i = 0; i < changed->len; i++)
     apply_change (g, p, changed->pdata[i], before);
   if (changed->len >= PLAN_MAX)
@@ -833,6 +876,8 @@
     load_pool (g, value, rows, now);
   g->loaded = TRUE;
   g->replan = TRUE;
+  g->announce = TRUE;
+  g->balance_at = now + BALANCE_FIRST;
 }
 
 static void
@@ -842,6 +887,8 @@
   gpointer value;
 
   g_ptr_array_set_size (g->writing, 0);
+  if (g->announce)
+    cc_table_put (c, CC_TABLE_STATE, CC_GRANTER_KEY, g->setup.address);
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
@@ -915,6 +962,8 @@
     {
     case CC_OK:
       mark_written (g);
+      if (held && g->loaded)
+        g->announce = FALSE;
       if (held)
         cc_duty_confirmed (&g->duty, version, g->sent);
       else
@@ -1000,6 +1049,11 @@
   cc_timer_start (&g->tick, g->duty.held ? TICK : WATCH_PERIOD / 2, on_tick, g);
   if (g_hash_table_size (g->pools) == 0 && !g->resigning)
     return;
+  if (now >= g->balance_at)
+    {
+      g->balance_at = now + BALANCE_PERIOD;
+      g->replan = TRUE;
+    }
   if (g->duty.held && g->loaded && g->replan && !g->resigning &&
       now >= g->plan_after && cc_duty_may_change (&g->duty, now))
     plan_all (g);
@@ -1011,6 +1065,31 @@
   step_duty (g, now);
 }
 
+/* COUNT requests came, somewhere in the fleet, for keys of BUCKET of POOL. */
+void
+cc_granter_heat (CcGranter *g, const char *pool, guint bucket, guint count)
+{
+  Pool *p = g_hash_table_lookup (g->pools, pool);
+
+  if (p != NULL)
+    cc_key_heat_add (&p->heat, bucket, count);
+}
+
+/* An entry measured SERVICE us of work for a request at TARGET. */
+void
+cc_granter_service (CcGranter *g, const char *target, double service)
+{
+  double *known = g_hash_table_lookup (g->service, target);
+
+  if (known == NULL)
+    {
+      known = g_new (double, 1);
+      *known = service;
+      g_hash_table_insert (g->service, g_strdup (target), known);
+    }
+  *known += SERVICE_WEIGHT * (service - *known);
+}
+
 /* Gives the duty up for good, as the process is to end. */
 void
 cc_granter_resign (CcGranter *g)
--- a/granter.h
+++ b/granter.h
@@ -8,18 +8,25 @@
 
 typedef struct CcGranter CcGranter;
 
+/* Key of the row that says where reports are wanted: the value is IP:PORT. */
+#define CC_GRANTER_KEY "granter"
+
 typedef struct
 {
   CcTable *table;
   CcHttp *http;
   CcTargets *targets;
   const char *instance;
+  const char *address; /* of this process, for the entries' reports */
 } CcGranterSetup;
 
 CcGranter *cc_granter_new (const CcGranterSetup *setup);
 void cc_granter_configure (CcGranter *g, const CcRoutes *routes);
 void cc_granter_rank (CcGranter *g, guint rank);
 void cc_granter_targets_changed (CcGranter *g, gint64 trouble);
+void cc_granter_heat (CcGranter *g, const char *pool, guint bucket,
+                      guint count);
+void cc_granter_service (CcGranter *g, const char *target, double service);
 void cc_granter_resign (CcGranter *g);
 gboolean cc_granter_has_resigned (const CcGranter *g);
 
--- /dev/null
+++ b/heat_link.c
@@ -0,0 +1,186 @@
+/* Reports are datagrams: a lost one makes a count a little low, and a granter
+ * that is slow or gone costs the sender nothing. */
+#include "heat_link.h"
+
+#include <gio/gio.h>
+
+#include "event_log.h"
+#include "key_heat.h"
+#include "settings.h"
+
+/* Counts by pool and bucket, and service times by upstream, us. */
+#define REPORT_TYPE "(a{sa(qq)}a(sd))"
+#define REPORT_MAX 60000 /* bytes; a datagram holds 65507 */
+/* Buckets of one pool in a report; the rest waits for the next. */
+#define BUCKETS_MAX 2000
+
+struct CcHeatLink
+{
+  GSocket *socket;
+  GSource *source;
+  GHashTable *pools; /* name to GHashTable of bucket to count */
+  CcHeatCount count;
+  CcHeatService service;
+  gpointer data;
+};
+
+static void
+take_counts (CcHeatLink *l, GVariant *pools)
+{
+  GVariantIter i, k;
+  const char *pool;
+  GVariant *buckets;
+  guint16 bucket, count;
+
+  g_variant_iter_init (&i, pools);
+  while (g_variant_iter_next (&i, "{&s@a(qq)}", &pool, &buckets))
+    {
+      g_variant_iter_init (&k, buckets);
+      while (g_variant_iter_next (&k, "(qq)", &bucket, &count))
+        l->count (pool, bucket, count, l->data);
+      g_variant_unref (buckets);
+    }
+}
+
+static void
+take_report (CcHeatLink *l, GVariant *report)
+{
+  g_autoptr (GVariant) pools = g_variant_get_child_value (report, 0);
+  g_autoptr (GVariant) services = g_variant_get_child_value (report, 1);
+  GVariantIter i;
+  const char *target;
+  double service;
+
+  take_counts (l, pools);
+  g_variant_iter_init (&i, services);
+  while (g_variant_iter_next (&i, "(&sd)", &target, &service))
+    l->service (target, service, l->data);
+}
+
+static gboolean
+on_datagram (GSocket *socket, GIOCondition seen, gpointer data)
+{
+  CcHeatLink *l = data;
+  g_autofree char *bytes = g_malloc (REPORT_MAX);
+  gssize size = g_socket_receive (socket, bytes, REPORT_MAX, NULL, NULL);
+  g_autoptr (GBytes) whole = NULL;
+  g_autoptr (GVariant) report = NULL;
+
+  (void) seen;
+  if (size <= 0)
+    return G_SOURCE_CONTINUE;
+  whole = g_bytes_new (bytes, (gsize) size);
+  report = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (REPORT_TYPE), whole, FALSE));
+  if (g_variant_is_normal_form (report))
+    take_report (l, report);
+  else
+    cc_event (CC_EVENT_STATE, "heat-report-damaged", NULL);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+counts_free (gpointer data)
+{
+  g_hash_table_unref (data);
+}
+
+/* A link at ADDRESS (IP:PORT) that hands what it receives to COUNT and SERVICE.
+ * NULL with *MESSAGE, to be freed, if it can't be opened. */
+CcHeatLink *
+cc_heat_link_new (const char *address, CcHeatCount count, CcHeatService service,
+                  gpointer data, char **message)
+{
+  g_autofree char *ip = NULL;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSocketAddress) at = NULL;
+  guint16 port = 0;
+  CcHeatLink *l = g_new0 (CcHeatLink, 1);
+
+  cc_address_parse (address, &ip, &port);
+  at = g_inet_socket_address_new_from_string (ip, port);
+  l->count = count;
+  l->service = service;
+  l->data = data;
+  l->pools =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, counts_free);
+  l->socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM,
+                            G_SOCKET_PROTOCOL_UDP, &error);
+  if (l->socket == NULL || !g_socket_bind (l->socket, at, TRUE, &error))
+    {
+      *message = g_strdup_printf ("can't take reports at %s: %s", address,
+                                  error->message);
+      return NULL;
+    }
+  g_socket_set_blocking (l->socket, FALSE);
+  l->source = g_socket_create_source (l->socket, G_IO_IN, NULL);
+  g_source_set_callback (l->source, G_SOURCE_FUNC (on_datagram), l, NULL);
+  g_source_attach (l->source, NULL);
+  return l;
+}
+
+/* A request for KEY of POOL came. */
+void
+cc_heat_link_asked (CcHeatLink *l, const char *pool, guint key)
+{
+  GHashTable *counts = g_hash_table_lookup (l->pools, pool);
+  gpointer bucket = GUINT_TO_POINTER (key / CC_HEAT_BUCKET);
+  guint count;
+
+  if (counts == NULL)
+    {
+      counts = g_hash_table_new (NULL, NULL);
+      g_hash_table_insert (l->pools, g_strdup (pool), counts);
+    }
+  count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, bucket));
+  g_hash_table_insert (counts, bucket, GUINT_TO_POINTER (count + 1));
+}
+
+static GVariant *
+take_buckets (GHashTable *counts)
+{
+  GVariantBuilder b;
+  GHashTableIter i;
+  gpointer bucket, count;
+  guint n = 0;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(qq)"));
+  g_hash_table_iter_init (&i, counts);
+  while (n++ < BUCKETS_MAX && g_hash_table_iter_next (&i, &bucket, &count))
+    {
+      g_variant_builder_add (
+          &b, "(qq)", (guint16) GPOINTER_TO_UINT (bucket),
+          (guint16) MIN (GPOINTER_TO_UINT (count), G_MAXUINT16));
+      g_hash_table_iter_remove (&i);
+    }
+  return g_variant_builder_end (&b);
+}
+
+/* Sends what was asked for since the last report, and SERVICES, a(sd), which is
+ * sunk, to GRANTER (IP:PORT). */
+void
+cc_heat_link_report (CcHeatLink *l, const char *granter, GVariant *services)
+{
+  g_autoptr (GVariant) times = g_variant_ref_sink (services);
+  g_autoptr (GVariant) report = NULL;
+  g_autoptr (GSocketAddress) to = NULL;
+  g_autofree char *ip = NULL;
+  GVariantBuilder b;
+  GHashTableIter i;
+  gpointer pool, counts;
+  guint16 port = 0;
+
+  if (!cc_address_parse (granter, &ip, &port))
+    return;
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a{sa(qq)}"));
+  g_hash_table_iter_init (&i, l->pools);
+  while (g_hash_table_iter_next (&i, &pool, &counts))
+    if (g_hash_table_size (counts) > 0)
+      g_variant_builder_add (&b, "{s@a(qq)}", pool, take_buckets (counts));
+  report = g_variant_ref_sink (
+      g_variant_new ("(@a{sa(qq)}@a(sd))", g_variant_builder_end (&b), times));
+  to = g_inet_socket_address_new_from_string (ip, port);
+  /* A report that can't leave now is worth nothing later. */
+  (void) g_socket_send_to (l->socket, to, g_variant_get_data (report),
+                           g_variant_get_size (report), NULL, NULL);
+}
--- /dev/null
+++ b/heat_link.h
@@ -0,0 +1,28 @@
+/* Reports of how busy keys and upstreams are, from every entry to the
+ * granter. */
+#ifndef CC_HEAT_LINK_H
+#define CC_HEAT_LINK_H
+
+#include "capercrank.h"
+
+typedef struct CcHeatLink CcHeatLink;
+
+/* How often a report is sent.  It bounds how soon a region that turns busy is
+ * seen; a datagram of some 300 bytes each is 6 kB/s at a dozen entries. */
+#define CC_HEAT_PERIOD (400 * CC_MS)
+
+/* COUNT requests came for keys of BUCKET of POOL. */
+typedef void (*CcHeatCount) (const char *pool, guint bucket, guint count,
+                             gpointer data);
+/* The upstream TARGET works SERVICE us on a request. */
+typedef void (*CcHeatService) (const char *target, double service,
+                               gpointer data);
+
+CcHeatLink *cc_heat_link_new (const char *address, CcHeatCount count,
+                              CcHeatService service, gpointer data,
+                              char **message);
+void cc_heat_link_asked (CcHeatLink *l, const char *pool, guint key);
+void cc_heat_link_report (CcHeatLink *l, const char *granter,
+                          GVariant *services);
+
+#endif
--- a/key_plan.c
+++ b/key_plan.c
@@ -1,7 +1,13 @@
-/* Keys go from upstreams that may not own any to those that own the fewest for
- * their size; one that is new gets a part of what the others own.  Nothing else
- * moves: a key that changes hands is cold at its new owner and waits for the
- * old one to end its work. */
+/* Load pattern: part of the keys turns busy from one second to the next, and
+ * busy keys lie side by side, so one upstream gets several times what it can
+ * serve while the others idle.  Divided by number, keys stay there, and all
+ * that are asked for at that upstream wait.
+ *
+ * Keys go from upstreams that may not own any, and from those with much more
+ * load than they can bear, to those with the least for their capacity.  A busy
+ * region is cut into pieces by its load and spread over several at once, since
+ * it may be busy for a few seconds only.  Nothing else moves: a key that
+ * changes hands waits for the old owner to end its work. */
 #include "key_plan.h"
 
 #include "edge.h"
@@ -13,31 +19,40 @@
  * caches are cold, and each key that moves is a risk for the requests on it. */
 #define NEWCOMER_PART 0.6
 #define DONORS 2
-/* No range is cut below this many keys. */
-#define RANGE_LEAST 64
+/* All keys together count as at least this part of the measured load, so that
+ * keys that nobody asked for lately are not all one upstream's. */
+#define FLOOR_PART 0.25
+#define FLOOR_LEAST 1.0 /* requests a second, while nothing is measured */
+/* Load is taken off an upstream that is busier than this, as a part of its
+ * capacity: below, requests seldom wait and chance does not hurt. */
+#define BUSY_FROM 0.75
+/* ... and busier than the mean by this factor: counts of two seconds are off by
+ * a fifth. */
+#define BUSY_FACTOR 1.35
+/* Moves of less than this part of the upstream's load are not worth it. */
+#define MOVE_LEAST 0.08
 
 typedef struct
 {
-  CcKeyRanges *ranges;
-  GArray *owners;
-  GPtrArray *changed;
-  guint limit;
-  guint64 fence; /* the highest that was given */
-  double slots;  /* of all owners */
-} Plan;
+  CcKeyPlan *plan;
+  guint64 fence;   /* the highest that was given */
+  double capacity; /* of all owners */
+  double per_key;  /* what each key counts for beside its heat */
+  double total;    /* load of all keys */
+} State;
 
 static CcKeyOwner *
-owner_at (const Plan *p, guint i)
+owner_at (const State *s, guint i)
 {
-  return &g_array_index (p->owners, CcKeyOwner, i);
+  return &g_array_index (s->plan->owners, CcKeyOwner, i);
 }
 
 static CcKeyOwner *
-find_owner (const Plan *p, const char *id, guint64 born)
+find_owner (const State *s, const char *id, guint64 born)
 {
-  for (guint i = 0; i < p->owners->len; i++)
-    if (g_str_equal (owner_at (p, i)->id, id) && owner_at (p, i)->born == born)
-      return owner_at (p, i);
+  for (guint i = 0; i < s->plan->owners->len; i++)
+    if (g_str_equal (owner_at (s, i)->id, id) && owner_at (s, i)->born == born)
+      return owner_at (s, i);
   return NULL;
 }
 
@@ -47,36 +62,58 @@
   return (double) r->to - r->from + 1;
 }
 
-/* The owner with the fewest keys for its slots. */
+static double
+load_of (const State *s, const CcKeyRange *r)
+{
+  return cc_key_heat_rate (s->plan->heat, r->from, r->to) +
+         s->per_key * keys_of (r);
+}
+
+static double
+use_of (const CcKeyOwner *o)
+{
+  return o->load / o->capacity;
+}
+
+static CcKeyOwner *
+least (const State *s)
+{
+  CcKeyOwner *best = owner_at (s, 0);
+
+  for (guint i = 1; i < s->plan->owners->len; i++)
+    if (use_of (owner_at (s, i)) < use_of (best))
+      best = owner_at (s, i);
+  return best;
+}
+
 static CcKeyOwner *
-least (const Plan *p)
+most (const State *s)
 {
-  CcKeyOwner *best = owner_at (p, 0);
+  CcKeyOwner *best = owner_at (s, 0);
 
-  for (guint i = 1; i < p->owners->len; i++)
-    if (owner_at (p, i)->keys / owner_at (p, i)->slots <
-        best->keys / best->slots)
-      best = owner_at (p, i);
+  for (guint i = 1; i < s->plan->owners->len; i++)
+    if (use_of (owner_at (s, i)) > use_of (best))
+      best = owner_at (s, i);
   return best;
 }
 
 static double
-fair_share (const Plan *p, const CcKeyOwner *o)
+fair_share (const State *s, const CcKeyOwner *o)
 {
-  return CC_KEYS * o->slots / p->slots;
+  return s->total * o->capacity / s->capacity;
 }
 
 static gboolean
-is_full (const Plan *p)
+is_full (const State *s)
 {
-  return p->changed->len >= p->limit;
+  return s->plan->changed->len >= s->plan->limit;
 }
 
 static void
-note_changed (Plan *p, CcKeyRange *r)
+note_changed (State *s, CcKeyRange *r)
 {
-  if (!g_ptr_array_find (p->changed, r, NULL))
-    g_ptr_array_add (p->changed, r);
+  if (!g_ptr_array_find (s->plan->changed, r, NULL))
+    g_ptr_array_add (s->plan->changed, r);
 }
 
 static gint
@@ -87,48 +124,51 @@
   return (gint) x->from - (gint) y->from;
 }
 
-/* Cuts R so that it ends with KEYS fewer, and returns the part cut off. */
+/* Cuts a part of about LOAD off the end of R, which has more than one key, and
+ * returns it. */
 static CcKeyRange *
-cut (Plan *p, CcKeyRange *r, guint keys)
+cut (State *s, CcKeyRange *r, double load)
 {
+  guint keys =
+      cc_key_heat_cut (s->plan->heat, r->from, r->to, load, s->per_key);
   CcKeyRange *tail = cc_key_range_copy (r);
 
   tail->from = r->to - keys + 1;
   tail->version = 0;
   r->to = tail->from - 1;
-  note_changed (p, r);
-  note_changed (p, tail);
-  g_ptr_array_add (p->ranges->list, tail);
-  g_ptr_array_sort (p->ranges->list, by_from);
+  note_changed (s, r);
+  note_changed (s, tail);
+  g_ptr_array_add (s->plan->ranges->list, tail);
+  g_ptr_array_sort (s->plan->ranges->list, by_from);
   return tail;
 }
 
 static void
-give (Plan *p, CcKeyRange *r, CcKeyOwner *o)
+give (State *s, CcKeyRange *r, CcKeyOwner *o)
 {
-  cc_key_range_move (r, o->id, o->born, ++p->fence);
-  o->keys += keys_of (r);
-  note_changed (p, r);
+  cc_key_range_move (r, o->id, o->born, ++s->fence);
+  o->load += load_of (s, r);
+  note_changed (s, r);
 }
 
-/* The first division: as many ranges as owners, by their slots. */
+/* The first division: as many ranges as owners, by their capacity. */
 static void
-divide (Plan *p)
+divide (State *s)
 {
-  guint from = 0;
   double upto = 0;
+  guint from = 0;
 
-  for (guint i = 0; i < p->owners->len; i++)
+  for (guint i = 0; i < s->plan->owners->len; i++)
     {
-      CcKeyOwner *o = owner_at (p, i);
+      CcKeyOwner *o = owner_at (s, i);
       guint to;
       CcKeyRange *r;
 
-      upto += fair_share (p, o);
-      to = i + 1 == p->owners->len ? CC_KEYS - 1 : (guint) upto - 1;
-      r = cc_key_range_new (from, to, o->id, o->born, ++p->fence);
-      g_ptr_array_add (p->ranges->list, r);
-      note_changed (p, r);
+      upto += CC_KEYS * o->capacity / s->capacity;
+      to = i + 1 == s->plan->owners->len ? CC_KEYS - 1 : (guint) upto - 1;
+      r = cc_key_range_new (from, to, o->id, o->born, ++s->fence);
+      g_ptr_array_add (s->plan->ranges->list, r);
+      note_changed (s, r);
       from = to + 1;
     }
 }
@@ -136,114 +176,149 @@
 /* The same upstream, started again under its id, holds nothing of before: it
  * gets its keys back, and nobody else needs to stop for them. */
 static gboolean
-take_back (Plan *p, CcKeyRange *r)
+take_back (State *s, CcKeyRange *r)
 {
-  for (guint i = 0; i < p->owners->len; i++)
+  for (guint i = 0; i < s->plan->owners->len; i++)
     {
-      CcKeyOwner *o = owner_at (p, i);
+      CcKeyOwner *o = owner_at (s, i);
 
       if (!g_str_equal (o->id, r->owner))
         continue;
       r->born = o->born;
-      r->fence = ++p->fence;
-      o->keys += keys_of (r);
-      note_changed (p, r);
+      r->fence = ++s->fence;
+      o->load += load_of (s, r);
+      note_changed (s, r);
       return TRUE;
     }
   return FALSE;
 }
 
 static void
-place_orphans (Plan *p)
+place_orphans (State *s)
 {
-  for (guint i = 0; i < p->ranges->list->len && !is_full (p); i++)
+  for (guint i = 0; i < s->plan->ranges->list->len && !is_full (s); i++)
     {
-      CcKeyRange *r = p->ranges->list->pdata[i];
-      double piece = PIECE_PART * CC_KEYS / p->owners->len;
+      CcKeyRange *r = s->plan->ranges->list->pdata[i];
+      double piece = PIECE_PART * s->total / s->plan->owners->len;
 
-      if (find_owner (p, r->owner, r->born) != NULL || take_back (p, r))
+      if (find_owner (s, r->owner, r->born) != NULL || take_back (s, r))
         continue;
-      if (keys_of (r) >= piece + RANGE_LEAST && piece >= RANGE_LEAST)
-        cut (p, r, (guint) (keys_of (r) - piece));
-      give (p, r, least (p));
+      if (load_of (s, r) > 1.5 * piece && keys_of (r) > 2)
+        cut (s, r, load_of (s, r) - piece);
+      give (s, r, least (s));
     }
 }
 
-/* The range to take KEYS from: of the owner with the most keys for its slots,
- * its largest that doesn't move. */
+/* The range of O, or with O NULL of the busiest but NEWCOMER, that has the most
+ * load and may be moved. */
 static CcKeyRange *
-donor_range (const Plan *p, const CcKeyOwner *newcomer)
+heaviest (const State *s, const CcKeyOwner *o, const CcKeyOwner *newcomer)
 {
   CcKeyRange *best = NULL;
-  double most = 0;
+  double best_weight = 0;
 
-  for (guint i = 0; i < p->ranges->list->len; i++)
+  for (guint i = 0; i < s->plan->ranges->list->len; i++)
     {
-      CcKeyRange *r = p->ranges->list->pdata[i];
-      const CcKeyOwner *o = find_owner (p, r->owner, r->born);
+      CcKeyRange *r = s->plan->ranges->list->pdata[i];
+      const CcKeyOwner *its = find_owner (s, r->owner, r->born);
       double weight;
 
-      if (o == NULL || o == newcomer || r->previous != NULL ||
-          keys_of (r) < 2 * RANGE_LEAST)
+      if (its == NULL || its == newcomer || (o != NULL && its != o) ||
+          r->previous != NULL || r->rests)
         continue;
-      weight = o->keys / o->slots + keys_of (r) / CC_KEYS;
-      if (weight > most)
+      weight = load_of (s, r) + (o == NULL ? its->load : 0);
+      if (weight > best_weight)
         best = r;
-      most = MAX (most, weight);
+      best_weight = MAX (best_weight, weight);
     }
   return best;
 }
 
 static void
-supply_newcomer (Plan *p, CcKeyOwner *o)
+supply_newcomer (State *s, CcKeyOwner *o)
 {
-  guint keys = (guint) (NEWCOMER_PART * fair_share (p, o) / DONORS);
-
-  for (guint i = 0; i < DONORS && !is_full (p); i++)
+  for (guint i = 0; i < DONORS && !is_full (s); i++)
     {
-      CcKeyRange *r = donor_range (p, o);
-      guint part;
+      double wanted = NEWCOMER_PART * fair_share (s, o) / DONORS;
+      CcKeyRange *r = heaviest (s, NULL, o);
+      CcKeyOwner *donor;
 
-      if (r == NULL)
+      if (r == NULL || keys_of (r) <= 2)
         return;
-      part = MIN (MAX (keys, RANGE_LEAST), (guint) keys_of (r) / 2);
-      find_owner (p, r->owner, r->born)->keys -= part;
-      give (p, cut (p, r, part), o);
+      donor = find_owner (s, r->owner, r->born);
+      r = cut (s, r, MIN (wanted, load_of (s, r) / 2));
+      donor->load -= load_of (s, r);
+      give (s, r, o);
     }
 }
 
-void
-cc_key_plan (CcKeyRanges *ranges, GArray *owners, GPtrArray *changed,
-             guint limit)
+/* Takes load off the busiest owner.  Returns FALSE if nothing is to be done. */
+static gboolean
+relieve (State *s)
 {
-  Plan p = { .ranges = ranges,
-             .owners = owners,
-             .changed = changed,
-             .limit = limit,
-             .fence = cc_key_ranges_top_fence (ranges) };
-
-  if (owners->len == 0)
-    return;
-  for (guint i = 0; i < owners->len; i++)
+  CcKeyOwner *from = most (s), *to = least (s);
+  double mean = s->total / s->capacity;
+  double amount =
+      MIN (from->load - mean * from->capacity, mean * to->capacity - to->load);
+  CcKeyRange *r;
+
+  if (use_of (from) < MAX (BUSY_FROM, BUSY_FACTOR * mean) ||
+      amount < MOVE_LEAST * from->load)
+    return FALSE;
+  r = heaviest (s, from, NULL);
+  if (r == NULL)
+    return FALSE;
+  if (load_of (s, r) > 1.2 * amount)
     {
-      p.slots += owner_at (&p, i)->slots;
-      owner_at (&p, i)->keys = 0;
+      if (keys_of (r) <= 2)
+        return FALSE;
+      r = cut (s, r, amount);
     }
-  if (ranges->list->len == 0)
+  from->load -= load_of (s, r);
+  give (s, r, to);
+  return TRUE;
+}
+
+static void
+measure (State *s)
+{
+  double heat = cc_key_heat_rate (s->plan->heat, 0, CC_KEYS - 1);
+
+  s->per_key = MAX (FLOOR_PART * heat, FLOOR_LEAST) / CC_KEYS;
+  s->total = heat + s->per_key * CC_KEYS;
+  for (guint i = 0; i < s->plan->owners->len; i++)
     {
-      divide (&p);
-      return;
+      s->capacity += owner_at (s, i)->capacity;
+      owner_at (s, i)->load = 0;
     }
-  for (guint i = 0; i < ranges->list->len; i++)
+  for (guint i = 0; i < s->plan->ranges->list->len; i++)
     {
-      const CcKeyRange *r = ranges->list->pdata[i];
-      CcKeyOwner *o = find_owner (&p, r->owner, r->born);
+      const CcKeyRange *r = s->plan->ranges->list->pdata[i];
+      CcKeyOwner *o = find_owner (s, r->owner, r->born);
 
       if (o != NULL)
-        o->keys += keys_of (r);
+        o->load += load_of (s, r);
     }
-  place_orphans (&p);
-  for (guint i = 0; i < owners->len; i++)
-    if (owner_at (&p, i)->keys == 0)
-      supply_newcomer (&p, owner_at (&p, i));
+}
+
+/* Plans for one pool. */
+void
+cc_key_plan (CcKeyPlan *p)
+{
+  State s = { .plan = p, .fence = cc_key_ranges_top_fence (p->ranges) };
+
+  if (p->owners->len == 0)
+    return;
+  measure (&s);
+  if (p->ranges->list->len == 0)
+    {
+      divide (&s);
+      return;
+    }
+  place_orphans (&s);
+  for (guint i = 0; i < p->owners->len; i++)
+    if (owner_at (&s, i)->load == 0)
+      supply_newcomer (&s, owner_at (&s, i));
+  while (!is_full (&s) && relieve (&s))
+    ;
 }
--- a/key_plan.h
+++ b/key_plan.h
@@ -2,6 +2,7 @@
 #ifndef CC_KEY_PLAN_H
 #define CC_KEY_PLAN_H
 
+#include "key_heat.h"
 #include "key_ranges.h"
 
 /* An upstream that may own keys. */
@@ -9,14 +10,20 @@
 {
   const char *id;
   guint64 born;
-  guint slots;
-  double keys; /* that it owns; kept by this module */
+  double capacity; /* requests a second that it can serve */
+  double load;     /* of its keys, requests a second; kept by this module */
 } CcKeyOwner;
 
-/* Plans for one pool: RANGES are changed in place, and each changed one is
- * added to CHANGED once.  OWNERS is of CcKeyOwner, those that may get keys.
- * LIMIT bounds the changes of one call. */
-void cc_key_plan (CcKeyRanges *ranges, GArray *owners, GPtrArray *changed,
-                  guint limit);
+/* One pool at one moment. */
+typedef struct
+{
+  CcKeyRanges *ranges;   /* changed in place */
+  GArray *owners;        /* of CcKeyOwner, those that may get keys */
+  const CcKeyHeat *heat; /* of the pool's keys */
+  guint limit;           /* changes to be made at most */
+  GPtrArray *changed;    /* the ranges that were, each once */
+} CcKeyPlan;
+
+void cc_key_plan (CcKeyPlan *p);
 
 #endif
--- a/key_ranges.h
+++ b/key_ranges.h
@@ -18,6 +18,7 @@
   guint64 previous_born;
   guint64 previous_fence;
   guint64 version; /* of the row; 0: not written yet */
+  gboolean rests;  /* moved lately, not to be moved for load; not in the row */
 } CcKeyRange;
 
 /* The ranges of one pool, in order of keys, without overlap. */
--- a/mirror.c
+++ b/mirror.c
@@ -18,7 +18,7 @@
 
 /* A watch is asked anew after so long without a change.  Each is a priced call;
  * TCP's probes find a connection that has gone silent before. */
-#define WATCH_WAIT (8 * CC_SECOND)
+#define WATCH_WAIT (10 * CC_SECOND)
 /* Pause after a failed call; doubled each time up to the longest.  The longest
  * bounds how late a change is seen when the service is back. */
 #define PAUSE_FIRST (60 * CC_MS)
@@ -53,6 +53,16 @@
   gint64 heard_at; /* the table service last answered, us */
 };
 
+/* Pause between an answer with news and the next watch.  When many rows change
+ * one after the other, as upstreams do that start together, each would else
+ * cost every process of the fleet a call.  Ranges of keys are short of time:
+ * requests wait for them. */
+static const gint64 news_pause[CC_TABLE_FOLLOWED] = {
+  [CC_TABLE_CONFIG] = 200 * CC_MS,
+  [CC_TABLE_UPSTREAMS] = 250 * CC_MS,
+  [CC_TABLE_STATE] = 15 * CC_MS,
+};
+
 static const char *const table_names[] = { "configuration", "upstreams",
                                            "state" };
 
@@ -157,10 +167,17 @@
     }
   else
     {
+      gboolean news = put_rows (t, rows);
+
       note_answer (t);
-      if (put_rows (t, rows))
+      if (news)
         t->mirror->changed (t->name, t->mirror->data);
       cc_view_advance (&t->view, t->view.upto, upto);
+      if (news)
+        {
+          cc_timer_start (&t->timer, news_pause[t->name], on_pause_over, t);
+          return;
+        }
     }
   watch (t);
 }
--- a/pick.c
+++ b/pick.c
@@ -52,13 +52,6 @@
   return exp2 (-(double) MAX (now - since, 0) / (double) half);
 }
 
-/* An attempt goes to L. */
-void
-cc_pick_sent (CcTargetLoad *l)
-{
-  l->mine++;
-}
-
 static void
 take_word (CcTargetLoad *l, const CcPickWord *word, gint64 now)
 {
@@ -90,9 +83,11 @@
 /* An attempt at L ended after TOOK us, with WORD if the server said its load.
  */
 void
-cc_pick_ended (CcTargetLoad *l, CcPickEnd end, gint64 took,
+cc_pick_ended (CcTargetLoad *l, CcPickEnd end, gint64 took, double share,
                const CcPickWord *word, gint64 now)
 {
+  double work = (double) took * share;
+
   if (l->mine > 0)
     l->mine--;
   if (word->said)
@@ -100,10 +95,9 @@
   switch (end)
     {
     case CC_PICK_ANSWERED:
-      l->service =
-          l->service == 0
-              ? (double) took
-              : l->service + SERVICE_WEIGHT * ((double) took - l->service);
+      l->service = l->service == 0
+                       ? work
+                       : l->service + SERVICE_WEIGHT * (work - l->service);
       l->service_at = now;
       l->avoid_span = 0;
       count_end (l, 0.0, now);
@@ -135,6 +129,17 @@
   return l->mine + weight * l->others + (1.0 - weight) * l->others_usual;
 }
 
+/* An attempt goes to L at NOW.  Returns the part of its time there that will be
+ * work, by estimate; the rest is waiting for a slot. */
+double
+cc_pick_sent (CcTargetLoad *l, gint64 now)
+{
+  double before = MAX (cc_pick_inside (l, now) + 1.0 - l->slots, 0.0);
+
+  l->mine++;
+  return 1.0 / (1.0 + before / MAX (l->slots, 1));
+}
+
 /* Whether one more request would be taken in at NOW and not only wait. */
 gboolean
 cc_pick_has_room (const CcTargetLoad *l, gint64 now)
--- a/pick.h
+++ b/pick.h
@@ -39,8 +39,8 @@
   guint waiting;
 } CcPickWord;
 
-void cc_pick_sent (CcTargetLoad *l);
-void cc_pick_ended (CcTargetLoad *l, CcPickEnd end, gint64 took,
+double cc_pick_sent (CcTargetLoad *l, gint64 now);
+void cc_pick_ended (CcTargetLoad *l, CcPickEnd end, gint64 took, double share,
                     const CcPickWord *word, gint64 now);
 double cc_pick_inside (const CcTargetLoad *l, gint64 now);
 gboolean cc_pick_has_room (const CcTargetLoad *l, gint64 now);
