Ranges with a call in progress are not changed; owners get what can be answered in time

Ruled out: late grants, since both servers had answered in order. Change: the plan passes over ranges with a call in progress. Also: keyed requests go to their owner only while an answer is to be expected within the target, else 503 after an eighth of it; near upstreams first by a part of the target.

--- a/forward.c
+++ b/forward.c
@@ -32,6 +32,13 @@
  * its target: a move takes the time of the work in progress, and is over sooner
  * than the caller would be back. */
 #define MOVING_PART 0.6
+/* Part of its target that a request may take longer to be answered from its own
+ * zone. */
+#define FAR_PART 0.3
+/* A request waits for room at its key's owner for this part of its target.
+ * Longer, it would only keep the caller from coming back when the keys have
+ * moved or the queue has drained. */
+#define OWNER_PART 0.125
 /* Pause before a request for a key that moved is tried again, unless the
  * ranges change before. */
 #define MOVED_PAUSE (60 * CC_MS)
@@ -492,6 +499,17 @@
   return *moving ? NULL : t;
 }
 
+/* What the way to T is worth avoiding, us.  An answer within the target is as
+ * good late as early, so one from near is preferred as long as the difference
+ * is a small part of the target; bytes between zones are dear. */
+static double
+far_cost (const CcExchange *e, const CcTarget *t)
+{
+  return g_str_equal (t->listing.zone, e->forwarder->setup.zone)
+             ? 0.0
+             : FAR_PART * (double) e->target_time;
+}
+
 /* The upstream of E's pool from which an answer is to be expected soonest,
  * among those with room.  *ANY: there is one at all. */
 static CcTarget *
@@ -515,9 +533,7 @@
       *any = TRUE;
       if ((tried && untried) || !cc_pick_has_room (&t->load, now))
         continue;
-      cost = cc_pick_cost (
-          &t->load, e->pool->usual,
-          g_str_equal (t->listing.zone, e->forwarder->setup.zone), now);
+      cost = cc_pick_cost (&t->load, e->pool->usual, far_cost (e, t), now);
       /* Equal ones are told apart by lot, or all entries take the first. */
       cost *= 1.0 + 0.02 * g_random_double ();
       if (best == NULL || cost < least || (!tried && !untried))
@@ -537,18 +553,36 @@
   STEP_ENDED  /* it was refused, and is gone */
 } Step;
 
+/* Only the owner can serve E.  It is sent there as long as the answer is to be
+ * expected within the target, however many wait inside; with nothing inside, in
+ * any case. */
+static gboolean
+owner_has_room (const CcExchange *e, const CcTarget *t, gint64 now)
+{
+  if (now < t->load.avoid_until)
+    return FALSE;
+  return cc_pick_inside (&t->load, now) < t->load.slots ||
+         cc_pick_time (&t->load, e->pool->usual, now) <=
+             (double) e->target_time;
+}
+
 static Step
 step_keyed (CcExchange *e, gint64 now)
 {
   gboolean moving = FALSE;
   CcTarget *t = owner_of (e, now, &moving);
 
-  if (t != NULL && cc_pick_has_room (&t->load, now))
+  if (t != NULL && owner_has_room (e, t, now))
     return send_to (e, t) ? STEP_SENT : STEP_WAITS;
   /* One that shed work has room again in a moment; one that can't be reached
    * may not. */
   if (t != NULL && (now >= t->load.avoid_until || t->load.avoid_span == 0))
-    return STEP_WAITS;
+    {
+      if (now - e->began <= (gint64) (OWNER_PART * (double) e->target_time))
+        return STEP_WAITS;
+      end_not_run (e, "owner-full");
+      return STEP_ENDED;
+    }
   e->moving |= moving;
   if (moving &&
       now - e->began < (gint64) (MOVING_PART * (double) e->target_time))
@@ -706,7 +740,8 @@
                    CcExchangeDone done, gpointer data)
 {
   CcExchange *e = exchange_new (f, s, done, data);
-  gboolean admitted = is_admitted (e);
+  /* For a key there is one upstream, whose queue says more than the pool's. */
+  gboolean admitted = e->keyed || is_admitted (e);
 
   if (e->keyed && e->word.key >= 0)
     cc_heat_link_asked (f->setup.heat, e->pool->name, (guint) e->word.key);
--- a/granter.c
+++ b/granter.c
@@ -400,12 +400,17 @@
 }
 
 static void
-plan_pool (CcGranter *g, Pool *p)
+plan_pool (CcGranter *g, Pool *p, gboolean level)
 {
   g_autoptr (GArray) owners = NULL;
   g_autoptr (GPtrArray) changed = g_ptr_array_new ();
   g_autoptr (GArray) before = note_before (p);
   gint64 now = cc_clock_now ();
+  CcKeyPlan plan = { .ranges = &p->ranges,
+                     .heat = &p->heat,
+                     .limit = PLAN_MAX,
+                     .level = level,
+                     .changed = changed };
 
   if (p->ranges.list->len == 0 && cc_clock_now () - g->targets_changed < SETTLE)
     {
@@ -419,16 +424,15 @@
       Grant *x = p->grants->pdata[i];
 
       x->range->rests = !x->held || now - x->moved_at < RANGE_REST;
+      /* The answer of a call in progress is about the owner and the keys that
+       * it was sent for.  Taken for another's, it let a new owner begin while
+       * the old one still held the keys; and a renewal that overtakes a release
+       * gives the keys back to who had released them. */
+      x->range->busy = x->calling;
     }
-  {
-    CcKeyPlan plan = { .ranges = &p->ranges,
-                       .owners = owners,
-                       .heat = &p->heat,
-                       .limit = PLAN_MAX,
-                       .changed = changed };
-
-    cc_key_plan (&plan);
-  }
+  plan.owners = owners;
+  cc_key_plan (&plan);
+  g->replan |= plan.skipped;
   for (guint i = 0; i < changed->len; i++)
     apply_change (g, p, changed->pdata[i], before);
   if (changed->len >= PLAN_MAX)
@@ -436,7 +440,7 @@
 }
 
 static void
-plan_all (CcGranter *g)
+plan_all (CcGranter *g, gboolean level)
 {
   GHashTableIter i;
   gpointer value;
@@ -444,7 +448,7 @@
   g->replan = FALSE;
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    plan_pool (g, value);
+    plan_pool (g, value, level);
 }
 
 /* ---- grants ---- */
@@ -1040,23 +1044,23 @@
     write_duty (g);
 }
 
-static void
-on_tick (gpointer data)
+/* Does what is due.  Called by a timer of its own; tests call it. */
+void
+cc_granter_tick (CcGranter *g)
 {
-  CcGranter *g = data;
   gint64 now = cc_clock_now ();
 
-  cc_timer_start (&g->tick, g->duty.held ? TICK : WATCH_PERIOD / 2, on_tick, g);
   if (g_hash_table_size (g->pools) == 0 && !g->resigning)
     return;
-  if (now >= g->balance_at)
+  if (g->duty.held && g->loaded && !g->resigning && now >= g->plan_after &&
+      cc_duty_may_change (&g->duty, now) && (g->replan || now >= g->balance_at))
     {
-      g->balance_at = now + BALANCE_PERIOD;
-      g->replan = TRUE;
+      gboolean level = now >= g->balance_at;
+
+      if (level)
+        g->balance_at = now + BALANCE_PERIOD;
+      plan_all (g, level);
     }
-  if (g->duty.held && g->loaded && g->replan && !g->resigning &&
-      now >= g->plan_after && cc_duty_may_change (&g->duty, now))
-    plan_all (g);
   if (g->duty.held && g->loaded && !g->resigning && step_grants (g, now))
     {
       g->stand_back = now + STAND_BACK;
@@ -1065,6 +1069,15 @@
   step_duty (g, now);
 }
 
+static void
+on_tick (gpointer data)
+{
+  CcGranter *g = data;
+
+  cc_timer_start (&g->tick, g->duty.held ? TICK : WATCH_PERIOD / 2, on_tick, g);
+  cc_granter_tick (g);
+}
+
 /* COUNT requests came, somewhere in the fleet, for keys of BUCKET of POOL. */
 void
 cc_granter_heat (CcGranter *g, const char *pool, guint bucket, guint count)
--- a/granter.h
+++ b/granter.h
@@ -27,6 +27,7 @@
 void cc_granter_heat (CcGranter *g, const char *pool, guint bucket,
                       guint count);
 void cc_granter_service (CcGranter *g, const char *target, double service);
+void cc_granter_tick (CcGranter *g);
 void cc_granter_resign (CcGranter *g);
 gboolean cc_granter_has_resigned (const CcGranter *g);
 
--- a/key_plan.c
+++ b/key_plan.c
@@ -201,7 +201,14 @@
       CcKeyRange *r = s->plan->ranges->list->pdata[i];
       double piece = PIECE_PART * s->total / s->plan->owners->len;
 
-      if (find_owner (s, r->owner, r->born) != NULL || take_back (s, r))
+      if (find_owner (s, r->owner, r->born) != NULL)
+        continue;
+      if (r->busy)
+        {
+          s->plan->skipped = TRUE;
+          continue;
+        }
+      if (take_back (s, r))
         continue;
       if (load_of (s, r) > 1.5 * piece && keys_of (r) > 2)
         cut (s, r, load_of (s, r) - piece);
@@ -224,7 +231,7 @@
       double weight;
 
       if (its == NULL || its == newcomer || (o != NULL && its != o) ||
-          r->previous != NULL || r->rests)
+          r->previous != NULL || r->rests || r->busy)
         continue;
       weight = load_of (s, r) + (o == NULL ? its->load : 0);
       if (weight > best_weight)
@@ -319,6 +326,6 @@
   for (guint i = 0; i < p->owners->len; i++)
     if (owner_at (&s, i)->load == 0)
       supply_newcomer (&s, owner_at (&s, i));
-  while (!is_full (&s) && relieve (&s))
+  while (p->level && !is_full (&s) && relieve (&s))
     ;
 }
--- a/key_ranges.h
+++ b/key_ranges.h
@@ -18,7 +18,9 @@
   guint64 previous_born;
   guint64 previous_fence;
   guint64 version; /* of the row; 0: not written yet */
-  gboolean rests;  /* moved lately, not to be moved for load; not in the row */
+  /* Not in the row: */
+  gboolean rests; /* moved lately, not to be moved for load */
+  gboolean busy;  /* a call about it is in progress, not to be changed at all */
 } CcKeyRange;
 
 /* The ranges of one pool, in order of keys, without overlap. */
--- a/pick.c
+++ b/pick.c
@@ -37,9 +37,6 @@
 #define WAITING_INSIDE 4
 /* A server that is slow for having just started works half as fast. */
 #define COLD_FACTOR 2.0
-/* Sending to another zone costs bytes between zones: as much as this share of
- * a usual answer's time. */
-#define FAR_SHARE 0.25
 /* No request for so long after a refused connection, doubled each time. */
 #define AVOID_FIRST (200 * CC_MS)
 #define AVOID_MAX (3 * CC_SECOND)
@@ -151,21 +148,27 @@
 }
 
 /* The time after which an answer from L is to be expected, us.  USUAL is the
- * pool's usual time, us; NEAR: in this entry's zone. */
+ * pool's usual time for the work alone, us. */
 double
-cc_pick_cost (const CcTargetLoad *l, double usual, gboolean near, gint64 now)
+cc_pick_time (const CcTargetLoad *l, double usual, gint64 now)
 {
   double weight = faded (l->service_at, now, SERVICE_TIME);
   double service =
       l->service == 0 ? usual : weight * l->service + (1.0 - weight) * usual;
   double before = MAX (cc_pick_inside (l, now) + 1.0 - l->slots, 0.0);
-  double failures = l->failures * faded (l->failures_at, now, FAILURE_TIME);
-  double cost;
 
   if (now < l->cold_until)
     service *= COLD_FACTOR;
-  cost = service * (1.0 + before / l->slots);
-  if (!near)
-    cost += FAR_SHARE * usual;
-  return cost * (1.0 + FAILURE_COST * failures * failures);
+  return service * (1.0 + before / l->slots);
+}
+
+/* What sending to L costs, as a time by which upstreams are compared, us.  FAR
+ * is what the way to its zone is worth avoiding. */
+double
+cc_pick_cost (const CcTargetLoad *l, double usual, double far, gint64 now)
+{
+  double failures = l->failures * faded (l->failures_at, now, FAILURE_TIME);
+
+  return (cc_pick_time (l, usual, now) + far) *
+         (1.0 + FAILURE_COST * failures * failures);
 }
--- a/pick.h
+++ b/pick.h
@@ -44,7 +44,8 @@
                     const CcPickWord *word, gint64 now);
 double cc_pick_inside (const CcTargetLoad *l, gint64 now);
 gboolean cc_pick_has_room (const CcTargetLoad *l, gint64 now);
-double cc_pick_cost (const CcTargetLoad *l, double usual, gboolean near,
+double cc_pick_time (const CcTargetLoad *l, double usual, gint64 now);
+double cc_pick_cost (const CcTargetLoad *l, double usual, double far,
                      gint64 now);
 
 #endif
--- a/test/test_key_plan.c
+++ b/test/test_key_plan.c
@@ -60,7 +60,12 @@
 plan (World *w)
 {
   g_autoptr (GArray) owners = g_array_new (FALSE, TRUE, sizeof (CcKeyOwner));
-  CcKeyPlan p = { &w->ranges, owners, &w->heat, LIMIT, w->changed };
+  CcKeyPlan p = { .ranges = &w->ranges,
+                  .owners = owners,
+                  .heat = &w->heat,
+                  .limit = LIMIT,
+                  .level = TRUE,
+                  .changed = w->changed };
 
   for (guint i = 0; i < UPSTREAMS; i++)
     {
