Grants go out on connections known to be alive; moves of owners in doubt wait

Ruled out: our own time-out, which resets (no line of it). Change: kept connections serve grants for 1.5 s only.

--- a/callers.c
+++ b/callers.c
@@ -188,7 +188,9 @@
             cc_event_int (e->status), "target", e->target, "attempts",
             cc_event_int (e->attempts), "took_ms", cc_event_int (took / CC_MS),
             "allowed_ms", cc_event_int (r->word.left / CC_MS), "key",
-            cc_event_int (r->word.key), NULL);
+            cc_event_int (r->word.key), "waiting", cc_event_int (e->waiting),
+            "inside", cc_event_int ((gint64) e->inside), "expected_ms",
+            cc_event_int (e->expected / CC_MS), NULL);
 }
 
 static void
--- a/duty.h
+++ b/duty.h
@@ -27,7 +27,7 @@
  * outage of that length for all; the price is that who takes over from a holder
  * that fell silent moves keys of an upstream that it can't reach either only
  * this much later. */
-#define CC_DUTY_BLIND (12 * CC_SECOND)
+#define CC_DUTY_BLIND (9 * CC_SECOND)
 
 typedef struct
 {
--- a/forward.c
+++ b/forward.c
@@ -99,8 +99,9 @@
   char *headers;
   GBytes *body;
   CcCallerWord word;
-  CcTarget *target; /* it is at, or was at last */
-  GPtrArray *tried; /* of CcTarget */
+  CcTarget *considered; /* the upstream that had no room for it */
+  CcTarget *target;     /* it is at, or was at last */
+  GPtrArray *tried;     /* of CcTarget */
   CcHttpCall *call;
   gint64 sent;
   double work_share; /* part of its time at the upstream that is work */
@@ -195,8 +196,19 @@
   CcExchangeDone done = e->done;
   gpointer data = e->data;
   g_autofree char *target =
-      g_strdup (e->target != NULL ? e->target->listing.id : "");
+      g_strdup (e->target != NULL       ? e->target->listing.id
+                : e->considered != NULL ? e->considered->listing.id
+                                        : "");
 
+  if (e->considered != NULL)
+    {
+      gint64 now = cc_clock_now ();
+
+      end->inside = cc_pick_inside (&e->considered->load, now);
+      end->expected =
+          (gint64) cc_pick_time (&e->considered->load, e->pool->usual, now);
+    }
+  end->waiting = cc_backlog_length (&e->pool->backlog);
   end->target = target;
   end->attempts = e->attempts;
   exchange_free (e);
@@ -513,7 +525,7 @@
 /* The upstream of E's pool from which an answer is to be expected soonest,
  * among those with room.  *ANY: there is one at all. */
 static CcTarget *
-best_target (const CcExchange *e, gint64 now, gboolean *any)
+best_target (CcExchange *e, gint64 now, gboolean *any)
 {
   GPtrArray *all =
       cc_targets_of_pool (e->forwarder->setup.targets, e->pool->name);
@@ -531,6 +543,7 @@
       if (t->state != CC_TARGET_READY)
         continue;
       *any = TRUE;
+      e->considered = t;
       if ((tried && untried) || !cc_pick_has_room (&t->load, now))
         continue;
       cost = cc_pick_cost (&t->load, e->pool->usual, far_cost (e, t), now);
@@ -572,6 +585,7 @@
   gboolean moving = FALSE;
   CcTarget *t = owner_of (e, now, &moving);
 
+  e->considered = t;
   if (t != NULL && owner_has_room (e, t, now))
     return send_to (e, t) ? STEP_SENT : STEP_WAITS;
   /* One that shed work has room again in a moment; one that can't be reached
--- a/forward.h
+++ b/forward.h
@@ -27,6 +27,9 @@
   gint64 retry_after; /* NOT_RUN: when to come back, us */
   const char *target; /* the upstream tried last, "" if none */
   guint attempts;     /* that reached an upstream */
+  guint waiting;      /* requests that waited for the pool */
+  gint64 expected;    /* time for an answer from the target considered, us */
+  double inside;      /* requests inside it, by estimate */
 } CcEnd;
 
 /* Called once; E is valid during the call. */
--- a/granter.c
+++ b/granter.c
@@ -37,7 +37,11 @@
 /* A release is answered when the work on the keys has ended: the longest of
  * today takes 1.7 s. */
 #define RELEASE_WITHIN (3500 * CC_MS)
-#define CALL_IDLE (5 * CC_SECOND)
+/* Kept connections older than the last renewal may be cut off without anybody
+ * knowing.  When TCP itself gives such a one up, a grant that was written to it
+ * may still arrive later; a call that is given up here, on a connection that
+ * was alive a moment ago, is reset in time. */
+#define CALL_IDLE (1500 * CC_MS)
 #define CALL_RETRY (150 * CC_MS) /* pause after a call without answer */
 /* Rows of one transaction, which may hold 100. */
 #define ROWS_MAX 90
@@ -50,6 +54,7 @@
  * judged by what it changed. */
 #define BALANCE_PERIOD (400 * CC_MS)
 #define BALANCE_FIRST (3 * CC_SECOND)
+#define REPLAN_PAUSE (100 * CC_MS) /* until busy ranges are looked at again */
 #define RANGE_REST (2 * CC_SECOND)
 /* Time that an unmeasured upstream takes for a request, us, and how much a new
  * report weighs. */
@@ -79,6 +84,7 @@
   gint64 owner_until;    /* the owner's grants have ended by then, us */
   gint64 owner_doubt;    /* ... those that got no answer */
   gint64 unanswered;     /* ... those of them that this process sent */
+  gint64 until_before;   /* OWNER_UNTIL without the call in progress */
   gint64 previous_until; /* the same of the previous owner */
   gint64 previous_doubt;
   gint64 not_before; /* of the next call, us */
@@ -114,6 +120,7 @@
   gint64 targets_changed; /* us */
   gint64 plan_after; /* until then upstreams may be missing by mistake, us */
   gboolean replan;
+  gint64 replan_at;    /* ranges were busy: plan again then, us; 0: no */
   gboolean announce;   /* the row that says where reports go is to be written */
   gint64 balance_at;   /* when load is looked at next, us */
   GHashTable *service; /* upstream to its measured time, double in us */
@@ -399,6 +406,15 @@
   log_move (g, p, r);
 }
 
+/* Whether the granter of before may still renew X's grant and its owner has not
+ * shut it out.  To move the range would only mean to wait for the end of that,
+ * and the owner may be back before. */
+static gboolean
+is_unsettled (const Grant *x, gint64 now)
+{
+  return x->raised && now < x->owner_until;
+}
+
 static void
 plan_pool (CcGranter *g, Pool *p, gboolean level)
 {
@@ -428,11 +444,12 @@
        * it was sent for.  Taken for another's, it let a new owner begin while
        * the old one still held the keys; and a renewal that overtakes a release
        * gives the keys back to who had released them. */
-      x->range->busy = x->calling;
+      x->range->busy = x->calling || is_unsettled (x, now);
     }
   plan.owners = owners;
   cc_key_plan (&plan);
-  g->replan |= plan.skipped;
+  if (plan.skipped)
+    g->replan_at = now + REPLAN_PAUSE;
   for (guint i = 0; i < changed->len; i++)
     apply_change (g, p, changed->pdata[i], before);
   if (changed->len >= PLAN_MAX)
@@ -446,6 +463,7 @@
   gpointer value;
 
   g->replan = FALSE;
+  g->replan_at = 0;
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
     plan_pool (g, value, level);
@@ -553,6 +571,12 @@
 
   if (!call_returned (x))
     return;
+  if (r->end == CC_HTTP_UNSENT)
+    {
+      x->owner_until = x->until_before;
+      x->not_before = now + CALL_RETRY;
+      return;
+    }
   x->owner_until = MAX (x->owner_until, cc_grant_ends (now));
   if (r->end == CC_HTTP_ANSWERED && r->status == 200)
     {
@@ -565,8 +589,6 @@
       return;
     }
   x->not_before = now + CALL_RETRY;
-  if (r->end == CC_HTTP_UNSENT)
-    return;
   x->unanswered = cc_grant_ends (now);
   x->owner_doubt = MAX (x->owner_doubt, x->unanswered);
   cc_event (CC_EVENT_STATE, "grant-unanswered", "pool", x->pool, "owner",
@@ -590,6 +612,7 @@
   head = cc_edge_grant_head (&what, &body);
   whole = with_host (head, t->listing.address);
   /* From the moment of sending, the owner may have it. */
+  x->until_before = x->owner_until;
   x->owner_until =
       MAX (x->owner_until, cc_grant_ends (cc_clock_now () + CALL_WITHIN));
   call_upstream (x, t->listing.address, whole, body, CALL_WITHIN, on_granted);
