--- a/gateway.c
+++ b/gateway.c
@@ -41,6 +41,7 @@
   CcTable *table;
   CcMirror *mirror;
   CcTargets targets;
+  gboolean targets_changed; /* since the granter was last told */
   CcForwarder *forwarder;
   CcCallers *callers;
   CcGranter *granter;
@@ -117,6 +118,7 @@
 {
   Gateway *g = data;
 
+  g->targets_changed = TRUE;
   cc_event (CC_EVENT_STATE, "upstream", "target", t->listing.id, "pool",
             t->listing.pool, "address", t->listing.address, "state",
             state_names[t->state], "born",
@@ -136,7 +138,9 @@
                          cc_edge_read_listing, cc_mirror_trouble (g->mirror),
                          cc_clock_now (), on_target_changed, g))
     cc_timer_start (&g->recheck, RECHECK, update_targets, g);
-  cc_granter_targets_changed (g->granter, cc_mirror_trouble (g->mirror));
+  if (g->targets_changed)
+    cc_granter_targets_changed (g->granter, cc_mirror_trouble (g->mirror));
+  g->targets_changed = FALSE;
   cc_forwarder_pump (g->forwarder);
 }
 
--- a/granter.c
+++ b/granter.c
@@ -49,6 +49,8 @@
 #define PLAN_MAX 80
 /* A list of upstreams that is still filling is not divided yet. */
 #define SETTLE (700 * CC_MS)
+#define SETTLE_MOST (2500 * CC_MS) /* from then on, with those that are there  \
+                                    */
 /* How often load is looked at, after the first BALANCE_FIRST of a duty in which
  * reports come in.  A range that moved rests for a while, so that a move is
  * judged by what it changed. */
@@ -118,6 +120,7 @@
   guint rank;
   gint64 predecessor_until;
   gint64 targets_changed; /* us */
+  gint64 loaded_at;       /* when the rows were read, us */
   gint64 plan_after; /* until then upstreams may be missing by mistake, us */
   gboolean replan;
   gint64 replan_at;    /* ranges were busy: plan again then, us; 0: no */
@@ -428,7 +431,8 @@
                      .level = level,
                      .changed = changed };
 
-  if (p->ranges.list->len == 0 && cc_clock_now () - g->targets_changed < SETTLE)
+  if (p->ranges.list->len == 0 && now - g->targets_changed < SETTLE &&
+      now - g->loaded_at < SETTLE_MOST)
     {
       g->replan = TRUE;
       return;
@@ -902,6 +906,7 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     load_pool (g, value, rows, now);
   g->loaded = TRUE;
+  g->loaded_at = now;
   g->replan = TRUE;
   g->announce = TRUE;
   g->balance_at = now + BALANCE_FIRST;
