--- /dev/null
+++ b/test/test_forward.c
@@ -0,0 +1,507 @@
+/* What becomes of a request when its attempts end badly.
+ *
+ * What callers would see if it failed: a booking made twice, or a "not run"
+ * for one that was made.  Each case gives the ends of the attempts in order;
+ * every upstream that is tried answers the next of them. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "clock.h"
+#include "forward.h"
+#include "headers.h"
+
+#define ATTEMPTS_MAX 4
+
+/* How one attempt ends. */
+typedef enum
+{
+  NONE,
+  OK_200,
+  ERROR_500,
+  EXPIRED_504,
+  SHED_503,
+  OTHER_421,
+  UNSIGNED_200,
+  OTHERS_ECHO,
+  UNSENT,
+  LOST,
+  LATE
+} Script;
+
+typedef struct
+{
+  const char *name;
+  gboolean idempotent;
+  guint attempts; /* that the route allows */
+  Script script[ATTEMPTS_MAX];
+  guint sent; /* attempts that were made */
+  CcEndKind end;
+  const char *reason;
+  guint status;
+} Case;
+
+static const Case cases[] = {
+  { "once-only, served", FALSE, 2, { OK_200 }, 1, CC_END_ANSWER, "", 200 },
+  { "once-only, failed by the server",
+    FALSE,
+    2,
+    { ERROR_500 },
+    1,
+    CC_END_ANSWER,
+    "",
+    500 },
+  { "once-only, lost",
+    FALSE,
+    2,
+    { LOST, OK_200 },
+    1,
+    CC_END_UNKNOWN,
+    "lost",
+    0 },
+  { "once-only, late",
+    FALSE,
+    2,
+    { LATE, OK_200 },
+    1,
+    CC_END_UNKNOWN,
+    "deadline",
+    0 },
+  { "once-only, unsigned answer",
+    FALSE,
+    2,
+    { UNSIGNED_200, OK_200 },
+    1,
+    CC_END_UNKNOWN,
+    "not-its-answer",
+    0 },
+  { "once-only, another's answer",
+    FALSE,
+    2,
+    { OTHERS_ECHO, OK_200 },
+    1,
+    CC_END_UNKNOWN,
+    "not-its-answer",
+    0 },
+  { "once-only, shed, then served",
+    FALSE,
+    2,
+    { SHED_503, OK_200 },
+    2,
+    CC_END_ANSWER,
+    "",
+    200 },
+  { "once-only, shed by all it may go to",
+    FALSE,
+    2,
+    { SHED_503, SHED_503 },
+    2,
+    CC_END_NOT_RUN,
+    "shed",
+    0 },
+  { "once-only, shed, then lost",
+    FALSE,
+    3,
+    { SHED_503, LOST },
+    2,
+    CC_END_UNKNOWN,
+    "lost",
+    0 },
+  { "once-only, address of another, then served",
+    FALSE,
+    2,
+    { OTHER_421, OK_200 },
+    2,
+    CC_END_ANSWER,
+    "",
+    200 },
+  { "once-only, unreachable, then served",
+    FALSE,
+    1,
+    { UNSENT, OK_200 },
+    2,
+    CC_END_ANSWER,
+    "",
+    200 },
+  { "idempotent, lost, then served",
+    TRUE,
+    2,
+    { LOST, OK_200 },
+    2,
+    CC_END_ANSWER,
+    "",
+    200 },
+  { "idempotent, one attempt only",
+    TRUE,
+    1,
+    { LOST, OK_200 },
+    1,
+    CC_END_UNKNOWN,
+    "lost",
+    0 },
+  { "idempotent, failed, then served",
+    TRUE,
+    2,
+    { ERROR_500, OK_200 },
+    2,
+    CC_END_ANSWER,
+    "",
+    200 },
+  { "idempotent, failed twice",
+    TRUE,
+    2,
+    { ERROR_500, ERROR_500 },
+    2,
+    CC_END_ANSWER,
+    "",
+    500 },
+  { "idempotent, out of time at the server",
+    TRUE,
+    2,
+    { EXPIRED_504, OK_200 },
+    1,
+    CC_END_ANSWER,
+    "",
+    504 },
+};
+
+/* ---- the upstreams, in place of http_link.c ---- */
+
+typedef struct
+{
+  CcHttpDone done;
+  gpointer data;
+} Call;
+
+static struct
+{
+  GQueue *calls; /* of Call, in progress */
+  GPtrArray *addresses;
+  guint cancelled;
+} net;
+
+CcHttpCall *
+cc_http_send (CcHttp *h, const CcHttpOrder *o, CcHttpDone done, gpointer data)
+{
+  Call *c = g_new0 (Call, 1);
+
+  (void) h;
+  c->done = done;
+  c->data = data;
+  g_queue_push_tail (net.calls, c);
+  g_ptr_array_add (net.addresses, g_strdup (o->address));
+  return (CcHttpCall *) c;
+}
+
+void
+cc_http_cancel (CcHttpCall *c)
+{
+  net.cancelled++;
+  g_queue_remove (net.calls, c);
+  g_free (c);
+}
+
+const char *
+cc_http_header (const CcHttpResult *r, const char *name)
+{
+  CcHeadersIter i;
+  const char *found, *value;
+
+  cc_headers_iter (&i, r->headers);
+  while (cc_headers_next (&i, &found, &value))
+    if (g_ascii_strcasecmp (found, name) == 0)
+      return value;
+  return NULL;
+}
+
+static CcHttpResult
+answer (guint status, const char *extra, GVariant **headers)
+{
+  GString *packed = g_string_new (NULL);
+  g_auto (GStrv) parts = g_strsplit (extra, "=", 2);
+
+  if (parts[0] != NULL)
+    cc_headers_add (packed, parts[0], parts[1]);
+  cc_headers_add (packed, "X-Request-Id",
+                  strstr (extra, "Id") != NULL ? "other" : "r1");
+  *headers = cc_headers_take (packed);
+  return (CcHttpResult){ .end = CC_HTTP_ANSWERED,
+                         .status = status,
+                         .headers = *headers };
+}
+
+#define SIGNED "X-Response-Signature=s"
+
+static void
+play (Script script)
+{
+  g_autofree Call *c = g_queue_pop_head (net.calls);
+  g_autoptr (GVariant) headers = NULL;
+  g_autoptr (GBytes) body = g_bytes_new_static ("", 0);
+  CcHttpResult r = { .why = "lost" };
+
+  switch (script)
+    {
+    case OK_200:
+      r = answer (200, SIGNED, &headers);
+      break;
+    case ERROR_500:
+      r = answer (500, SIGNED, &headers);
+      break;
+    case EXPIRED_504:
+      r = answer (504, SIGNED, &headers);
+      break;
+    case SHED_503:
+      r = answer (503, "X-Not-Executed=1", &headers);
+      break;
+    case OTHER_421:
+      r = answer (421, "X-None=1", &headers);
+      break;
+    case UNSIGNED_200:
+      r = answer (200, "X-None=1", &headers);
+      break;
+    case OTHERS_ECHO:
+      r = answer (200, "X-Id=1", &headers);
+      break;
+    case UNSENT:
+      r.end = CC_HTTP_UNSENT;
+      break;
+    case LOST:
+      r.end = CC_HTTP_LOST;
+      break;
+    case LATE:
+    case NONE:
+      r.end = CC_HTTP_LATE;
+      break;
+    }
+  r.body = body;
+  c->done (&r, c->data);
+}
+
+/* ---- one request ---- */
+
+typedef struct
+{
+  gboolean ended;
+  CcEndKind kind;
+  guint status;
+  char reason[32];
+  gint64 retry_after;
+} Outcome;
+
+static void
+on_end (const CcEnd *e, gpointer data)
+{
+  Outcome *o = data;
+
+  assert_false (o->ended);
+  o->ended = TRUE;
+  o->kind = e->kind;
+  o->status = e->status;
+  o->retry_after = e->retry_after;
+  g_strlcpy (o->reason, e->reason, sizeof o->reason);
+}
+
+static gboolean
+decode (const char *key, const char *value, CcListing *l)
+{
+  *l = (CcListing){ .id = g_strdup (key),
+                    .pool = g_strdup ("booking"),
+                    .address = g_strdup (value),
+                    .zone = g_strdup ("a"),
+                    .slots = 4 };
+  return TRUE;
+}
+
+static void
+ignore_change (const CcTarget *t, gpointer data)
+{
+  (void) t, (void) data;
+}
+
+typedef struct
+{
+  CcTargets targets;
+  CcView view;
+  CcForwarder *forwarder;
+  CcRoute route;
+  CcCallerWord word;
+  GBytes *body;
+} World;
+
+static void
+world_init (World *w, const Case *c)
+{
+  CcForwarderSetup setup = { .targets = &w->targets,
+                             .zone = "a",
+                             .retry_bound = { 0.2, 100, 10 * CC_SECOND } };
+
+  memset (w, 0, sizeof *w);
+  net.calls = g_queue_new ();
+  net.addresses = g_ptr_array_new_with_free_func (g_free);
+  net.cancelled = 0;
+  cc_clock_pause (1000 * CC_SECOND, 1000 * CC_SECOND);
+  cc_targets_init (&w->targets);
+  cc_view_init (&w->view);
+  for (guint i = 0; i < 5; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s%u", i);
+      g_autofree char *address = g_strdup_printf ("10.0.0.%u:80", i);
+
+      cc_view_put (&w->view, id, i + 1, address);
+    }
+  cc_targets_update (&w->targets, &w->view, decode, 0, cc_clock_now (),
+                     ignore_change, NULL);
+  w->forwarder = cc_forwarder_new (&setup);
+  w->route = (CcRoute){ .name = (char *) "r",
+                        .idempotent = c->idempotent,
+                        .timeout = 2 * CC_SECOND,
+                        .target = 500 * CC_MS,
+                        .attempts = c->attempts };
+  w->word = (CcCallerWord){ (char *) "r1", 1500 * CC_MS, -1 };
+  w->body = g_bytes_new_static ("", 0);
+}
+
+static CcExchange *
+begin (World *w, Outcome *o)
+{
+  CcExchangeStart s = { .route = &w->route,
+                        .pool = "booking",
+                        .word = &w->word,
+                        .method = "POST",
+                        .path = "/b",
+                        .headers = "",
+                        .body = w->body };
+
+  return cc_exchange_begin (w->forwarder, &s, on_end, o);
+}
+
+/* Lets some requests go well, and time pass, so that there is a budget. */
+static void
+earn_budget (World *w)
+{
+  for (guint i = 0; i < 20; i++)
+    {
+      Outcome o = { 0 };
+
+      begin (w, &o);
+      play (OK_200);
+      assert_true (o.ended);
+    }
+  g_ptr_array_set_size (net.addresses, 0);
+}
+
+static void
+world_clear (World *w)
+{
+  g_queue_free (net.calls);
+  g_ptr_array_unref (net.addresses);
+  g_bytes_unref (w->body);
+  cc_clock_resume ();
+}
+
+static gboolean
+all_differ (const GPtrArray *addresses)
+{
+  for (guint i = 0; i < addresses->len; i++)
+    for (guint k = 0; k < i; k++)
+      if (g_str_equal (addresses->pdata[i], addresses->pdata[k]))
+        return FALSE;
+  return TRUE;
+}
+
+static void
+requests_end_as_the_cases_say (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      World w;
+      Outcome o = { 0 };
+
+      world_init (&w, c);
+      earn_budget (&w);
+      begin (&w, &o);
+      for (guint k = 0; k < ATTEMPTS_MAX && !o.ended; k++)
+        play (c->script[k]);
+      if (!o.ended || o.kind != c->end || o.status != c->status ||
+          strcmp (o.reason, c->reason) != 0 || net.addresses->len != c->sent ||
+          !all_differ (net.addresses))
+        fail_msg ("%s: end %d, reason %s, status %u, %u sent", c->name, o.kind,
+                  o.reason, o.status, net.addresses->len);
+      world_clear (&w);
+    }
+}
+
+/* A pool where everything is shed, for 8 s of a window of 10 s: after the
+ * budget is spent nothing is sent again, however many requests come, and each
+ * is told at once when to return.
+ */
+static void
+repeats_are_bounded_by_the_budget (void **state)
+{
+  static const Case any = { .idempotent = TRUE, .attempts = 3 };
+  World w;
+  guint requests = 400;
+
+  (void) state;
+  world_init (&w, &any);
+  for (guint i = 0; i < requests; i++)
+    {
+      Outcome o = { 0 };
+
+      begin (&w, &o);
+      while (!o.ended && !g_queue_is_empty (net.calls))
+        play (SHED_503);
+      cc_clock_advance (20 * CC_MS);
+      if (!o.ended)
+        cc_forwarder_pump (w.forwarder);
+      while (!o.ended && !g_queue_is_empty (net.calls))
+        play (SHED_503);
+      assert_true (o.ended);
+      assert_int_equal (o.kind, CC_END_NOT_RUN);
+      assert_true (o.retry_after > 0);
+    }
+  assert_true (net.addresses->len <= requests + 0.2 * requests + 100);
+  world_clear (&w);
+}
+
+/* The caller left.  Idempotent work is ended at the server, once-only work goes
+ * on and its answer goes to nobody. */
+static void
+a_caller_that_left_ends_idempotent_work_only (void **state)
+{
+  (void) state;
+  for (guint idempotent = 0; idempotent < 2; idempotent++)
+    {
+      const Case c = { .idempotent = idempotent, .attempts = 2 };
+      World w;
+      Outcome o = { 0 };
+
+      world_init (&w, &c);
+      cc_exchange_cancel (begin (&w, &o));
+      assert_int_equal (net.cancelled, idempotent);
+      if (!idempotent)
+        play (OK_200);
+      assert_false (o.ended);
+      assert_int_equal (cc_forwarder_pending (w.forwarder), 0);
+      world_clear (&w);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (requests_end_as_the_cases_say),
+    cmocka_unit_test (repeats_are_bounded_by_the_budget),
+    cmocka_unit_test (a_caller_that_left_ends_idempotent_work_only),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_http_link.c
@@ -0,0 +1,315 @@
+/* What a call says of its end, against a server that answers byte by byte as
+ * told.  A wrong word here turns into work that runs twice, or an answer that
+ * reaches another caller. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <cmocka.h>
+#include <gio/gio.h>
+
+#include "http_link.h"
+
+#define ECHO "X-Echo"
+#define WITHIN (300 * CC_MS)
+
+typedef enum
+{
+  THEN_KEEP,  /* the connection stays open */
+  THEN_CLOSE, /* ... is closed */
+  THEN_RESET
+} Then;
+
+typedef struct
+{
+  const char *name;
+  const char *bytes; /* of the answer */
+  Then then;
+  CcHttpEnd end;
+  guint status;
+  const char *body;
+  gboolean kept; /* the next call goes out on the same connection */
+} Case;
+
+#define OK "HTTP/1.1 200 OK\r\n"
+
+static const Case cases[] = {
+  { "whole", OK "Content-Length: 2\r\nX-Echo: 1\r\n\r\nhi", THEN_KEEP,
+    CC_HTTP_ANSWERED, 200, "hi", TRUE },
+  { "in chunks",
+    OK "Transfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n"
+       "0\r\n\r\n",
+    THEN_KEEP, CC_HTTP_ANSWERED, 200, "hi", TRUE },
+  { "no length, closed", OK "\r\nhi", THEN_CLOSE, CC_HTTP_ANSWERED, 200, "hi",
+    FALSE },
+  { "no length, reset", OK "\r\nhi", THEN_RESET, CC_HTTP_LOST, 0, "", FALSE },
+  { "ends early", OK "Content-Length: 5\r\n\r\nhi", THEN_CLOSE, CC_HTTP_LOST, 0,
+    "", FALSE },
+  { "chunk ends early", OK "Transfer-Encoding: chunked\r\n\r\n5\r\nhi",
+    THEN_CLOSE, CC_HTTP_LOST, 0, "", FALSE },
+  { "no answer, closed", "", THEN_CLOSE, CC_HTTP_LOST, 0, "", FALSE },
+  { "no answer, reset", "", THEN_RESET, CC_HTTP_LOST, 0, "", FALSE },
+  { "silent", "", THEN_KEEP, CC_HTTP_LATE, 0, "", FALSE },
+  { "stops in the middle", OK "Content-Length: 5\r\n\r\nhi", THEN_KEEP,
+    CC_HTTP_LATE, 0, "", FALSE },
+  { "not HTTP", "what?\r\n\r\n", THEN_KEEP, CC_HTTP_LOST, 0, "", FALSE },
+  { "says it closes", OK "Content-Length: 2\r\nConnection: close\r\n\r\nhi",
+    THEN_KEEP, CC_HTTP_ANSWERED, 200, "hi", FALSE },
+  { "surplus bytes", OK "Content-Length: 2\r\n\r\nhi!", THEN_KEEP,
+    CC_HTTP_ANSWERED, 200, "hi", FALSE },
+  { "a second answer",
+    OK "Content-Length: 2\r\n\r\nhi" OK "Content-Length: 2\r\n\r\nho",
+    THEN_KEEP, CC_HTTP_ANSWERED, 200, "hi", FALSE },
+  { "another's answer first",
+    OK "Content-Length: 2\r\nX-Echo: 0\r\n\r\nho" OK
+       "Content-Length: 2\r\nX-Echo: 1\r\n\r\nhi",
+    THEN_KEEP, CC_HTTP_ANSWERED, 200, "hi", FALSE },
+  { "only another's answer", OK "Content-Length: 2\r\nX-Echo: 0\r\n\r\nho",
+    THEN_KEEP, CC_HTTP_LATE, 0, "", FALSE },
+  { "says it goes on first",
+    "HTTP/1.1 100 Continue\r\n\r\n" OK "Content-Length: 2\r\n\r\nhi", THEN_KEEP,
+    CC_HTTP_ANSWERED, 200, "hi", TRUE },
+};
+
+/* ---- the server ---- */
+
+static struct
+{
+  GSocketService *service;
+  char *address;
+  const Case *playing;
+  GPtrArray *streams; /* open connections */
+  guint accepted;
+  gssize read_end; /* of a connection that was watched to its end */
+  gboolean reset;  /* it ended by a reset */
+} server;
+
+static void
+end_stream (GIOStream *s, Then then)
+{
+  GSocket *socket = g_socket_connection_get_socket (G_SOCKET_CONNECTION (s));
+  const struct linger at_once = { 1, 0 };
+
+  if (then == THEN_RESET)
+    setsockopt (g_socket_get_fd (socket), SOL_SOCKET, SO_LINGER, &at_once,
+                sizeof at_once);
+  g_socket_close (socket, NULL);
+}
+
+static gboolean
+on_request (GSocket *socket, GIOCondition seen, gpointer data)
+{
+  GIOStream *s = data;
+  char buffer[4096];
+  gssize n = g_socket_receive (socket, buffer, sizeof buffer - 1, NULL, NULL);
+
+  (void) seen;
+  if (n <= 0)
+    {
+      server.reset = n < 0;
+      server.read_end = n;
+      return G_SOURCE_REMOVE;
+    }
+  buffer[n] = '\0';
+  if (strstr (buffer, "\r\n\r\n") == NULL)
+    return G_SOURCE_CONTINUE;
+  g_socket_send (socket, server.playing->bytes, strlen (server.playing->bytes),
+                 NULL, NULL);
+  if (server.playing->then == THEN_KEEP)
+    return G_SOURCE_CONTINUE;
+  end_stream (s, server.playing->then);
+  return G_SOURCE_REMOVE;
+}
+
+static gboolean
+on_connection (GSocketService *service, GSocketConnection *c, GObject *source,
+               gpointer data)
+{
+  GSource *watch = g_socket_create_source (g_socket_connection_get_socket (c),
+                                           G_IO_IN, NULL);
+
+  (void) service, (void) source, (void) data;
+  server.accepted++;
+  g_ptr_array_add (server.streams, g_object_ref (c));
+  g_socket_set_blocking (g_socket_connection_get_socket (c), FALSE);
+  g_source_set_callback (watch, G_SOURCE_FUNC (on_request), c, NULL);
+  g_source_attach (watch, NULL);
+  g_source_unref (watch);
+  return TRUE;
+}
+
+static int
+start_server (void **state)
+{
+  g_autoptr (GInetAddress) ip =
+      g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
+  g_autoptr (GSocketAddress) at = g_inet_socket_address_new (ip, 0);
+  g_autoptr (GSocketAddress) got = NULL;
+
+  (void) state;
+  server.service = g_socket_service_new ();
+  server.streams = g_ptr_array_new_with_free_func (g_object_unref);
+  if (!g_socket_listener_add_address (G_SOCKET_LISTENER (server.service), at,
+                                      G_SOCKET_TYPE_STREAM,
+                                      G_SOCKET_PROTOCOL_TCP, NULL, &got, NULL))
+    return -1;
+  server.address = g_strdup_printf (
+      "127.0.0.1:%u",
+      g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (got)));
+  g_signal_connect (server.service, "incoming", G_CALLBACK (on_connection),
+                    NULL);
+  return 0;
+}
+
+/* ---- calls ---- */
+
+typedef struct
+{
+  gboolean ended;
+  CcHttpEnd end;
+  guint status;
+  char body[64];
+} Outcome;
+
+static void
+on_done (const CcHttpResult *r, gpointer data)
+{
+  Outcome *o = data;
+  gsize size = 0;
+  gconstpointer bytes =
+      r->body != NULL ? g_bytes_get_data (r->body, &size) : NULL;
+
+  o->ended = TRUE;
+  o->end = r->end;
+  o->status = r->status;
+  if (size > 0)
+    memcpy (o->body, bytes, MIN (size, sizeof o->body - 1));
+}
+
+static CcHttpOrder
+order_to (const char *address)
+{
+  return (CcHttpOrder){ .address = address,
+                        .head = "GET /x HTTP/1.1\r\nHost: a\r\n",
+                        .echo = ECHO,
+                        .echo_value = "1",
+                        .connect_within = WITHIN,
+                        .answer_within = WITHIN,
+                        .idle_max = CC_SECOND };
+}
+
+static Outcome
+call (CcHttp *h, const CcHttpOrder *o)
+{
+  Outcome out = { 0 };
+
+  assert_non_null (cc_http_send (h, o, on_done, &out));
+  while (!out.ended)
+    g_main_context_iteration (NULL, TRUE);
+  return out;
+}
+
+/* Runs the main loop for MS ms. */
+static void
+turn (guint ms)
+{
+  gint64 until = g_get_monotonic_time () + ms * CC_MS;
+
+  while (g_get_monotonic_time () < until)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      g_usleep (CC_MS);
+    }
+}
+
+static void
+ends_are_told_as_they_are (void **state)
+{
+  static const Case good = { "good",    OK "Content-Length: 0\r\n\r\n",
+                             THEN_KEEP, CC_HTTP_ANSWERED,
+                             200,       "",
+                             TRUE };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      CcHttp *h = cc_http_new ("127.0.0.1");
+      CcHttpOrder o = order_to (server.address);
+      Outcome out;
+      guint accepted;
+
+      server.playing = c;
+      out = call (h, &o);
+      if (out.end != c->end || out.status != c->status ||
+          strcmp (out.body, c->body) != 0)
+        fail_msg ("%s: end %d, status %u, body \"%s\"", c->name, out.end,
+                  out.status, out.body);
+      server.playing = &good;
+      accepted = server.accepted;
+      call (h, &o);
+      if ((server.accepted == accepted) != c->kept)
+        fail_msg ("%s: the connection was %s", c->name,
+                  c->kept ? "not kept" : "kept");
+      cc_http_free (h);
+    }
+}
+
+/* Nobody listens: nothing left this process, so the request may go elsewhere.
+ */
+static void
+a_refused_connection_is_unsent (void **state)
+{
+  CcHttp *h = cc_http_new ("127.0.0.1");
+  CcHttpOrder o = order_to ("127.0.0.1:1");
+
+  (void) state;
+  assert_int_equal (call (h, &o).end, CC_HTTP_UNSENT);
+  cc_http_free (h);
+}
+
+/* A caller is told that its request was given up, while the bytes wait behind a
+ * cut.  Delivered after the heal they would still be worked on.  So the close
+ * must be a reset, which drops them. */
+static void
+a_call_that_is_given_up_resets_its_connection (void **state)
+{
+  static const Case silent = { "silent", "", THEN_KEEP, CC_HTTP_LATE,
+                               0,        "", FALSE };
+  CcHttp *h = cc_http_new ("127.0.0.1");
+  CcHttpOrder o = order_to (server.address);
+  Outcome out = { 0 };
+  CcHttpCall *cancelled;
+
+  (void) state;
+  server.playing = &silent;
+  server.reset = FALSE;
+  assert_int_equal (call (h, &o).end, CC_HTTP_LATE);
+  turn (50);
+  assert_true (server.reset);
+  server.reset = FALSE;
+  o.idle_max = 0;
+  cancelled = cc_http_send (h, &o, on_done, &out);
+  turn (50);
+  assert_false (out.ended);
+  cc_http_cancel (cancelled);
+  turn (50);
+  assert_true (server.reset);
+  assert_false (out.ended);
+  cc_http_free (h);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (ends_are_told_as_they_are),
+    cmocka_unit_test (a_refused_connection_is_unsent),
+    cmocka_unit_test (a_call_that_is_given_up_resets_its_connection),
+  };
+
+  return cmocka_run_group_tests (tests, start_server, NULL);
+}
