--- a/pick.c
+++ b/pick.c
@@ -21,7 +21,13 @@
 #define USUAL_WEIGHT 0.2
 /* Weight of a new answer's time in the usual one.  Times spread by 0.8 of their
  * mean; five answers show a server that is five times slower. */
-#define SERVICE_WEIGHT 0.2
+#define SERVICE_WEIGHT 0.1
+/* A server counts as slow from this factor of the pool's usual time on.  Below,
+ * the difference is chance as often as not, and going by it sends requests to
+ * the few servers that seem fast: in a pool that is 62% busy 92.2% were
+ * answered within three times the mean, against 93.8% without it (test_pick).
+ */
+#define SLOW_FACTOR 1.5
 /* A measured time is forgotten by half in this time, in favour of the pool's.
  * Long enough not to send a burst back to a slow server. */
 #define SERVICE_TIME (5 * CC_SECOND)
@@ -157,6 +163,8 @@
       l->service == 0 ? usual : weight * l->service + (1.0 - weight) * usual;
   double before = MAX (cc_pick_inside (l, now) + 1.0 - l->slots, 0.0);
 
+  if (service < SLOW_FACTOR * usual)
+    service = usual;
   if (now < l->cold_until)
     service *= COLD_FACTOR;
   return service * (1.0 + before / l->slots);
--- /dev/null
+++ b/test/test_edge.c
@@ -0,0 +1,265 @@
+/* What is read from rows and answers that others write, good and bad.  A row
+ * that can't be read names no upstream and the others hold; a configuration
+ * that can't be read leaves the one in force. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "edge.h"
+#include "headers.h"
+
+typedef struct
+{
+  const char *name;
+  const char *value;
+  gboolean names_one;
+  gboolean leaving;
+  guint slots;
+  guint64 born;
+  gint64 cold_ms;
+} Listing;
+
+#define INFO "\"info\":{\"service\":\"p\",\"zone\":\"z\",\"slots\":4}"
+
+static const Listing listings[] = {
+  { "whole",
+    "{\"address\":\"10.0.0.1:80\",\"born\":1700000000123," INFO
+    ",\"status\":{\"state\":\"ready\",\"sequence\":4,\"warmupLeftMs\":700}}",
+    TRUE, FALSE, 4, 1700000000123, 700 },
+  { "leaving",
+    "{\"address\":\"10.0.0.1:80\"," INFO
+    ",\"status\":{\"state\":\"draining\"}}",
+    TRUE, TRUE, 4, 0, 0 },
+  { "unknown state",
+    "{\"address\":\"10.0.0.1:80\"," INFO ",\"status\":{\"state\":\"odd\"}}",
+    FALSE, FALSE, 0, 0, 0 },
+  { "state of another type",
+    "{\"address\":\"10.0.0.1:80\"," INFO ",\"status\":{\"state\":1}}", FALSE,
+    FALSE, 0, 0, 0 },
+  { "no state", "{\"address\":\"10.0.0.1:80\"," INFO ",\"status\":{}}", FALSE,
+    FALSE, 0, 0, 0 },
+  { "status is a list", "{\"address\":\"10.0.0.1:80\"," INFO ",\"status\":[]}",
+    FALSE, FALSE, 0, 0, 0 },
+  { "no address", "{" INFO ",\"status\":{\"state\":\"ready\"}}", FALSE, FALSE,
+    0, 0, 0 },
+  { "address is a name",
+    "{\"address\":\"host:80\"," INFO ",\"status\":{\"state\":\"ready\"}}",
+    FALSE, FALSE, 0, 0, 0 },
+  { "address without port",
+    "{\"address\":\"10.0.0.1\"," INFO ",\"status\":{\"state\":\"ready\"}}",
+    FALSE, FALSE, 0, 0, 0 },
+  { "slots are text",
+    "{\"address\":\"10.0.0.1:80\",\"info\":{\"service\":\"p\",\"zone\":\"z\","
+    "\"slots\":\"4\"},\"status\":{\"state\":\"ready\"}}",
+    FALSE, FALSE, 0, 0, 0 },
+  { "no slots",
+    "{\"address\":\"10.0.0.1:80\",\"info\":{\"service\":\"p\",\"zone\":\"z\","
+    "\"slots\":0},\"status\":{\"state\":\"ready\"}}",
+    FALSE, FALSE, 0, 0, 0 },
+  { "service is null",
+    "{\"address\":\"10.0.0.1:80\",\"info\":{\"service\":null,\"zone\":\"z\","
+    "\"slots\":4},\"status\":{\"state\":\"ready\"}}",
+    FALSE, FALSE, 0, 0, 0 },
+  { "born and warm-up of another type",
+    "{\"address\":\"10.0.0.1:80\",\"born\":\"x\"," INFO
+    ",\"status\":{\"state\":\"ready\",\"warmupLeftMs\":[]}}",
+    TRUE, FALSE, 4, 0, 0 },
+  { "not an object", "[1]", FALSE, FALSE, 0, 0, 0 },
+  { "cut short", "{\"address\":\"10.0.0.1:80\",", FALSE, FALSE, 0, 0, 0 },
+  { "empty", "", FALSE, FALSE, 0, 0, 0 },
+  { "not JSON", "\xc3\xa9", FALSE, FALSE, 0, 0, 0 },
+};
+
+static void
+listings_are_read_as_the_cases_say (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (listings); i++)
+    {
+      const Listing *c = &listings[i];
+      CcListing l = { 0 };
+      gboolean read = cc_edge_read_listing ("i-1", c->value, &l);
+
+      if (read != c->names_one)
+        fail_msg ("%s: read %d", c->name, read);
+      if (read && (l.leaving != c->leaving || l.slots != c->slots ||
+                   l.born != c->born || l.cold_for != c->cold_ms * CC_MS))
+        fail_msg ("%s: read wrong", c->name);
+      cc_listing_clear (&l);
+    }
+}
+
+static const char *const damaged[] = {
+  "",
+  "{",
+  "[]",
+  "{\"version\":\"00000001\"}",
+  "{\"version\":1,\"routes\":{}}",
+  "{\"version\":\"zz\",\"routes\":{}}",
+  "{\"version\":\"00000001\",\"routes\":[]}",
+};
+
+static void
+a_damaged_configuration_is_none (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (damaged); i++)
+    {
+      char *why = NULL;
+
+      assert_null (cc_edge_read_routes (damaged[i], &why));
+      assert_non_null (why);
+    }
+}
+
+static void
+a_configuration_is_read (void **state)
+{
+  static const char text[] =
+      "{\"version\":\"0000001f\",\"routes\":{"
+      "\"r1\":{\"host\":\"a.example\",\"prefix\":\"/x/\",\"kind\":\"safe\","
+      "\"timeoutMs\":1500,\"targetLatencyMs\":600,\"priority\":2,"
+      "\"maxAttempts\":2,\"backends\":[{\"service\":\"p\",\"weight\":90},"
+      "{\"service\":\"q\",\"weight\":10}]},"
+      "\"r2\":{\"host\":\"a.example\",\"prefix\":\"/y/\",\"kind\":\"unsafe\","
+      "\"service\":\"q\"},"
+      "\"odd\":{\"host\":7,\"prefix\":\"/z/\"}},"
+      "\"services\":{\"p\":{\"sharding\":true,\"maxConns\":130},\"q\":{}},"
+      "\"limits\":{\"maxBodyBytes\":1000,\"idleTimeoutMs\":15000}}";
+  char *why = NULL;
+  CcRoutes *r = cc_edge_read_routes (text, &why);
+  const CcRoute *route;
+
+  (void) state;
+  assert_non_null (r);
+  assert_int_equal (r->version, 0x1f);
+  assert_int_equal (r->count, 2);
+  assert_true (cc_routes_pool (r, "p")->keyed);
+  assert_false (cc_routes_pool (r, "q")->keyed);
+  assert_int_equal (cc_routes_pool (r, "p")->connections_max, 130);
+  assert_int_equal (r->limits.body_max, 1000);
+  route = cc_routes_find (r, "a.example", "/x/1");
+  assert_true (route->idempotent);
+  assert_int_equal (route->timeout, 1500 * CC_MS);
+  assert_int_equal (route->target, 600 * CC_MS);
+  assert_int_equal (route->parts->len, 2);
+  assert_false (cc_routes_find (r, "a.example", "/y/1")->idempotent);
+  cc_routes_free (r);
+}
+
+typedef struct
+{
+  const char *name;
+  guint status;
+  const char *headers[3]; /* name=value */
+  gboolean reused;
+  CcServerWordKind kind;
+  gboolean load;
+} Answer;
+
+static const Answer answers[] = {
+  { "served",
+    200,
+    { "X-Request-Id=r1", "X-Response-Signature=s", "X-Server-Load=3,1,4" },
+    TRUE,
+    CC_SERVER_ANSWERED,
+    TRUE },
+  { "failed",
+    500,
+    { "X-Request-Id=r1", "X-Response-Signature=s" },
+    TRUE,
+    CC_SERVER_ANSWERED,
+    FALSE },
+  { "shed",
+    503,
+    { "X-Not-Executed=1", "X-Request-Id=r1" },
+    TRUE,
+    CC_SERVER_SHED,
+    FALSE },
+  { "shed without echo, new connection",
+    503,
+    { "X-Not-Executed=1" },
+    FALSE,
+    CC_SERVER_SHED,
+    FALSE },
+  { "shed without echo, kept connection",
+    503,
+    { "X-Not-Executed=1" },
+    TRUE,
+    CC_SERVER_NONSENSE,
+    FALSE },
+  { "503 that promises nothing",
+    503,
+    { "X-Request-Id=r1" },
+    FALSE,
+    CC_SERVER_NONSENSE,
+    FALSE },
+  { "another server",
+    421,
+    { "X-Request-Id=r1" },
+    TRUE,
+    CC_SERVER_MISDIRECTED,
+    FALSE },
+  { "another's echo",
+    200,
+    { "X-Request-Id=r2", "X-Response-Signature=s" },
+    FALSE,
+    CC_SERVER_NONSENSE,
+    FALSE },
+  { "no signature",
+    200,
+    { "X-Request-Id=r1" },
+    FALSE,
+    CC_SERVER_NONSENSE,
+    FALSE },
+  { "load that is none",
+    200,
+    { "X-Request-Id=r1", "X-Response-Signature=s", "X-Server-Load=a,b" },
+    FALSE,
+    CC_SERVER_ANSWERED,
+    FALSE },
+};
+
+static void
+answers_are_worth_what_the_cases_say (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      const Answer *a = &answers[i];
+      GString *packed = g_string_new (NULL);
+      g_autoptr (GVariant) headers = NULL;
+      CcHttpResult r = { .end = CC_HTTP_ANSWERED,
+                         .status = a->status,
+                         .reused = a->reused };
+      CcServerWord word;
+
+      for (guint k = 0; k < 3 && a->headers[k] != NULL; k++)
+        {
+          g_auto (GStrv) parts = g_strsplit (a->headers[k], "=", 2);
+
+          cc_headers_add (packed, parts[0], parts[1]);
+        }
+      r.headers = headers = cc_headers_take (packed);
+      cc_edge_read_server (&r, "r1", &word);
+      if (word.kind != a->kind || word.load.said != a->load)
+        fail_msg ("%s: kind %d", a->name, word.kind);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (listings_are_read_as_the_cases_say),
+    cmocka_unit_test (a_damaged_configuration_is_none),
+    cmocka_unit_test (a_configuration_is_read),
+    cmocka_unit_test (answers_are_worth_what_the_cases_say),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_routes.c
@@ -0,0 +1,149 @@
+/* Routes by host and prefix, shares by weight, and the bound on repeats. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "retry_budget.h"
+#include "routes.h"
+
+typedef struct
+{
+  const char *host;
+  const char *path;
+  const char *route; /* NULL: none */
+} Find;
+
+static const Find finds[] = {
+  { "a.example", "/x/", "x" },      { "a.example", "/x/1", "x" },
+  { "a.example", "/x/y/1", "xy" },  { "a.example", "/x", NULL },
+  { "a.example", "/xy/1", NULL },   { "a.example", "/", NULL },
+  { "A.Example", "/x/1", "x" },     { "a.example:8080", "/x/1", "x" },
+  { "b.example", "/x/1", "other" }, { "b.example", "/y/1", "all" },
+  { "c.example", "/x/1", NULL },    { "", "/x/1", NULL },
+};
+
+static void
+the_longest_prefix_of_the_host_wins (void **state)
+{
+  CcRoutes *r = cc_routes_new (1);
+
+  (void) state;
+  cc_routes_add (r, "x", "a.example", "/x/");
+  cc_routes_add (r, "xy", "a.example", "/x/y/");
+  cc_routes_add (r, "all", "b.example", "/");
+  cc_routes_add (r, "other", "b.example", "/x/");
+  for (guint i = 0; i < G_N_ELEMENTS (finds); i++)
+    {
+      const CcRoute *found = cc_routes_find (r, finds[i].host, finds[i].path);
+      const char *name = found != NULL ? found->name : NULL;
+
+      if (g_strcmp0 (name, finds[i].route) != 0)
+        fail_msg ("%s%s: %s", finds[i].host, finds[i].path, name);
+    }
+  cc_routes_free (r);
+}
+
+/* A dozen entries with a few requests each still keep a share of a tenth. */
+static void
+shares_hold_over_few_requests_of_many_entries (void **state)
+{
+  guint second = 0, all = 0;
+
+  (void) state;
+  for (guint entry = 0; entry < 11; entry++)
+    {
+      CcRoutes *r = cc_routes_new (1);
+      CcRoute *route = cc_routes_add (r, "x", "a", "/");
+
+      cc_route_add_part (route, "first", 90);
+      cc_route_add_part (route, "second", 10);
+      cc_route_add_part (route, "none", 0);
+      for (guint i = 0; i < 18 + entry; i++, all++)
+        {
+          const char *pool = cc_route_next_pool (route);
+
+          assert_string_not_equal (pool, "none");
+          second += strcmp (pool, "second") == 0;
+        }
+      cc_routes_free (r);
+    }
+  assert_true (second > 0.05 * all && second < 0.15 * all);
+}
+
+static void
+a_route_without_weight_leads_nowhere (void **state)
+{
+  CcRoutes *r = cc_routes_new (1);
+  CcRoute *route = cc_routes_add (r, "x", "a", "/");
+
+  (void) state;
+  cc_route_add_part (route, "none", 0);
+  assert_null (cc_route_next_pool (route));
+  cc_routes_free (r);
+}
+
+/* Everything fails and every entry repeats as often as it may, for a minute,
+ * and some are killed and start anew.  In no window may the fleet make more
+ * repeats than the operators allow. */
+static void
+the_fleet_keeps_the_bound_in_every_window (void **state)
+{
+  enum
+  {
+    ENTRIES = 11,
+    SECONDS = 60
+  };
+  static const CcRetryBound bound = { 0.2, 62, 10 * CC_SECOND };
+
+  (void) state;
+  for (guint seed = 0; seed < 200; seed++)
+    {
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+      CcRetryBudget budgets[ENTRIES] = { 0 };
+      guint requests[SECONDS * 10] = { 0 }, repeats[SECONDS * 10] = { 0 };
+
+      for (guint t = 0; t < SECONDS * 10; t++)
+        for (guint e = 0; e < ENTRIES; e++)
+          {
+            guint n = (guint) g_rand_int_range (rand, 0, e + 2);
+
+            if (g_rand_int_range (rand, 0, 2000) == 0)
+              budgets[e] = (CcRetryBudget){ 0 };
+            requests[t] += n;
+            for (guint i = 0; i < n; i++)
+              cc_retry_budget_first (&budgets[e], &bound);
+            while (cc_retry_budget_take (&budgets[e], &bound, ENTRIES,
+                                         (t + 1) * CC_SECOND / 10))
+              repeats[t]++;
+          }
+      for (guint from = 0; from + 100 <= SECONDS * 10; from++)
+        {
+          guint asked = 0, again = 0;
+
+          for (guint t = from; t < from + 100; t++)
+            {
+              asked += requests[t];
+              again += repeats[t];
+            }
+          if (again > bound.ratio * asked + bound.slack)
+            fail_msg ("seed %u: %u repeats of %u requests", seed, again, asked);
+        }
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (the_longest_prefix_of_the_host_wins),
+    cmocka_unit_test (shares_hold_over_few_requests_of_many_entries),
+    cmocka_unit_test (a_route_without_weight_leads_nowhere),
+    cmocka_unit_test (the_fleet_keeps_the_bound_in_every_window),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
