--- a/granter.c
+++ b/granter.c
@@ -49,8 +49,9 @@
 #define PLAN_MAX 80
 /* A list of upstreams that is still filling is not divided yet. */
 #define SETTLE (700 * CC_MS)
-#define SETTLE_MOST (2500 * CC_MS) /* from then on, with those that are there  \
-                                    */
+#define SETTLE_MOST                                                            \
+  (2500 * CC_MS) /* from then on, with those that are there                    \
+                  */
 /* How often load is looked at, after the first BALANCE_FIRST of a duty in which
  * reports come in.  A range that moved rests for a while, so that a move is
  * judged by what it changed. */
@@ -114,9 +115,10 @@
   gboolean doubtful; /* a write's answer was lost: read first */
   gboolean resigning;
   gboolean resigned;
-  gint64 stand_back; /* claims nothing before, us */
-  gint64 next_look;  /* at the row, while watching, us */
-  gint64 sent;       /* the write in progress, us */
+  gboolean may_claim; /* by the row as it was last read */
+  gint64 stand_back;  /* claims nothing before, us */
+  gint64 next_look;   /* at the row, while watching, us */
+  gint64 sent;        /* the write in progress, us */
   guint rank;
   gint64 predecessor_until;
   gint64 targets_changed; /* us */
@@ -567,6 +569,21 @@
   x->written = FALSE;
 }
 
+/* The owner's address is another's: it has ended, and what anybody granted it
+ * has ended with it. */
+static void
+owner_ended (Grant *x, gint64 now)
+{
+  cc_event (CC_EVENT_STATE, "owner-ended", "pool", x->pool, "owner",
+            x->range->owner, "from", cc_event_int (x->range->from), NULL);
+  x->held = FALSE;
+  x->raised = FALSE;
+  x->owner_until = 0;
+  x->owner_doubt = 0;
+  x->not_before = now + CC_GRANT_RENEW;
+  x->granter->replan = TRUE;
+}
+
 static void
 on_granted (const CcHttpResult *r, gpointer data)
 {
@@ -581,6 +598,11 @@
       x->not_before = now + CALL_RETRY;
       return;
     }
+  if (cc_edge_is_other_server (r))
+    {
+      owner_ended (x, now);
+      return;
+    }
   x->owner_until = MAX (x->owner_until, cc_grant_ends (now));
   if (r->end == CC_HTTP_ANSWERED && r->status == 200)
     {
@@ -613,6 +635,10 @@
 
   if (t == NULL || t->listing.born != x->range->born)
     return;
+  /* Each grant to one that has left and does not answer would put off the time
+   * at which its keys may go to another. */
+  if (t->state == CC_TARGET_GONE && !x->held && x->unanswered != 0)
+    return;
   head = cc_edge_grant_head (&what, &body);
   whole = with_host (head, t->listing.address);
   /* From the moment of sending, the owner may have it. */
@@ -837,6 +863,8 @@
         take_duty (g, version);
       else
         cc_duty_seen (&g->duty, version, holder[0] == '\0', now);
+      /* Only what was read just now says that the holder is silent. */
+      g->may_claim = cc_duty_may_claim (&g->duty, now);
       return;
     }
   g->doubtful = FALSE;
@@ -877,8 +905,11 @@
       Grant *x = grant_new (g, p, p->ranges.list->pdata[k]);
 
       x->owner_until = until;
-      x->previous_until = until;
-      x->previous_doubt = cc_grant_ends (now);
+      if (x->range->previous != NULL)
+        {
+          x->previous_until = until;
+          x->previous_doubt = cc_grant_ends (now);
+        }
       x->owner_doubt = until;
       x->written = x->range->previous != NULL;
       x->dirty = !x->written;
@@ -1022,6 +1053,7 @@
       g_strdup_printf ("{\"holder\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT "}",
                        g->resigning ? "" : g->id, ++g->sequence);
 
+  g->may_claim = FALSE;
   if (!g->duty.held)
     g->predecessor_until = cc_duty_predecessor_until (&g->duty);
   cc_table_expect (c, CC_TABLE_DUTY, DUTY_KEY, g->duty.version);
@@ -1042,7 +1074,7 @@
     {
       if (g->resigning)
         g->resigned = TRUE;
-      else if (cc_duty_may_claim (&g->duty, now) && now >= g->stand_back)
+      else if (g->may_claim && now >= g->stand_back)
         write_duty (g);
       else if (now >= g->next_look)
         {
