--- a/forward.c
+++ b/forward.c
@@ -39,6 +39,10 @@
  * Longer, it would only keep the caller from coming back when the keys have
  * moved or the queue has drained. */
 #define OWNER_PART 0.125
+/* ... and is sent to it while an answer is to be expected within this many
+ * targets: the estimate is off by a third either way, and who is refused comes
+ * back late more often than who is sent. */
+#define OWNER_LATE 1.3
 /* Pause before a request for a key that moved is tried again, unless the
  * ranges change before. */
 #define MOVED_PAUSE (60 * CC_MS)
@@ -567,7 +571,7 @@
 } Step;
 
 /* Only the owner can serve E.  It is sent there as long as the answer is to be
- * expected within the target, however many wait inside; with nothing inside, in
+ * expected in time, however many wait inside; with nothing inside, in
  * any case. */
 static gboolean
 owner_has_room (const CcExchange *e, const CcTarget *t, gint64 now)
@@ -576,7 +580,7 @@
     return FALSE;
   return cc_pick_inside (&t->load, now) < t->load.slots ||
          cc_pick_time (&t->load, e->pool->usual, now) <=
-             (double) e->target_time;
+             OWNER_LATE * (double) e->target_time;
 }
 
 static Step
