In a large fleet a few processes of each zone watch the table for the others

Weighed: fewer changes (moves are what serves hot keys), longer pauses (a move holds requests). Change: from 24 processes on, three of each zone watch and hear from the service every 0.6 s; the rest wait for news at one of them and watch themselves when its word is older than 1.2 s. Small fleets are as before. Also: those who rarely look at the duty's row take turns by the fleet's size.

--- a/gateway.c
+++ b/gateway.c
@@ -2,9 +2,9 @@
  * upstreams, for pools whose upstreams check who owns a key or own none.  One
  * process an instance; one of them all grants the keys (granter.c). */
 #include <glib-unix.h>
-#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include <json-glib/json-glib.h>
@@ -31,6 +31,10 @@
 #define DRAIN_LOOK (50 * CC_MS)
 #define RECHECK (250 * CC_MS) /* of upstreams that are missing */
 #define GAUGES (1 * CC_SECOND)
+/* Processes from which on a few watch the table for the others: below, each
+ * watch of 10 s and each change cost less than the watchers' heartbeat. */
+#define LARGE_FLEET 24
+#define WATCHERS 3 /* of each zone: two may be lost at once */
 
 typedef struct
 {
@@ -49,6 +53,8 @@
   SoupServer *internal;
   guint64 routes_version; /* of the row in force */
   char **seeds;
+  GPtrArray *watchers; /* addresses of those that watch for this process */
+  GPtrArray *askers;   /* of Asker, who wait for news */
   gboolean registered;
   CcTimer registering;
   CcTimer recheck;
@@ -61,6 +67,7 @@
 } Gateway;
 
 static void update_targets (gpointer data);
+static void tell_askers (Gateway *g);
 
 /* ---- configuration ---- */
 
@@ -146,32 +153,59 @@
 
 /* ---- peers ---- */
 
-static char *
-address_of (const CcRow *row)
+/* A process of the fleet, from its row. */
+typedef struct
+{
+  char *address;
+  char *zone;
+} Member;
+
+static void
+member_clear (Member *m)
+{
+  g_free (m->address);
+  g_free (m->zone);
+}
+
+static Member
+read_member (const CcRow *row)
 {
   g_autoptr (JsonNode) root = json_from_string (row->value, NULL);
+  JsonObject *o = root != NULL && JSON_NODE_HOLDS_OBJECT (root)
+                      ? json_node_get_object (root)
+                      : NULL;
+
+  if (o == NULL)
+    return (Member){ 0 };
+  return (Member){
+    g_strdup (json_object_get_string_member_with_default (o, "address", "")),
+    g_strdup (json_object_get_string_member_with_default (o, "zone", ""))
+  };
+}
 
-  if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    return NULL;
-  return g_strdup (json_object_get_string_member_with_default (
-      json_node_get_object (root), "address", NULL));
+static GPtrArray *
+list_members (Gateway *g)
+{
+  return cc_view_list (cc_mirror_view (g->mirror, CC_TABLE_STATE),
+                       MEMBER_PREFIX);
 }
 
 /* Any other process of the fleet; a seed, while none is known. */
 static char *
-pick_peer (gpointer data)
+any_peer (Gateway *g)
 {
-  Gateway *g = data;
-  g_autoptr (GPtrArray) rows =
-      cc_view_list (cc_mirror_view (g->mirror, CC_TABLE_STATE), MEMBER_PREFIX);
+  g_autoptr (GPtrArray) rows = list_members (g);
   guint seeds = g_strv_length (g->seeds);
 
   for (guint tries = 0; rows->len > 0 && tries < 4; tries++)
     {
-      g_autofree char *address =
-          address_of (rows->pdata[g_random_int_range (0, (gint32) rows->len)]);
+      Member m =
+          read_member (rows->pdata[g_random_int_range (0, (gint32) rows->len)]);
+      g_autofree char *address = g_steal_pointer (&m.address);
 
-      if (address != NULL && !g_str_equal (address, g->address))
+      member_clear (&m);
+      if (address != NULL && address[0] != '\0' &&
+          !g_str_equal (address, g->address))
         return g_steal_pointer (&address);
     }
   return seeds > 0 && g->seeds[0][0] != '\0'
@@ -179,20 +213,66 @@
              : NULL;
 }
 
+static char *
+pick_peer (CcPeerKind kind, gpointer data)
+{
+  Gateway *g = data;
+
+  switch (kind)
+    {
+    case CC_PEER_ANY:
+      return any_peer (g);
+    case CC_PEER_WATCHER:
+      return g->watchers->len == 0
+                 ? NULL
+                 : g_strdup (g->watchers->pdata[g_random_int_range (
+                       0, (gint32) g->watchers->len)]);
+    }
+  return NULL;
+}
+
+/* In a large fleet the first WATCHERS processes of each zone watch the table
+ * for the others. */
+static void
+choose_watchers (Gateway *g, const GPtrArray *rows)
+{
+  const char *zone = cc_setting (g->settings, "zone");
+  gboolean is_watcher = FALSE;
+  guint found = 0;
+
+  g_ptr_array_set_size (g->watchers, 0);
+  for (guint i = 0;
+       rows->len >= LARGE_FLEET && i < rows->len && found < WATCHERS; i++)
+    {
+      Member m = read_member (rows->pdata[i]);
+
+      if (g_strcmp0 (m.zone, zone) == 0)
+        {
+          found++;
+          if (g_str_equal (m.address, g->address))
+            is_watcher = TRUE;
+          else
+            g_ptr_array_add (g->watchers, g_strdup (m.address));
+        }
+      member_clear (&m);
+    }
+  cc_mirror_watch_for_others (g->mirror, is_watcher);
+}
+
 static void
 take_members (Gateway *g)
 {
-  g_autoptr (GPtrArray) rows =
-      cc_view_list (cc_mirror_view (g->mirror, CC_TABLE_STATE), MEMBER_PREFIX);
+  g_autoptr (GPtrArray) rows = list_members (g);
   g_autofree char *own = g_strconcat (MEMBER_PREFIX, g->instance, NULL);
   guint rank = 0;
 
   while (rank < rows->len &&
          !g_str_equal (((CcRow *) rows->pdata[rank])->key, own))
     rank++;
-  cc_granter_rank (g->granter, rank);
+  cc_granter_rank (g->granter, rank, rows->len);
   cc_forwarder_entries (g->forwarder, rows->len);
   bound_connections (g);
+  choose_watchers (g, rows);
 }
 
 static void registration (gpointer data);
@@ -214,7 +294,9 @@
   Gateway *g = data;
   CcTableChange *c = cc_table_change_new ();
   g_autofree char *key = g_strconcat (MEMBER_PREFIX, g->instance, NULL);
-  g_autofree char *value = g_strdup_printf ("{\"address\":\"%s\"}", g->address);
+  g_autofree char *value =
+      g_strdup_printf ("{\"address\":\"%s\",\"zone\":\"%s\"}", g->address,
+                       cc_setting (g->settings, "zone"));
 
   cc_table_put (c, CC_TABLE_STATE, key, value);
   cc_table_commit (g->table, c, on_registered, g);
@@ -294,6 +376,7 @@
     case CC_TABLE_DUTY:
       break;
     }
+  tell_askers (g);
 }
 
 /* ---- the ports beside the callers' ---- */
@@ -324,6 +407,51 @@
       "text/plain", why == NULL ? "ready\n" : why);
 }
 
+/* A peer that waits for news. */
+typedef struct
+{
+  Gateway *gateway;
+  SoupServerMessage *message;
+  guint64 since[CC_TABLE_FOLLOWED];
+  CcTimer timer;
+} Asker;
+
+static void
+answer_peer (Gateway *g, SoupServerMessage *m, const guint64 *since)
+{
+  g_autoptr (GBytes) rows = cc_mirror_rows_since (g->mirror, since);
+
+  soup_server_message_set_status (m, SOUP_STATUS_OK, NULL);
+  soup_message_body_append_bytes (soup_server_message_get_response_body (m),
+                                  rows);
+}
+
+static void
+asker_answer (gpointer data)
+{
+  Asker *a = data;
+
+  cc_timer_stop (&a->timer);
+  g_ptr_array_remove_fast (a->gateway->askers, a);
+  answer_peer (a->gateway, a->message, a->since);
+  soup_server_message_unpause (a->message);
+  g_object_unref (a->message);
+  g_free (a);
+}
+
+/* Tells the peers that wait. */
+static void
+tell_askers (Gateway *g)
+{
+  for (guint i = g->askers->len; i > 0; i--)
+    {
+      Asker *a = g->askers->pdata[i - 1];
+
+      if (cc_mirror_has_news (g->mirror, a->since))
+        asker_answer (a);
+    }
+}
+
 static void
 on_rows_asked (SoupServer *server, SoupServerMessage *m, const char *path,
                GHashTable *query, gpointer data)
@@ -331,16 +459,27 @@
   Gateway *g = data;
   guint64 since[CC_TABLE_FOLLOWED] = { 0 };
   const char *text = query != NULL ? g_hash_table_lookup (query, "since") : "";
+  const char *wait = query != NULL ? g_hash_table_lookup (query, "wait") : "0";
   g_auto (GStrv) parts = g_strsplit (text != NULL ? text : "", ",", -1);
-  g_autoptr (GBytes) rows = NULL;
+  Asker *a;
 
   (void) server, (void) path;
   for (guint i = 0; i < CC_TABLE_FOLLOWED && parts[i] != NULL; i++)
     since[i] = g_ascii_strtoull (parts[i], NULL, 10);
-  rows = cc_mirror_rows_since (g->mirror, since);
-  soup_server_message_set_status (m, SOUP_STATUS_OK, NULL);
-  soup_message_body_append_bytes (soup_server_message_get_response_body (m),
-                                  rows);
+  if (wait == NULL || g_ascii_strtoll (wait, NULL, 10) <= 0 ||
+      cc_mirror_has_news (g->mirror, since))
+    {
+      answer_peer (g, m, since);
+      return;
+    }
+  a = g_new0 (Asker, 1);
+  a->gateway = g;
+  a->message = g_object_ref (m);
+  memcpy (a->since, since, sizeof since);
+  soup_server_message_pause (m);
+  g_ptr_array_add (g->askers, a);
+  cc_timer_start (&a->timer, g_ascii_strtoll (wait, NULL, 10) * CC_MS,
+                  asker_answer, a);
 }
 
 static gboolean
@@ -465,6 +604,8 @@
   g->callers = cc_callers_new (g->forwarder);
   g->granter = cc_granter_new (&granting);
   g->mirror = cc_mirror_new (g->table, g->http, on_rows, pick_peer, g);
+  g->watchers = g_ptr_array_new_with_free_func (g_free);
+  g->askers = g_ptr_array_new ();
   g->seeds = cc_setting_list (g->settings, "seeds");
   return TRUE;
 }
--- a/granter.c
+++ b/granter.c
@@ -27,11 +27,14 @@
 
 #define DUTY_KEY "granter"
 #define TICK (50 * CC_MS)
-/* How often a process looks at the duty's row: the first two of the fleet often
+/* How often a process looks at the duty's row: the first few of the fleet often
  * enough to take over in time, the rest only so that somebody does. */
 #define WATCH_PERIOD (400 * CC_MS)
-#define WATCH_PERIOD_REST (4 * CC_SECOND)
-#define WATCH_RANKS 2
+#define WATCH_RANKS 3
+/* The rest take turns: together they look about every LOOK_TOGETHER, and each
+ * at least every WATCH_PERIOD_MOST. */
+#define LOOK_TOGETHER (350 * CC_MS)
+#define WATCH_PERIOD_MOST (15 * CC_SECOND)
 #define CALL_CONNECT (300 * CC_MS)
 #define CALL_WITHIN (800 * CC_MS)
 /* A release is answered when the work on the keys has ended: the longest of
@@ -119,7 +122,8 @@
   gint64 stand_back;  /* claims nothing before, us */
   gint64 next_look;   /* at the row, while watching, us */
   gint64 sent;        /* the write in progress, us */
-  guint rank;
+  guint rank;         /* in the order of watching */
+  guint fleet;        /* processes that registered */
   gint64 predecessor_until;
   gint64 targets_changed; /* us */
   gint64 loaded_at;       /* when the rows were read, us */
@@ -216,11 +220,13 @@
     }
 }
 
-/* This process is the RANK-th of the fleet in the order of watching. */
+/* This process is the RANK-th of a FLEET of so many in the order of watching.
+ */
 void
-cc_granter_rank (CcGranter *g, guint rank)
+cc_granter_rank (CcGranter *g, guint rank, guint fleet)
 {
   g->rank = rank;
+  g->fleet = fleet;
 }
 
 /* The upstreams that may own keys have changed.  TROUBLE is when their list's
--- a/granter.h
+++ b/granter.h
@@ -22,7 +22,7 @@
 
 CcGranter *cc_granter_new (const CcGranterSetup *setup);
 void cc_granter_configure (CcGranter *g, const CcRoutes *routes);
-void cc_granter_rank (CcGranter *g, guint rank);
+void cc_granter_rank (CcGranter *g, guint rank, guint fleet);
 void cc_granter_targets_changed (CcGranter *g, gint64 trouble);
 void cc_granter_heat (CcGranter *g, const char *pool, guint bucket,
                       guint count);
--- a/mirror.c
+++ b/mirror.c
@@ -7,7 +7,13 @@
  * the old one although everybody else has the new.  So while a watch fails, the
  * same rows are asked of a peer, another each time.  Rows carry their versions,
  * so it doesn't matter whose word comes first (view.h).  No peer is asked while
- * the service answers, so this costs nothing on a calm day. */
+ * the service answers, so this costs nothing on a calm day. *
+ * Load pattern: a fleet of hundreds, where each row that changes would cost
+ * each process a call.  There a few processes of each zone watch for the
+ * others, which ask them in the same way and wait for news there.  One that
+ * watches for others asks the service at least every WATCH_FRESH; who finds its
+ * word older than TOO_OLD, or gets none, watches by itself for a while.
+ */
 #include "mirror.h"
 
 #include <string.h>
@@ -25,6 +31,17 @@
 #define PAUSE_MAX (350 * CC_MS)
 #define PEER_PERIOD (400 * CC_MS) /* between questions to peers */
 #define PEER_WITHIN (300 * CC_MS) /* a peer in reach answers in 10 ms */
+/* Who watches for others hears from the service this often, by the watch of the
+ * configuration; a change of it has to be in force everywhere within 2 s. */
+#define WATCH_FRESH (600 * CC_MS)
+#define TOO_OLD (1200 * CC_MS)
+#define FOLLOW_WAIT (500 * CC_MS) /* for news at a watcher */
+/* After a watcher failed: as long as a cut lasts usually. */
+#define SELF_WATCH (5 * CC_SECOND)
+/* All processes of a fleet start together and register; nothing is served yet,
+ * and news may come in larger pieces. */
+#define STARTING (5 * CC_SECOND)
+#define STARTING_PAUSE (250 * CC_MS)
 
 /* One followed table. */
 typedef struct
@@ -37,6 +54,8 @@
   gint64 trouble_at;   /* when a call last failed, us */
   gint64 trouble_from; /* when the present trouble began, us */
   gint64 pause;        /* after the next failure, us */
+  gboolean running;    /* it is read or watched at the service */
+  gint64 heard_at;     /* the service last answered, us */
   CcTimer timer;
 } Table;
 
@@ -51,6 +70,11 @@
   gboolean asking; /* a peer */
   CcTimer asks;    /* until a peer is asked next */
   gint64 heard_at; /* the table service last answered, us */
+  gint64 started_at;
+  gboolean for_others;  /* others go by this copy */
+  gboolean following;   /* a watcher is being asked */
+  gint64 self_until;    /* watches by itself until then, us */
+  gint64 their_trouble; /* a watcher's, us; 0: never */
 };
 
 /* Pause between an answer with news and the next watch.  When many rows change
@@ -67,6 +91,7 @@
                                            "state" };
 
 static void watch (Table *t);
+static gboolean follow (CcMirror *m);
 static void on_peer_time (gpointer data);
 
 /* A mirror that follows TABLE.  CHANGED is called after rows changed, PEER to
@@ -98,6 +123,7 @@
   gint64 now = cc_clock_now ();
 
   t->mirror->heard_at = now;
+  t->heard_at = now;
   t->pause = PAUSE_FIRST;
   if (!t->in_trouble)
     return;
@@ -147,6 +173,14 @@
   return changed;
 }
 
+static gint64
+pause_after_news (const Table *t)
+{
+  return cc_clock_now () - t->mirror->started_at < STARTING
+             ? MAX (news_pause[t->name], STARTING_PAUSE)
+             : news_pause[t->name];
+}
+
 static void
 on_watched (CcStatus status, GVariant *rows, guint64 upto, const char *why,
             gpointer data)
@@ -170,12 +204,11 @@
       gboolean news = put_rows (t, rows);
 
       note_answer (t);
-      if (news)
-        t->mirror->changed (t->name, t->mirror->data);
       cc_view_advance (&t->view, t->view.upto, upto);
       if (news)
         {
-          cc_timer_start (&t->timer, news_pause[t->name], on_pause_over, t);
+          t->mirror->changed (t->name, t->mirror->data);
+          cc_timer_start (&t->timer, pause_after_news (t), on_pause_over, t);
           return;
         }
     }
@@ -231,29 +264,49 @@
   watch (t);
 }
 
+/* The watch of the configuration is the heartbeat by which others judge how
+ * fresh this copy is. */
+static gint64
+watch_wait (const Table *t)
+{
+  /* After trouble the first answer is wanted at once, whether or not anything
+   * has changed: until then deletions are doubted (targets.h). */
+  if (t->in_trouble)
+    return 0;
+  return t->mirror->for_others && t->name == CC_TABLE_CONFIG ? WATCH_FRESH
+                                                             : WATCH_WAIT;
+}
+
 static void
 watch (Table *t)
 {
-  if (t->view.upto == 0 || !t->complete)
-    cc_table_read (t->mirror->table, t->name, NULL, on_read, t);
+  CcMirror *m = t->mirror;
+
+  t->running = TRUE;
+  if (t->complete && !t->in_trouble && cc_clock_now () >= m->self_until &&
+      follow (m))
+    t->running = FALSE;
+  else if (t->view.upto == 0 || !t->complete)
+    cc_table_read (m->table, t->name, NULL, on_read, t);
   else
-    /* After trouble the first answer is wanted at once, whether or not anything
-     * has changed: until then deletions are doubted (targets.h). */
-    cc_table_watch (t->mirror->table, t->name, t->view.upto,
-                    t->in_trouble ? 0 : WATCH_WAIT, on_watched, t);
+    cc_table_watch (m->table, t->name, t->view.upto, watch_wait (t), on_watched,
+                    t);
 }
 
 /* Begins to follow. */
 void
 cc_mirror_start (CcMirror *m)
 {
+  m->started_at = cc_clock_now ();
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
     watch (&m->tables[i]);
 }
 
-/* What a peer sends: for each table, since and up to which version, and the
- * rows. */
-#define PEER_TYPE "a(tta(sts))"
+/* What a peer sends: how long ago, in us, it last heard from the service and
+ * last had trouble with it (-1: never); for each table, since and up to which
+ * version, and the rows. */
+#define PEER_TYPE "(xxa(tta(sts)))"
+#define PEER_TABLES "a(tta(sts))"
 
 /* The rows that were written after SINCE[table], as a peer reads them. */
 GBytes *
@@ -262,7 +315,9 @@
   GVariantBuilder b;
   g_autoptr (GVariant) all = NULL;
 
-  g_variant_builder_init (&b, G_VARIANT_TYPE (PEER_TYPE));
+  gint64 now = cc_clock_now (), trouble = cc_mirror_trouble (m);
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE (PEER_TABLES));
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
     {
       const Table *t = &m->tables[i];
@@ -271,10 +326,29 @@
                              t->complete ? t->view.upto : 0,
                              cc_view_since (&t->view, since[i]));
     }
-  all = g_variant_ref_sink (g_variant_builder_end (&b));
+  all = g_variant_ref_sink (g_variant_new (
+      "(xx@" PEER_TABLES ")", now - m->tables[CC_TABLE_CONFIG].heard_at,
+      trouble != 0 ? now - trouble : -1, g_variant_builder_end (&b)));
   return g_variant_get_data_as_bytes (all);
 }
 
+/* Whether this copy has anything newer than SINCE[table]. */
+gboolean
+cc_mirror_has_news (const CcMirror *m, const guint64 *since)
+{
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    if (m->tables[i].complete && m->tables[i].view.upto > since[i])
+      return TRUE;
+  return FALSE;
+}
+
+/* From now on OTHERS go by this copy, or no longer. */
+void
+cc_mirror_watch_for_others (CcMirror *m, gboolean others)
+{
+  m->for_others = others;
+}
+
 static void
 take_peer_table (Table *t, guint64 since, guint64 upto, GVariant *rows)
 {
@@ -292,33 +366,46 @@
     t->mirror->changed (t->name, t->mirror->data);
 }
 
-static void
-on_peer_answer (const CcHttpResult *r, gpointer data)
+/* Takes the rows in R.  Returns how long ago, in us, the peer heard from the
+ * service, or -1 if there is nothing to take. */
+static gint64
+take_peer_answer (CcMirror *m, const CcHttpResult *r)
 {
-  CcMirror *m = data;
   g_autoptr (GVariant) all = NULL;
-  GVariantIter i;
-  guint64 since, upto;
-  GVariant *rows;
+  g_autoptr (GVariant) tables = NULL;
+  gint64 age, trouble;
 
-  m->asking = FALSE;
   if (r->end != CC_HTTP_ANSWERED || r->status != 200)
-    return;
+    return -1;
   all = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (PEER_TYPE), r->body, FALSE));
+  g_variant_get (all, "(xx@" PEER_TABLES ")", &age, &trouble, &tables);
   if (!g_variant_is_normal_form (all) ||
-      g_variant_n_children (all) != CC_TABLE_FOLLOWED)
+      g_variant_n_children (tables) != CC_TABLE_FOLLOWED)
     {
       cc_event (CC_EVENT_STATE, "peer-answer-damaged", NULL);
-      return;
+      return -1;
     }
-  g_variant_iter_init (&i, all);
-  for (guint n = 0;
-       g_variant_iter_next (&i, "(tt@a(sts))", &since, &upto, &rows); n++)
+  if (trouble >= 0)
+    m->their_trouble = MAX (m->their_trouble, cc_clock_now () - trouble);
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
     {
-      take_peer_table (&m->tables[n], since, upto, rows);
-      g_variant_unref (rows);
+      guint64 since, upto;
+      g_autoptr (GVariant) rows = NULL;
+
+      g_variant_get_child (tables, i, "(tt@a(sts))", &since, &upto, &rows);
+      take_peer_table (&m->tables[i], since, upto, rows);
     }
+  return MAX (age, 0);
+}
+
+static void
+on_peer_answer (const CcHttpResult *r, gpointer data)
+{
+  CcMirror *m = data;
+
+  m->asking = FALSE;
+  take_peer_answer (m, r);
 }
 
 static gboolean
@@ -330,21 +417,66 @@
   return FALSE;
 }
 
-static void
-ask_peer (CcMirror *m, const char *address)
+/* Asks the peer at ADDRESS for what is newer than this copy, for which it may
+ * wait WAIT us.  Returns FALSE if it can't be asked. */
+static gboolean
+ask (CcMirror *m, const char *address, gint64 wait, CcHttpDone done)
 {
-  g_autofree char *head = g_strdup_printf (
-      "GET " CC_MIRROR_PATH "?since=%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
-      ",%" G_GUINT64_FORMAT " HTTP/1.1\r\nHost: %s\r\n",
-      m->tables[0].view.upto, m->tables[1].view.upto, m->tables[2].view.upto,
-      address);
+  g_autofree char *head =
+      g_strdup_printf ("GET " CC_MIRROR_PATH "?since=%" G_GUINT64_FORMAT
+                       ",%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
+                       "&wait=%" G_GINT64_FORMAT " HTTP/1.1\r\nHost: %s\r\n",
+                       m->tables[0].view.upto, m->tables[1].view.upto,
+                       m->tables[2].view.upto, wait / CC_MS, address);
   CcHttpOrder o = { .address = address,
                     .head = head,
                     .connect_within = PEER_WITHIN,
-                    .answer_within = PEER_WITHIN,
+                    .answer_within = wait + PEER_WITHIN,
                     .idle_max = 2 * CC_SECOND };
 
-  m->asking = cc_http_send (m->http, &o, on_peer_answer, m) != NULL;
+  return cc_http_send (m->http, &o, done, m) != NULL;
+}
+
+/* Watches the tables that are not watched. */
+static void
+watch_self (CcMirror *m)
+{
+  m->self_until = cc_clock_now () + SELF_WATCH;
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    if (!m->tables[i].running)
+      watch (&m->tables[i]);
+}
+
+static void
+on_watcher_answer (const CcHttpResult *r, gpointer data)
+{
+  CcMirror *m = data;
+  gint64 age = take_peer_answer (m, r);
+
+  m->following = FALSE;
+  if (age >= 0 && age <= TOO_OLD)
+    {
+      m->heard_at = cc_clock_now ();
+      if (follow (m))
+        return;
+    }
+  cc_event (CC_EVENT_STATE, "watcher-lost", "why", r->why, "age_ms",
+            cc_event_int (age / CC_MS), NULL);
+  watch_self (m);
+}
+
+/* Asks a watcher for news, unless one is being asked.  FALSE: there is none. */
+static gboolean
+follow (CcMirror *m)
+{
+  g_autofree char *address = NULL;
+
+  if (m->following)
+    return TRUE;
+  address = m->for_others ? NULL : m->peer (CC_PEER_WATCHER, m->data);
+  m->following =
+      address != NULL && ask (m, address, FOLLOW_WAIT, on_watcher_answer);
+  return m->following;
 }
 
 static void
@@ -356,9 +488,8 @@
   if (m->asks.place != NULL || !any_in_trouble (m))
     return;
   cc_timer_start (&m->asks, PEER_PERIOD, on_peer_time, m);
-  address = m->asking ? NULL : m->peer (m->data);
-  if (address != NULL)
-    ask_peer (m, address);
+  address = m->asking ? NULL : m->peer (CC_PEER_ANY, m->data);
+  m->asking |= address != NULL && ask (m, address, 0, on_peer_answer);
 }
 
 /* The rows of table NAME. */
@@ -379,7 +510,7 @@
 gint64
 cc_mirror_trouble (const CcMirror *m)
 {
-  gint64 last = 0;
+  gint64 last = m->their_trouble;
 
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
     last = MAX (last, m->tables[i].trouble_at);
--- a/mirror.h
+++ b/mirror.h
@@ -8,17 +8,26 @@
 typedef struct CcMirror CcMirror;
 /* The rows of table NAME changed. */
 typedef void (*CcMirrorChanged) (CcTableName name, gpointer data);
+/* Whom to ask. */
+typedef enum
+{
+  CC_PEER_ANY,    /* while the table service does not answer */
+  CC_PEER_WATCHER /* one that watches for its zone; NULL: watch yourself */
+} CcPeerKind;
+
 /* The address of a peer to ask, or NULL; the caller frees it. */
-typedef char *(*CcMirrorPeer) (gpointer data);
+typedef char *(*CcMirrorPeer) (CcPeerKind kind, gpointer data);
 
 CcMirror *cc_mirror_new (CcTable *table, CcHttp *http, CcMirrorChanged changed,
                          CcMirrorPeer peer, gpointer data);
+void cc_mirror_watch_for_others (CcMirror *m, gboolean others);
 void cc_mirror_start (CcMirror *m);
 CcView *cc_mirror_view (CcMirror *m, CcTableName name);
 gint64 cc_mirror_trouble (const CcMirror *m);
 gboolean cc_mirror_is_complete (const CcMirror *m, CcTableName name);
 gint64 cc_mirror_age (const CcMirror *m, gint64 now);
 GBytes *cc_mirror_rows_since (CcMirror *m, const guint64 *since);
+gboolean cc_mirror_has_news (const CcMirror *m, const guint64 *since);
 
 /* Path at which a process answers its peers with cc_mirror_rows_since. */
 #define CC_MIRROR_PATH "/rows"
--- a/test/test_granter.c
+++ b/test/test_granter.c
@@ -588,7 +588,7 @@
   w.running = index;
   p->granter = cc_granter_new (&setup);
   cc_granter_configure (p->granter, routes);
-  cc_granter_rank (p->granter, 0);
+  cc_granter_rank (p->granter, 0, GRANTERS);
   cc_routes_free (routes);
   list_servers (p, now);
 }
