--- a/granter.c
+++ b/granter.c
@@ -1084,8 +1084,10 @@
         write_duty (g);
       else if (now >= g->next_look)
         {
-          g->next_look =
-              now + (g->rank < WATCH_RANKS ? WATCH_PERIOD : WATCH_PERIOD_REST);
+          g->next_look = now + (g->rank < WATCH_RANKS
+                                    ? WATCH_PERIOD
+                                    : MIN (LOOK_TOGETHER * MAX (g->fleet, 1),
+                                           WATCH_PERIOD_MOST));
           look (g);
         }
     }
