--- a/granter.c
+++ b/granter.c
@@ -839,6 +839,7 @@
             cc_event_int ((gint64) g->duty.version), NULL);
   cc_duty_confirmed (&g->duty, version, g->sent);
   g->loaded = FALSE;
+  g->next_look = 0;
 }
 
 static void
--- a/test/test_granter.c
+++ b/test/test_granter.c
@@ -778,6 +778,22 @@
   world_clear ();
 }
 
+/* A process that seldom looks at the duty's row finds it free.  Callers get no
+ * owner for their keys until it has read the ranges, which must not wait for
+ * its next look. */
+static void
+whoever_takes_the_duty_grants_at_once (void **state)
+{
+  (void) state;
+  world_init (1, 0.0);
+  for (guint i = 0; i < GRANTERS; i++)
+    cc_granter_rank (w.processes[i].granter, 50 + i, 90);
+  for (guint i = 0; i < 250; i++)
+    step (i);
+  assert_true (share_held () > 0.9999);
+  world_clear ();
+}
+
 static void
 a_key_has_one_owner_whatever_goes_wrong (void **state)
 {
@@ -791,6 +807,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_key_has_one_owner_in_a_calm_world),
+    cmocka_unit_test (whoever_takes_the_duty_grants_at_once),
     cmocka_unit_test (a_key_has_one_owner_whatever_goes_wrong),
   };
 
