--- a/gateway.c
+++ b/gateway.c
@@ -176,7 +176,7 @@
                       : NULL;
 
   if (o == NULL)
-    return (Member){ 0 };
+    return (Member){ g_strdup (""), g_strdup ("") };
   return (Member){
     g_strdup (json_object_get_string_member_with_default (o, "address", "")),
     g_strdup (json_object_get_string_member_with_default (o, "zone", ""))
@@ -249,7 +249,7 @@
       if (g_strcmp0 (m.zone, zone) == 0)
         {
           found++;
-          if (g_str_equal (m.address, g->address))
+          if (g_strcmp0 (m.address, g->address) == 0)
             is_watcher = TRUE;
           else
             g_ptr_array_add (g->watchers, g_strdup (m.address));
--- a/key_heat.h
+++ b/key_heat.h
@@ -8,7 +8,7 @@
  * and a busy region of 200 keys still shows as a dozen buckets, enough to be
  * cut between several upstreams. */
 #define CC_HEAT_BUCKET 16
-#define CC_HEAT_BUCKETS (65536 / CC_HEAT_BUCKET)
+#define CC_HEAT_BUCKETS 4096 /* of CC_HEAT_BUCKET keys, 65536 in all */
 
 /* Rates fade with this time.  Shorter, chance looks like heat: at 10 requests a
  * second an upstream's count of 2 s is off by a fifth.  Longer, a region that
