--- a/granter.c
+++ b/granter.c
@@ -35,7 +35,8 @@
  * at least every WATCH_PERIOD_MOST. */
 #define LOOK_TOGETHER (350 * CC_MS)
 #define WATCH_PERIOD_MOST (15 * CC_SECOND)
-#define CALL_RETRY (150 * CC_MS) /* pause after a call without answer */
+#define LOOK_AGAIN                                                             \
+  (150 * CC_MS) /* pause after a reading that is to be repeated */
 /* Rows of one transaction, which may hold 100. */
 #define ROWS_MAX 90
 /* Changes of ranges that one plan makes. */
@@ -714,7 +715,7 @@
     lose_duty (g, "table-out-of-reach");
   else if (g->doubtful && now >= g->next_look)
     {
-      g->next_look = now + CALL_RETRY;
+      g->next_look = now + LOOK_AGAIN;
       look (g);
     }
   else if (g->doubtful)
@@ -723,7 +724,7 @@
     write_duty (g);
   else if (!g->loaded && now >= g->next_look)
     {
-      g->next_look = now + CALL_RETRY;
+      g->next_look = now + LOOK_AGAIN;
       g->calling = TRUE;
       cc_table_read (g->setup.table, CC_TABLE_STATE, NULL, on_state_read, g);
     }
--- /dev/null
+++ b/test/test_gateway.c
@@ -0,0 +1,178 @@
+/* The real program, started as it is run: bad settings, a table service that is
+ * not there, a reader of its log that has stopped, an orderly stop.  What
+ * callers must see: an answer at once, and "not run" where nothing can run. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <gio/gio.h>
+
+#define STOP_GRACE "1500"
+#define PORT_FIRST 23000 /* below the ports that the system hands out */
+
+static char *program;
+static guint port;
+
+typedef struct
+{
+  GSubprocess *process;
+  char *listen;
+  char *readiness;
+} Gateway;
+
+static char *
+next_address (void)
+{
+  return g_strdup_printf ("127.0.0.1:%u", port++);
+}
+
+static Gateway
+start (const char *zone_setting)
+{
+  g_autoptr (GSubprocessLauncher) l = g_subprocess_launcher_new (
+      G_SUBPROCESS_FLAGS_STDOUT_PIPE | G_SUBPROCESS_FLAGS_STDERR_PIPE);
+  Gateway g = { .listen = next_address (), .readiness = next_address () };
+  g_autofree char *internal = next_address ();
+  g_autofree char *admin = next_address ();
+
+  g_subprocess_launcher_setenv (l, "CAPERCRANK_INSTANCE", "i1", TRUE);
+  if (zone_setting != NULL)
+    g_subprocess_launcher_setenv (l, "CAPERCRANK_ZONE", zone_setting, TRUE);
+  g_subprocess_launcher_setenv (l, "CAPERCRANK_LISTEN", g.listen, TRUE);
+  g_subprocess_launcher_setenv (l, "CAPERCRANK_READINESS", g.readiness, TRUE);
+  g_subprocess_launcher_setenv (l, "CAPERCRANK_INTERNAL", internal, TRUE);
+  g_subprocess_launcher_setenv (l, "CAPERCRANK_ADMIN", admin, TRUE);
+  g_subprocess_launcher_setenv (l, "CAPERCRANK_TABLE", "127.0.0.1:1", TRUE);
+  g_subprocess_launcher_setenv (l, "CAPERCRANK_STOP_GRACE", STOP_GRACE, TRUE);
+  g.process = g_subprocess_launcher_spawn (l, NULL, program, NULL);
+  assert_non_null (g.process);
+  return g;
+}
+
+static void
+end (Gateway *g)
+{
+  g_subprocess_wait (g->process, NULL, NULL);
+  g_object_unref (g->process);
+  g_free (g->listen);
+  g_free (g->readiness);
+}
+
+/* The status of the answer to a GET of PATH at ADDRESS; 0: none. */
+static guint
+get (const char *address, const char *path)
+{
+  g_autoptr (GSocketClient) client = g_socket_client_new ();
+  g_autoptr (GSocketConnection) c =
+      g_socket_client_connect_to_host (client, address, 0, NULL, NULL);
+  g_autofree char *request = g_strdup_printf (
+      "GET %s HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+      "X-Request-Id: r1\r\n\r\n",
+      path);
+  char answer[4096] = "";
+  gsize got = 0;
+
+  if (c == NULL)
+    return 0;
+  g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (c)),
+                             request, strlen (request), NULL, NULL, NULL);
+  g_input_stream_read_all (g_io_stream_get_input_stream (G_IO_STREAM (c)),
+                           answer, sizeof answer - 1, &got, NULL, NULL);
+  return got > 12 ? (guint) strtoul (answer + strlen ("HTTP/1.1 "), NULL, 10)
+                  : 0;
+}
+
+static void
+wait_until_up (const Gateway *g)
+{
+  for (guint i = 0; i < 200; i++)
+    {
+      if (get (g->readiness, "/v1/readiness") != 0)
+        return;
+      g_usleep (20000);
+    }
+  fail_msg ("it does not listen");
+}
+
+static void
+a_missing_setting_is_named (void **state)
+{
+  Gateway g = start (NULL);
+  g_autofree char *text = NULL;
+
+  (void) state;
+  g_subprocess_communicate_utf8 (g.process, NULL, NULL, NULL, &text, NULL);
+  assert_non_null (strstr (text, "--zone"));
+  assert_int_equal (g_subprocess_get_exit_status (g.process), 2);
+  end (&g);
+}
+
+/* Neither configuration nor upstreams are known: not ready, callers are told
+ * "not run", and the program goes on. */
+static void
+without_a_table_callers_are_told_not_run (void **state)
+{
+  Gateway g = start ("a");
+
+  (void) state;
+  wait_until_up (&g);
+  assert_int_equal (get (g.readiness, "/v1/readiness"), 503);
+  assert_int_equal (get (g.listen, "/x/1"), 503);
+  g_subprocess_send_signal (g.process, SIGTERM);
+  end (&g);
+}
+
+/* Nobody reads standard output: after more lines than a pipe holds the program
+ * still answers. */
+static void
+a_log_that_nobody_reads_blocks_nothing (void **state)
+{
+  Gateway g = start ("a");
+
+  (void) state;
+  wait_until_up (&g);
+  for (guint i = 0; i < 1500; i++)
+    assert_int_equal (get (g.listen, "/a/path/that/makes/the/line/longer"),
+                      503);
+  g_subprocess_send_signal (g.process, SIGTERM);
+  end (&g);
+}
+
+static void
+a_stop_ends_in_its_time (void **state)
+{
+  Gateway g = start ("a");
+  gint64 began;
+
+  (void) state;
+  wait_until_up (&g);
+  began = g_get_monotonic_time ();
+  g_subprocess_send_signal (g.process, SIGTERM);
+  g_subprocess_send_signal (g.process, SIGTERM);
+  g_usleep (100000);
+  assert_int_equal (get (g.readiness, "/v1/readiness"), 503);
+  end (&g);
+  assert_true (g_get_monotonic_time () - began < 1500000);
+}
+
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_missing_setting_is_named),
+    cmocka_unit_test (without_a_table_callers_are_told_not_run),
+    cmocka_unit_test (a_log_that_nobody_reads_blocks_nothing),
+    cmocka_unit_test (a_stop_ends_in_its_time),
+  };
+  g_autofree char *here = g_path_get_dirname (argv[0]);
+
+  (void) argc;
+  program = g_build_filename (here, "..", "capercrank-gateway", NULL);
+  port = PORT_FIRST + (guint) (g_get_real_time () / 1000 % 900) * 10;
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
