--- a/granter.c
+++ b/granter.c
@@ -74,7 +74,8 @@
 struct CcGranter
 {
   CcGranterSetup setup;
-  char *id; /* of this run of the process */
+  char *place; /* begins the ids of all runs at this address */
+  char *id;    /* of this run of the process */
   CcGrantShared shared;
   guint64 sequence;  /* of the last write to the duty's row */
   gboolean loaded;   /* the rows of the ranges were read under this duty */
@@ -124,7 +125,8 @@
   g->setup = *setup;
   g->shared.http = setup->http;
   g->shared.targets = setup->targets;
-  g->id = g_strdup_printf ("%s.%" G_GUINT64_FORMAT, setup->instance,
+  g->place = g_strdup_printf ("%s@%s.", setup->instance, setup->address);
+  g->id = g_strdup_printf ("%s%" G_GUINT64_FORMAT, g->place,
                            cc_clock_incarnation ());
   g->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
   g->writing = g_ptr_array_new ();
@@ -472,6 +474,16 @@
   g->next_look = 0;
 }
 
+/* Whether nobody acts for HOLDER any more: it resigned, or it was a run before
+ * this one at the same address, which has ended, or this process could not
+ * listen there.  After a kill of the whole fleet that saves a term, in which
+ * keys lapse. */
+static gboolean
+is_free (const CcGranter *g, const char *holder)
+{
+  return holder[0] == '\0' || g_str_has_prefix (holder, g->place);
+}
+
 static void
 on_duty_read (CcStatus status, GVariant *rows, guint64 upto, const char *why,
               gpointer data)
@@ -499,7 +511,7 @@
       if (g_str_equal (holder, g->id) && sequence == g->sequence)
         take_duty (g, version);
       else
-        cc_duty_seen (&g->shared.duty, version, holder[0] == '\0', now);
+        cc_duty_seen (&g->shared.duty, version, is_free (g, holder), now);
       /* Only what was read just now says that the holder is silent. */
       g->may_claim = cc_duty_may_claim (&g->shared.duty, now);
       return;
