--- a/callers.c
+++ b/callers.c
@@ -60,7 +60,7 @@
   SoupServerMessage *message;
   CcExchange *exchange; /* NULL: ended */
   CcHangup hangup;
-  CcCallerWord word;
+  CcCallerInfo caller;
   char *pool;
   char *route;
   gint64 began;
@@ -183,12 +183,12 @@
   gboolean well = e->kind == CC_END_ANSWER && e->status < 500;
 
   cc_event (well ? CC_EVENT_SERVED : CC_EVENT_FAILED, "request-ended",
-            "request", r->word.id, "route", r->route, "pool", r->pool,
+            "request", r->caller.id, "route", r->route, "pool", r->pool,
             "outcome", kinds[e->kind], "reason", e->reason, "status",
             cc_event_int (e->status), "target", e->target, "attempts",
             cc_event_int (e->attempts), "took_ms", cc_event_int (took / CC_MS),
-            "allowed_ms", cc_event_int (r->word.left / CC_MS), "key",
-            cc_event_int (r->word.key), "waiting", cc_event_int (e->waiting),
+            "allowed_ms", cc_event_int (r->caller.left / CC_MS), "key",
+            cc_event_int (r->caller.key), "waiting", cc_event_int (e->waiting),
             "inside", cc_event_int ((gint64) e->inside), "expected_ms",
             cc_event_int (e->expected / CC_MS), NULL);
 }
@@ -237,7 +237,7 @@
   g_signal_handlers_disconnect_by_data (r->message, r);
   g_object_unref (r->message);
   r->callers->pending--;
-  cc_caller_word_clear (&r->word);
+  cc_caller_info_clear (&r->caller);
   g_free (r->pool);
   g_free (r->route);
   g_free (r);
@@ -255,7 +255,7 @@
     cc_exchange_cancel (r->exchange);
   r->exchange = NULL;
   count (c, r->pool, COUNT_GONE, took);
-  cc_event (CC_EVENT_FAILED, "caller-gone", "request", r->word.id, "pool",
+  cc_event (CC_EVENT_FAILED, "caller-gone", "request", r->caller.id, "pool",
             r->pool, "took_ms", cc_event_int (took / CC_MS), NULL);
   answer (c, r->message, SOUP_STATUS_BAD_GATEWAY, "cancelled", 0);
   soup_message_headers_replace (
@@ -294,7 +294,7 @@
 
 static void
 begin (CcCallers *c, SoupServerMessage *m, CcRoute *route, const char *pool,
-       CcCallerWord *word)
+       CcCallerInfo *info)
 {
   const CcRoutePool *described = cc_routes_pool (c->routes, pool);
   g_autofree char *headers = headers_of (m);
@@ -305,7 +305,7 @@
   CcExchangeStart start = { .route = route,
                             .pool = pool,
                             .keyed = described != NULL && described->keyed,
-                            .word = &r->word,
+                            .caller = &r->caller,
                             .method = soup_server_message_get_method (m),
                             .path = path,
                             .headers = headers,
@@ -313,8 +313,8 @@
 
   r->callers = c;
   r->message = g_object_ref (m);
-  r->word = *word;
-  *word = (CcCallerWord){ 0 };
+  r->caller = *info;
+  *info = (CcCallerInfo){ 0 };
   r->pool = g_strdup (pool);
   r->route = g_strdup (route->name);
   r->began = cc_clock_now ();
@@ -329,25 +329,25 @@
 
 static void
 refuse (CcCallers *c, SoupServerMessage *m, guint status, const char *reason,
-        const CcCallerWord *word, gint64 retry_after)
+        const CcCallerInfo *info, gint64 retry_after)
 {
-  cc_event (CC_EVENT_FAILED, "request-refused", "request", word->id, "reason",
+  cc_event (CC_EVENT_FAILED, "request-refused", "request", info->id, "reason",
             reason, "status", cc_event_int (status), "path",
             g_uri_get_path (soup_server_message_get_uri (m)), "configuration",
             cc_event_int (c->routes != NULL ? c->routes->version : 0), NULL);
   answer (c, m, status, reason, retry_after);
 }
 
-/* Whether a request with WORD on ROUTE could still be at work when the process
+/* Whether a request of INFO on ROUTE could still be at work when the process
  * ends.  Broken off then, nobody would know whether it ran. */
 static gboolean
 comes_too_late (const CcCallers *c, const CcRoute *route,
-                const CcCallerWord *word)
+                const CcCallerInfo *info)
 {
   gint64 need = MIN (route->timeout, LAST_NEED);
 
-  if (word->left >= 0)
-    need = MIN (need, word->left);
+  if (info->left >= 0)
+    need = MIN (need, info->left);
   return c->stop_at != 0 && cc_clock_now () + need > c->stop_at;
 }
 
@@ -358,33 +358,33 @@
   CcCallers *c = data;
   SoupMessageHeaders *h = soup_server_message_get_request_headers (m);
   const char *host = soup_message_headers_get_one (h, "Host");
-  CcCallerWord word = { 0 };
+  CcCallerInfo info = { 0 };
   CcRoute *route;
   const char *pool;
 
   (void) server, (void) path, (void) query;
   if (cc_body_is_refused (m))
     return;
-  cc_edge_read_caller (h, &word);
+  cc_edge_read_caller (h, &info);
   if (c->routes == NULL)
-    refuse (c, m, SOUP_STATUS_SERVICE_UNAVAILABLE, "no-configuration", &word,
+    refuse (c, m, SOUP_STATUS_SERVICE_UNAVAILABLE, "no-configuration", &info,
             STARTING_RETRY);
   else if (host == NULL ||
            (route = cc_routes_find (
                 c->routes, host,
                 g_uri_get_path (soup_server_message_get_uri (m)))) == NULL)
-    refuse (c, m, SOUP_STATUS_NOT_FOUND, "no-route", &word, 0);
+    refuse (c, m, SOUP_STATUS_NOT_FOUND, "no-route", &info, 0);
   else if (cc_hangup_has (soup_server_message_get_socket (m)))
-    refuse (c, m, SOUP_STATUS_BAD_GATEWAY, "cancelled", &word, 0);
-  else if (comes_too_late (c, route, &word))
-    refuse (c, m, SOUP_STATUS_SERVICE_UNAVAILABLE, "stopping", &word,
+    refuse (c, m, SOUP_STATUS_BAD_GATEWAY, "cancelled", &info, 0);
+  else if (comes_too_late (c, route, &info))
+    refuse (c, m, SOUP_STATUS_SERVICE_UNAVAILABLE, "stopping", &info,
             STOPPING_RETRY);
   else if ((pool = cc_route_next_pool (route)) == NULL)
-    refuse (c, m, SOUP_STATUS_SERVICE_UNAVAILABLE, "no-pool", &word,
+    refuse (c, m, SOUP_STATUS_SERVICE_UNAVAILABLE, "no-pool", &info,
             STARTING_RETRY);
   else
-    begin (c, m, route, pool, &word);
-  cc_caller_word_clear (&word);
+    begin (c, m, route, pool, &info);
+  cc_caller_info_clear (&info);
 }
 
 static void
--- a/edge.h
+++ b/edge.h
@@ -19,7 +19,7 @@
   char *id;    /* unique to this attempt of the caller; "" if it gave none */
   gint64 left; /* us until it gives up; -1: not said */
   gint32 key;  /* -1: none, or not a key */
-} CcCallerWord;
+} CcCallerInfo;
 
 /* What a server's answer is, beyond its status. */
 typedef enum
@@ -28,13 +28,13 @@
   CC_SERVER_SHED,        /* refused for its load or the time: not run */
   CC_SERVER_MISDIRECTED, /* another server, or not the key's owner: not run */
   CC_SERVER_NONSENSE     /* not its answer to this request: nothing is known */
-} CcServerWordKind;
+} CcServerReplyKind;
 
 typedef struct
 {
-  CcServerWordKind kind;
-  CcPickWord load;
-} CcServerWord;
+  CcServerReplyKind kind;
+  CcLoadReport load;
+} CcServerReply;
 
 /* Keys FROM to TO, both included, for one server. */
 typedef struct
@@ -47,14 +47,14 @@
   const char *handoff; /* what the last holder left for it; NULL: nothing */
 } CcKeyGrant;
 
-void cc_edge_read_caller (SoupMessageHeaders *h, CcCallerWord *w);
-void cc_caller_word_clear (CcCallerWord *w);
+void cc_edge_read_caller (SoupMessageHeaders *h, CcCallerInfo *w);
+void cc_caller_info_clear (CcCallerInfo *w);
 gboolean cc_edge_passes_on (const char *header);
-void cc_edge_write_order (GString *head, const CcCallerWord *w, gint64 left,
+void cc_edge_write_order (GString *head, const CcCallerInfo *w, gint64 left,
                           const char *target);
 const char *cc_edge_echo (void);
 void cc_edge_read_server (const CcHttpResult *r, const char *id,
-                          CcServerWord *w);
+                          CcServerReply *w);
 
 char *cc_edge_grant_head (const CcKeyGrant *g, GBytes **body);
 char *cc_edge_release_head (const CcKeyGrant *g, GBytes **body);
--- a/forward.c
+++ b/forward.c
@@ -102,7 +102,7 @@
   char *path;
   char *headers;
   GBytes *body;
-  CcCallerWord word;
+  CcCallerInfo caller;
   CcTarget *considered; /* the upstream that had no room for it */
   CcTarget *target;     /* it is at, or was at last */
   GPtrArray *tried;     /* of CcTarget */
@@ -185,7 +185,7 @@
   cc_timer_stop (&e->timer);
   cc_backlog_remove (&e->pool->backlog, &e->entry);
   e->forwarder->pending--;
-  cc_caller_word_clear (&e->word);
+  cc_caller_info_clear (&e->caller);
   g_ptr_array_unref (e->tried);
   g_bytes_unref (e->body);
   g_free (e->method);
@@ -247,13 +247,13 @@
 }
 
 static void
-release_target (CcExchange *e, CcPickEnd how, const CcPickWord *word)
+release_target (CcExchange *e, CcPickEnd how, const CcLoadReport *report)
 {
-  static const CcPickWord silent = { 0 };
+  static const CcLoadReport silent = { 0 };
   gint64 now = cc_clock_now ();
 
   cc_pick_ended (&e->target->load, how, now - e->sent, e->work_share,
-                 word != NULL ? word : &silent, now);
+                 report != NULL ? report : &silent, now);
   cc_backlog_ended (&e->pool->backlog, now);
   if (how == CC_PICK_ANSWERED)
     e->pool->usual += USUAL_WEIGHT * ((double) (now - e->sent) * e->work_share -
@@ -312,8 +312,8 @@
 static void
 log_repeat (const CcExchange *e, const char *why)
 {
-  cc_event (CC_EVENT_FAILED, "attempt-repeated", "request", e->word.id, "pool",
-            e->pool->name, "target", e->target->listing.id, "why", why,
+  cc_event (CC_EVENT_FAILED, "attempt-repeated", "request", e->caller.id,
+            "pool", e->pool->name, "target", e->target->listing.id, "why", why,
             "attempts", cc_event_int (e->attempts), "left_ms",
             cc_event_int (left_of (e, cc_clock_now ()) / CC_MS), NULL);
 }
@@ -334,9 +334,9 @@
 }
 
 static void
-retry_not_run (CcExchange *e, const CcServerWord *word)
+retry_not_run (CcExchange *e, const CcServerReply *reply)
 {
-  gboolean moved = word->kind == CC_SERVER_MISDIRECTED && e->keyed;
+  gboolean moved = reply->kind == CC_SERVER_MISDIRECTED && e->keyed;
 
   if (!take_repeat (e))
     {
@@ -381,9 +381,9 @@
 }
 
 static CcPickEnd
-pick_end (const CcHttpResult *r, const CcServerWord *word)
+pick_end (const CcHttpResult *r, const CcServerReply *reply)
 {
-  switch (word->kind)
+  switch (reply->kind)
     {
     case CC_SERVER_ANSWERED:
       return r->status >= 500 && r->status != 504 ? CC_PICK_FAILED
@@ -401,18 +401,18 @@
 static void
 take_word (CcExchange *e, const CcHttpResult *r)
 {
-  CcServerWord word = { 0 };
+  CcServerReply reply = { 0 };
 
-  cc_edge_read_server (r, e->word.id, &word);
-  release_target (e, pick_end (r, &word), &word.load);
-  switch (word.kind)
+  cc_edge_read_server (r, e->caller.id, &reply);
+  release_target (e, pick_end (r, &reply), &reply.load);
+  switch (reply.kind)
     {
     case CC_SERVER_ANSWERED:
       take_answer (e, r);
       break;
     case CC_SERVER_SHED:
     case CC_SERVER_MISDIRECTED:
-      retry_not_run (e, &word);
+      retry_not_run (e, &reply);
       break;
     case CC_SERVER_NONSENSE:
       retry_unknown (e, "not-its-answer");
@@ -461,7 +461,7 @@
                     .body = e->body,
                     .bodiless = g_str_equal (e->method, "HEAD"),
                     .echo = cc_edge_echo (),
-                    .echo_value = e->word.id,
+                    .echo_value = e->caller.id,
                     .connect_within = CONNECT_WITHIN,
                     .answer_within = left + ANSWER_GRACE,
                     .idle_max = e->idempotent ? IDLE_IDEMPOTENT : IDLE_ONCE,
@@ -471,7 +471,7 @@
     o.idle_max = 0;
   g_string_append_printf (head, "%s %s HTTP/1.1\r\n%s", e->method, e->path,
                           e->headers);
-  cc_edge_write_order (head, &e->word, left, t->listing.id);
+  cc_edge_write_order (head, &e->caller, left, t->listing.id);
   o.head = head->str;
   cc_backlog_remove (&e->pool->backlog, &e->entry);
   e->call = cc_http_send (e->forwarder->setup.http, &o, on_call_done, e);
@@ -496,11 +496,11 @@
 static CcTarget *
 owner_of (const CcExchange *e, gint64 now, gboolean *moving)
 {
-  CcKeyRange *r = cc_key_ranges_find (&e->pool->ranges, (guint) e->word.key);
+  CcKeyRange *r = cc_key_ranges_find (&e->pool->ranges, (guint) e->caller.key);
   CcTarget *t;
 
   *moving = FALSE;
-  if (r == NULL || e->word.key < 0)
+  if (r == NULL || e->caller.key < 0)
     return NULL;
   if (r->previous != NULL)
     {
@@ -712,8 +712,8 @@
   CcExchange *e = g_new0 (CcExchange, 1);
   gint64 allowed = s->route->timeout;
 
-  if (s->word->left >= 0)
-    allowed = MIN (allowed, s->word->left);
+  if (s->caller->left >= 0)
+    allowed = MIN (allowed, s->caller->left);
   e->forwarder = f;
   e->pool = find_pool (f, s->pool);
   e->keyed = s->keyed;
@@ -726,8 +726,8 @@
   e->path = g_strdup (s->path);
   e->headers = g_strdup (s->headers);
   e->body = g_bytes_ref (s->body);
-  e->word = *s->word;
-  e->word.id = g_strdup (s->word->id);
+  e->caller = *s->caller;
+  e->caller.id = g_strdup (s->caller->id);
   e->tried = g_ptr_array_new ();
   e->entry.priority = s->route->priority;
   e->entry.due = e->began + s->route->target;
@@ -761,8 +761,8 @@
   /* For a key there is one upstream, whose queue says more than the pool's. */
   gboolean admitted = e->keyed || is_admitted (e);
 
-  if (e->keyed && e->word.key >= 0)
-    cc_heat_link_asked (f->setup.heat, e->pool->name, (guint) e->word.key);
+  if (e->keyed && e->caller.key >= 0)
+    cc_heat_link_asked (f->setup.heat, e->pool->name, (guint) e->caller.key);
   cc_retry_budget_first (&e->pool->budget, &f->setup.retry_bound);
   cc_backlog_push (&e->pool->backlog, &e->entry);
   cc_timer_start (&e->timer, left_of (e, e->began), on_give_up, e);
--- a/forward.h
+++ b/forward.h
@@ -41,7 +41,7 @@
   const CcRoute *route;
   const char *pool;
   gboolean keyed; /* POOL's upstreams own keys */
-  const CcCallerWord *word;
+  const CcCallerInfo *caller;
   const char *method;
   const char *path;    /* with its query, as the caller sent it */
   const char *headers; /* those to pass on, each line with CRLF */
--- a/gateway.c
+++ b/gateway.c
@@ -373,7 +373,7 @@
       cc_forwarder_ranges_changed (g->forwarder,
                                    cc_mirror_view (g->mirror, CC_TABLE_STATE));
       break;
-    case CC_TABLE_DUTY:
+    case CC_TABLE_LEASE:
       break;
     }
   tell_askers (g);
--- a/granter.c
+++ b/granter.c
@@ -1,9 +1,9 @@
-/* Every process watches the duty's row; the one that holds it divides the keys
+/* Every process watches the lease's row; the one that holds it divides the keys
  * of each keyed pool, grants the ranges, renews the grants and moves ranges.
  *
  * Plan before grant: a row names a range's owner and fence before the first
  * grant is sent, and the row is written in the transaction that renews the
- * duty.  So whoever takes over knows all that may have been granted.
+ * lease.  So whoever takes over knows all that may have been granted.
  *
  * A range goes to another upstream when the one of before answered a release,
  * or when its last grant has ended.  A grant that got no answer may be carried
@@ -25,10 +25,10 @@
 #include "range_grant.h"
 #include "timers.h"
 
-#define DUTY_KEY "granter"
+#define LEASE_KEY "granter"
 #define TICK (50 * CC_MS)
-/* How often a process looks at the duty's row: the first few of the fleet often
- * enough to take over in time, the rest only so that somebody does. */
+/* How often a process looks at the lease's row: the first few of the fleet
+ * often enough to take over in time, the rest only so that somebody does. */
 #define WATCH_PERIOD (400 * CC_MS)
 #define WATCH_RANKS 3
 /* The rest take turns: together they look about every LOOK_TOGETHER, and each
@@ -46,9 +46,9 @@
 #define SETTLE_MOST                                                            \
   (2500 * CC_MS) /* from then on, with those that are there                    \
                   */
-/* How often load is looked at, after the first BALANCE_FIRST of a duty in which
- * reports come in.  A range that moved rests for a while, so that a move is
- * judged by what it changed. */
+/* How often load is looked at, after the first BALANCE_FIRST of a lease in
+ * which reports come in.  A range that moved rests for a while, so that a move
+ * is judged by what it changed. */
 #define BALANCE_PERIOD (400 * CC_MS)
 #define BALANCE_FIRST (3 * CC_SECOND)
 #define REPLAN_PAUSE (100 * CC_MS) /* until busy ranges are looked at again */
@@ -77,8 +77,8 @@
   char *place; /* begins the ids of all runs at this address */
   char *id;    /* of this run of the process */
   CcGrantShared shared;
-  guint64 sequence;  /* of the last write to the duty's row */
-  gboolean loaded;   /* the rows of the ranges were read under this duty */
+  guint64 sequence;  /* of the last write to the lease's row */
+  gboolean loaded;   /* the rows of the ranges were read under this lease */
   gboolean calling;  /* the table service */
   gboolean doubtful; /* a write's answer was lost: read first */
   gboolean resigning;
@@ -116,7 +116,7 @@
   g_free (p);
 }
 
-/* A granter that watches, and takes the duty when it is free. */
+/* A granter that watches, and takes the lease when it is free. */
 CcGranter *
 cc_granter_new (const CcGranterSetup *setup)
 {
@@ -304,8 +304,8 @@
   cc_event (CC_EVENT_STATE, "keys-planned", "pool", p->name, "from",
             cc_event_int (r->from), "to", cc_event_int (r->to), "owner",
             r->owner, "previous", r->previous != NULL ? r->previous : "",
-            "fence", cc_event_int ((gint64) r->fence), "duty_version",
-            cc_event_int ((gint64) g->shared.duty.version), NULL);
+            "fence", cc_event_int ((gint64) r->fence), "lease_version",
+            cc_event_int ((gint64) g->shared.lease.version), NULL);
 }
 
 static void
@@ -416,7 +416,7 @@
   return all >= CUT_OFF_LEAST && 2 * silent > all;
 }
 
-/* ---- duty ---- */
+/* ---- lease ---- */
 
 static void
 forget_ranges (CcGranter *g)
@@ -437,16 +437,16 @@
 }
 
 static void
-lose_duty (CcGranter *g, const char *why)
+lose_lease (CcGranter *g, const char *why)
 {
-  cc_event (CC_EVENT_STATE, "duty-lost", "why", why, "version",
-            cc_event_int ((gint64) g->shared.duty.version), NULL);
-  cc_duty_lost (&g->shared.duty);
+  cc_event (CC_EVENT_STATE, "lease-lost", "why", why, "version",
+            cc_event_int ((gint64) g->shared.lease.version), NULL);
+  cc_granter_lease_lost (&g->shared.lease);
   forget_ranges (g);
   g->doubtful = FALSE;
 }
 
-/* Whose word the duty's row VALUE is; *SEQUENCE of its write. */
+/* Whose word the lease's row VALUE is; *SEQUENCE of its write. */
 static char *
 read_holder (const char *value, guint64 *sequence)
 {
@@ -464,12 +464,12 @@
 }
 
 static void
-take_duty (CcGranter *g, guint64 version)
+take_lease (CcGranter *g, guint64 version)
 {
-  cc_event (CC_EVENT_STATE, "duty-taken", "version",
+  cc_event (CC_EVENT_STATE, "lease-taken", "version",
             cc_event_int ((gint64) version), "before",
-            cc_event_int ((gint64) g->shared.duty.version), NULL);
-  cc_duty_confirmed (&g->shared.duty, version, g->sent);
+            cc_event_int ((gint64) g->shared.lease.version), NULL);
+  cc_granter_lease_confirmed (&g->shared.lease, version, g->sent);
   g->loaded = FALSE;
   g->next_look = 0;
 }
@@ -485,8 +485,8 @@
 }
 
 static void
-on_duty_read (CcStatus status, GVariant *rows, guint64 upto, const char *why,
-              gpointer data)
+on_lease_read (CcStatus status, GVariant *rows, guint64 upto, const char *why,
+               gpointer data)
 {
   CcGranter *g = data;
   gint64 now = cc_clock_now ();
@@ -505,31 +505,32 @@
       g_free (holder);
       holder = read_holder (value, &sequence);
     }
-  if (!g->shared.duty.held)
+  if (!g->shared.lease.held)
     {
       /* A claim whose answer was lost. */
       if (g_str_equal (holder, g->id) && sequence == g->sequence)
-        take_duty (g, version);
+        take_lease (g, version);
       else
-        cc_duty_seen (&g->shared.duty, version, is_free (g, holder), now);
+        cc_granter_lease_seen (&g->shared.lease, version, is_free (g, holder),
+                               now);
       /* Only what was read just now says that the holder is silent. */
-      g->may_claim = cc_duty_may_claim (&g->shared.duty, now);
+      g->may_claim = cc_granter_lease_may_claim (&g->shared.lease, now);
       return;
     }
   g->doubtful = FALSE;
   if (!g_str_equal (holder, g->id))
-    lose_duty (g, "taken-over");
-  else if (version != g->shared.duty.version && sequence == g->sequence)
-    cc_duty_confirmed (&g->shared.duty, version, g->sent);
+    lose_lease (g, "taken-over");
+  else if (version != g->shared.lease.version && sequence == g->sequence)
+    cc_granter_lease_confirmed (&g->shared.lease, version, g->sent);
   else
-    g->shared.duty.version = version;
+    g->shared.lease.version = version;
 }
 
 static void
 look (CcGranter *g)
 {
   g->calling = TRUE;
-  cc_table_read (g->setup.table, CC_TABLE_DUTY, DUTY_KEY, on_duty_read, g);
+  cc_table_read (g->setup.table, CC_TABLE_LEASE, LEASE_KEY, on_lease_read, g);
 }
 
 static void
@@ -568,7 +569,7 @@
 
   (void) upto, (void) why;
   g->calling = FALSE;
-  if (status != CC_OK || !g->shared.duty.held)
+  if (status != CC_OK || !g->shared.lease.held)
     return;
   forget_ranges (g);
   g_hash_table_iter_init (&i, g->pools);
@@ -651,7 +652,7 @@
 on_written (CcStatus status, guint64 version, gpointer data)
 {
   CcGranter *g = data;
-  gboolean held = g->shared.duty.held;
+  gboolean held = g->shared.lease.held;
 
   g->calling = FALSE;
   if (g->resigning)
@@ -666,9 +667,9 @@
       if (held && g->loaded)
         g->announce = FALSE;
       if (held)
-        cc_duty_confirmed (&g->shared.duty, version, g->sent);
+        cc_granter_lease_confirmed (&g->shared.lease, version, g->sent);
       else
-        take_duty (g, version);
+        take_lease (g, version);
       break;
     case CC_CONFLICT:
     case CC_UNKNOWN:
@@ -682,9 +683,9 @@
     }
 }
 
-/* Claims or renews the duty, with the rows of ranges that have changed. */
+/* Claims or renews the lease, with the rows of ranges that have changed. */
 static void
-write_duty (CcGranter *g)
+write_lease (CcGranter *g)
 {
   CcTableChange *c = cc_table_change_new ();
   g_autofree char *value =
@@ -692,11 +693,12 @@
                        g->resigning ? "" : g->id, ++g->sequence);
 
   g->may_claim = FALSE;
-  if (!g->shared.duty.held)
-    g->predecessor_until = cc_duty_predecessor_until (&g->shared.duty);
-  cc_table_expect (c, CC_TABLE_DUTY, DUTY_KEY, g->shared.duty.version);
-  cc_table_put (c, CC_TABLE_DUTY, DUTY_KEY, value);
-  if (g->shared.duty.held && !g->resigning)
+  if (!g->shared.lease.held)
+    g->predecessor_until =
+        cc_granter_lease_predecessor_until (&g->shared.lease);
+  cc_table_expect (c, CC_TABLE_LEASE, LEASE_KEY, g->shared.lease.version);
+  cc_table_put (c, CC_TABLE_LEASE, LEASE_KEY, value);
+  if (g->shared.lease.held && !g->resigning)
     put_dirty (g, c);
   g->sent = cc_clock_now ();
   g->calling = TRUE;
@@ -704,16 +706,16 @@
 }
 
 static void
-step_duty (CcGranter *g, gint64 now)
+step_lease (CcGranter *g, gint64 now)
 {
   if (g->calling)
     return;
-  if (!g->shared.duty.held)
+  if (!g->shared.lease.held)
     {
       if (g->resigning)
         g->resigned = TRUE;
       else if (g->may_claim && now >= g->stand_back)
-        write_duty (g);
+        write_lease (g);
       else if (now >= g->next_look)
         {
           g->next_look = now + (g->rank < WATCH_RANKS
@@ -723,8 +725,8 @@
           look (g);
         }
     }
-  else if (!cc_duty_may_renew (&g->shared.duty, now))
-    lose_duty (g, "table-out-of-reach");
+  else if (!cc_granter_lease_may_renew (&g->shared.lease, now))
+    lose_lease (g, "table-out-of-reach");
   else if (g->doubtful && now >= g->next_look)
     {
       g->next_look = now + LOOK_AGAIN;
@@ -733,15 +735,15 @@
   else if (g->doubtful)
     return;
   else if (g->resigning)
-    write_duty (g);
+    write_lease (g);
   else if (!g->loaded && now >= g->next_look)
     {
       g->next_look = now + LOOK_AGAIN;
       g->calling = TRUE;
       cc_table_read (g->setup.table, CC_TABLE_STATE, NULL, on_state_read, g);
     }
-  else if (now >= g->sent + CC_DUTY_RENEW || (g->loaded && has_dirty (g)))
-    write_duty (g);
+  else if (now >= g->sent + CC_GRANTER_RENEW || (g->loaded && has_dirty (g)))
+    write_lease (g);
 }
 
 /* Does what is due.  Called by a timer of its own; tests call it. */
@@ -752,8 +754,9 @@
 
   if (g_hash_table_size (g->pools) == 0 && !g->resigning)
     return;
-  if (g->shared.duty.held && g->loaded && !g->resigning &&
-      now >= g->plan_after && cc_duty_may_change (&g->shared.duty, now) &&
+  if (g->shared.lease.held && g->loaded && !g->resigning &&
+      now >= g->plan_after &&
+      cc_granter_lease_may_change (&g->shared.lease, now) &&
       (g->shared.replan || now >= g->balance_at))
     {
       gboolean level = now >= g->balance_at;
@@ -762,12 +765,13 @@
         g->balance_at = now + BALANCE_PERIOD;
       plan_all (g, level);
     }
-  if (g->shared.duty.held && g->loaded && !g->resigning && step_grants (g, now))
+  if (g->shared.lease.held && g->loaded && !g->resigning &&
+      step_grants (g, now))
     {
       g->stand_back = now + STAND_BACK;
-      lose_duty (g, "cut-off-from-upstreams");
+      lose_lease (g, "cut-off-from-upstreams");
     }
-  step_duty (g, now);
+  step_lease (g, now);
 }
 
 static void
@@ -775,7 +779,7 @@
 {
   CcGranter *g = data;
 
-  cc_timer_start (&g->tick, g->shared.duty.held ? TICK : WATCH_PERIOD / 2,
+  cc_timer_start (&g->tick, g->shared.lease.held ? TICK : WATCH_PERIOD / 2,
                   on_tick, g);
   cc_granter_tick (g);
 }
@@ -805,16 +809,16 @@
   *known += SERVICE_WEIGHT * (service - *known);
 }
 
-/* Gives the duty up for good, as the process is to end. */
+/* Gives the lease up for good, as the process is to end. */
 void
 cc_granter_resign (CcGranter *g)
 {
   g->resigning = TRUE;
 }
 
-/* Whether the duty is given up, or was not held. */
+/* Whether the lease is given up, or was not held. */
 gboolean
 cc_granter_has_resigned (const CcGranter *g)
 {
-  return g->resigned || (!g->shared.duty.held && !g->calling);
+  return g->resigned || (!g->shared.lease.held && !g->calling);
 }
--- a/granter.h
+++ b/granter.h
@@ -1,5 +1,5 @@
 /* Grants keys to upstreams, in the one process of the fleet that has the
- * duty. */
+ * lease. */
 #ifndef CC_GRANTER_H
 #define CC_GRANTER_H
 
--- a/duty.c
+++ b/granter_lease.c
@@ -1,11 +1,12 @@
 /* Holder: a renewal counts from when it was sent.  Watcher: a version first
  * seen at a time was written before it.  Only spans are compared, no clocks of
  * two machines. */
-#include "duty.h"
+#include "granter_lease.h"
 
 /* The row was read: it has VERSION, and its holder has resigned if VACANT. */
 void
-cc_duty_seen (CcDuty *d, guint64 version, gboolean vacant, gint64 now)
+cc_granter_lease_seen (CcGranterLease *d, guint64 version, gboolean vacant,
+                       gint64 now)
 {
   if (d->seen_at == 0 || d->version != version)
     d->seen_at = now;
@@ -13,19 +14,19 @@
   d->vacant = vacant;
 }
 
-/* Whether a watcher may claim the duty at NOW. */
+/* Whether a watcher may claim the lease at NOW. */
 gboolean
-cc_duty_may_claim (const CcDuty *d, gint64 now)
+cc_granter_lease_may_claim (const CcGranterLease *d, gint64 now)
 {
   if (d->held || d->seen_at == 0)
     return FALSE;
   return d->version == 0 || d->vacant ||
-         now >= d->seen_at + CC_DUTY_TERM + CC_DUTY_MARGIN;
+         now >= d->seen_at + CC_GRANTER_TERM + CC_GRANTER_MARGIN;
 }
 
 /* A claim or renewal that was sent at SENT took effect as VERSION. */
 void
-cc_duty_confirmed (CcDuty *d, guint64 version, gint64 sent)
+cc_granter_lease_confirmed (CcGranterLease *d, guint64 version, gint64 sent)
 {
   d->held = TRUE;
   d->vacant = FALSE;
@@ -35,7 +36,7 @@
 
 /* Another holds it, or this process gave it up. */
 void
-cc_duty_lost (CcDuty *d)
+cc_granter_lease_lost (CcGranterLease *d)
 {
   d->held = FALSE;
   d->seen_at = 0;
@@ -43,26 +44,26 @@
 
 /* Whether the holder may give keys to others at NOW. */
 gboolean
-cc_duty_may_change (const CcDuty *d, gint64 now)
+cc_granter_lease_may_change (const CcGranterLease *d, gint64 now)
 {
-  return d->held && now < d->confirmed + CC_DUTY_TERM;
+  return d->held && now < d->confirmed + CC_GRANTER_TERM;
 }
 
 /* Whether it may renew what was granted. */
 gboolean
-cc_duty_may_renew (const CcDuty *d, gint64 now)
+cc_granter_lease_may_renew (const CcGranterLease *d, gint64 now)
 {
-  return d->held && now < d->confirmed + CC_DUTY_BLIND;
+  return d->held && now < d->confirmed + CC_GRANTER_BLIND;
 }
 
 /* To be asked just before a claim: until when the holder of before may send
  * grants, us. */
 gint64
-cc_duty_predecessor_until (const CcDuty *d)
+cc_granter_lease_predecessor_until (const CcGranterLease *d)
 {
   if (d->version == 0)
     return 0;
-  return d->vacant ? d->seen_at : d->seen_at + CC_DUTY_BLIND;
+  return d->vacant ? d->seen_at : d->seen_at + CC_GRANTER_BLIND;
 }
 
 /* When a grant that arrived at ARRIVED has surely ended, us. */
--- a/duty.h
+++ b/granter_lease.h
@@ -1,6 +1,6 @@
 /* The lease by which one process of the fleet grants keys. */
-#ifndef CC_DUTY_H
-#define CC_DUTY_H
+#ifndef CC_GRANTER_LEASE_H
+#define CC_GRANTER_LEASE_H
 
 #include "capercrank.h"
 
@@ -16,35 +16,37 @@
 /* A grant is renewed every so often: three in a hold. */
 #define CC_GRANT_RENEW (1100 * CC_MS)
 
-/* The duty lapses this long after its last renewal was sent.  Together with the
- * watchers' look and the first grants it stays below CC_GRANT_HOLD minus
+/* The lease lapses this long after its last renewal was sent.  Together with
+ * the watchers' look and the first grants it stays below CC_GRANT_HOLD minus
  * CC_GRANT_RENEW. */
-#define CC_DUTY_TERM (2000 * CC_MS)
-#define CC_DUTY_RENEW (650 * CC_MS) /* two lost renewals cost nothing */
-#define CC_DUTY_MARGIN (250 * CC_MS)
+#define CC_GRANTER_TERM (2000 * CC_MS)
+#define CC_GRANTER_RENEW (650 * CC_MS) /* two lost renewals cost nothing */
+#define CC_GRANTER_MARGIN (250 * CC_MS)
 /* A holder that can't reach the table service renews what it granted before,
  * to the same upstreams under the same fence, for so long.  It outlasts an
  * outage of that length for all; the price is that who takes over from a holder
  * that fell silent moves keys of an upstream that it can't reach either only
  * this much later. */
-#define CC_DUTY_BLIND (9 * CC_SECOND)
+#define CC_GRANTER_BLIND (9 * CC_SECOND)
 
 typedef struct
 {
   gboolean held;    /* as far as is known */
-  guint64 version;  /* of the duty's row; 0: there is none */
+  guint64 version;  /* of the lease's row; 0: there is none */
   gboolean vacant;  /* its holder resigned */
   gint64 seen_at;   /* when VERSION was first seen, us; 0: never read */
   gint64 confirmed; /* when the last renewal that took effect was sent, us */
-} CcDuty;
+} CcGranterLease;
 
-void cc_duty_seen (CcDuty *d, guint64 version, gboolean vacant, gint64 now);
-gboolean cc_duty_may_claim (const CcDuty *d, gint64 now);
-void cc_duty_confirmed (CcDuty *d, guint64 version, gint64 sent);
-void cc_duty_lost (CcDuty *d);
-gboolean cc_duty_may_change (const CcDuty *d, gint64 now);
-gboolean cc_duty_may_renew (const CcDuty *d, gint64 now);
-gint64 cc_duty_predecessor_until (const CcDuty *d);
+void cc_granter_lease_seen (CcGranterLease *d, guint64 version, gboolean vacant,
+                            gint64 now);
+gboolean cc_granter_lease_may_claim (const CcGranterLease *d, gint64 now);
+void cc_granter_lease_confirmed (CcGranterLease *d, guint64 version,
+                                 gint64 sent);
+void cc_granter_lease_lost (CcGranterLease *d);
+gboolean cc_granter_lease_may_change (const CcGranterLease *d, gint64 now);
+gboolean cc_granter_lease_may_renew (const CcGranterLease *d, gint64 now);
+gint64 cc_granter_lease_predecessor_until (const CcGranterLease *d);
 gint64 cc_grant_ends (gint64 arrived);
 
 #endif
--- a/pick.c
+++ b/pick.c
@@ -5,8 +5,8 @@
  *
  * So the number inside an upstream is this entry's own, which it knows exactly,
  * and an estimate of the others': what the upstream last said, which fades into
- * their mean as the word ages.  From it follows the time after which an answer
- * is to be expected, and the request goes where that is shortest.  Slow
+ * their mean as the report ages.  From it follows the time after which an
+ * answer is to be expected, and the request goes where that is shortest.  Slow
  * upstreams are measured slow, failing ones count as slower by the attempts
  * that they waste, and both are forgotten with time, so that one that has
  * recovered is tried again. */
@@ -14,10 +14,10 @@
 
 #include <math.h>
 
-/* A word on the load is worth half of itself after this: about the time in
+/* A report on the load is worth half of itself after this: about the time in
  * which a server of today ends one request of its four. */
-#define WORD_TIME (150 * CC_MS)
-/* Weight of a new word in the others' mean. */
+#define REPORT_TIME (150 * CC_MS)
+/* Weight of a new report in the others' mean. */
 #define USUAL_WEIGHT 0.2
 /* Weight of a new answer's time in the usual one.  Times spread by 0.8 of their
  * mean; five answers show a server that is five times slower. */
@@ -56,9 +56,9 @@
 }
 
 static void
-take_word (CcTargetLoad *l, const CcPickWord *word, gint64 now)
+take_report (CcTargetLoad *l, const CcLoadReport *report, gint64 now)
 {
-  double inside = word->running + word->waiting;
+  double inside = report->running + report->waiting;
 
   l->others = MAX (inside - l->mine, 0.0);
   if (l->others_at == 0)
@@ -83,18 +83,18 @@
   l->failures_at = now;
 }
 
-/* An attempt at L ended after TOOK us, with WORD if the server said its load.
+/* An attempt at L ended after TOOK us, with REPORT if the server said its load.
  */
 void
 cc_pick_ended (CcTargetLoad *l, CcPickEnd end, gint64 took, double share,
-               const CcPickWord *word, gint64 now)
+               const CcLoadReport *report, gint64 now)
 {
   double work = (double) took * share;
 
   if (l->mine > 0)
     l->mine--;
-  if (word->said)
-    take_word (l, word, now);
+  if (report->said)
+    take_report (l, report, now);
   switch (end)
     {
     case CC_PICK_ANSWERED:
@@ -125,7 +125,7 @@
 double
 cc_pick_inside (const CcTargetLoad *l, gint64 now)
 {
-  double weight = faded (l->others_at, now, WORD_TIME);
+  double weight = faded (l->others_at, now, REPORT_TIME);
 
   if (l->others_at == 0)
     return l->mine;
--- a/pick.h
+++ b/pick.h
@@ -31,17 +31,17 @@
   CC_PICK_GIVEN_UP     /* this entry ended it; tells nothing */
 } CcPickEnd;
 
-/* An upstream's own word on its load, from an answer. */
+/* An upstream's own report on its load, from an answer. */
 typedef struct
 {
   gboolean said;
   guint running;
   guint waiting;
-} CcPickWord;
+} CcLoadReport;
 
 double cc_pick_sent (CcTargetLoad *l, gint64 now);
 void cc_pick_ended (CcTargetLoad *l, CcPickEnd end, gint64 took, double share,
-                    const CcPickWord *word, gint64 now);
+                    const CcLoadReport *report, gint64 now);
 double cc_pick_inside (const CcTargetLoad *l, gint64 now);
 gboolean cc_pick_has_room (const CcTargetLoad *l, gint64 now);
 double cc_pick_time (const CcTargetLoad *l, double usual, gint64 now);
--- a/range_grant.c
+++ b/range_grant.c
@@ -7,8 +7,8 @@
 #include "clock.h"
 #include "event_log.h"
 
-/* A connection within a region stands after 3 ms, an answer is there after 10; a
- * renewal that is given up after these can be tried twice more in a hold. */
+/* A connection within a region stands after 3 ms, an answer is there after 10;
+ * a renewal that is given up after these can be tried twice more in a hold. */
 #define CALL_CONNECT (300 * CC_MS)
 #define CALL_WITHIN (800 * CC_MS)
 /* A release is answered when the work on the keys has ended: the longest of
@@ -193,7 +193,7 @@
 }
 
 /* The upstream has seen a higher fence: of this process's own making if it
- * holds the duty, or of who took it over. */
+ * holds the lease, or of who took it over. */
 static void
 fence_refused (CcRangeGrant *x, gint64 now)
 {
@@ -202,7 +202,7 @@
             cc_event_int ((gint64) x->range->fence), NULL);
   x->held = FALSE;
   x->not_before = now + CALL_RETRY;
-  if (!cc_duty_may_change (&x->shared->duty, now))
+  if (!cc_granter_lease_may_change (&x->shared->lease, now))
     return;
   x->range->fence = cc_key_ranges_top_fence (x->ranges) + 1;
   x->dirty = TRUE;
@@ -374,7 +374,7 @@
 {
   if (x->calling || now < x->not_before)
     return;
-  if (!cc_duty_may_change (&x->shared->duty, now))
+  if (!cc_granter_lease_may_change (&x->shared->lease, now))
     {
       if (x->held && x->range->previous == NULL)
         send_grant (x);
--- a/range_grant.h
+++ b/range_grant.h
@@ -2,7 +2,7 @@
 #ifndef CC_RANGE_GRANT_H
 #define CC_RANGE_GRANT_H
 
-#include "duty.h"
+#include "granter_lease.h"
 #include "edge.h"
 #include "key_ranges.h"
 
@@ -11,8 +11,8 @@
 {
   CcHttp *http;
   CcTargets *targets;
-  CcDuty duty;     /* by which this process grants */
-  gboolean replan; /* set: an owner has turned out to be gone */
+  CcGranterLease lease; /* by which this process grants */
+  gboolean replan;      /* set: an owner has turned out to be gone */
 } CcGrantShared;
 
 /* One range and its grant. */
--- a/table.h
+++ b/table.h
@@ -11,11 +11,11 @@
 /* The tables that are followed.  The first two are written by others. */
 typedef enum
 {
-  CC_TABLE_CONFIG,                  /* the operators' configuration */
-  CC_TABLE_UPSTREAMS,               /* upstreams, by their own reports */
-  CC_TABLE_STATE,                   /* ours: entries, owners of key ranges */
-  CC_TABLE_FOLLOWED,                /* how many are followed */
-  CC_TABLE_DUTY = CC_TABLE_FOLLOWED /* ours: who grants keys */
+  CC_TABLE_CONFIG,                   /* the operators' configuration */
+  CC_TABLE_UPSTREAMS,                /* upstreams, by their own reports */
+  CC_TABLE_STATE,                    /* ours: entries, owners of key ranges */
+  CC_TABLE_FOLLOWED,                 /* how many are followed */
+  CC_TABLE_LEASE = CC_TABLE_FOLLOWED /* ours: who grants keys */
 } CcTableName;
 
 typedef struct CcTable CcTable;
--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -157,7 +157,7 @@
   guint status;
   const char *headers[3]; /* name=value */
   gboolean reused;
-  CcServerWordKind kind;
+  CcServerReplyKind kind;
   gboolean load;
 } Answer;
 
@@ -236,7 +236,7 @@
       CcHttpResult r = { .end = CC_HTTP_ANSWERED,
                          .status = a->status,
                          .reused = a->reused };
-      CcServerWord word;
+      CcServerReply word;
 
       for (guint k = 0; k < 3 && a->headers[k] != NULL; k++)
         {
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -329,7 +329,7 @@
   CcView view;
   CcForwarder *forwarder;
   CcRoute route;
-  CcCallerWord word;
+  CcCallerInfo caller;
   GBytes *body;
 } World;
 
@@ -362,7 +362,7 @@
                         .timeout = 2 * CC_SECOND,
                         .target = 500 * CC_MS,
                         .attempts = c->attempts };
-  w->word = (CcCallerWord){ (char *) "r1", 1500 * CC_MS, -1 };
+  w->caller = (CcCallerInfo){ (char *) "r1", 1500 * CC_MS, -1 };
   w->body = g_bytes_new_static ("", 0);
 }
 
@@ -371,7 +371,7 @@
 {
   CcExchangeStart s = { .route = &w->route,
                         .pool = "booking",
-                        .word = &w->word,
+                        .caller = &w->caller,
                         .method = "POST",
                         .path = "/b",
                         .headers = "",
--- a/test/test_granter.c
+++ b/test/test_granter.c
@@ -16,7 +16,7 @@
 #include <cmocka.h>
 
 #include "clock.h"
-#include "duty.h"
+#include "granter_lease.h"
 #include "granter.h"
 #include "key_heat.h"
 
@@ -778,11 +778,11 @@
   world_clear ();
 }
 
-/* A process that seldom looks at the duty's row finds it free.  Callers get no
+/* A process that seldom looks at the lease's row finds it free.  Callers get no
  * owner for their keys until it has read the ranges, which must not wait for
  * its next look. */
 static void
-whoever_takes_the_duty_grants_at_once (void **state)
+whoever_takes_the_lease_grants_at_once (void **state)
 {
   (void) state;
   world_init (1, 0.0);
@@ -807,7 +807,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_key_has_one_owner_in_a_calm_world),
-    cmocka_unit_test (whoever_takes_the_duty_grants_at_once),
+    cmocka_unit_test (whoever_takes_the_lease_grants_at_once),
     cmocka_unit_test (a_key_has_one_owner_whatever_goes_wrong),
   };
 
--- a/test/test_pick.c
+++ b/test/test_pick.c
@@ -80,11 +80,11 @@
   return n;
 }
 
-static CcPickWord
+static CcLoadReport
 word_of (const World *w, guint s)
 {
-  return (CcPickWord){ TRUE, running (w, s),
-                       w->inside[s]->len - running (w, s) };
+  return (CcLoadReport){ TRUE, running (w, s),
+                         w->inside[s]->len - running (w, s) };
 }
 
 static gint
@@ -117,7 +117,7 @@
 send_job (World *w, Job *j, guint server, gint64 now)
 {
   CcTargetLoad *l = &w->seen[j->entry][server];
-  CcPickWord word = word_of (w, server);
+  CcLoadReport word = word_of (w, server);
 
   j->server = server;
   j->sent = now;
@@ -162,7 +162,7 @@
   for (guint i = 0; i < inside->len; i++)
     {
       Job *j = inside->pdata[i];
-      CcPickWord word;
+      CcLoadReport word;
 
       if (j->ends == 0 || j->ends > now)
         continue;
@@ -269,7 +269,7 @@
 static void
 an_unreachable_server_is_tried_again_later (void **state)
 {
-  static const CcPickWord silent = { 0 };
+  static const CcLoadReport silent = { 0 };
   CcTargetLoad l = { .slots = 4 };
   gint64 now = CC_SECOND, first, second;
 
