--- /dev/null
+++ b/choose.c
@@ -0,0 +1,95 @@
+/* Requests without a key go to the upstream from which an answer is to be
+ * expected soonest (pick.h); those with one only to the key's owner. */
+#include "choose.h"
+
+/* Part of its target that a request may take longer to be answered from its
+ * own zone: answers of today take a third of the target, so one from near with
+ * a short queue is still in time. */
+#define FAR_PART 0.3
+/* A request for a key is sent to its owner while an answer is to be expected
+ * within this many targets: the estimate is off by a third either way, and who
+ * is refused comes back late more often than who is sent. */
+#define OWNER_LATE 1.3
+
+/* What the way to T is worth avoiding, us.  An answer within the target is as
+ * good late as early, so one from near is preferred as long as the difference
+ * is a small part of the target; bytes between zones are dear. */
+static double
+far_cost (const CcChoice *c, const CcTarget *t)
+{
+  return g_str_equal (t->listing.zone, c->zone)
+             ? 0.0
+             : FAR_PART * (double) c->target_time;
+}
+
+/* The upstream with room that answers soonest; one that was tried only if there
+ * is no other. */
+CcChosen
+cc_choose_any (const CcChoice *c, gint64 now)
+{
+  GPtrArray *all = cc_targets_of_pool (c->targets, c->pool);
+  CcChosen chosen = { 0 };
+  double least = 0;
+  gboolean untried = FALSE;
+
+  for (guint i = 0; all != NULL && i < all->len; i++)
+    {
+      CcTarget *t = all->pdata[i];
+      gboolean tried = g_ptr_array_find ((GPtrArray *) c->tried, t, NULL);
+      double cost;
+
+      if (t->state != CC_TARGET_READY)
+        continue;
+      chosen.considered = t;
+      if ((tried && untried) || !cc_pick_has_room (&t->load, now))
+        continue;
+      cost = cc_pick_cost (&t->load, c->usual, far_cost (c, t), now);
+      /* Equal ones are told apart by lot, or all entries take the first. */
+      cost *= 1.0 + 0.02 * g_random_double ();
+      if (chosen.target == NULL || cost < least || (!tried && !untried))
+        {
+          chosen.target = t;
+          least = cost;
+        }
+      untried |= !tried;
+    }
+  return chosen;
+}
+
+/* The owner of KEY by RANGES, whether or not it has room. */
+CcChosen
+cc_choose_owner (const CcChoice *c, const CcKeyRanges *ranges, gint32 key,
+                 gint64 now)
+{
+  CcKeyRange *r = key < 0 ? NULL : cc_key_ranges_find (ranges, (guint) key);
+  CcChosen chosen = { 0 };
+  CcTarget *t;
+
+  if (r == NULL)
+    return chosen;
+  chosen.moving = r->previous != NULL;
+  if (chosen.moving)
+    return chosen;
+  t = cc_targets_find (c->targets, r->owner);
+  if (t == NULL || !cc_target_serves_keys (t, now))
+    return chosen;
+  chosen.considered = t;
+  /* It was started again: its keys are on their way to it. */
+  chosen.moving = t->listing.born != r->born;
+  if (!chosen.moving)
+    chosen.target = t;
+  return chosen;
+}
+
+/* Whether OWNER, which alone can serve the request, is to be sent to it now: as
+ * long as the answer is to be expected in time, however many wait inside; with
+ * a free slot, in any case. */
+gboolean
+cc_choose_has_room (const CcChoice *c, const CcTarget *owner, gint64 now)
+{
+  if (now < owner->load.avoid_until)
+    return FALSE;
+  return cc_pick_inside (&owner->load, now) < owner->load.slots ||
+         cc_pick_time (&owner->load, c->usual, now) <=
+             OWNER_LATE * (double) c->target_time;
+}
--- a/forward.c
+++ b/forward.c
@@ -9,9 +9,9 @@
 #include <string.h>
 
 #include "backlog.h"
+#include "choose.h"
 #include "clock.h"
 #include "event_log.h"
-#include "key_ranges.h"
 #include "timers.h"
 
 /* A connection within a region stands after 3 ms; what takes longer is lost on
@@ -32,17 +32,10 @@
  * its target: a move takes the time of the work in progress, and is over sooner
  * than the caller would be back. */
 #define MOVING_PART 0.6
-/* Part of its target that a request may take longer to be answered from its own
- * zone. */
-#define FAR_PART 0.3
 /* A request waits for room at its key's owner for this part of its target.
  * Longer, it would only keep the caller from coming back when the keys have
  * moved or the queue has drained. */
 #define OWNER_PART 0.125
-/* ... and is sent to it while an answer is to be expected within this many
- * targets: the estimate is off by a third either way, and who is refused comes
- * back late more often than who is sent. */
-#define OWNER_LATE 1.3
 /* Pause before a request for a key that moved is tried again, unless the
  * ranges change before. */
 #define MOVED_PAUSE (60 * CC_MS)
@@ -53,6 +46,7 @@
 #define LOOK_PERIOD (20 * CC_MS)
 /* An unmeasured pool's usual time for an answer. */
 #define SERVICE_UNKNOWN (100 * CC_MS)
+/* Weight of a new answer in it: a pool's mean changes over some twenty. */
 #define USUAL_WEIGHT 0.05
 
 typedef enum
@@ -492,77 +486,6 @@
   return TRUE;
 }
 
-/* The owner of E's key, if it may be sent to.  *MOVING: it is changing. */
-static CcTarget *
-owner_of (const CcExchange *e, gint64 now, gboolean *moving)
-{
-  CcKeyRange *r = cc_key_ranges_find (&e->pool->ranges, (guint) e->caller.key);
-  CcTarget *t;
-
-  *moving = FALSE;
-  if (r == NULL || e->caller.key < 0)
-    return NULL;
-  if (r->previous != NULL)
-    {
-      *moving = TRUE;
-      return NULL;
-    }
-  t = cc_targets_find (e->forwarder->setup.targets, r->owner);
-  if (t == NULL || !cc_target_serves_keys (t, now))
-    return NULL;
-  /* It was started again: its keys are on their way to it. */
-  *moving = t->listing.born != r->born;
-  return *moving ? NULL : t;
-}
-
-/* What the way to T is worth avoiding, us.  An answer within the target is as
- * good late as early, so one from near is preferred as long as the difference
- * is a small part of the target; bytes between zones are dear. */
-static double
-far_cost (const CcExchange *e, const CcTarget *t)
-{
-  return g_str_equal (t->listing.zone, e->forwarder->setup.zone)
-             ? 0.0
-             : FAR_PART * (double) e->target_time;
-}
-
-/* The upstream of E's pool from which an answer is to be expected soonest,
- * among those with room.  *ANY: there is one at all. */
-static CcTarget *
-best_target (CcExchange *e, gint64 now, gboolean *any)
-{
-  GPtrArray *all =
-      cc_targets_of_pool (e->forwarder->setup.targets, e->pool->name);
-  CcTarget *best = NULL;
-  double least = 0;
-  gboolean untried = FALSE;
-
-  *any = FALSE;
-  for (guint i = 0; all != NULL && i < all->len; i++)
-    {
-      CcTarget *t = all->pdata[i];
-      gboolean tried = g_ptr_array_find (e->tried, t, NULL);
-      double cost;
-
-      if (t->state != CC_TARGET_READY)
-        continue;
-      *any = TRUE;
-      e->considered = t;
-      if ((tried && untried) || !cc_pick_has_room (&t->load, now))
-        continue;
-      cost = cc_pick_cost (&t->load, e->pool->usual, far_cost (e, t), now);
-      /* Equal ones are told apart by lot, or all entries take the first. */
-      cost *= 1.0 + 0.02 * g_random_double ();
-      if (best == NULL || cost < least || (!tried && !untried))
-        {
-          best = t;
-          least = cost;
-        }
-      untried |= !tried;
-    }
-  return best;
-}
-
 typedef enum
 {
   STEP_SENT,  /* it is at an upstream now */
@@ -570,27 +493,28 @@
   STEP_ENDED  /* it was refused, and is gone */
 } Step;
 
-/* Only the owner can serve E.  It is sent there as long as the answer is to be
- * expected in time, however many wait inside; with nothing inside, in
- * any case. */
-static gboolean
-owner_has_room (const CcExchange *e, const CcTarget *t, gint64 now)
+static CcChoice
+choice_of (const CcExchange *e)
 {
-  if (now < t->load.avoid_until)
-    return FALSE;
-  return cc_pick_inside (&t->load, now) < t->load.slots ||
-         cc_pick_time (&t->load, e->pool->usual, now) <=
-             OWNER_LATE * (double) e->target_time;
+  const CcForwarderSetup *setup = &e->forwarder->setup;
+
+  return (CcChoice){ .targets = setup->targets,
+                     .pool = e->pool->name,
+                     .zone = setup->zone,
+                     .tried = e->tried,
+                     .target_time = e->target_time,
+                     .usual = e->pool->usual };
 }
 
 static Step
 step_keyed (CcExchange *e, gint64 now)
 {
-  gboolean moving = FALSE;
-  CcTarget *t = owner_of (e, now, &moving);
+  CcChoice c = choice_of (e);
+  CcChosen chosen = cc_choose_owner (&c, &e->pool->ranges, e->caller.key, now);
+  CcTarget *t = chosen.target;
 
-  e->considered = t;
-  if (t != NULL && owner_has_room (e, t, now))
+  e->considered = chosen.considered;
+  if (t != NULL && cc_choose_has_room (&c, t, now))
     return send_to (e, t) ? STEP_SENT : STEP_WAITS;
   /* One that shed work has room again in a moment; one that can't be reached
    * may not. */
@@ -601,30 +525,31 @@
       end_not_run (e, "owner-full");
       return STEP_ENDED;
     }
-  e->moving |= moving;
-  if (moving &&
+  e->moving |= chosen.moving;
+  if (chosen.moving &&
       now - e->began < (gint64) (MOVING_PART * (double) e->target_time))
     return STEP_WAITS;
-  end_not_run (e, t != NULL ? "owner-unreachable"
-                  : moving  ? "keys-moving"
-                            : "no-owner");
+  end_not_run (e, t != NULL       ? "owner-unreachable"
+                  : chosen.moving ? "keys-moving"
+                                  : "no-owner");
   return STEP_ENDED;
 }
 
 static Step
 step (CcExchange *e, gint64 now)
 {
-  gboolean any = FALSE;
-  CcTarget *t;
+  CcChoice c = choice_of (e);
+  CcChosen chosen;
 
   if (now < e->not_before)
     return STEP_WAITS;
   if (e->keyed)
     return step_keyed (e, now);
-  t = best_target (e, now, &any);
-  if (t != NULL)
-    return send_to (e, t) ? STEP_SENT : STEP_WAITS;
-  if (any)
+  chosen = cc_choose_any (&c, now);
+  e->considered = chosen.considered;
+  if (chosen.target != NULL)
+    return send_to (e, chosen.target) ? STEP_SENT : STEP_WAITS;
+  if (chosen.considered != NULL)
     return STEP_WAITS;
   end_not_run (e, "no-upstream");
   return STEP_ENDED;
--- /dev/null
+++ b/test/test_choose.c
@@ -0,0 +1,179 @@
+/* Which upstream a request goes to, by zone, by tries and by the owner of its
+ * key. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "choose.h"
+
+#define UPSTREAMS 3 /* u0 in zone a, u1 and u2 in zone b */
+
+typedef struct
+{
+  const char *name;
+  guint mine[UPSTREAMS]; /* requests inside each */
+  gboolean tried[UPSTREAMS];
+  gboolean leaving[UPSTREAMS];
+  gint chosen; /* -1: none */
+} Case;
+
+static const Case cases[] = {
+  { "near first", { 0, 0, 0 }, { 0 }, { 0 }, 0 },
+  { "near with all slots busy is still in time", { 4, 0, 0 }, { 0 }, { 0 }, 0 },
+  { "near that would be late", { 7, 0, 1 }, { 0 }, { 0 }, 1 },
+  { "near is full", { 8, 6, 0 }, { 0 }, { 0 }, 2 },
+  { "near was tried", { 0, 2, 6 }, { TRUE }, { 0 }, 1 },
+  { "all were tried", { 0, 0, 0 }, { TRUE, TRUE, TRUE }, { 0 }, 0 },
+  { "near leaves", { 0, 6, 0 }, { 0 }, { TRUE }, 2 },
+  { "all are full", { 8, 8, 8 }, { 0 }, { 0 }, -1 },
+};
+
+typedef struct
+{
+  CcTargets targets;
+  CcView view;
+  GPtrArray *tried;
+  CcChoice choice;
+} World;
+
+static gboolean
+decode (const char *key, const char *value, CcListing *l)
+{
+  gulong born;
+  guint leaving;
+
+  assert_int_equal (sscanf (value, "%lu %u", &born, &leaving), 2);
+  *l = (CcListing){ .id = g_strdup (key),
+                    .pool = g_strdup ("p"),
+                    .address = g_strdup ("10.0.0.1:80"),
+                    .zone = g_strdup (key[1] == '0' ? "a" : "b"),
+                    .slots = 4,
+                    .born = born,
+                    .leaving = leaving != 0 };
+  return TRUE;
+}
+
+static void
+ignore_change (const CcTarget *t, gpointer data)
+{
+  (void) t, (void) data;
+}
+
+static void
+list (World *w, guint i, guint born, gboolean leaving, gint64 now)
+{
+  static guint64 version;
+  g_autofree char *id = g_strdup_printf ("u%u", i);
+  g_autofree char *value = g_strdup_printf ("%u %d", born, leaving);
+
+  cc_view_put (&w->view, id, ++version, value);
+  cc_targets_update (&w->targets, &w->view, decode, 0, now, ignore_change,
+                     NULL);
+}
+
+static CcTarget *
+upstream (World *w, guint i)
+{
+  g_autofree char *id = g_strdup_printf ("u%u", i);
+
+  return cc_targets_find (&w->targets, id);
+}
+
+static void
+world_init (World *w)
+{
+  cc_targets_init (&w->targets);
+  cc_view_init (&w->view);
+  w->tried = g_ptr_array_new ();
+  w->choice =
+      (CcChoice){ &w->targets, "p", "a", w->tried, 300 * CC_MS, 100.0 * CC_MS };
+  for (guint i = 0; i < UPSTREAMS; i++)
+    list (w, i, 1, FALSE, CC_SECOND);
+}
+
+static void
+world_clear (World *w)
+{
+  g_ptr_array_unref (w->tried);
+  cc_view_clear (&w->view);
+  cc_targets_clear (&w->targets);
+}
+
+static void
+the_soonest_answer_wins_and_near_ones_before_it (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      World w;
+      CcChosen chosen;
+
+      world_init (&w);
+      for (guint k = 0; k < UPSTREAMS; k++)
+        {
+          upstream (&w, k)->load.mine = c->mine[k];
+          if (c->tried[k])
+            g_ptr_array_add (w.tried, upstream (&w, k));
+          if (c->leaving[k])
+            list (&w, k, 1, TRUE, 2 * CC_SECOND);
+        }
+      chosen = cc_choose_any (&w.choice, 2 * CC_SECOND);
+      if (chosen.target !=
+          (c->chosen < 0 ? NULL : upstream (&w, (guint) c->chosen)))
+        fail_msg ("%s: %s", c->name,
+                  chosen.target != NULL ? chosen.target->listing.id : "none");
+      world_clear (&w);
+    }
+}
+
+/* A key's owner, while it moves, after it was started again, after it left. */
+static void
+only_the_owner_gets_a_key (void **state)
+{
+  World w;
+  CcKeyRanges ranges;
+  CcKeyRange *r = cc_key_range_new (0, 99, "u1", 1, 5);
+  gint64 now = 2 * CC_SECOND;
+
+  (void) state;
+  world_init (&w);
+  cc_key_ranges_init (&ranges);
+  g_ptr_array_add (ranges.list, r);
+  assert_ptr_equal (cc_choose_owner (&w.choice, &ranges, 7, now).target,
+                    upstream (&w, 1));
+  assert_null (cc_choose_owner (&w.choice, &ranges, 100, now).target);
+  assert_null (cc_choose_owner (&w.choice, &ranges, -1, now).target);
+  cc_key_range_move (r, "u2", 1, 6);
+  assert_null (cc_choose_owner (&w.choice, &ranges, 7, now).target);
+  assert_true (cc_choose_owner (&w.choice, &ranges, 7, now).moving);
+  g_clear_pointer (&r->previous, g_free);
+  assert_ptr_equal (cc_choose_owner (&w.choice, &ranges, 7, now).target,
+                    upstream (&w, 2));
+  list (&w, 2, 9, FALSE, now);
+  assert_null (cc_choose_owner (&w.choice, &ranges, 7, now).target);
+  assert_true (cc_choose_owner (&w.choice, &ranges, 7, now).moving);
+  r->born = 9;
+  list (&w, 2, 9, TRUE, now);
+  assert_non_null (cc_choose_owner (&w.choice, &ranges, 7, now).target);
+  assert_null (
+      cc_choose_owner (&w.choice, &ranges, 7, now + CC_LEAVING_SERVES).target);
+  cc_key_ranges_clear (&ranges);
+  world_clear (&w);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (the_soonest_answer_wins_and_near_ones_before_it),
+    cmocka_unit_test (only_the_owner_gets_a_key),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
