--- a/admin.c
+++ b/admin.c
@@ -28,6 +28,19 @@
                                     strlen (body));
 }
 
+/* The path of M's request with its query, as the caller sent it.  The caller
+ * frees it. */
+char *
+cc_http_target (SoupServerMessage *m)
+{
+  GUri *uri = soup_server_message_get_uri (m);
+  const char *query = g_uri_get_query (uri);
+
+  if (query == NULL)
+    return g_strdup (g_uri_get_path (uri));
+  return g_strconcat (g_uri_get_path (uri), "?", query, NULL);
+}
+
 static void
 on_metrics (SoupServer *server, SoupServerMessage *m, const char *path,
             GHashTable *query, gpointer data)
--- a/callers.c
+++ b/callers.c
@@ -281,24 +281,13 @@
   return g_string_free (s, FALSE);
 }
 
-static char *
-path_of (SoupServerMessage *m)
-{
-  GUri *uri = soup_server_message_get_uri (m);
-  const char *query = g_uri_get_query (uri);
-
-  if (query == NULL)
-    return g_strdup (g_uri_get_path (uri));
-  return g_strconcat (g_uri_get_path (uri), "?", query, NULL);
-}
-
 static void
 begin (CcCallers *c, SoupServerMessage *m, CcRoute *route, const char *pool,
        CcCallerInfo *info)
 {
   const CcRoutePool *described = cc_routes_pool (c->routes, pool);
   g_autofree char *headers = headers_of (m);
-  g_autofree char *path = path_of (m);
+  g_autofree char *path = cc_http_target (m);
   g_autoptr (GBytes) body =
       soup_message_body_flatten (soup_server_message_get_request_body (m));
   Request *r = g_new0 (Request, 1);
--- a/entry.c
+++ b/entry.c
@@ -206,17 +206,6 @@
                   g_strstrip (flat), 0);
 }
 
-static char *
-path_of (SoupServerMessage *m)
-{
-  GUri *uri = soup_server_message_get_uri (m);
-  const char *query = g_uri_get_query (uri);
-
-  if (query == NULL)
-    return g_strdup (g_uri_get_path (uri));
-  return g_strconcat (g_uri_get_path (uri), "?", query, NULL);
-}
-
 static const char *
 header_or (SoupMessageHeaders *h, const char *name, const char *fallback)
 {
@@ -232,7 +221,7 @@
   const CcClass *class = checked->class;
   Caller *c = g_new0 (Caller, 1);
   const char *key = soup_message_headers_get_one (h, CC_HDR_KEY);
-  g_autofree char *path = path_of (m);
+  g_autofree char *path = cc_http_target (m);
   g_autoptr (GBytes) key_bytes = g_bytes_new (key, strlen (key));
   g_autoptr (GBytes) body =
       soup_message_body_flatten (soup_server_message_get_request_body (m));
--- a/gateway.c
+++ b/gateway.c
@@ -4,7 +4,6 @@
 #include <glib-unix.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 #include <unistd.h>
 
 #include <json-glib/json-glib.h>
@@ -18,6 +17,7 @@
 #include "heat_link.h"
 #include "metrics.h"
 #include "mirror.h"
+#include "peer_server.h"
 #include "settings.h"
 #include "timers.h"
 
@@ -50,11 +50,10 @@
   CcCallers *callers;
   CcGranter *granter;
   SoupServer *readiness;
-  SoupServer *internal;
+  CcPeerServer *peers;
   guint64 routes_version; /* of the row in force */
   char **seeds;
   GPtrArray *watchers; /* addresses of those that watch for this process */
-  GPtrArray *askers;   /* of Asker, who wait for news */
   gboolean registered;
   CcTimer registering;
   CcTimer recheck;
@@ -67,7 +66,6 @@
 } Gateway;
 
 static void update_targets (gpointer data);
-static void tell_askers (Gateway *g);
 
 /* ---- configuration ---- */
 
@@ -376,7 +374,7 @@
     case CC_TABLE_LEASE:
       break;
     }
-  tell_askers (g);
+  cc_peer_server_tell (g->peers);
 }
 
 /* ---- the ports beside the callers' ---- */
@@ -407,90 +405,14 @@
       "text/plain", why == NULL ? "ready\n" : why);
 }
 
-/* A peer that waits for news. */
-typedef struct
-{
-  Gateway *gateway;
-  SoupServerMessage *message;
-  guint64 since[CC_TABLE_FOLLOWED];
-  CcTimer timer;
-} Asker;
-
-static void
-answer_peer (Gateway *g, SoupServerMessage *m, const guint64 *since)
-{
-  g_autoptr (GBytes) rows = cc_mirror_rows_since (g->mirror, since);
-
-  soup_server_message_set_status (m, SOUP_STATUS_OK, NULL);
-  soup_message_body_append_bytes (soup_server_message_get_response_body (m),
-                                  rows);
-}
-
-static void
-asker_answer (gpointer data)
-{
-  Asker *a = data;
-
-  cc_timer_stop (&a->timer);
-  g_ptr_array_remove_fast (a->gateway->askers, a);
-  answer_peer (a->gateway, a->message, a->since);
-  soup_server_message_unpause (a->message);
-  g_object_unref (a->message);
-  g_free (a);
-}
-
-/* Tells the peers that wait. */
-static void
-tell_askers (Gateway *g)
-{
-  for (guint i = g->askers->len; i > 0; i--)
-    {
-      Asker *a = g->askers->pdata[i - 1];
-
-      if (cc_mirror_has_news (g->mirror, a->since))
-        asker_answer (a);
-    }
-}
-
-static void
-on_rows_asked (SoupServer *server, SoupServerMessage *m, const char *path,
-               GHashTable *query, gpointer data)
-{
-  Gateway *g = data;
-  guint64 since[CC_TABLE_FOLLOWED] = { 0 };
-  const char *text = query != NULL ? g_hash_table_lookup (query, "since") : "";
-  const char *wait = query != NULL ? g_hash_table_lookup (query, "wait") : "0";
-  g_auto (GStrv) parts = g_strsplit (text != NULL ? text : "", ",", -1);
-  Asker *a;
-
-  (void) server, (void) path;
-  for (guint i = 0; i < CC_TABLE_FOLLOWED && parts[i] != NULL; i++)
-    since[i] = g_ascii_strtoull (parts[i], NULL, 10);
-  if (wait == NULL || g_ascii_strtoll (wait, NULL, 10) <= 0 ||
-      cc_mirror_has_news (g->mirror, since))
-    {
-      answer_peer (g, m, since);
-      return;
-    }
-  a = g_new0 (Asker, 1);
-  a->gateway = g;
-  a->message = g_object_ref (m);
-  memcpy (a->since, since, sizeof since);
-  soup_server_message_pause (m);
-  g_ptr_array_add (g->askers, a);
-  cc_timer_start (&a->timer, g_ascii_strtoll (wait, NULL, 10) * CC_MS,
-                  asker_answer, a);
-}
-
 static gboolean
 listen_all (Gateway *g, char **message)
 {
   g->readiness = soup_server_new (NULL, NULL);
   soup_server_add_handler (g->readiness, cc_edge_ready_path (), on_readiness, g,
                            NULL);
-  g->internal = soup_server_new (NULL, NULL);
-  soup_server_add_handler (g->internal, CC_MIRROR_PATH, on_rows_asked, g, NULL);
-  if (!cc_http_listen (g->internal, g->address, message) ||
+  g->peers = cc_peer_server_new (g->mirror, g->address, message);
+  if (g->peers == NULL ||
       !cc_http_listen (g->readiness, cc_setting (g->settings, "readiness"),
                        message))
     return FALSE;
@@ -605,7 +527,6 @@
   g->granter = cc_granter_new (&granting);
   g->mirror = cc_mirror_new (g->table, g->http, on_rows, pick_peer, g);
   g->watchers = g_ptr_array_new_with_free_func (g_free);
-  g->askers = g_ptr_array_new ();
   g->seeds = cc_setting_list (g->settings, "seeds");
   return TRUE;
 }
--- /dev/null
+++ b/peer_server.h
@@ -0,0 +1,13 @@
+/* Answers peers that go by this process's copy of the rows. */
+#ifndef CC_PEER_SERVER_H
+#define CC_PEER_SERVER_H
+
+#include "mirror.h"
+
+typedef struct CcPeerServer CcPeerServer;
+
+CcPeerServer *cc_peer_server_new (CcMirror *mirror, const char *address,
+                                  char **message);
+void cc_peer_server_tell (CcPeerServer *p);
+
+#endif
