--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -25,7 +25,7 @@
 static const Case cases[] = {
   { "near first", { 0, 0, 0 }, { 0 }, { 0 }, 0 },
   { "near with all slots busy is still in time", { 4, 0, 0 }, { 0 }, { 0 }, 0 },
-  { "near that would be late", { 7, 0, 1 }, { 0 }, { 0 }, 1 },
+  { "near that would be late", { 7, 0, 5 }, { 0 }, { 0 }, 1 },
   { "near is full", { 8, 6, 0 }, { 0 }, { 0 }, 2 },
   { "near was tried", { 0, 2, 6 }, { TRUE }, { 0 }, 1 },
   { "all were tried", { 0, 0, 0 }, { TRUE, TRUE, TRUE }, { 0 }, 0 },
