"Not run" is not said of a request that may have run in an attempt before

Cause: an idempotent request whose first attempt was lost or failed, and whose repeat was shed, was told 503, "not run". The users want a refusal to be true, whatever the kind of request.

Ruled out: once-only requests; they are never repeated after an attempt that may have run (test_forward's cases).

Change: such a request ends as unknown (502), with the same reason in the log.

--- a/forward.c
+++ b/forward.c
@@ -68,14 +68,15 @@
   State state;
   gboolean keyed;
   gboolean idempotent;
-  gboolean moving;    /* waits for its key's range */
-  gint64 not_before;  /* is not sent again before, us */
-  gint64 began;       /* us */
-  gint64 target_time; /* of its route, us */
-  gint64 give_up;     /* when it is answered at the latest, us */
-  guint attempts_max; /* upstreams it may reach */
-  guint attempts;     /* that it reached */
-  guint unreached;    /* upstreams that could not be reached */
+  gboolean may_have_run; /* an attempt of before may have, or has */
+  gboolean moving;       /* waits for its key's range */
+  gint64 not_before;     /* is not sent again before, us */
+  gint64 began;          /* us */
+  gint64 target_time;    /* of its route, us */
+  gint64 give_up;        /* when it is answered at the latest, us */
+  guint attempts_max;    /* upstreams it may reach */
+  guint attempts;        /* that it reached */
+  guint unreached;       /* upstreams that could not be reached */
   char *method;
   char *path;
   char *headers;
@@ -203,8 +204,18 @@
   return e->give_up - now;
 }
 
-/* Answers E, which has not run, and lets its caller come back when the queue of
- * now has drained, and not before AT (us; 0: no matter). */
+static void
+end_unknown (CcExchange *e, const char *reason)
+{
+  CcEnd end = { .kind = CC_END_UNKNOWN, .reason = reason };
+
+  end_with (e, &end);
+}
+
+/* Answers E, whose last attempt has not run, and lets its caller come back when
+ * the queue of now has drained, and not before AT (us; 0: no matter).  An
+ * idempotent request may have run in an attempt before: "not run" would be
+ * untrue then, although its caller may repeat it. */
 static void
 end_not_run_until (CcExchange *e, const char *reason, gint64 at)
 {
@@ -212,6 +223,11 @@
   gint64 wait = cc_backlog_wait (&e->pool->backlog, e->entry.priority, now);
   CcEnd end = { .kind = CC_END_NOT_RUN, .reason = reason };
 
+  if (e->may_have_run)
+    {
+      end_unknown (e, reason);
+      return;
+    }
   end.retry_after = cc_backlog_retry_after (
       MAX (wait, at - now), left_of (e, now), g_random_double ());
   end_with (e, &end);
@@ -223,14 +239,6 @@
   end_not_run_until (e, reason, 0);
 }
 
-static void
-end_unknown (CcExchange *e, const char *reason)
-{
-  CcEnd end = { .kind = CC_END_UNKNOWN, .reason = reason };
-
-  end_with (e, &end);
-}
-
 static void
 release_target (CcExchange *e, CcPickEnd how, const CcLoadReport *report)
 {
@@ -343,6 +351,7 @@
       return;
     }
   log_repeat (e, why);
+  e->may_have_run = TRUE;
   wait_again (e, 0);
 }
 
@@ -357,6 +366,7 @@
       take_repeat (e))
     {
       log_repeat (e, "server-error");
+      e->may_have_run = TRUE;
       wait_again (e, 0);
       return;
     }
