Lines that will not be written cost nothing; left-out lines are told once a second

Ruled out: a smaller budget; the lines that are written are wanted.

Change: request-ended asks the budget first; the count of left-out lines is told once a second for each kind.

--- a/callers.c
+++ b/callers.c
@@ -131,11 +131,13 @@
 {
   static const char *const kinds[] = { "answered", "not-run", "unknown" };
   gboolean well = e->kind == CC_END_ANSWER && e->status < 500;
+  CcEventKind kind = well ? CC_EVENT_SERVED : CC_EVENT_FAILED;
 
-  cc_event (well ? CC_EVENT_SERVED : CC_EVENT_FAILED, "request-ended",
-            "request", r->caller.id, "route", r->route, "pool", r->pool,
-            "outcome", kinds[e->kind], "reason", e->reason, "status",
-            cc_event_int (e->status), "target", e->target, "attempts",
+  if (!cc_event_may (kind))
+    return;
+  cc_event (kind, "request-ended", "request", r->caller.id, "route", r->route,
+            "pool", r->pool, "outcome", kinds[e->kind], "reason", e->reason,
+            "status", cc_event_int (e->status), "target", e->target, "attempts",
             cc_event_int (e->attempts), "took_ms", cc_event_int (took / CC_MS),
             "allowed_ms", cc_event_int (r->caller.left / CC_MS), "key",
             cc_event_int (r->caller.key), "waiting", cc_event_int (e->waiting),
--- a/event_log.c
+++ b/event_log.c
@@ -15,6 +15,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "capercrank.h"
 #include "clock.h"
 #include "metrics.h"
 
@@ -29,6 +30,8 @@
   [CC_EVENT_SERVED] = { 10, 40 },
 };
 
+/* How often it is said how many lines of a kind were left out. */
+#define TELL_PERIOD (1 * CC_SECOND)
 #define PENDING_MAX (64 * 1024) /* bytes that wait for the reader */
 #define NUMBERS 16              /* numbers formatted for one line at most */
 
@@ -43,7 +46,8 @@
     double tokens;
     gint64 updated; /* us */
     guint64 dropped;
-    guint64 told; /* dropped lines that a line has told of */
+    guint64 told;   /* dropped lines that a line has told of */
+    gint64 told_at; /* us */
     CcCounter *counter;
   } kinds[CC_EVENT_KINDS];
 } events = { .file = -1 };
@@ -169,6 +173,7 @@
   begin_line (line, "log-lines-dropped");
   g_string_append_printf (line, ",\"kind\":\"%s\",\"count\":%" G_GUINT64_FORMAT,
                           kind_names[kind], dropped - events.kinds[kind].told);
+  events.kinds[kind].told_at = events.kinds[kind].updated;
   if (put_line (line))
     events.kinds[kind].told = dropped;
 }
@@ -199,7 +204,8 @@
   if (!cc_event_may (kind))
     return;
   events.kinds[kind].tokens -= 1.0;
-  if (events.kinds[kind].dropped > events.kinds[kind].told)
+  if (events.kinds[kind].dropped > events.kinds[kind].told &&
+      events.kinds[kind].updated >= events.kinds[kind].told_at + TELL_PERIOD)
     tell_dropped (kind);
   line = g_string_new (NULL);
   begin_line (line, event);
