--- a/gateway.c
+++ b/gateway.c
@@ -166,9 +166,9 @@
 /* ---- reports to the granter ---- */
 
 static void
-on_heat_count (const char *pool, guint bucket, guint count, gpointer data)
+on_heat_count (const char *pool, guint key, guint count, gpointer data)
 {
-  cc_granter_heat (((Gateway *) data)->granter, pool, bucket, count);
+  cc_granter_heat (((Gateway *) data)->granter, pool, key, count);
 }
 
 static void
@@ -219,7 +219,17 @@
 static void
 on_lease_renewed (guint64 version, gpointer data)
 {
-  cc_mirror_lease_renewed (((Gateway *) data)->mirror, version);
+  cc_mirror_lease_renewed (((Gateway *) data)->mirror, version,
+                           cc_clock_now ());
+}
+
+static void
+take_lease_version (Gateway *g)
+{
+  gint64 seen_at;
+  guint64 version = cc_mirror_lease (g->mirror, &seen_at);
+
+  cc_granter_lease_heard (g->granter, version, seen_at);
 }
 
 static void
@@ -241,7 +251,7 @@
                                    cc_mirror_view (g->mirror, CC_TABLE_STATE));
       break;
     case CC_TABLE_LEASE:
-      cc_granter_lease_heard (g->granter, cc_mirror_lease (g->mirror));
+      take_lease_version (g);
       break;
     }
   cc_peer_server_tell (g->peers);
--- a/granter.c
+++ b/granter.c
@@ -86,15 +86,17 @@
   gboolean doubtful; /* a write's answer was lost: read first */
   gboolean resigning;
   gboolean resigned;
-  gboolean may_claim; /* by the row as it was last read */
-  gint64 stand_back;  /* claims nothing before, us */
-  gint64 next_look;   /* at the row, while watching, us */
-  gint64 sent;        /* the write in progress, us */
-  guint rank;         /* in the order of watching */
-  guint fleet;        /* processes that registered */
-  gint64 predecessor_until;
-  gint64 targets_changed; /* us */
-  gint64 loaded_at;       /* when the rows were read, us */
+  gboolean may_claim;       /* by the row as it was last read */
+  gboolean claiming;        /* a claim may still take effect */
+  gint64 stand_back;        /* claims nothing before, us */
+  gint64 next_look;         /* at the row, while watching, us */
+  gint64 sent;              /* the write in progress, us */
+  guint rank;               /* in the order of watching */
+  guint fleet;              /* processes that registered */
+  gint64 predecessor_until; /* it may renew what it granted, us */
+  gint64 predecessor_seen;  /* its last renewal was known, us */
+  gint64 targets_changed;   /* us */
+  gint64 loaded_at;         /* when the rows were read, us */
   gint64 plan_after;   /* until then upstreams may be missing by mistake, us */
   gint64 replan_at;    /* ranges were busy: plan again then, us; 0: no */
   gboolean announce;   /* the row that says where reports go is to be written */
@@ -192,17 +194,24 @@
              : MIN (LOOK_TOGETHER * MAX (g->fleet, 1), WATCH_PERIOD_MOST);
 }
 
-/* Another process says that the lease's row has VERSION by now. */
+/* Other processes have known since SEEN_AT, us, that the lease's row has
+ * VERSION.
+ *
+ * Who has heard of it need not look soon.  Only the first few look as soon as
+ * renewals may be missing; the others at different times, since all of them
+ * hear at once, and the first few may be cut off. */
 void
-cc_granter_lease_heard (CcGranter *g, guint64 version)
+cc_granter_lease_heard (CcGranter *g, guint64 version, gint64 seen_at)
 {
-  gint64 now = cc_clock_now ();
+  gint64 quiet = HEARD_QUIET;
 
   if (g->shared.lease.held || version <= g->shared.lease.version)
     return;
-  cc_granter_lease_seen (&g->shared.lease, version, FALSE, now);
+  if (g->rank >= WATCH_RANKS)
+    quiet += (gint64) (g_random_double () * (double) look_period (g));
+  cc_granter_lease_seen (&g->shared.lease, version, FALSE, seen_at);
   g->may_claim = FALSE;
-  g->next_look = now + MAX (HEARD_QUIET, look_period (g));
+  g->next_look = seen_at + quiet;
 }
 
 /* The upstreams that may own keys have changed.  TROUBLE is when their list's
@@ -332,19 +341,31 @@
             cc_event_int ((gint64) g->shared.lease.version), NULL);
 }
 
+/* Ranges that a plan cut from others get grants of their own.  That goes before
+ * any change of owners: what may be held of the new range is what could be held
+ * of the one that it was cut from before the plan. */
 static void
-apply_change (CcGranter *g, Pool *p, CcKeyRange *r, const GArray *before)
+add_grants (CcGranter *g, Pool *p, const GPtrArray *changed)
 {
-  CcRangeGrant *x = grant_of (p, r);
-
-  if (x == NULL)
+  for (guint i = 0; i < changed->len; i++)
     {
+      CcKeyRange *r = changed->pdata[i];
       CcRangeGrant *source = source_of (p, r);
+      CcRangeGrant *x;
 
+      if (grant_of (p, r) != NULL)
+        continue;
       x = grant_new (g, p, r);
       if (source != NULL)
         cc_range_grant_inherit (x, source, cc_clock_now ());
     }
+}
+
+static void
+apply_change (CcGranter *g, Pool *p, CcKeyRange *r, const GArray *before)
+{
+  CcRangeGrant *x = grant_of (p, r);
+
   for (guint i = 0; i < before->len; i++)
     {
       const Before *b = &g_array_index (before, Before, i);
@@ -394,6 +415,7 @@
   cc_key_plan (&plan);
   if (plan.skipped)
     g->replan_at = now + REPLAN_PAUSE;
+  add_grants (g, p, changed);
   for (guint i = 0; i < changed->len; i++)
     apply_change (g, p, changed->pdata[i], before);
   if (changed->len >= PLAN_MAX)
@@ -498,6 +520,7 @@
 static void
 take_lease (CcGranter *g, guint64 version)
 {
+  g->claiming = FALSE;
   cc_event (CC_EVENT_STATE, "lease-taken", "version",
             cc_event_int ((gint64) version), "before",
             cc_event_int ((gint64) g->shared.lease.version), NULL);
@@ -539,8 +562,10 @@
     }
   if (!g->shared.lease.held)
     {
-      /* A claim whose answer was lost. */
-      if (g_str_equal (holder, g->id) && sequence == g->sequence)
+      /* A claim whose answer was lost.  The lease that this run gave up is
+       * none: it has forgotten what it granted, and goes by the row like any
+       * other. */
+      if (g->claiming && g_str_equal (holder, g->id) && sequence == g->sequence)
         take_lease (g, version);
       else
         cc_granter_lease_seen (&g->shared.lease, version, is_free (g, holder),
@@ -572,7 +597,10 @@
   GVariantIter i;
   const char *key, *value;
   guint64 version, fence;
-  gint64 until = cc_grant_ends (MAX (g->predecessor_until, now));
+  CcPredecessor before = { .seen = g->predecessor_seen,
+                           .changes_until =
+                               g->predecessor_seen + CC_GRANTER_TERM,
+                           .renews_until = MAX (g->predecessor_until, now) };
 
   cc_view_init (&view);
   g_variant_iter_init (&i, rows);
@@ -586,7 +614,7 @@
     {
       CcRangeGrant *x = grant_new (g, p, p->ranges.list->pdata[k]);
 
-      cc_range_grant_load (x, &fence, until, now);
+      cc_range_grant_load (x, &fence, &before);
     }
 }
 
@@ -700,17 +728,22 @@
         g->announce = FALSE;
       if (held)
         confirm_lease (g, version);
-      else
+      else if (g->claiming)
         take_lease (g, version);
+      else
+        /* A renewal of the lease that was given up meanwhile. */
+        g->next_look = 0;
       break;
     case CC_CONFLICT:
     case CC_UNKNOWN:
       mark_unwritten (g);
       g->doubtful = held;
+      g->claiming &= status == CC_UNKNOWN;
       g->next_look = 0;
       break;
     default:
       mark_unwritten (g);
+      g->claiming = FALSE;
       break;
     }
 }
@@ -726,8 +759,12 @@
 
   g->may_claim = FALSE;
   if (!g->shared.lease.held)
-    g->predecessor_until =
-        cc_granter_lease_predecessor_until (&g->shared.lease);
+    {
+      g->predecessor_until =
+          cc_granter_lease_predecessor_until (&g->shared.lease);
+      g->predecessor_seen = g->shared.lease.seen_at;
+      g->claiming = TRUE;
+    }
   cc_table_expect (c, CC_TABLE_LEASE, LEASE_KEY, g->shared.lease.version);
   cc_table_put (c, CC_TABLE_LEASE, LEASE_KEY, value);
   if (g->shared.lease.held && !g->resigning)
@@ -813,14 +850,14 @@
   cc_granter_tick (g);
 }
 
-/* COUNT requests came, somewhere in the fleet, for keys of BUCKET of POOL. */
+/* COUNT requests came, somewhere in the fleet, for KEY of POOL. */
 void
-cc_granter_heat (CcGranter *g, const char *pool, guint bucket, guint count)
+cc_granter_heat (CcGranter *g, const char *pool, guint key, guint count)
 {
   Pool *p = g_hash_table_lookup (g->pools, pool);
 
   if (p != NULL)
-    cc_key_heat_add (&p->heat, bucket, count);
+    cc_key_heat_add (&p->heat, key, count);
 }
 
 /* An entry measured SERVICE us of work for a request at TARGET. */
--- a/heat_link.c
+++ b/heat_link.c
@@ -8,17 +8,17 @@
 #include "key_heat.h"
 #include "settings.h"
 
-/* Counts by pool and bucket, and service times by upstream, us. */
+/* Counts by pool and key, and service times by upstream, us. */
 #define REPORT_TYPE "(a{sa(qq)}a(sd))"
 #define REPORT_MAX 60000 /* bytes; a datagram holds 65507 */
-/* Buckets of one pool in a report; the rest waits for the next. */
-#define BUCKETS_MAX 2000
+/* Keys of one pool in a report; the rest waits for the next. */
+#define KEYS_MAX 2000
 
 struct CcHeatLink
 {
   GSocket *socket;
   GSource *source;
-  GHashTable *pools; /* name to GHashTable of bucket to count */
+  GHashTable *pools; /* name to GHashTable of key to count */
   CcHeatCount count;
   CcHeatService service;
   gpointer data;
@@ -29,16 +29,16 @@
 {
   GVariantIter i, k;
   const char *pool;
-  GVariant *buckets;
-  guint16 bucket, count;
+  GVariant *keys;
+  guint16 key, count;
 
   g_variant_iter_init (&i, pools);
-  while (g_variant_iter_next (&i, "{&s@a(qq)}", &pool, &buckets))
+  while (g_variant_iter_next (&i, "{&s@a(qq)}", &pool, &keys))
     {
-      g_variant_iter_init (&k, buckets);
-      while (g_variant_iter_next (&k, "(qq)", &bucket, &count))
-        l->count (pool, bucket, count, l->data);
-      g_variant_unref (buckets);
+      g_variant_iter_init (&k, keys);
+      while (g_variant_iter_next (&k, "(qq)", &key, &count))
+        l->count (pool, key, count, l->data);
+      g_variant_unref (keys);
     }
 }
 
@@ -124,7 +124,7 @@
 cc_heat_link_asked (CcHeatLink *l, const char *pool, guint key)
 {
   GHashTable *counts = g_hash_table_lookup (l->pools, pool);
-  gpointer bucket = GUINT_TO_POINTER (key / CC_HEAT_BUCKET);
+  gpointer name = GUINT_TO_POINTER (key);
   guint count;
 
   if (counts == NULL)
@@ -132,24 +132,24 @@
       counts = g_hash_table_new (NULL, NULL);
       g_hash_table_insert (l->pools, g_strdup (pool), counts);
     }
-  count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, bucket));
-  g_hash_table_insert (counts, bucket, GUINT_TO_POINTER (count + 1));
+  count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, name));
+  g_hash_table_insert (counts, name, GUINT_TO_POINTER (count + 1));
 }
 
 static GVariant *
-take_buckets (GHashTable *counts)
+take_keys (GHashTable *counts)
 {
   GVariantBuilder b;
   GHashTableIter i;
-  gpointer bucket, count;
+  gpointer key, count;
   guint n = 0;
 
   g_variant_builder_init (&b, G_VARIANT_TYPE ("a(qq)"));
   g_hash_table_iter_init (&i, counts);
-  while (n++ < BUCKETS_MAX && g_hash_table_iter_next (&i, &bucket, &count))
+  while (n++ < KEYS_MAX && g_hash_table_iter_next (&i, &key, &count))
     {
       g_variant_builder_add (
-          &b, "(qq)", (guint16) GPOINTER_TO_UINT (bucket),
+          &b, "(qq)", (guint16) GPOINTER_TO_UINT (key),
           (guint16) MIN (GPOINTER_TO_UINT (count), G_MAXUINT16));
       g_hash_table_iter_remove (&i);
     }
@@ -176,7 +176,7 @@
   g_hash_table_iter_init (&i, l->pools);
   while (g_hash_table_iter_next (&i, &pool, &counts))
     if (g_hash_table_size (counts) > 0)
-      g_variant_builder_add (&b, "{s@a(qq)}", pool, take_buckets (counts));
+      g_variant_builder_add (&b, "{s@a(qq)}", pool, take_keys (counts));
   report = g_variant_ref_sink (
       g_variant_new ("(@a{sa(qq)}@a(sd))", g_variant_builder_end (&b), times));
   to = g_inet_socket_address_new_from_string (ip, port);
--- a/heat_link.h
+++ b/heat_link.h
@@ -11,8 +11,8 @@
  * seen; a datagram of some 300 bytes each is 6 kB/s at a dozen entries. */
 #define CC_HEAT_PERIOD (400 * CC_MS)
 
-/* COUNT requests came for keys of BUCKET of POOL. */
-typedef void (*CcHeatCount) (const char *pool, guint bucket, guint count,
+/* COUNT requests came for KEY of POOL. */
+typedef void (*CcHeatCount) (const char *pool, guint key, guint count,
                              gpointer data);
 /* The upstream TARGET works SERVICE us on a request. */
 typedef void (*CcHeatService) (const char *target, double service,
--- a/key_heat.c
+++ b/key_heat.c
@@ -1,69 +1,151 @@
-/* Faded counts by bucket; see key_heat.h for the sizes. */
+/* Load pattern: from one second to the next a small region of keys gets half of
+ * all requests, for five seconds.  A mean over two seconds shows a third of
+ * that after 0.8 s; keys that are spread by it are cut into pieces three times
+ * as busy as they seem, and those pieces may not move again at once.
+ *
+ * So two means are kept, and a bucket's rate is the higher of the slow one and
+ * of what the fast one shows for sure: less CERTAINTY times the deviation that
+ * chance gives it, by its own count or by that of its neighbourhood, since busy
+ * keys lie side by side. */
 #include "key_heat.h"
 
 #include <math.h>
 
-/* Fades all counts to NOW, us. */
+/* Deviations below the fast mean that count as sure: of 15 buckets one may seem
+ * busier than it is. */
+#define CERTAINTY 1.5
+/* Buckets on each side that tell about one between them. */
+#define NEIGHBOURS 4
+/* Requests that each key of a bucket is credited with beside its own: below
+ * some four, one key's count says nothing. */
+#define KEY_CREDIT 0.25
+/* A bucket with less than this lately is no part of a busy region. */
+#define RECENT_LEAST 0.5
+
+static double
+per_second (double count, gint64 time)
+{
+  return count * (double) CC_SECOND / (double) time;
+}
+
+/* The part of COUNT, faded, that chance does not explain: its variance is half
+ * of it. */
+static double
+sure (double count)
+{
+  return MAX (count - CERTAINTY * sqrt (count / 2), 0.0);
+}
+
+static double
+around (const CcKeyHeat *h, guint bucket)
+{
+  guint from = bucket > NEIGHBOURS ? bucket - NEIGHBOURS : 0;
+  guint to = MIN (bucket + NEIGHBOURS, CC_HEAT_BUCKETS - 1);
+  double sum = 0;
+
+  for (guint b = from; b <= to; b++)
+    sum += h->recent[b];
+  return sure (sum) / (to - from + 1);
+}
+
+static double
+rate_of (const CcKeyHeat *h, guint bucket)
+{
+  double recent = sure (h->recent[bucket]);
+
+  if (h->recent[bucket] >= RECENT_LEAST)
+    recent = MAX (recent, around (h, bucket));
+  return MAX (per_second (h->count[bucket], CC_HEAT_TIME),
+              per_second (recent, CC_HEAT_RECENT));
+}
+
+/* Fades all counts to NOW, us, and draws the rates from them. */
 void
 cc_key_heat_fade (CcKeyHeat *h, gint64 now)
 {
-  double factor = exp (-(double) (now - h->faded_at) / CC_HEAT_TIME);
+  double passed = h->faded_at == 0 ? 0.0 : (double) (now - h->faded_at);
+  double slow = exp (-passed / CC_HEAT_TIME);
+  double fast = exp (-passed / CC_HEAT_RECENT);
 
-  if (h->faded_at != 0)
-    for (guint i = 0; i < CC_HEAT_BUCKETS; i++)
-      h->count[i] *= factor;
+  for (guint b = 0; b < CC_HEAT_BUCKETS; b++)
+    {
+      h->count[b] *= slow;
+      h->recent[b] *= fast;
+    }
+  for (guint k = 0; k < CC_HEAT_KEYS; k++)
+    h->keys[k] *= (float) slow;
+  for (guint b = 0; b < CC_HEAT_BUCKETS; b++)
+    h->sums[b + 1] = h->sums[b] + rate_of (h, b);
   h->faded_at = now;
 }
 
-/* COUNT requests came for keys of BUCKET just now. */
+/* COUNT requests came for KEY just now. */
 void
-cc_key_heat_add (CcKeyHeat *h, guint bucket, double count)
+cc_key_heat_add (CcKeyHeat *h, guint key, double count)
 {
-  if (bucket < CC_HEAT_BUCKETS)
-    h->count[bucket] += count;
+  if (key >= CC_HEAT_KEYS)
+    return;
+  h->count[key / CC_HEAT_BUCKET] += count;
+  h->recent[key / CC_HEAT_BUCKET] += count;
+  h->keys[key] += (float) count;
 }
 
-/* The part of BUCKET's keys that lie in FROM to TO. */
+/* The part of its bucket's requests that come for the keys before KEY. */
 static double
-overlap (guint bucket, guint from, guint to)
+part_below (const CcKeyHeat *h, guint key)
 {
-  guint first = bucket * CC_HEAT_BUCKET;
-  guint last = first + CC_HEAT_BUCKET - 1;
-  guint low = MAX (first, from), high = MIN (last, to);
+  guint first = key - key % CC_HEAT_BUCKET;
+  double below = 0, all = 0;
 
-  return high < low ? 0.0 : (double) (high - low + 1) / CC_HEAT_BUCKET;
+  for (guint k = first; k < first + CC_HEAT_BUCKET; k++)
+    {
+      double one = (double) h->keys[k] + KEY_CREDIT;
+
+      all += one;
+      below += k < key ? one : 0;
+    }
+  return below / all;
+}
+
+/* Requests a second for the keys below KEY. */
+static double
+rate_below (const CcKeyHeat *h, guint key)
+{
+  guint b = key / CC_HEAT_BUCKET;
+
+  if (key >= CC_HEAT_KEYS)
+    return h->sums[CC_HEAT_BUCKETS];
+  if (key % CC_HEAT_BUCKET == 0)
+    return h->sums[b];
+  return h->sums[b] + part_below (h, key) * (h->sums[b + 1] - h->sums[b]);
 }
 
 /* Requests a second for the keys FROM to TO, both included. */
 double
 cc_key_heat_rate (const CcKeyHeat *h, guint from, guint to)
 {
-  double sum = 0;
-
-  for (guint b = from / CC_HEAT_BUCKET; b <= to / CC_HEAT_BUCKET; b++)
-    sum += h->count[b] * overlap (b, from, to);
-  return sum * (double) CC_SECOND / CC_HEAT_TIME;
+  return rate_below (h, to + 1) - rate_below (h, from);
 }
 
-/* How many keys at the end of FROM to TO get RATE requests a second, where each
- * key counts for PER_KEY more.  At least one and not all. */
+/* How many keys at one end of FROM to TO, at its beginning if AT_HEAD, get RATE
+ * requests a second at most, where each key counts for PER_KEY more.  At least
+ * one and not all. */
 guint
-cc_key_heat_cut (const CcKeyHeat *h, guint from, guint to, double rate,
-                 double per_key)
+cc_key_heat_cut (const CcKeyHeat *h, guint from, guint to, gboolean at_head,
+                 double rate, double per_key)
 {
-  double sum = 0;
-  guint at = to;
+  guint low = 1, high = to - from; /* keys */
 
-  while (at > from + 1)
+  while (low < high)
     {
-      double one = h->count[at / CC_HEAT_BUCKET] / CC_HEAT_BUCKET *
-                       (double) CC_SECOND / CC_HEAT_TIME +
-                   per_key;
-
-      if (sum + one > rate && at < to)
-        break;
-      sum += one;
-      at--;
+      guint keys = low + (high - low + 1) / 2;
+      double found = at_head ? cc_key_heat_rate (h, from, from + keys - 1)
+                             : cc_key_heat_rate (h, to - keys + 1, to);
+
+      if (found + per_key * keys > rate)
+        high = keys - 1;
+      else
+        low = keys;
     }
-  return MAX (to - at, 1);
+  return MAX (low, 1);
 }
--- a/key_heat.h
+++ b/key_heat.h
@@ -4,27 +4,35 @@
 
 #include "capercrank.h"
 
-/* Neighbouring keys are counted together.  Busy keys lie close to each other,
- * and a busy region of 200 keys still shows as a dozen buckets, enough to be
- * cut between several upstreams. */
+/* Neighbouring keys are counted together: a dozen requests tell how busy a
+ * region is long before they tell it of each key.  Within a bucket keys are
+ * told apart as far as their own counts go, since one may be busier than all
+ * others. */
+#define CC_HEAT_KEYS 65536
 #define CC_HEAT_BUCKET 16
-#define CC_HEAT_BUCKETS 4096 /* of CC_HEAT_BUCKET keys, 65536 in all */
+#define CC_HEAT_BUCKETS (CC_HEAT_KEYS / CC_HEAT_BUCKET)
 
 /* Rates fade with this time.  Shorter, chance looks like heat: at 10 requests a
- * second an upstream's count of 2 s is off by a fifth.  Longer, a region that
- * turns busy is served badly for longer than it takes to move it. */
+ * second an upstream's count of 2 s is off by a fifth. */
 #define CC_HEAT_TIME (2 * CC_SECOND)
+/* What came lately is counted for itself, faded with this time, and taken only
+ * as far as chance does not explain it. */
+#define CC_HEAT_RECENT (600 * CC_MS)
 
 typedef struct
 {
-  double count[CC_HEAT_BUCKETS]; /* requests, faded */
-  gint64 faded_at;               /* us; 0: nothing counted yet */
+  double count[CC_HEAT_BUCKETS];    /* requests, faded with CC_HEAT_TIME */
+  double recent[CC_HEAT_BUCKETS];   /* requests, faded with CC_HEAT_RECENT */
+  double sums[CC_HEAT_BUCKETS + 1]; /* requests a second for the keys below each
+                                       bucket, as of the last fade */
+  float keys[CC_HEAT_KEYS];         /* as COUNT, of each key */
+  gint64 faded_at;                  /* us; 0: nothing counted yet */
 } CcKeyHeat;
 
 void cc_key_heat_fade (CcKeyHeat *h, gint64 now);
-void cc_key_heat_add (CcKeyHeat *h, guint bucket, double count);
+void cc_key_heat_add (CcKeyHeat *h, guint key, double count);
 double cc_key_heat_rate (const CcKeyHeat *h, guint from, guint to);
-guint cc_key_heat_cut (const CcKeyHeat *h, guint from, guint to, double rate,
-                       double per_key);
+guint cc_key_heat_cut (const CcKeyHeat *h, guint from, guint to,
+                       gboolean at_head, double rate, double per_key);
 
 #endif
--- a/key_plan.c
+++ b/key_plan.c
@@ -31,14 +31,22 @@
 #define BUSY_FACTOR 1.35
 /* Moves of less than this part of the upstream's load are not worth it. */
 #define MOVE_LEAST 0.08
+/* A range may have this much more than what is to be moved: cutting it costs a
+ * range for good. */
+#define PIECE_EXCESS 1.2
+/* A key that is asked for more often than its owner can serve counts as this
+ * part of that owner's capacity: what lies beyond is refused, and would make
+ * the pool look busier than it can be made. */
+#define LONE_KEY_MOST 1.5
 
 typedef struct
 {
   CcKeyPlan *plan;
-  guint64 fence;   /* the highest that was given */
-  double capacity; /* of all owners */
-  double per_key;  /* what each key counts for beside its heat */
-  double total;    /* load of all keys */
+  guint64 fence;     /* the highest that was given */
+  double capacity;   /* of all owners */
+  double per_key;    /* what each key counts for beside its heat */
+  double total;      /* load of all keys */
+  GHashTable *by_id; /* id to CcKeyOwner */
 } State;
 
 static CcKeyOwner *
@@ -50,10 +58,9 @@
 static CcKeyOwner *
 find_owner (const State *s, const char *id, guint64 born)
 {
-  for (guint i = 0; i < s->plan->owners->len; i++)
-    if (g_str_equal (owner_at (s, i)->id, id) && owner_at (s, i)->born == born)
-      return owner_at (s, i);
-  return NULL;
+  CcKeyOwner *o = g_hash_table_lookup (s->by_id, id);
+
+  return o != NULL && o->born == born ? o : NULL;
 }
 
 static double
@@ -86,13 +93,15 @@
   return best;
 }
 
+/* The busiest that can be helped; NULL: none. */
 static CcKeyOwner *
 most (const State *s)
 {
-  CcKeyOwner *best = owner_at (s, 0);
+  CcKeyOwner *best = NULL;
 
-  for (guint i = 1; i < s->plan->owners->len; i++)
-    if (use_of (owner_at (s, i)) > use_of (best))
+  for (guint i = 0; i < s->plan->owners->len; i++)
+    if (!owner_at (s, i)->stuck &&
+        (best == NULL || use_of (owner_at (s, i)) > use_of (best)))
       best = owner_at (s, i);
   return best;
 }
@@ -124,13 +133,10 @@
   return (gint) x->from - (gint) y->from;
 }
 
-/* Cuts a part of about LOAD off the end of R, which has more than one key, and
- * returns it. */
+/* Cuts KEYS keys, not all, off the end of R and returns them. */
 static CcKeyRange *
-cut (State *s, CcKeyRange *r, double load)
+cut_off (State *s, CcKeyRange *r, guint keys)
 {
-  guint keys =
-      cc_key_heat_cut (s->plan->heat, r->from, r->to, load, s->per_key);
   CcKeyRange *tail = cc_key_range_copy (r);
 
   tail->from = r->to - keys + 1;
@@ -143,6 +149,16 @@
   return tail;
 }
 
+/* Cuts a part of about LOAD off the end of R, which has more than one key, and
+ * returns it. */
+static CcKeyRange *
+cut (State *s, CcKeyRange *r, double load)
+{
+  return cut_off (
+      s, r,
+      cc_key_heat_cut (s->plan->heat, r->from, r->to, FALSE, load, s->per_key));
+}
+
 static void
 give (State *s, CcKeyRange *r, CcKeyOwner *o)
 {
@@ -178,19 +194,15 @@
 static gboolean
 take_back (State *s, CcKeyRange *r)
 {
-  for (guint i = 0; i < s->plan->owners->len; i++)
-    {
-      CcKeyOwner *o = owner_at (s, i);
+  CcKeyOwner *o = g_hash_table_lookup (s->by_id, r->owner);
 
-      if (!g_str_equal (o->id, r->owner))
-        continue;
-      r->born = o->born;
-      r->fence = ++s->fence;
-      o->load += load_of (s, r);
-      note_changed (s, r);
-      return TRUE;
-    }
-  return FALSE;
+  if (o == NULL)
+    return FALSE;
+  r->born = o->born;
+  r->fence = ++s->fence;
+  o->load += load_of (s, r);
+  note_changed (s, r);
+  return TRUE;
 }
 
 static void
@@ -216,10 +228,17 @@
     }
 }
 
-/* The range of O, or with O NULL of the busiest but NEWCOMER, that has the most
- * load and may be moved. */
+/* Whether R is R's owner's to keep: being moved, moved lately, or in a call. */
+static gboolean
+stays (const CcKeyRange *r)
+{
+  return r->previous != NULL || r->rests || r->busy;
+}
+
+/* The range of the busiest owners but NEWCOMER that has the most load and may
+ * be moved. */
 static CcKeyRange *
-heaviest (const State *s, const CcKeyOwner *o, const CcKeyOwner *newcomer)
+heaviest (const State *s, const CcKeyOwner *newcomer)
 {
   CcKeyRange *best = NULL;
   double best_weight = 0;
@@ -230,10 +249,9 @@
       const CcKeyOwner *its = find_owner (s, r->owner, r->born);
       double weight;
 
-      if (its == NULL || its == newcomer || (o != NULL && its != o) ||
-          r->previous != NULL || r->rests || r->busy)
+      if (its == NULL || its == newcomer || stays (r) || keys_of (r) < 2)
         continue;
-      weight = load_of (s, r) + (o == NULL ? its->load : 0);
+      weight = load_of (s, r) + its->load;
       if (weight > best_weight)
         best = r;
       best_weight = MAX (best_weight, weight);
@@ -247,7 +265,7 @@
   for (guint i = 0; i < DONORS && !is_full (s); i++)
     {
       double wanted = NEWCOMER_PART * fair_share (s, o) / DONORS;
-      CcKeyRange *r = heaviest (s, NULL, o);
+      CcKeyRange *r = heaviest (s, o);
       CcKeyOwner *donor;
 
       if (r == NULL || keys_of (r) <= 2)
@@ -259,33 +277,93 @@
     }
 }
 
-/* Takes load off the busiest owner.  Returns FALSE if nothing is to be done. */
+/* The range of O with the most load up to MOST, or with SPLITTABLE the one with
+ * the most that can be cut; NULL: none. */
+static CcKeyRange *
+find_range (const State *s, const CcKeyOwner *o, double most,
+            gboolean splittable)
+{
+  CcKeyRange *best = NULL;
+  double best_load = 0;
+
+  for (guint i = 0; i < s->plan->ranges->list->len; i++)
+    {
+      CcKeyRange *r = s->plan->ranges->list->pdata[i];
+      double load;
+
+      if (stays (r) || find_owner (s, r->owner, r->born) != o ||
+          (splittable && keys_of (r) < 2))
+        continue;
+      load = load_of (s, r);
+      if (load <= best_load || (!splittable && load > most))
+        continue;
+      best = r;
+      best_load = load;
+    }
+  return best;
+}
+
+/* Cuts about AMOUNT off one end of R and returns that part; NULL if the key at
+ * either end is busier than that by itself. */
+static CcKeyRange *
+cut_end (State *s, CcKeyRange *r, double amount)
+{
+  const CcKeyHeat *h = s->plan->heat;
+  guint tail = cc_key_heat_cut (h, r->from, r->to, FALSE, amount, s->per_key);
+  guint head = cc_key_heat_cut (h, r->from, r->to, TRUE, amount, s->per_key);
+  double most = PIECE_EXCESS * amount;
+
+  if (cc_key_heat_rate (h, r->to - tail + 1, r->to) <= most)
+    return cut_off (s, r, tail);
+  if (cc_key_heat_rate (h, r->from, r->from + head - 1) > most)
+    return NULL;
+  cut_off (s, r, (guint) keys_of (r) - head);
+  return r;
+}
+
+/* Takes AMOUNT off FROM and gives it to TO.  FALSE: nothing of FROM's can be
+ * moved, since a single key is too busy or all was moved lately. */
 static gboolean
-relieve (State *s)
+shift (State *s, CcKeyOwner *from, CcKeyOwner *to, double amount)
 {
-  CcKeyOwner *from = most (s), *to = least (s);
-  double mean = s->total / s->capacity;
-  double amount =
-      MIN (from->load - mean * from->capacity, mean * to->capacity - to->load);
-  CcKeyRange *r;
+  CcKeyRange *r = find_range (s, from, PIECE_EXCESS * amount, FALSE);
 
-  if (use_of (from) < MAX (BUSY_FROM, BUSY_FACTOR * mean) ||
-      amount < MOVE_LEAST * from->load)
-    return FALSE;
-  r = heaviest (s, from, NULL);
-  if (r == NULL)
-    return FALSE;
-  if (load_of (s, r) > 1.2 * amount)
+  if (r == NULL || load_of (s, r) < MOVE_LEAST * from->load)
     {
-      if (keys_of (r) <= 2)
-        return FALSE;
-      r = cut (s, r, amount);
+      CcKeyRange *whole = find_range (s, from, 0, TRUE);
+      CcKeyRange *part = whole != NULL ? cut_end (s, whole, amount) : NULL;
+
+      r = part != NULL ? part : r;
     }
+  if (r == NULL)
+    return FALSE;
   from->load -= load_of (s, r);
   give (s, r, to);
   return TRUE;
 }
 
+/* Takes load off the busiest owner.  Returns FALSE if nothing is to be done.
+ *
+ * Failure: one key is asked for more often than its owner can serve, and no
+ * move helps; a plan that ends there leaves all other busy owners as they are.
+ * So such an owner is left out, after its other keys were taken off it. */
+static gboolean
+relieve (State *s)
+{
+  CcKeyOwner *from = most (s), *to = least (s);
+  double mean = s->total / s->capacity;
+  double amount;
+
+  if (from == NULL || use_of (from) < MAX (BUSY_FROM, BUSY_FACTOR * mean))
+    return FALSE;
+  amount =
+      MIN (from->load - mean * from->capacity, mean * to->capacity - to->load);
+  if (amount < MOVE_LEAST * mean * from->capacity ||
+      !shift (s, from, to, amount))
+    from->stuck = TRUE;
+  return TRUE;
+}
+
 static void
 measure (State *s)
 {
@@ -297,14 +375,24 @@
     {
       s->capacity += owner_at (s, i)->capacity;
       owner_at (s, i)->load = 0;
+      owner_at (s, i)->stuck = FALSE;
+      g_hash_table_insert (s->by_id, (gpointer) owner_at (s, i)->id,
+                           owner_at (s, i));
     }
   for (guint i = 0; i < s->plan->ranges->list->len; i++)
     {
       const CcKeyRange *r = s->plan->ranges->list->pdata[i];
       CcKeyOwner *o = find_owner (s, r->owner, r->born);
+      double load = load_of (s, r);
 
-      if (o != NULL)
-        o->load += load_of (s, r);
+      if (o == NULL)
+        continue;
+      if (keys_of (r) < 2 && load > LONE_KEY_MOST * o->capacity)
+        {
+          s->total -= load - LONE_KEY_MOST * o->capacity;
+          load = LONE_KEY_MOST * o->capacity;
+        }
+      o->load += load;
     }
 }
 
@@ -312,7 +400,10 @@
 void
 cc_key_plan (CcKeyPlan *p)
 {
-  State s = { .plan = p, .fence = cc_key_ranges_top_fence (p->ranges) };
+  g_autoptr (GHashTable) by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  State s = { .plan = p,
+              .fence = cc_key_ranges_top_fence (p->ranges),
+              .by_id = by_id };
 
   if (p->owners->len == 0)
     return;
--- a/key_plan.h
+++ b/key_plan.h
@@ -11,7 +11,9 @@
   const char *id;
   guint64 born;
   double capacity; /* requests a second that it can serve */
-  double load;     /* of its keys, requests a second; kept by this module */
+  /* Kept by this module: */
+  double load;    /* of its keys, requests a second */
+  gboolean stuck; /* nothing can be taken off it */
 } CcKeyOwner;
 
 /* One pool at one moment. */
--- a/mirror.c
+++ b/mirror.c
@@ -106,6 +106,7 @@
   gint64 fresh_at; /* all rows were known to be the newest, us */
   gint64 started_at;
   guint64 lease;        /* newest known version of the lease's row */
+  gint64 lease_at;      /* when anybody on its way here first knew it, us */
   guint fleet;          /* processes */
   gboolean for_others;  /* others go by this copy */
   guint distance;       /* processes on the rows' way to this one */
@@ -422,8 +423,9 @@
 
 /* What a peer sends: how long ago, in us, its rows were fresh and it last had
  * trouble with the service (-1: never); the version of the lease's row that it
- * knows; for each table, since and up to which version, and the rows. */
-#define PEER_TYPE "(xxta(tta(sts)))"
+ * knows, and since how long; for each table, since and up to which version, and
+ * the rows. */
+#define PEER_TYPE "(xxtxa(tta(sts)))"
 #define PEER_TABLES "a(tta(sts))"
 
 /* The rows that were written after SINCE[table], as a peer reads them. */
@@ -443,9 +445,10 @@
                              t->complete ? t->view.upto : 0,
                              cc_view_since (&t->view, since[i]));
     }
-  all = g_variant_ref_sink (g_variant_new (
-      "(xxt@" PEER_TABLES ")", now - m->fresh_at,
-      trouble != 0 ? now - trouble : -1, m->lease, g_variant_builder_end (&b)));
+  all = g_variant_ref_sink (
+      g_variant_new ("(xxtx@" PEER_TABLES ")", now - m->fresh_at,
+                     trouble != 0 ? now - trouble : -1, m->lease,
+                     now - m->lease_at, g_variant_builder_end (&b)));
   return g_variant_get_data_as_bytes (all);
 }
 
@@ -469,20 +472,24 @@
   m->fleet = fleet;
 }
 
-/* The lease's row has VERSION, by this process's own write or a peer's word. */
+/* The lease's row has had VERSION since SEEN_AT, us, by this process's own
+ * write or a peer's word. */
 void
-cc_mirror_lease_renewed (CcMirror *m, guint64 version)
+cc_mirror_lease_renewed (CcMirror *m, guint64 version, gint64 seen_at)
 {
   if (version <= m->lease)
     return;
   m->lease = version;
+  m->lease_at = seen_at;
   m->changed (CC_TABLE_LEASE, m->data);
 }
 
-/* The newest version of the lease's row that was heard of; 0: none. */
+/* The newest version of the lease's row that was heard of, 0 if none, which was
+ * first seen at *SEEN_AT, us. */
 guint64
-cc_mirror_lease (const CcMirror *m)
+cc_mirror_lease (const CcMirror *m, gint64 *seen_at)
 {
+  *seen_at = m->lease_at;
   return m->lease;
 }
 
@@ -510,14 +517,15 @@
 {
   g_autoptr (GVariant) all = NULL;
   g_autoptr (GVariant) tables = NULL;
-  gint64 age, trouble;
+  gint64 age, trouble, lease_age;
   guint64 lease;
 
   if (r->end != CC_HTTP_ANSWERED || r->status != 200)
     return -1;
   all = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (PEER_TYPE), r->body, FALSE));
-  g_variant_get (all, "(xxt@" PEER_TABLES ")", &age, &trouble, &lease, &tables);
+  g_variant_get (all, "(xxtx@" PEER_TABLES ")", &age, &trouble, &lease,
+                 &lease_age, &tables);
   if (!g_variant_is_normal_form (all) ||
       g_variant_n_children (tables) != CC_TABLE_FOLLOWED)
     {
@@ -534,7 +542,7 @@
       g_variant_get_child (tables, i, "(tt@a(sts))", &since, &upto, &rows);
       take_peer_table (&m->tables[i], since, upto, rows);
     }
-  cc_mirror_lease_renewed (m, lease);
+  cc_mirror_lease_renewed (m, lease, cc_clock_now () - MAX (lease_age, 0));
   return MAX (age, 0);
 }
 
--- a/mirror.h
+++ b/mirror.h
@@ -27,8 +27,8 @@
                          CcMirrorPeer peer, gpointer data);
 void cc_mirror_role (CcMirror *m, gboolean for_others, guint distance,
                      guint fleet);
-void cc_mirror_lease_renewed (CcMirror *m, guint64 version);
-guint64 cc_mirror_lease (const CcMirror *m);
+void cc_mirror_lease_renewed (CcMirror *m, guint64 version, gint64 seen_at);
+guint64 cc_mirror_lease (const CcMirror *m, gint64 *seen_at);
 void cc_mirror_free (CcMirror *m);
 void cc_mirror_start (CcMirror *m);
 CcView *cc_mirror_view (CcMirror *m, CcTableName name);
--- a/range_grant.c
+++ b/range_grant.c
@@ -99,25 +99,30 @@
   x->moved_at = now;
 }
 
-/* X's range was read from its row by a new granter, at NOW.  It gets a fence
- * above *FENCE; what others granted ends by UNTIL. */
+/* X's range was read from its row by a new granter.  It gets a fence above
+ * *FENCE; BEFORE is what the granter before may still do.
+ *
+ * That one renews without the table only what its rows say as well.  So of a
+ * range in the middle of a move, the previous owner got its last grant before
+ * the move was written, and the new one before the granter's term was over. */
 void
-cc_range_grant_load (CcRangeGrant *x, guint64 *fence, gint64 until, gint64 now)
+cc_range_grant_load (CcRangeGrant *x, guint64 *fence,
+                     const CcPredecessor *before)
 {
-  gboolean moving = x->range->previous != NULL;
-
-  x->owner_until = until;
-  x->owner_doubt = until;
-  if (moving)
+  if (x->range->previous != NULL)
     {
-      x->previous_until = until;
-      x->previous_doubt = cc_grant_ends (now);
+      x->previous_until = cc_grant_ends (before->seen + CALL_WITHIN);
+      x->previous_doubt = x->previous_until;
+      x->owner_until = cc_grant_ends (before->changes_until + CALL_WITHIN);
+      x->owner_doubt = x->owner_until;
+      x->written = TRUE;
+      return;
     }
-  x->written = moving;
-  x->dirty = !moving;
-  x->raised = !moving;
-  if (x->raised)
-    x->range->fence = ++*fence;
+  x->owner_until = cc_grant_ends (before->renews_until + CALL_WITHIN);
+  x->owner_doubt = x->owner_until;
+  x->dirty = TRUE;
+  x->raised = TRUE;
+  x->range->fence = ++*fence;
 }
 
 static char *
@@ -374,9 +379,15 @@
 {
   if (x->calling || now < x->not_before)
     return;
+  /* A process that stood still may find its lease long over here, before it
+   * looks at the lease itself. */
+  if (!cc_granter_lease_may_renew (&x->shared->lease, now))
+    return;
+  /* Who takes over goes by the rows: a move that is finished here and not yet
+   * there is none. */
   if (!cc_granter_lease_may_change (&x->shared->lease, now))
     {
-      if (x->held && x->range->previous == NULL)
+      if (x->held && x->written && x->range->previous == NULL)
         send_grant (x);
       return;
     }
--- a/range_grant.h
+++ b/range_grant.h
@@ -43,6 +43,14 @@
   gint64 moved_at; /* when its owner last changed, us; 0: not seen */
 } CcRangeGrant;
 
+/* What the granter before may still do, or have done. */
+typedef struct
+{
+  gint64 seen;          /* its last write was known, us */
+  gint64 changes_until; /* it grants what its rows plan, us */
+  gint64 renews_until;  /* it renews what its rows say, us */
+} CcPredecessor;
+
 CcRangeGrant *cc_range_grant_new (CcGrantShared *shared, const char *pool,
                                   CcKeyRanges *ranges, CcKeyRange *range);
 void cc_range_grant_free (gpointer grant);
@@ -52,7 +60,7 @@
                                    gint64 now);
 void cc_range_grant_inherit (CcRangeGrant *x, const CcRangeGrant *source,
                              gint64 now);
-void cc_range_grant_load (CcRangeGrant *x, guint64 *fence, gint64 until,
-                          gint64 now);
+void cc_range_grant_load (CcRangeGrant *x, guint64 *fence,
+                          const CcPredecessor *before);
 
 #endif
--- a/test/test_granter.c
+++ b/test/test_granter.c
@@ -635,8 +635,7 @@
       break;
     case 4:
       cc_granter_heat (p->granter, POOL,
-                       (guint) g_rand_int_range (w.rand, 0, CC_HEAT_BUCKETS),
-                       200);
+                       (guint) g_rand_int_range (w.rand, 0, CC_HEAT_KEYS), 200);
       break;
     default:
       p->cut_from_table = FALSE;
--- /dev/null
+++ b/test/test_key_heat.c
@@ -0,0 +1,153 @@
+/* How fast and how surely a region that turns busy is seen.  What callers would
+ * see if it failed: keys cut into pieces that are still too busy, and the
+ * requests for them late for the seconds that the rush lasts. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "key_heat.h"
+
+#define PERIOD (400 * CC_MS) /* of reports */
+#define SEEDS 200
+
+typedef struct
+{
+  const char *name;
+  double all;    /* requests a second for all keys */
+  double busy;   /* beside them, for the busy region */
+  guint buckets; /* of the region */
+  gint64 after;  /* of the rush, us */
+  double least;  /* part of the true rate that is seen, in the mean */
+  double most;
+} Case;
+
+static const Case cases[] = {
+  /* A mean over two seconds alone sees 0.18, 0.33 and 0.63 of it. */
+  { "small fleet, 0.4 s", 100, 70, 13, 400 * CC_MS, 0.30, 0.8 },
+  { "small fleet, 0.8 s", 100, 70, 13, 800 * CC_MS, 0.50, 1.0 },
+  { "small fleet, 2 s", 100, 70, 13, 2000 * CC_MS, 0.65, 1.2 },
+  { "large fleet, 0.4 s", 1000, 380, 13, 400 * CC_MS, 0.40, 0.7 },
+  { "large fleet, 0.8 s", 1000, 380, 13, 800 * CC_MS, 0.62, 0.9 },
+  { "one bucket, 0.4 s", 1000, 280, 1, 400 * CC_MS, 0.35, 0.65 },
+  /* Where nothing changes, hardly more is seen than there is. */
+  { "steady and even", 1000, 0, 0, 8 * CC_SECOND, 0.9, 1.25 },
+  { "steady and busy", 1000, 380, 13, 8 * CC_SECOND, 0.9, 1.2 },
+};
+
+/* Adds what comes in one period: RATE a second, spread over the keys of BUCKETS
+ * from FROM on. */
+static void
+add (CcKeyHeat *h, GRand *rand, double rate, guint from, guint buckets)
+{
+  double due = rate * PERIOD / CC_SECOND;
+
+  for (; due >= 1 || g_rand_double (rand) < due; due -= 1)
+    cc_key_heat_add (h,
+                     from * CC_HEAT_BUCKET +
+                         (guint) g_rand_int_range (
+                             rand, 0, (gint32) buckets * CC_HEAT_BUCKET),
+                     1);
+}
+
+/* The part of the true rate that is seen: of the region, or of all. */
+static double
+seen (const Case *c, guint seed)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+  g_autofree CcKeyHeat *h = g_new0 (CcKeyHeat, 1);
+  gint64 now = 1;
+  double even = c->all * c->buckets / CC_HEAT_BUCKETS;
+
+  for (gint64 past = 0; past < 8 * CC_SECOND; past += PERIOD)
+    {
+      cc_key_heat_fade (h, now += PERIOD);
+      add (h, rand, c->all, 0, CC_HEAT_BUCKETS);
+    }
+  for (gint64 past = 0; past < c->after; past += PERIOD)
+    {
+      cc_key_heat_fade (h, now += PERIOD);
+      add (h, rand, c->all, 0, CC_HEAT_BUCKETS);
+      if (c->busy > 0)
+        add (h, rand, c->busy, 500, c->buckets);
+    }
+  cc_key_heat_fade (h, now);
+  if (c->busy == 0)
+    return cc_key_heat_rate (h, 0, 65535) / c->all;
+  return cc_key_heat_rate (h, 500 * CC_HEAT_BUCKET,
+                           (500 + c->buckets) * CC_HEAT_BUCKET - 1) /
+         (c->busy + even);
+}
+
+static void
+a_rush_is_seen_soon_and_chance_is_not_one (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      double sum = 0;
+
+      for (guint seed = 0; seed < SEEDS; seed++)
+        sum += seen (&cases[i], seed);
+      sum /= SEEDS;
+      if (sum < cases[i].least || sum > cases[i].most)
+        fail_msg ("%s: %.2f of the true rate", cases[i].name, sum);
+    }
+}
+
+/* Pieces that are cut off hold about what was asked for, at either end. */
+static void
+a_cut_holds_what_was_asked_for (void **state)
+{
+  static const struct
+  {
+    guint from, to;
+    gboolean at_head;
+    double rate;
+    guint keys;
+  } table[] = {
+    /* 100 a second on 1600 keys, evenly */
+    { 0, 1599, FALSE, 50.01, 800 },
+    { 0, 1599, TRUE, 25.01, 400 },
+    { 0, 1599, FALSE, 1000, 1599 },
+    { 0, 1599, FALSE, 0, 1 },
+    { 0, 15, FALSE, 0.51, 8 },
+    { 8, 9, FALSE, 5, 1 },
+    /* 90 a second on key 2005 alone, beside 1 a second on its bucket's others
+     */
+    { 2000, 2015, FALSE, 5, 10 },
+    { 2000, 2015, TRUE, 5, 5 },
+    { 2005, 2015, TRUE, 5, 1 },
+  };
+  g_autofree CcKeyHeat *h = g_new0 (CcKeyHeat, 1);
+
+  (void) state;
+  for (guint k = 0; k < 1600; k++)
+    cc_key_heat_add (h, k, 2 * 100.0 / 1600);
+  for (guint k = 2000; k < 2016; k++)
+    cc_key_heat_add (h, k, k == 2005 ? 180 : 2.0 / 15);
+  memset (h->recent, 0, sizeof h->recent);
+  cc_key_heat_fade (h, 1);
+  for (guint i = 0; i < G_N_ELEMENTS (table); i++)
+    {
+      guint keys = cc_key_heat_cut (h, table[i].from, table[i].to,
+                                    table[i].at_head, table[i].rate, 0);
+
+      if (keys != table[i].keys)
+        fail_msg ("case %u: %u keys", i, keys);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_rush_is_seen_soon_and_chance_is_not_one),
+    cmocka_unit_test (a_cut_holds_what_was_asked_for),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_key_plan.c
+++ b/test/test_key_plan.c
@@ -49,6 +49,14 @@
     }
 }
 
+static void
+add_bucket (World *w, guint bucket, double count)
+{
+  for (guint k = 0; k < CC_HEAT_BUCKET; k++)
+    cc_key_heat_add (&w->heat, bucket * CC_HEAT_BUCKET + k,
+                     count / CC_HEAT_BUCKET);
+}
+
 static void
 world_clear (World *w)
 {
@@ -141,7 +149,7 @@
       break;
     default:
       for (guint i = 0; i < 13; i++)
-        cc_key_heat_add (&w->heat, at + i, g_rand_double_range (rand, 0, 10));
+        add_bucket (w, at + i, g_rand_double_range (rand, 0, 10));
       break;
     }
 }
@@ -179,24 +187,47 @@
     }
 }
 
-/* The share of its capacity that the busiest upstream is asked for. */
+/* The share of its capacity that upstream U is asked for. */
 static double
-busiest (const World *w)
+use_of (const World *w, guint u)
 {
-  double use[UPSTREAMS] = { 0 }, top = 0;
+  double use = 0;
 
   for (guint i = 0; i < w->ranges.list->len; i++)
     {
       const CcKeyRange *r = w->ranges.list->pdata[i];
 
-      use[r->owner[1] - '0'] += cc_key_heat_rate (&w->heat, r->from, r->to) /
-                                w->all[r->owner[1] - '0'].capacity;
+      if ((guint) (r->owner[1] - '0') == u)
+        use += cc_key_heat_rate (&w->heat, r->from, r->to) / w->all[u].capacity;
     }
-  for (guint i = 0; i < UPSTREAMS; i++)
-    top = MAX (top, use[i]);
+  return use;
+}
+
+static double
+busiest (const World *w)
+{
+  double top = 0;
+
+  for (guint u = 0; u < UPSTREAMS; u++)
+    top = MAX (top, use_of (w, u));
   return top;
 }
 
+/* For twelve seconds, 50 requests a second for all keys and 27 for 13 buckets
+ * from PLACE on. */
+static void
+warm (World *w, guint place)
+{
+  for (gint64 now = 1; now < 12 * CC_SECOND; now += 100 * CC_MS)
+    {
+      for (guint b = 0; b < CC_HEAT_BUCKETS; b++)
+        add_bucket (w, b, 5.0 / CC_HEAT_BUCKETS);
+      for (guint b = 0; b < 13; b++)
+        add_bucket (w, place + b, 2.7 / 13);
+      cc_key_heat_fade (&w->heat, now);
+    }
+}
+
 /* Callers of a busy castle: 200 keys side by side get 35 in 100 of all requests
  * from one second to the next.  By number one upstream would be asked for three
  * times what it can serve; after one plan none is asked for more than it has.
@@ -216,10 +247,7 @@
       cc_key_heat_fade (&w.heat, 1);
       plan (&w);
       settle (&w);
-      for (guint b = 0; b < CC_HEAT_BUCKETS; b++)
-        cc_key_heat_add (&w.heat, b, 100.0 / CC_HEAT_BUCKETS);
-      for (guint b = 0; b < 13; b++)
-        cc_key_heat_add (&w.heat, places[i] + b, 54.0 / 13);
+      warm (&w, places[i]);
       by_number = busiest (&w);
       plan (&w);
       assert_true (by_number > 1.5);
@@ -229,6 +257,59 @@
     }
 }
 
+/* One key gets more than three upstreams could serve, and at the same time a
+ * region elsewhere is busy.  Nothing helps the callers of that key; but those
+ * of the other keys of its upstream, and of the region, must not suffer with
+ * them. */
+static void
+a_key_busier_than_its_owner_harms_no_other (void **state)
+{
+  static const guint keys[] = { 21845, 0, 65535, 30000, 7 };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      World w;
+      const CcKeyRange *lone;
+      double others = 0, beside = 0;
+
+      world_init (&w);
+      cc_key_heat_fade (&w.heat, 1);
+      plan (&w);
+      settle (&w);
+      for (gint64 now = 1; now < 6 * CC_SECOND; now += 100 * CC_MS)
+        {
+          cc_key_heat_add (&w.heat, keys[i], 6);
+          for (guint b = 0; b < CC_HEAT_BUCKETS; b++)
+            add_bucket (&w, b, 5.0 / CC_HEAT_BUCKETS);
+          for (guint b = 0; b < 13; b++)
+            add_bucket (&w, 3000 + b, 2.7 / 13);
+          cc_key_heat_fade (&w.heat, now);
+        }
+      for (guint rounds = 0; rounds < 6; rounds++)
+        {
+          plan (&w);
+          settle (&w);
+        }
+      lone = cc_key_ranges_find (&w.ranges, keys[i]);
+      for (guint k = 0; k < w.ranges.list->len; k++)
+        {
+          const CcKeyRange *r = w.ranges.list->pdata[k];
+          double load = cc_key_heat_rate (&w.heat, r->from, r->to);
+
+          if (r != lone && g_str_equal (r->owner, lone->owner))
+            beside += load;
+        }
+      for (guint u = 0; u < UPSTREAMS; u++)
+        if (u != (guint) (lone->owner[1] - '0'))
+          others = MAX (others, use_of (&w, u));
+      if (lone->to - lone->from > 2 || beside > 2 || others > 0.95)
+        fail_msg ("key %u in %u to %u, beside it %.1f a second, others at %.2f",
+                  keys[i], lone->from, lone->to, beside, others);
+      world_clear (&w);
+    }
+}
+
 /* Chance alone moves next to nothing: counts of 18 requests at each upstream,
  * which differ by a quarter. */
 static void
@@ -247,8 +328,9 @@
       plan (&w);
       settle (&w);
       for (guint n = 0; n < 160; n++)
-        cc_key_heat_add (
-            &w.heat, (guint) g_rand_int_range (rand, 0, CC_HEAT_BUCKETS), 1);
+        cc_key_heat_add (&w.heat,
+                         (guint) g_rand_int_range (rand, 0, CC_HEAT_KEYS), 1);
+      cc_key_heat_fade (&w.heat, 1);
       plan (&w);
       changed += w.changed->len;
       world_clear (&w);
@@ -300,6 +382,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (every_key_has_one_owner_whatever_comes),
     cmocka_unit_test (a_busy_region_is_spread_in_one_plan),
+    cmocka_unit_test (a_key_busier_than_its_owner_harms_no_other),
     cmocka_unit_test (an_even_load_moves_next_to_nothing),
     cmocka_unit_test (a_restarted_upstream_gets_its_keys_back),
     cmocka_unit_test (keys_without_a_row_go_to_the_owner_before_them),
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -378,7 +378,7 @@
       if (now < w.renewed + RENEWAL)
         return;
       w.renewed = now;
-      cc_mirror_lease_renewed (g->mirror, ++w.newest);
+      cc_mirror_lease_renewed (g->mirror, ++w.newest, now);
       return;
     }
   if (now < w.renewed + TERM || w.nodes[heir].service != WELL ||
