bench-path has the direct path: a gateway beside a bare relay

Change: the measuring part is bench_side.c, the start of a real gateway gateway_process.c (it stood in three tests); direct_stand is a table service with one server. Both paths run in one bench.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo prove bench bench_path \
-  bare_relay bench_assignment capacity soak
+  bare_relay bench_assignment capacity soak direct_stand
 # The rest of test/ is shared by them and by the tests.
 TEST_LIB = $(filter-out test_% $(STAND_INS),$(patsubst test/%.c,%,$(wildcard test/*.c)))
 SCENARIO ?= check
@@ -62,7 +62,8 @@
 bench: $(BUILD)/test/bench
 	@$(BUILD)/test/bench $(SEED)
 
-# one entry and one dispatcher beside a bare relay by libsoup
+# one entry and one dispatcher, and a gateway, each beside a bare relay by
+# libsoup
 bench-path: build-all
 	@$(BUILD)/test/bench_path
 
--- a/test/bench_path.c
+++ b/test/bench_path.c
@@ -1,68 +1,21 @@
-/* Measures what one entry and one dispatcher carry, beside a bare relay by
- * libsoup and the server itself, all in one run.  bench_path [SECONDS]
- *
- * The rate on one core is requests over processor seconds of all processes
- * that a request passes; it does not depend on what else the machine does as
- * the rate by the clock does.  Latencies are taken at half of that rate, from
- * the moment at which a request was due to be sent. */
-#include <math.h>
-#include <poll.h>
+/* Measures what one entry and one dispatcher carry, and what a gateway does
+ * that calls servers itself, each beside a bare relay by libsoup and the
+ * server, all in one run.  bench_path [SECONDS] */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-#include <gio/gio.h>
-
-#include "clock.h"
+#include "bench_side.h"
+#include "free_net.h"
+#include "gateway_process.h"
 #include "harness.h"
-#include "metrics.h"
-#include "settings.h"
-
-#define CONNECTIONS 32
-#define ROUNDS 4 /* turns of each, since the machine is shared */
-#define BUFFER 8192
-
-typedef struct
-{
-  GSocket *socket;
-  gboolean busy;
-  gint64 due; /* us */
-  char buffer[BUFFER];
-  gsize length;
-} Connection;
-
-typedef struct
-{
-  const char *name;
-  char *address;
-  int pids[2]; /* processes that a request passes; 0: none */
-  double cpu;  /* seconds used in the last run */
-  CcHistogram latency;
-  guint64 done, failed;
-  double seconds;
-  double on_one_core; /* requests a second */
-} Side;
 
 static const char request[] =
     "GET /slots/7 HTTP/1.1\r\nHost: h\r\nX-Class: browse\r\nX-Key: castle-7\r\n"
     "X-Tenant: planner-3\r\nX-Deadline: 9999999999999\r\n\r\n";
 
-static double
-cpu_seconds (int pid)
-{
-  g_autofree char *path = g_strdup_printf ("/proc/%d/stat", pid);
-  g_autofree char *text = NULL;
-  unsigned long user = 0, sys = 0;
-
-  if (pid == 0 || !g_file_get_contents (path, &text, NULL, NULL))
-    return 0;
-  sscanf (strrchr (text, ')') + 2,
-          "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &sys);
-  return (double) (user + sys) / (double) sysconf (_SC_CLK_TCK);
-}
-
 static double
 resident_mb (int pid)
 {
@@ -76,171 +29,6 @@
   return line != NULL ? (double) atol (line + 6) / 1024 : 0;
 }
 
-static void
-open_connection (Connection *c, const char *address)
-{
-  g_autofree char *ip = NULL;
-  g_autoptr (GSocketAddress) to = NULL;
-  guint16 port;
-
-  cc_address_parse (address, &ip, &port);
-  to = g_inet_socket_address_new_from_string (ip, port);
-  c->socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                            G_SOCKET_PROTOCOL_TCP, NULL);
-  if (!g_socket_connect (c->socket, to, NULL, NULL))
-    g_error ("can't connect to %s", address);
-  g_socket_set_option (c->socket, 6, 1, 1, NULL); /* TCP_NODELAY */
-}
-
-static void
-send_one (Connection *c, gint64 due)
-{
-  c->busy = TRUE;
-  c->due = due;
-  c->length = 0;
-  if (g_socket_send (c->socket, request, strlen (request), NULL, NULL) < 0)
-    g_error ("can't send");
-}
-
-static gboolean
-is_complete (const Connection *c)
-{
-  const char *end = strstr (c->buffer, "\r\n\r\n");
-  const char *length = strstr (c->buffer, "Content-Length:");
-  gsize body = length != NULL ? strtoul (length + 15, NULL, 10) : 0;
-
-  return end != NULL && c->length >= (gsize) (end - c->buffer) + 4 + body;
-}
-
-static void
-take (Side *s, Connection *c)
-{
-  gssize n = g_socket_receive (c->socket, c->buffer + c->length,
-                               BUFFER - 1 - c->length, NULL, NULL);
-
-  if (n <= 0)
-    g_error ("%s closed a connection", s->name);
-  c->length += (gsize) n;
-  c->buffer[c->length] = '\0';
-  if (!is_complete (c))
-    return;
-  c->busy = FALSE;
-  if (strncmp (c->buffer, "HTTP/1.1 200", 12) == 0)
-    s->done++;
-  else
-    s->failed++;
-  cc_histogram_add (&s->latency, cc_clock_now () - c->due);
-}
-
-/* Sends what is due.  RATE 0: as soon as a connection is free. */
-static void
-send_due (Connection *all, double rate, gint64 *next, gint64 end, GRand *rand)
-{
-  gint64 now = cc_clock_now ();
-
-  for (guint i = 0; i < CONNECTIONS; i++)
-    {
-      if (all[i].busy || now >= end)
-        continue;
-      if (rate > 0 && *next > now)
-        return;
-      send_one (&all[i], rate > 0 ? *next : now);
-      if (rate > 0)
-        *next += (gint64) (-log (1 - g_rand_double (rand)) * 1e6 / rate);
-    }
-}
-
-static guint
-wait_some (Side *s, Connection *all, gboolean paced)
-{
-  struct pollfd fds[CONNECTIONS];
-  guint busy = 0;
-
-  for (guint i = 0; i < CONNECTIONS; i++)
-    {
-      fds[i] = (struct pollfd){ g_socket_get_fd (all[i].socket), POLLIN, 0 };
-      busy += all[i].busy ? 1 : 0;
-    }
-  poll (fds, CONNECTIONS, paced ? 0 : 1);
-  for (guint i = 0; i < CONNECTIONS; i++)
-    if (fds[i].revents != 0)
-      take (s, &all[i]);
-  return busy;
-}
-
-static double
-cpu_of (const Side *s)
-{
-  return cpu_seconds (s->pids[0]) + cpu_seconds (s->pids[1]);
-}
-
-static void
-run (Side *s, double rate, double seconds)
-{
-  g_autofree Connection *all = g_new0 (Connection, CONNECTIONS);
-  GRand *rand = g_rand_new_with_seed (1);
-  gint64 began, end, next;
-  double cpu;
-
-  for (guint i = 0; i < CONNECTIONS; i++)
-    open_connection (&all[i], s->address);
-  cpu = cpu_of (s);
-  began = next = cc_clock_now ();
-  end = began + (gint64) (seconds * 1e6);
-  do
-    send_due (all, rate, &next, end, rand);
-  while (wait_some (s, all, rate > 0) > 0 || cc_clock_now () < end);
-  s->seconds += (double) (cc_clock_now () - began) / 1e6;
-  s->cpu += cpu_of (s) - cpu;
-  for (guint i = 0; i < CONNECTIONS; i++)
-    g_object_unref (all[i].socket);
-  g_rand_free (rand);
-}
-
-static void
-reset (Side *s)
-{
-  s->cpu = s->seconds = 0;
-  s->done = s->failed = 0;
-  s->latency = (CcHistogram){ 0 };
-}
-
-static void
-print_rate (Side *s)
-{
-  double all = (double) (s->done + s->failed);
-
-  s->on_one_core = s->cpu > 0 ? (double) s->done / s->cpu : 0;
-  printf ("%-8s %8.0f requests/s by the clock, %8.0f on one core, "
-          "%.2f cores, failed %.2f%%\n",
-          s->name, (double) s->done / s->seconds, s->on_one_core,
-          s->cpu / s->seconds, 100 * (double) s->failed / all);
-}
-
-static void
-print_latency (const Side *s, const Side *direct)
-{
-  const CcHistogram *h = &s->latency;
-  double half = (double) cc_histogram_quantile (h, 0.5) / 1000;
-  double most = (double) cc_histogram_quantile (h, 0.99) / 1000;
-  double base = (double) cc_histogram_quantile (&direct->latency, 0.5) / 1000;
-  double far = (double) cc_histogram_quantile (&direct->latency, 0.99) / 1000;
-
-  printf ("%-8s p50 %.3f ms, p99 %.3f ms; added %.3f and %.3f; failed "
-          "%" G_GUINT64_FORMAT "\n",
-          s->name, half, most, half - base, most - far, s->failed);
-}
-
-static void
-measure (Side *sides, guint n, double rate, double seconds)
-{
-  for (guint i = 0; i < n; i++)
-    reset (&sides[i]);
-  for (guint k = 0; k < ROUNDS; k++)
-    for (guint i = 0; i < n; i++)
-      run (&sides[i], rate, seconds);
-}
-
 static int
 start_bare (Cluster *c, const char *listen, const char *to)
 {
@@ -277,41 +65,128 @@
   g_autofree char *entry = g_strdup_printf ("127.%u.1.1:8080", c->net);
   int bare_pid = start_bare (c, bare, server);
   Side sides[] = {
-    { .name = "direct", .address = server },
-    { .name = "bare", .address = bare, .pids = { bare_pid, 0 } },
+    { .name = "direct", .address = server, .request = request },
+    { .name = "bare",
+      .address = bare,
+      .request = request,
+      .pids = { bare_pid, 0 } },
     { .name = "router",
       .address = entry,
+      .request = request,
       .pids = { cluster_find (c, "entry-1")->pid,
                 cluster_find (c, "dispatch-1")->pid } },
   };
   double half;
 
   g_usleep (500000);
-  measure (sides, 3, 0, seconds);
+  side_measure (sides, 3, 0, seconds);
   for (guint i = 0; i < 3; i++)
-    print_rate (&sides[i]);
+    side_print_rate (&sides[i]);
   printf ("router over bare relay, on one core: %.2f\n",
           sides[2].on_one_core / sides[1].on_one_core);
   half = sides[2].on_one_core / 2;
-  measure (sides, 3, half, seconds);
+  side_measure (sides, 3, half, seconds);
   printf ("at %.0f requests/s:\n", half);
   for (guint i = 0; i < 3; i++)
-    print_latency (&sides[i], &sides[0]);
+    side_print_latency (&sides[i], &sides[0]);
   print_memory (c);
   kill (bare_pid, SIGKILL);
   cluster_wait (bare_pid);
 }
 
+/* What the gateway is asked for: with an id and a time, as callers give it. */
+static const char direct_request[] =
+    "GET /slots/7 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9c41d07be2a35f68\r\n"
+    "X-Deadline-Ms: 2000\r\n\r\n";
+
+static GSubprocess *
+start (const char *bin, const char *name, const char *const *arguments)
+{
+  g_autofree char *program = g_build_filename (bin, "test", name, NULL);
+  const char *argv[] = { program,      arguments[0], arguments[1],
+                         arguments[2], arguments[3], NULL };
+
+  return g_subprocess_newv (argv, G_SUBPROCESS_FLAGS_NONE, NULL);
+}
+
+static int
+pid_of (GSubprocess *p)
+{
+  return atoi (g_subprocess_get_identifier (p));
+}
+
+/* The gateway beside the same relay, both in front of one server. */
+static void
+bench_direct (const char *bin, double seconds)
+{
+  guint net = free_net ();
+  g_autofree char *table = g_strdup_printf ("127.%u.0.2:7000", net);
+  g_autofree char *server = g_strdup_printf ("127.%u.2.1:9000", net);
+  g_autofree char *bare = g_strdup_printf ("127.%u.3.1:8080", net);
+  g_autofree char *ip = g_strdup_printf ("127.%u.1.1", net);
+  g_autofree char *gateway = g_strdup_printf ("%s:%d", ip, GATEWAY_LISTEN);
+  g_autofree char *program = g_build_filename (bin, "capercrank-gateway", NULL);
+  const char *stand[] = { "--table", table, "--server", server };
+  const char *relay[] = { "--listen", bare, "--to", server };
+  GatewayPlace place = { .program = program,
+                         .instance = "i1",
+                         .zone = "a",
+                         .ip = ip,
+                         .table = table,
+                         .grace = 500,
+                         .log = "/dev/null" };
+  GSubprocess *all[] = { start (bin, "direct_stand", stand),
+                         start (bin, "bare_relay", relay),
+                         gateway_spawn (&place, NULL) };
+  Side sides[] = {
+    { .name = "direct", .address = server, .request = direct_request },
+    { .name = "bare",
+      .address = bare,
+      .request = direct_request,
+      .pids = { pid_of (all[1]), 0 } },
+    { .name = "gateway",
+      .address = gateway,
+      .request = direct_request,
+      .pids = { pid_of (all[2]), 0 } },
+  };
+  double half;
+
+  g_usleep (3000000);
+  side_measure (sides, 3, 0, seconds);
+  for (guint i = 0; i < 3; i++)
+    side_print_rate (&sides[i]);
+  printf ("gateway over bare relay, on one core: %.2f\n",
+          sides[2].on_one_core / sides[1].on_one_core);
+  half = sides[2].on_one_core / 2;
+  side_measure (sides, 3, half, seconds);
+  printf ("at %.0f requests/s:\n", half);
+  for (guint i = 0; i < 3; i++)
+    side_print_latency (&sides[i], &sides[0]);
+  printf ("resident: gateway %.1f MB\n", resident_mb (pid_of (all[2])));
+  for (guint i = 0; i < G_N_ELEMENTS (all); i++)
+    {
+      g_subprocess_force_exit (all[i]);
+      g_subprocess_wait (all[i], NULL, NULL);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_autofree char *tests = g_path_get_dirname (argv[0]);
   g_autofree char *bin = g_path_get_dirname (tests);
-  Cluster *c = cluster_start (bin, "test/path.json", FALSE);
-  gboolean ready = cluster_wait_ready (c, 30);
+  double seconds = argc > 1 ? atof (argv[1]) : 3;
+  gboolean direct_only = argc > 2;
+  Cluster *c;
+  gboolean ready;
 
+  bench_direct (bin, seconds);
+  if (direct_only)
+    return 0;
+  c = cluster_start (bin, "test/path.json", FALSE);
+  ready = cluster_wait_ready (c, 30);
   if (ready)
-    bench (c, argc > 1 ? atof (argv[1]) : 3);
+    bench (c, seconds);
   cluster_stop (c);
   return ready ? 0 : 1;
 }
--- /dev/null
+++ b/test/gateway_process.h
@@ -0,0 +1,26 @@
+/* A real gateway, started as it is deployed. */
+#ifndef TEST_GATEWAY_PROCESS_H
+#define TEST_GATEWAY_PROCESS_H
+
+#include <gio/gio.h>
+
+/* Its ports, at its own IP. */
+#define GATEWAY_LISTEN 7100
+#define GATEWAY_READINESS 7101
+#define GATEWAY_INTERNAL 7102
+#define GATEWAY_ADMIN 7103
+
+typedef struct
+{
+  const char *program;
+  const char *instance;
+  const char *zone;
+  const char *ip;
+  const char *table; /* address of the table service */
+  guint grace;       /* from SIGTERM to the end, ms */
+  const char *log;   /* file for its standard output */
+} GatewayPlace;
+
+GSubprocess *gateway_spawn (const GatewayPlace *p, const char *const *more);
+
+#endif
--- a/test/soak.c
+++ b/test/soak.c
@@ -20,6 +20,7 @@
 
 #include "capercrank.h"
 #include "free_net.h"
+#include "gateway_process.h"
 #include "harness.h"
 #include "settings.h"
 #include "soak.h"
@@ -213,53 +214,30 @@
   g_timeout_add ((guint) g_random_int_range (50, 1000), on_restart, g);
 }
 
-static void
-set (GSubprocessLauncher *l, const char *name, const char *value)
-{
-  g_autofree char *whole = g_strconcat ("CAPERCRANK_", name, NULL);
-
-  g_subprocess_launcher_setenv (l, whole, value, TRUE);
-}
-
 static void
 start_gateway (Gateway *g)
 {
-  static const struct
-  {
-    const char *name;
-    guint port;
-  } ports[] = { { "LISTEN", 7100 },
-                { "READINESS", 7101 },
-                { "INTERNAL", 7102 },
-                { "ADMIN", 7103 } };
-  g_autoptr (GSubprocessLauncher) l =
-      g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
+  static const char *const more[] = {
+    "RETRY_RATIO",  RETRY_RATIO,  "RETRY_SLACK", RETRY_SLACK,
+    "RETRY_WINDOW", RETRY_WINDOW, NULL
+  };
   g_autofree char *program =
       g_build_filename (soak.bin, "capercrank-gateway", NULL);
   g_autofree char *log =
       g_strdup_printf ("%s/%s.%u", soak.folder, g->name, ++g->runs);
+  g_autofree char *ip = g_strdup_printf ("127.%u.1.%u", soak.net, g->index);
   g_autofree char *table = table_front ();
-  g_autofree char *grace = g_strdup_printf ("%d", STOP_GRACE_MS);
-
-  for (guint i = 0; i < G_N_ELEMENTS (ports); i++)
-    {
-      g_autofree char *where = address (1, g->index, ports[i].port);
-
-      set (l, ports[i].name, where);
-    }
-  set (l, "INSTANCE", g->name);
-  set (l, "ZONE", g->index % 2 == 0 ? "a" : "b");
-  set (l, "TABLE", table);
-  set (l, "STOP_GRACE", grace);
-  set (l, "RETRY_RATIO", RETRY_RATIO);
-  set (l, "RETRY_SLACK", RETRY_SLACK);
-  set (l, "RETRY_WINDOW", RETRY_WINDOW);
-  g_subprocess_launcher_set_stdout_file_path (l, log);
-  g->process = g_subprocess_launcher_spawn (l, NULL, program, NULL);
+  GatewayPlace place = { .program = program,
+                         .instance = g->name,
+                         .zone = g->index % 2 == 0 ? "a" : "b",
+                         .ip = ip,
+                         .table = table,
+                         .grace = STOP_GRACE_MS,
+                         .log = log };
+
+  g->process = gateway_spawn (&place, more);
   g->signalled = 0;
   g->paused = FALSE;
-  if (g->process == NULL)
-    g_error ("soak: can't start %s", program);
   g_subprocess_wait_async (g->process, NULL, on_ended, g);
 }
 
--- a/test/test_causes.c
+++ b/test/test_causes.c
@@ -19,10 +19,11 @@
 #include "capercrank.h"
 #include "clock.h"
 #include "free_net.h"
+#include "gateway_process.h"
 #include "http_link.h"
 #include "soak.h"
 
-#define STOP_GRACE "1500"
+#define STOP_GRACE_MS 1500
 #define LOG "causes.log"
 #define TURN_MS 20
 
@@ -273,38 +274,23 @@
   g_main_loop_run (w.loop);
 }
 
-static void
-set (GSubprocessLauncher *l, const char *name, const char *value)
-{
-  g_subprocess_launcher_setenv (l, name, value, TRUE);
-}
-
 static void
 start_gateway (void)
 {
-  static const char *const names[] = { "LISTEN", "READINESS", "INTERNAL",
-                                       "ADMIN" };
-  g_autoptr (GSubprocessLauncher) l =
-      g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
   g_autofree char *here = g_path_get_dirname (g_get_prgname ());
   g_autofree char *program =
       g_build_filename (here, "..", "capercrank-gateway", NULL);
+  g_autofree char *ip = g_strdup_printf ("127.%u.1.1", w.net);
   g_autofree char *table = address_of (0, 2, 7000);
-
-  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
-    {
-      g_autofree char *name = g_strconcat ("CAPERCRANK_", names[i], NULL);
-      g_autofree char *address = address_of (1, 1, 7100 + i);
-
-      set (l, name, address);
-    }
-  set (l, "CAPERCRANK_INSTANCE", "i1");
-  set (l, "CAPERCRANK_ZONE", "a");
-  set (l, "CAPERCRANK_TABLE", table);
-  set (l, "CAPERCRANK_STOP_GRACE", STOP_GRACE);
-  g_subprocess_launcher_set_stdout_file_path (l, w.log);
-  w.gateway = g_subprocess_launcher_spawn (l, NULL, program, NULL);
-  assert_non_null (w.gateway);
+  GatewayPlace place = { .program = program,
+                         .instance = "i1",
+                         .zone = "a",
+                         .ip = ip,
+                         .table = table,
+                         .grace = STOP_GRACE_MS,
+                         .log = w.log };
+
+  w.gateway = gateway_spawn (&place, NULL);
 }
 
 /* ---- callers ---- */
@@ -319,7 +305,7 @@
 static CcHttpCall *
 ask (const char *path, const char *id, int key, guint deadline)
 {
-  g_autofree char *address = address_of (1, 1, 7100);
+  g_autofree char *address = address_of (1, 1, GATEWAY_LISTEN);
   g_autoptr (GBytes) body = g_bytes_new_static ("x", 1);
   g_autoptr (GString) head = g_string_new (NULL);
   CcHttpOrder o = { .address = address,
