Leaves of a large fleet change their relay before they ask the table; the strongest grant

And any of the processes granted, also one on a machine of a tenth of a core, of five times less than others.

Ruled out: longer tolerance of old copies (a change of configuration has to be in force in 2 s).

Change: such a process asks the table once for all that is newer, at most every 0.8 s, and goes on with another relay. Children of tests end with their parent (relays of aborted soaks had stayed). bench-path measures the gateway with 1 and 200 upstreams.

--- a/gateway.c
+++ b/gateway.c
@@ -29,6 +29,12 @@
 #define DRAIN_LOOK (50 * CC_MS)
 #define RECHECK (250 * CC_MS) /* of upstreams that are missing */
 #define FLUSH (1 * CC_SECOND) /* of log lines that found no room */
+/* Granting takes a twentieth of a core for each hundred ranges.  When a fleet
+ * starts for the first time, processes with less than STRONG cores leave the
+ * lease to others for a while; callers come later. */
+#define STRONG 0.3
+#define PATIENCE (1500 * CC_MS)
+
 typedef struct
 {
   const CcSetting *settings;
@@ -399,6 +405,7 @@
 static gboolean
 build (Gateway *g, char **message)
 {
+  double cores = g_ascii_strtod (cc_setting (g->settings, "cores"), NULL);
   CcForwarderSetup forwarding = {
     .targets = &g->targets,
     .zone = cc_setting (g->settings, "zone"),
@@ -413,10 +420,12 @@
                               .instance = g->instance,
                               .address = g->address,
                               .renewed = on_lease_renewed,
-                              .data = g };
+                              .data = g,
+                              .patience = cores < STRONG ? PATIENCE : 0 };
   CcMembersSetup joining = { .instance = g->instance,
                              .address = g->address,
                              .zone = cc_setting (g->settings, "zone"),
+                             .cores = cores,
                              .seeds = cc_setting_list (g->settings, "seeds") };
   g_autofree char *ip = NULL;
 
@@ -485,6 +494,8 @@
       NULL },
     { CC_SETTING_NUMBER, "retry-window", "10",
       "seconds over which repeats are counted", 1, 3600, NULL },
+    { CC_SETTING_STRING, "cores", "1",
+      "processor that this process may use, in cores", 0, 0, NULL },
     { CC_SETTING_NUMBER, "stop-grace", "6000",
       "ms from SIGTERM to the end at the latest", 0, 600000, NULL },
     { 0 }
--- a/granter.c
+++ b/granter.c
@@ -86,6 +86,7 @@
   gboolean doubtful; /* a write's answer was lost: read first */
   gboolean resigning;
   gboolean resigned;
+  gint64 started;           /* us */
   gboolean may_claim;       /* by the row as it was last read */
   gboolean claiming;        /* a claim may still take effect */
   gint64 stand_back;        /* claims nothing before, us */
@@ -138,6 +139,7 @@
   g->service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g->moves = cc_metrics_counter ("capercrank_key_ranges_moved", "");
   g->rank = WATCH_RANKS;
+  g->started = cc_clock_now ();
   cc_timer_start (&g->tick, TICK, on_tick, g);
   return g;
 }
@@ -571,7 +573,8 @@
         cc_granter_lease_seen (&g->shared.lease, version, is_free (g, holder),
                                now);
       /* Only what was read just now says that the holder is silent. */
-      g->may_claim = cc_granter_lease_may_claim (&g->shared.lease, now);
+      g->may_claim = cc_granter_lease_may_claim (&g->shared.lease, now) &&
+                     (version != 0 || now >= g->started + g->setup.patience);
       return;
     }
   g->doubtful = FALSE;
--- a/granter.h
+++ b/granter.h
@@ -23,6 +23,8 @@
   const char *address;      /* of this process, for the entries' reports */
   CcGranterRenewed renewed; /* NULL: nobody is to be told */
   gpointer data;            /* of RENEWED */
+  gint64 patience; /* how long a lease that nobody ever held is left to others
+                      after the start, us */
 } CcGranterSetup;
 
 CcGranter *cc_granter_new (const CcGranterSetup *setup);
--- a/key_heat.h
+++ b/key_heat.h
@@ -10,7 +10,7 @@
  * others. */
 #define CC_HEAT_KEYS 65536
 #define CC_HEAT_BUCKET 16
-#define CC_HEAT_BUCKETS (CC_HEAT_KEYS / CC_HEAT_BUCKET)
+#define CC_HEAT_BUCKETS 4096 /* CC_HEAT_KEYS by CC_HEAT_BUCKET */
 
 /* Rates fade with this time.  Shorter, chance looks like heat: at 10 requests a
  * second an upstream's count of 2 s is off by a fifth. */
--- a/members.c
+++ b/members.c
@@ -28,6 +28,9 @@
 {
   char *address;
   char *zone;
+  double cores; /* processor that it may use; 0: not said */
+  guint place;  /* of its row among those of all */
+  gboolean is_self;
 } Member;
 
 struct CcMembers
@@ -36,8 +39,9 @@
   char *key; /* of this process's row */
   char *address;
   char *zone;
+  double cores;
   char **seeds;
-  GArray *list;      /* of Member, in the order of their rows */
+  GArray *list;      /* of Member, the strongest first */
   char *granter;     /* address of the one that grants keys; NULL: none yet */
   GPtrArray *relays; /* addresses of its zone's relays, without its own */
   gboolean is_relay;
@@ -65,6 +69,7 @@
   m->key = g_strconcat (MEMBER_PREFIX, setup->instance, NULL);
   m->address = g_strdup (setup->address);
   m->zone = g_strdup (setup->zone);
+  m->cores = setup->cores;
   m->seeds = setup->seeds;
   m->list = g_array_new (FALSE, FALSE, sizeof (Member));
   g_array_set_clear_func (m->list, member_clear);
@@ -112,8 +117,12 @@
 cc_members_register (CcMembers *m)
 {
   CcTableChange *c = cc_table_change_new ();
-  g_autofree char *value = g_strdup_printf (
-      "{\"address\":\"%s\",\"zone\":\"%s\"}", m->address, m->zone);
+  char cores[G_ASCII_DTOSTR_BUF_SIZE];
+  g_autofree char *value = NULL;
+
+  g_ascii_formatd (cores, sizeof cores, "%.3f", m->cores);
+  value = g_strdup_printf ("{\"address\":\"%s\",\"zone\":\"%s\",\"cores\":%s}",
+                           m->address, m->zone, cores);
 
   cc_table_put (c, CC_TABLE_STATE, m->key, value);
   cc_table_commit (m->table, c, on_registered, m);
@@ -128,14 +137,27 @@
                       : NULL;
 
   if (o == NULL)
-    return (Member){ g_strdup (""), g_strdup ("") };
+    return (Member){ g_strdup (""), g_strdup (""), 0, 0, FALSE };
   return (Member){
     g_strdup (json_object_get_string_member_with_default (o, "address", "")),
-    g_strdup (json_object_get_string_member_with_default (o, "zone", ""))
+    g_strdup (json_object_get_string_member_with_default (o, "zone", "")),
+    json_object_get_double_member_with_default (o, "cores", 0), 0, FALSE
   };
 }
 
-/* In a large fleet the first RELAYS processes of each zone are its relays. */
+static gint
+by_strength (gconstpointer a, gconstpointer b)
+{
+  const Member *x = a, *y = b;
+
+  if (x->cores != y->cores)
+    return x->cores > y->cores ? -1 : 1;
+  return x->place < y->place ? -1 : 1;
+}
+
+/* In a large fleet the first RELAYS processes of each zone are its relays.
+ * Those that grant and relay have the most to do, and machines differ by five
+ * times in what they can: so the strongest come first in the order. */
 static void
 choose_relays (CcMembers *m)
 {
@@ -178,10 +200,14 @@
     {
       Member one = read_member (rows->pdata[i]);
 
-      if (g_str_equal (((CcRow *) rows->pdata[i])->key, m->key))
-        m->rank = i;
+      one.place = i;
+      one.is_self = g_str_equal (((CcRow *) rows->pdata[i])->key, m->key);
       g_array_append_val (m->list, one);
     }
+  g_array_sort (m->list, by_strength);
+  for (guint i = 0; i < m->list->len; i++)
+    if (g_array_index (m->list, Member, i).is_self)
+      m->rank = i;
   choose_relays (m);
 }
 
--- a/members.h
+++ b/members.h
@@ -12,6 +12,7 @@
   const char *instance;
   const char *address; /* of this process, for peers */
   const char *zone;
+  double cores; /* processor that this process may use, in cores */
   char **seeds; /* addresses to ask while none is known; taken over */
 } CcMembersSetup;
 
--- a/mirror.c
+++ b/mirror.c
@@ -53,16 +53,22 @@
 /* Who watches hears from the service this often, by the watch of the
  * configuration; a change of it has to be in force everywhere within 2 s. */
 #define WATCH_FRESH (600 * CC_MS)
-/* Rows come with an age of at most WATCH_FRESH from the granter, and of
- * FOLLOW_WAIT more from a relay.  A relay finds its source too old before its
- * followers do, and has fresh rows again before they leave it. */
-#define TOO_OLD (1100 * CC_MS) /* for each process on the way */
+/* Rows come with an age of at most WATCH_FRESH from the granter, and hardly
+ * more from a relay, which hands on at once what it hears with each renewal of
+ * the lease.  A relay finds its source too old before its followers do, and has
+ * fresh rows again before they leave it. */
+#define TOO_OLD (1100 * CC_MS)
+#define TOO_OLD_RELAYED (1600 * CC_MS)
 /* A question waits so long for news.  The granter renews its lease more often,
  * so that most are answered by that. */
 #define FOLLOW_WAIT (900 * CC_MS)
 #define FOLLOW_WITHIN (250 * CC_MS) /* beyond that; a peer answers in 10 ms */
 /* After the one that was followed failed: as long as a cut lasts usually. */
 #define SELF_WATCH (5 * CC_SECOND)
+/* Where relays are followed: how often the service is asked for all while they
+ * all have old copies, and the pause after one that did not answer. */
+#define REFRESH_PERIOD (800 * CC_MS)
+#define FOLLOW_PAUSE (60 * CC_MS)
 /* All processes of a fleet start together and register; nothing is served yet,
  * and news may come in larger pieces. */
 #define STARTING (5 * CC_SECOND)
@@ -111,7 +117,10 @@
   gboolean for_others;  /* others go by this copy */
   guint distance;       /* processes on the rows' way to this one */
   gboolean following;   /* the one that is followed is being asked */
+  gboolean lost;        /* ... did not answer, or had an old copy, at last */
   gint64 self_until;    /* watches by itself until then, us */
+  gint64 refresh_at;    /* the service is not asked for all before, us */
+  CcTimer again;        /* until somebody is followed again */
   gint64 their_trouble; /* of the one that is followed, us; 0: never */
 };
 
@@ -383,22 +392,32 @@
   return c;
 }
 
+/* Asks the service for T. */
 static void
-watch (Table *t)
+ask_service (Table *t)
 {
   CcMirror *m = t->mirror;
 
   t->running = TRUE;
-  if (t->complete && !t->in_trouble && cc_clock_now () >= m->self_until &&
-      follow (m))
-    t->running = FALSE;
-  else if (t->view.upto == 0 || !t->complete)
+  if (t->view.upto == 0 || !t->complete)
     cc_table_read (m->table, t->name, NULL, on_read, new_call (t));
   else
     cc_table_watch (m->table, t->name, t->view.upto, watch_wait (t), on_watched,
                     new_call (t));
 }
 
+/* Goes on with T: by another's copy if there is one to follow. */
+static void
+watch (Table *t)
+{
+  CcMirror *m = t->mirror;
+
+  t->running = FALSE;
+  if (!t->complete || t->in_trouble || cc_clock_now () < m->self_until ||
+      !follow (m))
+    ask_service (t);
+}
+
 /* Frees M; its calls must have ended or never end. */
 void
 cc_mirror_free (CcMirror *m)
@@ -409,6 +428,7 @@
       cc_view_clear (&m->tables[i].view);
     }
   cc_timer_stop (&m->asks);
+  cc_timer_stop (&m->again);
   g_free (m);
 }
 
@@ -585,19 +605,57 @@
   return cc_http_send (m->http, &o, done, m) != NULL;
 }
 
-/* Watches the tables that are not watched. */
+/* Asks the service for the tables that it is not asked for, to be answered at
+ * once. */
 static void
-watch_self (CcMirror *m)
+ask_for_all (CcMirror *m)
 {
-  m->self_until = cc_clock_now () + SELF_WATCH;
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
     if (!m->tables[i].running)
       {
         m->tables[i].unproven = TRUE;
-        watch (&m->tables[i]);
+        ask_service (&m->tables[i]);
       }
 }
 
+static void
+on_follow_again (gpointer data)
+{
+  CcMirror *m = data;
+
+  if (!follow (m))
+    ask_for_all (m);
+}
+
+/* The one that is followed did not answer, or has an old copy; AGE is -1 or
+ * that copy's.
+ *
+ * A process that others follow, or one of a small fleet, watches by itself for
+ * a while.  In a large fleet that would cost ten calls a second for each
+ * process, so there it asks the service once, and goes on with another relay.
+ */
+static void
+lose_followed (CcMirror *m, gint64 age)
+{
+  gint64 now = cc_clock_now ();
+
+  if (m->distance < 2)
+    {
+      m->self_until = now + SELF_WATCH;
+      ask_for_all (m);
+      return;
+    }
+  if (now >= m->refresh_at)
+    {
+      m->refresh_at = now + REFRESH_PERIOD;
+      ask_for_all (m);
+    }
+  if (age < 0)
+    cc_timer_start (&m->again, FOLLOW_PAUSE, on_follow_again, m);
+  else
+    on_follow_again (m);
+}
+
 static void
 on_followed_answer (const CcHttpResult *r, gpointer data)
 {
@@ -606,16 +664,19 @@
   gint64 now = cc_clock_now ();
 
   m->following = FALSE;
-  if (age >= 0 && age <= TOO_OLD * MAX (m->distance, 1))
+  if (age >= 0 && age <= (m->distance < 2 ? TOO_OLD : TOO_OLD_RELAYED))
     {
+      m->lost = FALSE;
       m->heard_at = now;
       m->fresh_at = MAX (m->fresh_at, now - age);
-      if (follow (m))
-        return;
+      on_follow_again (m);
+      return;
     }
-  cc_event (CC_EVENT_STATE, "followed-lost", "why", r->why, "age_ms",
-            cc_event_int (age / CC_MS), NULL);
-  watch_self (m);
+  if (!m->lost)
+    cc_event (CC_EVENT_STATE, "followed-lost", "why", r->why, "age_ms",
+              cc_event_int (age / CC_MS), NULL);
+  m->lost = TRUE;
+  lose_followed (m, age);
 }
 
 /* Asks the one that is followed for news, unless it is being asked.  FALSE:
--- a/test/bench_path.c
+++ b/test/bench_path.c
@@ -103,10 +103,17 @@
 start (const char *bin, const char *name, const char *const *arguments)
 {
   g_autofree char *program = g_build_filename (bin, "test", name, NULL);
-  const char *argv[] = { program,      arguments[0], arguments[1],
-                         arguments[2], arguments[3], NULL };
-
-  return g_subprocess_newv (argv, G_SUBPROCESS_FLAGS_NONE, NULL);
+  g_autoptr (GSubprocessLauncher) l =
+      g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
+  g_autoptr (GPtrArray) argv = g_ptr_array_new ();
+
+  g_ptr_array_add (argv, program);
+  for (guint i = 0; arguments[i] != NULL; i++)
+    g_ptr_array_add (argv, (gpointer) arguments[i]);
+  g_ptr_array_add (argv, NULL);
+  g_subprocess_launcher_set_child_setup (l, end_with_parent, NULL, NULL);
+  return g_subprocess_launcher_spawnv (l, (const char *const *) argv->pdata,
+                                       NULL);
 }
 
 static int
@@ -117,7 +124,7 @@
 
 /* The gateway beside the same relay, both in front of one server. */
 static void
-bench_direct (const char *bin, double seconds)
+bench_direct (const char *bin, double seconds, const char *servers)
 {
   guint net = free_net ();
   g_autofree char *table = g_strdup_printf ("127.%u.0.2:7000", net);
@@ -126,8 +133,10 @@
   g_autofree char *ip = g_strdup_printf ("127.%u.1.1", net);
   g_autofree char *gateway = g_strdup_printf ("%s:%d", ip, GATEWAY_LISTEN);
   g_autofree char *program = g_build_filename (bin, "capercrank-gateway", NULL);
-  const char *stand[] = { "--table", table, "--server", server };
-  const char *relay[] = { "--listen", bare, "--to", server };
+  g_autofree char *number = g_strdup_printf ("%u", net);
+  const char *stand[] = { "--table",   table,   "--net", number,
+                          "--servers", servers, NULL };
+  const char *relay[] = { "--listen", bare, "--to", server, NULL };
   GatewayPlace place = { .program = program,
                          .instance = "i1",
                          .zone = "a",
@@ -180,7 +189,8 @@
   Cluster *c;
   gboolean ready;
 
-  bench_direct (bin, seconds);
+  bench_direct (bin, seconds, "1");
+  bench_direct (bin, seconds, "200");
   if (direct_only)
     return 0;
   c = cluster_start (bin, "test/path.json", FALSE);
--- a/test/gateway_process.c
+++ b/test/gateway_process.c
@@ -1,6 +1,9 @@
 /* Settings go in by environment, as the platform gives them. */
 #include "gateway_process.h"
 
+#include <signal.h>
+#include <sys/prctl.h>
+
 static void
 set (GSubprocessLauncher *l, const char *name, const char *value)
 {
@@ -9,6 +12,15 @@
   g_subprocess_launcher_setenv (l, whole, value, TRUE);
 }
 
+/* To be called in a child: it ends when the test that started it does, also if
+ * that one is killed or aborts. */
+void
+end_with_parent (gpointer unused)
+{
+  (void) unused;
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
 /* Starts a gateway as P says, with MORE settings, pairs of a name and a value
  * ended by NULL; MORE may be NULL. */
 GSubprocess *
@@ -41,6 +53,7 @@
   for (guint i = 0; more != NULL && more[i] != NULL; i += 2)
     set (l, more[i], more[i + 1]);
   g_subprocess_launcher_set_stdout_file_path (l, p->log);
+  g_subprocess_launcher_set_child_setup (l, end_with_parent, NULL, NULL);
   process = g_subprocess_launcher_spawn (l, NULL, p->program, NULL);
   if (process == NULL)
     g_error ("can't start %s", p->program);
--- a/test/gateway_process.h
+++ b/test/gateway_process.h
@@ -21,6 +21,7 @@
   const char *log;   /* file for its standard output */
 } GatewayPlace;
 
+void end_with_parent (gpointer unused);
 GSubprocess *gateway_spawn (const GatewayPlace *p, const char *const *more);
 
 #endif
--- a/test/soak.c
+++ b/test/soak.c
@@ -164,13 +164,16 @@
 static void
 start_relay (void)
 {
+  g_autoptr (GSubprocessLauncher) l =
+      g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
   g_autofree char *map = g_build_filename (soak.folder, "map", NULL);
   g_autofree char *program = g_build_filename (soak.bin, "test/relay", NULL);
 
+  g_subprocess_launcher_set_child_setup (l, end_with_parent, NULL, NULL);
   write_map (map);
   soak.control = address (0, 4, 7001);
-  soak.relay = g_subprocess_new (G_SUBPROCESS_FLAGS_NONE, NULL, program,
-                                 "--control", soak.control, "--map", map, NULL);
+  soak.relay = g_subprocess_launcher_spawn (l, NULL, program, "--control",
+                                            soak.control, "--map", map, NULL);
   for (guint i = 0; i < 100; i++)
     {
       g_autofree char *url =
--- a/test/test_key_heat.c
+++ b/test/test_key_heat.c
@@ -60,7 +60,7 @@
   g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
   g_autofree CcKeyHeat *h = g_new0 (CcKeyHeat, 1);
   gint64 now = 1;
-  double even = c->all * c->buckets / (double) CC_HEAT_BUCKETS;
+  double even = c->all * c->buckets / CC_HEAT_BUCKETS;
 
   for (gint64 past = 0; past < 8 * CC_SECOND; past += PERIOD)
     {
--- a/test/test_key_plan.c
+++ b/test/test_key_plan.c
@@ -221,7 +221,7 @@
   for (gint64 now = 1; now < 12 * CC_SECOND; now += 100 * CC_MS)
     {
       for (guint b = 0; b < CC_HEAT_BUCKETS; b++)
-        add_bucket (w, b, 5.0 / (double) CC_HEAT_BUCKETS);
+        add_bucket (w, b, 5.0 / CC_HEAT_BUCKETS);
       for (guint b = 0; b < 13; b++)
         add_bucket (w, place + b, 2.7 / 13);
       cc_key_heat_fade (&w->heat, now);
@@ -281,7 +281,7 @@
         {
           cc_key_heat_add (&w.heat, keys[i], 6);
           for (guint b = 0; b < CC_HEAT_BUCKETS; b++)
-            add_bucket (&w, b, 5.0 / (double) CC_HEAT_BUCKETS);
+            add_bucket (&w, b, 5.0 / CC_HEAT_BUCKETS);
           for (guint b = 0; b < 13; b++)
             add_bucket (&w, 3000 + b, 2.7 / 13);
           cc_key_heat_fade (&w.heat, now);
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -19,31 +19,40 @@
   guint members;       /* by turns in zones a and b */
   gboolean listed;     /* this process has a row */
   gboolean damaged;    /* the row of member 1 can't be read */
+  guint strong;        /* members from this one on have more cores */
   guint granter;       /* the member that grants keys; NONE: nobody yet */
   gboolean followed;   /* others follow this process */
   const char *follows; /* NULL: nobody */
   guint distance;
+  guint rank;
 } Case;
 
 static const Case cases[] = {
-  { "none known", 0, FALSE, FALSE, NONE, FALSE, NULL, 1 },
-  { "nobody grants yet", 11, TRUE, FALSE, NONE, FALSE, NULL, 1 },
-  { "a small fleet follows the granter", 11, TRUE, FALSE, 7, FALSE,
-    "10.0.0.7:1", 1 },
-  { "the granter follows nobody", 11, TRUE, FALSE, OWN, TRUE, NULL, 0 },
-  { "a relay of a large fleet follows the granter", 30, TRUE, FALSE, 7, TRUE,
-    "10.0.0.7:1", 1 },
+  { "none known", 0, FALSE, FALSE, NONE, NONE, FALSE, NULL, 1, 0 },
+  { "nobody grants yet", 11, TRUE, FALSE, NONE, NONE, FALSE, NULL, 1, OWN },
+  { "a small fleet follows the granter", 11, TRUE, FALSE, NONE, 7, FALSE,
+    "10.0.0.7:1", 1, OWN },
+  { "the granter follows nobody", 11, TRUE, FALSE, NONE, OWN, TRUE, NULL, 0,
+    OWN },
+  { "a relay of a large fleet follows the granter", 30, TRUE, FALSE, NONE, 7,
+    TRUE, "10.0.0.7:1", 1, OWN },
+  { "the strongest are the relays", 30, TRUE, FALSE, 10, 7, FALSE, "10.0.0.1",
+    2, 20 + OWN },
+  { "the strongest come first", 30, TRUE, FALSE, OWN, 7, TRUE, "10.0.0.7:1", 1,
+    0 },
   { "one that is not listed yet follows a relay of its zone", 30, FALSE, FALSE,
-    7, FALSE, "10.0.0.", 2 },
-  { "a damaged row is passed over", 30, TRUE, TRUE, 7, TRUE, "10.0.0.7:1", 1 },
+    NONE, 7, FALSE, "10.0.0.", 2, 29 },
+  { "a damaged row is passed over", 30, TRUE, TRUE, NONE, 7, TRUE, "10.0.0.7:1",
+    1, OWN - 1 },
 };
 
 static void
-put (CcView *v, guint i, gboolean damaged)
+put (CcView *v, guint i, guint strong, gboolean damaged)
 {
   g_autofree char *key = g_strdup_printf ("member/i%03u", i);
   g_autofree char *value = g_strdup_printf (
-      "{\"address\":\"10.0.0.%u:1\",\"zone\":\"%s\"}", i, i % 2 ? "b" : "a");
+      "{\"address\":\"10.0.0.%u:1\",\"zone\":\"%s\",\"cores\":%s}", i,
+      i % 2 ? "b" : "a", i >= strong ? "0.5" : "0.1");
 
   cc_view_put (v, key, i + 1, damaged ? "[]" : value);
 }
@@ -68,14 +77,13 @@
       cc_view_init (&v);
       for (guint k = 0; k < c->members; k++)
         if (k != OWN || c->listed)
-          put (&v, k, k == 1 && c->damaged);
+          put (&v, k, c->strong, k == 1 && c->damaged);
       if (c->granter != NONE)
         cc_view_put (&v, "granter", 1000, granter);
       cc_members_update (m, &v);
       if (cc_members_is_followed (m) != c->followed)
         fail_msg ("%s: followed %d", c->name, cc_members_is_followed (m));
-      assert_int_equal (cc_members_rank (m),
-                        c->listed ? OWN : cc_members_count (m));
+      assert_int_equal (cc_members_rank (m), c->rank);
       follows = cc_members_peer (m, CC_PEER_FOLLOWED);
       any = cc_members_peer (m, CC_PEER_ANY);
       assert_int_equal (cc_members_distance (m), c->distance);
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -23,7 +23,8 @@
 #include "timers.h"
 
 #define SEEDS 600
-#define NODES 6
+#define NODES 7
+#define RELAYS 2 /* nodes that others follow, in half of the worlds */
 #define STEP (10 * CC_MS)
 #define STEPS 3000 /* 30 s */
 #define CALL_TAKES (4 * CC_MS)
@@ -96,6 +97,7 @@
   gint64 renewed;      /* us */
   gint64 service_calm; /* no trouble of the service itself since, us */
   guint calls;
+  gboolean relayed; /* the nodes but RELAYS follow those */
   char failure[200];
 } w;
 
@@ -288,6 +290,13 @@
 
 /* ---- nodes ---- */
 
+/* Whether N follows a relay and not the granter that ROW names. */
+static gboolean
+is_leaf (const Node *n, const CcRow *row)
+{
+  return w.relayed && n - w.nodes >= RELAYS && node_at (row->value) != n;
+}
+
 static char *
 choose_peer (CcPeerKind kind, gpointer data)
 {
@@ -298,6 +307,8 @@
 
   if (kind == CC_PEER_ANY)
     return g_strdup_printf ("10.0.0.%u:1", other);
+  if (row != NULL && is_leaf (n, row))
+    return g_strdup_printf ("10.0.0.%u:1", other % RELAYS);
   return row == NULL || node_at (row->value) == n ? NULL
                                                   : g_strdup (row->value);
 }
@@ -310,8 +321,13 @@
       cc_view_get (cc_mirror_view (n->mirror, CC_TABLE_STATE), "granter");
 
   if (name == CC_TABLE_STATE && row != NULL)
-    cc_mirror_role (n->mirror, node_at (row->value) == n,
-                    node_at (row->value) == n ? 0 : 1, NODES);
+    cc_mirror_role (n->mirror,
+                    node_at (row->value) == n ||
+                        (w.relayed && n - w.nodes < RELAYS),
+                    node_at (row->value) == n ? 0
+                    : is_leaf (n, row)        ? 2
+                                              : 1,
+                    w.relayed ? 50 : NODES);
 }
 
 static gboolean
@@ -422,6 +438,7 @@
   g_random_set_seed (seed);
   w.questions = g_ptr_array_new ();
   w.newest = w.config = w.granter = 0;
+  w.relayed = seed % 2 == 0;
   w.renewed = w.service_calm = 0;
   w.failure[0] = '\0';
   cc_clock_pause (now, now);
