granter.c is cut in two: the lease, and one pool's ranges

Cause: granter.c had grown to 900 lines with two jobs.

Change: granted_pool.c holds a pool's ranges, grants and load, plans and steps them; granter.c the lease, the order of reading and writing. A pause before another plan that nobody looked at is gone; the plan of every 0.4 s does it.

--- /dev/null
+++ b/granted_pool.h
@@ -0,0 +1,35 @@
+/* One pool's keys in the process that grants them: ranges, grants and load. */
+#ifndef CC_GRANTED_POOL_H
+#define CC_GRANTED_POOL_H
+
+#include "key_heat.h"
+#include "range_grant.h"
+
+typedef struct
+{
+  char *name;
+  CcGrantShared *shared; /* of all pools */
+  CcKeyRanges ranges;
+  GPtrArray *grants; /* of CcRangeGrant, one for each range */
+  CcKeyHeat heat;
+} CcGrantedPool;
+
+/* How a plan is made. */
+typedef struct
+{
+  GHashTable *service; /* upstream to its measured time, double in us */
+  gboolean level;      /* load may be moved */
+  gint64 now;          /* us */
+} CcPoolPlanning;
+
+CcGrantedPool *cc_granted_pool_new (const char *name, CcGrantShared *shared);
+void cc_granted_pool_free (gpointer pool);
+void cc_granted_pool_forget (CcGrantedPool *p);
+void cc_granted_pool_load (CcGrantedPool *p, GVariant *rows,
+                           const CcPredecessor *before);
+guint cc_granted_pool_plan (CcGrantedPool *p, const CcPoolPlanning *how);
+guint cc_granted_pool_step (CcGrantedPool *p, gint64 now);
+void cc_granted_pool_dirty (const CcGrantedPool *p, guint most,
+                            GPtrArray *dirty);
+
+#endif
--- a/granter.c
+++ b/granter.c
@@ -20,9 +20,8 @@
 
 #include "clock.h"
 #include "event_log.h"
-#include "key_plan.h"
+#include "granted_pool.h"
 #include "metrics.h"
-#include "range_grant.h"
 #include "timers.h"
 
 #define LEASE_KEY "granter"
@@ -42,38 +41,22 @@
   (150 * CC_MS) /* pause after a reading that is to be repeated */
 /* Rows of one transaction, which may hold 100. */
 #define ROWS_MAX 90
-/* Changes of ranges that one plan makes. */
-#define PLAN_MAX 80
 /* A list of upstreams that is still filling is not divided yet. */
 #define SETTLE (700 * CC_MS)
 #define SETTLE_MOST                                                            \
   (2500 * CC_MS) /* from then on, with those that are there                    \
                   */
 /* How often load is looked at, after the first BALANCE_FIRST of a lease in
- * which reports come in.  A range that moved rests for a while, so that a move
- * is judged by what it changed. */
+ * which reports come in. */
 #define BALANCE_PERIOD (400 * CC_MS)
 #define BALANCE_FIRST (3 * CC_SECOND)
-#define REPLAN_PAUSE (100 * CC_MS) /* until busy ranges are looked at again */
-#define RANGE_REST (2 * CC_SECOND)
-/* Time that an unmeasured upstream takes for a request, us, and how much a new
- * report weighs. */
-#define SERVICE_UNKNOWN 200000.0
-#define SERVICE_WEIGHT 0.2
-/* More than half of the owners silent for so long: it is this process that is
- * cut off, and another may reach them. */
-#define CUT_OFF_AFTER (1800 * CC_MS)
-#define CUT_OFF_LEAST 4 /* owners; of fewer, half may well be down */
+#define SERVICE_WEIGHT 0.2 /* of a new report in an upstream's measured time   \
+                            */
+/* More than half of the owners are silent: it is this process that is cut off,
+ * and another may reach them.  Of fewer than so many, half may well be down. */
+#define CUT_OFF_LEAST 4
 #define STAND_BACK (8 * CC_SECOND)
 
-typedef struct
-{
-  char *name;
-  CcKeyRanges ranges;
-  GPtrArray *grants; /* of CcRangeGrant */
-  CcKeyHeat heat;
-} Pool;
-
 struct CcGranter
 {
   CcGranterSetup setup;
@@ -99,29 +82,18 @@
   gint64 targets_changed;   /* us */
   gint64 loaded_at;         /* when the rows were read, us */
   gint64 plan_after;   /* until then upstreams may be missing by mistake, us */
-  gint64 replan_at;    /* ranges were busy: plan again then, us; 0: no */
   gboolean announce;   /* the row that says where reports go is to be written */
   gint64 balance_at;   /* when load is looked at next, us */
   GHashTable *service; /* upstream to its measured time, double in us */
-  GHashTable *pools;   /* keyed pools in the configuration: name to Pool */
-  GPtrArray *writing;  /* of CcRangeGrant, in the write in progress */
+  GHashTable
+      *pools; /* keyed pools in the configuration: name to CcGrantedPool */
+  GPtrArray *writing; /* of CcRangeGrant, in the write in progress */
   CcTimer tick;
   CcCounter *moves;
 };
 
 static void on_tick (gpointer data);
 
-static void
-pool_free (gpointer data)
-{
-  Pool *p = data;
-
-  g_ptr_array_unref (p->grants);
-  cc_key_ranges_clear (&p->ranges);
-  g_free (p->name);
-  g_free (p);
-}
-
 /* A granter that watches, and takes the lease when it is free. */
 CcGranter *
 cc_granter_new (const CcGranterSetup *setup)
@@ -134,7 +106,8 @@
   g->place = g_strdup_printf ("%s@%s.", setup->instance, setup->address);
   g->id = g_strdup_printf ("%s%" G_GUINT64_FORMAT, g->place,
                            cc_clock_incarnation ());
-  g->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
+  g->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                    cc_granted_pool_free);
   g->writing = g_ptr_array_new ();
   g->service = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g->moves = cc_metrics_counter ("capercrank_key_ranges_moved", "");
@@ -144,17 +117,6 @@
   return g;
 }
 
-static Pool *
-pool_new (const char *name)
-{
-  Pool *p = g_new0 (Pool, 1);
-
-  p->name = g_strdup (name);
-  cc_key_ranges_init (&p->ranges);
-  p->grants = g_ptr_array_new_with_free_func (cc_range_grant_free);
-  return p;
-}
-
 /* Takes over which pools of ROUTES are keyed. */
 void
 cc_granter_configure (CcGranter *g, const CcRoutes *routes)
@@ -171,7 +133,7 @@
           g_hash_table_contains (g->pools, described->name))
         continue;
       {
-        Pool *p = pool_new (described->name);
+        CcGrantedPool *p = cc_granted_pool_new (described->name, &g->shared);
 
         g_hash_table_insert (g->pools, p->name, p);
         g->loaded = FALSE;
@@ -227,214 +189,28 @@
   g->shared.replan = TRUE;
 }
 
-static CcRangeGrant *
-grant_new (CcGranter *g, Pool *p, CcKeyRange *range)
-{
-  CcRangeGrant *x = cc_range_grant_new (&g->shared, p->name, &p->ranges, range);
-
-  g_ptr_array_add (p->grants, x);
-  return x;
-}
-
-static CcRangeGrant *
-grant_of (const Pool *p, const CcKeyRange *range)
-{
-  for (guint i = 0; i < p->grants->len; i++)
-    if (((CcRangeGrant *) p->grants->pdata[i])->range == range)
-      return p->grants->pdata[i];
-  return NULL;
-}
-
-/* ---- planning ---- */
-
-/* Requests a second that T can serve. */
-static double
-capacity_of (const CcGranter *g, const CcTarget *t)
-{
-  const double *service = g_hash_table_lookup (g->service, t->listing.id);
-
-  return MAX (t->listing.slots, 1) * 1e6 /
-         (service != NULL ? MAX (*service, 1000.0) : SERVICE_UNKNOWN);
-}
-
-/* The upstreams of P that may get keys. */
-static GArray *
-owners_of (const CcGranter *g, const Pool *p)
-{
-  GArray *owners = g_array_new (FALSE, TRUE, sizeof (CcKeyOwner));
-  GPtrArray *all = cc_targets_of_pool (g->setup.targets, p->name);
-
-  for (guint i = 0; all != NULL && i < all->len; i++)
-    {
-      const CcTarget *t = all->pdata[i];
-      CcKeyOwner o = { .id = t->listing.id,
-                       .born = t->listing.born,
-                       .capacity = capacity_of (g, t) };
-
-      if (t->state == CC_TARGET_READY)
-        g_array_append_val (owners, o);
-    }
-  return owners;
-}
-
-/* The grant from which the range of a new one was cut: that of the keys before
- * it. */
-static CcRangeGrant *
-source_of (const Pool *p, const CcKeyRange *range)
-{
-  CcRangeGrant *best = NULL;
-
-  for (guint i = 0; i < p->grants->len; i++)
-    {
-      CcRangeGrant *x = p->grants->pdata[i];
-
-      if (x->range->from < range->from &&
-          (best == NULL || x->range->from > best->range->from))
-        best = x;
-    }
-  return best;
-}
-
+/* A list of upstreams that is still filling is not divided yet. */
 static gboolean
-is_for (const CcRangeGrant *x, const char *owner, guint64 born)
-{
-  return g_strcmp0 (x->range->owner, owner) == 0 && x->range->born == born;
-}
-
-/* What was known of each grant's owner before a plan. */
-typedef struct
-{
-  CcRangeGrant *grant;
-  char *owner;
-  guint64 born;
-  gboolean was_moving;
-} Before;
-
-static void
-before_clear (gpointer data)
-{
-  g_free (((Before *) data)->owner);
-}
-
-static GArray *
-note_before (const Pool *p)
-{
-  GArray *list = g_array_new (FALSE, FALSE, sizeof (Before));
-
-  g_array_set_clear_func (list, before_clear);
-  for (guint i = 0; i < p->grants->len; i++)
-    {
-      CcRangeGrant *x = p->grants->pdata[i];
-      Before b = { x, g_strdup (x->range->owner), x->range->born,
-                   x->range->previous != NULL };
-
-      g_array_append_val (list, b);
-    }
-  return list;
-}
-
-static void
-log_move (const CcGranter *g, const Pool *p, const CcKeyRange *r)
-{
-  cc_event (CC_EVENT_STATE, "keys-planned", "pool", p->name, "from",
-            cc_event_int (r->from), "to", cc_event_int (r->to), "owner",
-            r->owner, "previous", r->previous != NULL ? r->previous : "",
-            "fence", cc_event_int ((gint64) r->fence), "lease_version",
-            cc_event_int ((gint64) g->shared.lease.version), NULL);
-}
-
-/* Ranges that a plan cut from others get grants of their own.  That goes before
- * any change of owners: what may be held of the new range is what could be held
- * of the one that it was cut from before the plan. */
-static void
-add_grants (CcGranter *g, Pool *p, const GPtrArray *changed)
-{
-  for (guint i = 0; i < changed->len; i++)
-    {
-      CcKeyRange *r = changed->pdata[i];
-      CcRangeGrant *source = source_of (p, r);
-      CcRangeGrant *x;
-
-      if (grant_of (p, r) != NULL)
-        continue;
-      x = grant_new (g, p, r);
-      if (source != NULL)
-        cc_range_grant_inherit (x, source, cc_clock_now ());
-    }
-}
-
-static void
-apply_change (CcGranter *g, Pool *p, CcKeyRange *r, const GArray *before)
-{
-  CcRangeGrant *x = grant_of (p, r);
-
-  for (guint i = 0; i < before->len; i++)
-    {
-      const Before *b = &g_array_index (before, Before, i);
-
-      if (b->grant == x && !is_for (x, b->owner, b->born))
-        cc_range_grant_owner_changed (x, b->was_moving, cc_clock_now ());
-    }
-  x->dirty = TRUE;
-  x->written = FALSE;
-  ++*g->moves;
-  log_move (g, p, r);
-}
-
-static void
-plan_pool (CcGranter *g, Pool *p, gboolean level)
+must_settle (const CcGranter *g, const CcGrantedPool *p, gint64 now)
 {
-  g_autoptr (GArray) owners = NULL;
-  g_autoptr (GPtrArray) changed = g_ptr_array_new ();
-  g_autoptr (GArray) before = note_before (p);
-  gint64 now = cc_clock_now ();
-  CcKeyPlan plan = { .ranges = &p->ranges,
-                     .heat = &p->heat,
-                     .limit = PLAN_MAX,
-                     .level = level,
-                     .changed = changed };
-
-  if (p->ranges.list->len == 0 && now - g->targets_changed < SETTLE &&
-      now - g->loaded_at < SETTLE_MOST)
-    {
-      g->shared.replan = TRUE;
-      return;
-    }
-  owners = owners_of (g, p);
-  cc_key_heat_fade (&p->heat, now);
-  for (guint i = 0; i < p->grants->len; i++)
-    {
-      CcRangeGrant *x = p->grants->pdata[i];
-
-      x->range->rests = !x->held || now - x->moved_at < RANGE_REST;
-      /* The answer of a call in progress is about the owner and the keys that
-       * it was sent for.  Taken for another's, it let a new owner begin while
-       * the old one still held the keys; and a renewal that overtakes a release
-       * gives the keys back to who had released them. */
-      x->range->busy = x->calling || cc_range_grant_is_unsettled (x, now);
-    }
-  plan.owners = owners;
-  cc_key_plan (&plan);
-  if (plan.skipped)
-    g->replan_at = now + REPLAN_PAUSE;
-  add_grants (g, p, changed);
-  for (guint i = 0; i < changed->len; i++)
-    apply_change (g, p, changed->pdata[i], before);
-  if (changed->len >= PLAN_MAX)
-    g->shared.replan = TRUE;
+  return p->ranges.list->len == 0 && now - g->targets_changed < SETTLE &&
+         now - g->loaded_at < SETTLE_MOST;
 }
 
 static void
-plan_all (CcGranter *g, gboolean level)
+plan_all (CcGranter *g, gboolean level, gint64 now)
 {
+  CcPoolPlanning how = { .service = g->service, .level = level, .now = now };
   GHashTableIter i;
   gpointer value;
 
   g->shared.replan = FALSE;
-  g->replan_at = 0;
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    plan_pool (g, value, level);
+    if (must_settle (g, value, now))
+      g->shared.replan = TRUE;
+    else
+      *g->moves += cc_granted_pool_plan (value, &how);
 }
 
 /* Whether most owners have been silent for so long that it is this process that
@@ -449,17 +225,8 @@
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
-      Pool *p = value;
-
-      for (guint k = 0; k < p->grants->len; k++)
-        {
-          CcRangeGrant *x = p->grants->pdata[k];
-
-          cc_range_grant_step (x, now);
-          all++;
-          if (x->answered != 0 && now - x->answered > CUT_OFF_AFTER)
-            silent++;
-        }
+      silent += cc_granted_pool_step (value, now);
+      all += ((CcGrantedPool *) value)->grants->len;
     }
   return all >= CUT_OFF_LEAST && 2 * silent > all;
 }
@@ -474,12 +241,7 @@
 
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      Pool *p = value;
-
-      g_ptr_array_set_size (p->grants, 0);
-      g_ptr_array_set_size (p->ranges.list, 0);
-    }
+    cc_granted_pool_forget (value);
   g_ptr_array_set_size (g->writing, 0);
   g->loaded = FALSE;
 }
@@ -593,40 +355,16 @@
   cc_table_read (g->setup.table, CC_TABLE_LEASE, LEASE_KEY, on_lease_read, g);
 }
 
-static void
-load_pool (CcGranter *g, Pool *p, GVariant *rows, gint64 now)
-{
-  CcView view;
-  GVariantIter i;
-  const char *key, *value;
-  guint64 version, fence;
-  CcPredecessor before = { .seen = g->predecessor_seen,
-                           .changes_until =
-                               g->predecessor_seen + CC_GRANTER_TERM,
-                           .renews_until = MAX (g->predecessor_until, now) };
-
-  cc_view_init (&view);
-  g_variant_iter_init (&i, rows);
-  while (g_variant_iter_next (&i, "(&st&s)", &key, &version, &value))
-    cc_view_put (&view, key, version, value);
-  cc_key_ranges_read (&p->ranges, &view, p->name);
-  cc_view_clear (&view);
-  cc_key_ranges_fill (&p->ranges);
-  fence = cc_key_ranges_top_fence (&p->ranges);
-  for (guint k = 0; k < p->ranges.list->len; k++)
-    {
-      CcRangeGrant *x = grant_new (g, p, p->ranges.list->pdata[k]);
-
-      cc_range_grant_load (x, &fence, &before);
-    }
-}
-
 static void
 on_state_read (CcStatus status, GVariant *rows, guint64 upto, const char *why,
                gpointer data)
 {
   CcGranter *g = data;
   gint64 now = cc_clock_now ();
+  CcPredecessor before = { .seen = g->predecessor_seen,
+                           .changes_until =
+                               g->predecessor_seen + CC_GRANTER_TERM,
+                           .renews_until = MAX (g->predecessor_until, now) };
   GHashTableIter i;
   gpointer value;
 
@@ -637,7 +375,7 @@
   forget_ranges (g);
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    load_pool (g, value, rows, now);
+    cc_granted_pool_load (value, rows, &before);
   g->loaded = TRUE;
   g->loaded_at = now;
   g->shared.replan = TRUE;
@@ -646,48 +384,41 @@
 }
 
 static void
-put_dirty (CcGranter *g, CcTableChange *c)
+find_dirty (const CcGranter *g, guint most, GPtrArray *dirty)
 {
   GHashTableIter i;
   gpointer value;
 
-  g_ptr_array_set_size (g->writing, 0);
-  if (g->announce)
-    cc_table_put (c, CC_TABLE_STATE, CC_GRANTER_KEY, g->setup.address);
+  g_ptr_array_set_size (dirty, 0);
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
+    cc_granted_pool_dirty (value, most, dirty);
+}
+
+static void
+put_dirty (CcGranter *g, CcTableChange *c)
+{
+  if (g->announce)
+    cc_table_put (c, CC_TABLE_STATE, CC_GRANTER_KEY, g->setup.address);
+  find_dirty (g, ROWS_MAX, g->writing);
+  for (guint i = 0; i < g->writing->len; i++)
     {
-      Pool *p = value;
+      CcRangeGrant *x = g->writing->pdata[i];
+      g_autofree char *key = cc_key_range_key (x->pool, x->range);
+      g_autofree char *text = cc_key_range_text (x->range);
 
-      for (guint k = 0; k < p->grants->len && g->writing->len < ROWS_MAX; k++)
-        {
-          CcRangeGrant *x = p->grants->pdata[k];
-          g_autofree char *key = NULL;
-          g_autofree char *text = NULL;
-
-          if (!x->dirty)
-            continue;
-          key = cc_key_range_key (p->name, x->range);
-          text = cc_key_range_text (x->range);
-          cc_table_put (c, CC_TABLE_STATE, key, text);
-          g_ptr_array_add (g->writing, x);
-          x->dirty = FALSE;
-        }
+      cc_table_put (c, CC_TABLE_STATE, key, text);
+      x->dirty = FALSE;
     }
 }
 
 static gboolean
 has_dirty (const CcGranter *g)
 {
-  GHashTableIter i;
-  gpointer value;
+  g_autoptr (GPtrArray) dirty = g_ptr_array_new ();
 
-  g_hash_table_iter_init (&i, g->pools);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    for (guint k = 0; k < ((Pool *) value)->grants->len; k++)
-      if (((CcRangeGrant *) ((Pool *) value)->grants->pdata[k])->dirty)
-        return TRUE;
-  return FALSE;
+  find_dirty (g, 1, dirty);
+  return dirty->len > 0;
 }
 
 /* What was to be written may not have been. */
@@ -832,7 +563,7 @@
 
       if (level)
         g->balance_at = now + BALANCE_PERIOD;
-      plan_all (g, level);
+      plan_all (g, level, now);
     }
   if (g->shared.lease.held && g->loaded && !g->resigning &&
       step_grants (g, now))
@@ -857,7 +588,7 @@
 void
 cc_granter_heat (CcGranter *g, const char *pool, guint key, guint count)
 {
-  Pool *p = g_hash_table_lookup (g->pools, pool);
+  CcGrantedPool *p = g_hash_table_lookup (g->pools, pool);
 
   if (p != NULL)
     cc_key_heat_add (&p->heat, key, count);
