A stop that comes during a pause has its grace from the end of the pause

Trace: SIGTERM was sent 1.6 and 0.9 s after SIGSTOP; the process logged "stopping" when it went on, and was killed by the soak 2.6 and 2.6 s later, within the 3 s that it has.

Ruled out: a gateway that hangs (it refused requests with "stopping" until then).

Change: the audit counts from the last time at which the process went on; it is as strict otherwise.

--- a/test/soak.c
+++ b/test/soak.c
@@ -19,6 +19,7 @@
 #include <gio/gio.h>
 
 #include "capercrank.h"
+#include "clock.h"
 #include "free_net.h"
 #include "gateway_process.h"
 #include "harness.h"
@@ -30,6 +31,7 @@
 #define KEYED 5 /* of them in the pool that owns keys */
 #define PER_SECOND 70
 #define STOP_GRACE_MS 3000
+#define GRACE_MS (STOP_GRACE_MS + 500) /* with the time to notice */
 /* From the end of all faults until callers are served again: the longest term
  * that a lost holder of keys is waited for, and a start. */
 #define RECOVERY_MS 16000
@@ -49,6 +51,7 @@
   guint runs;
   guint signalled; /* signals that this program sent to this run to end it */
   gboolean paused;
+  gint64 resumed; /* when a pause last ended, us */
 } Gateway;
 
 typedef enum
@@ -253,15 +256,22 @@
   g_subprocess_send_signal (g->process, number);
 }
 
-/* A stop that takes longer than its grace, of a process that could run. */
+/* A stop that takes longer than its grace, in which the process could run: a
+ * signal that comes during a pause is seen at its end. */
 static gboolean
 on_grace_over (gpointer data)
 {
   Fault *f = data;
   Gateway *g = &soak.gateways[f->gateway];
+  gint64 ran = cc_clock_now () - g->resumed;
 
   if (g->process == NULL || g->runs != f->run)
     return G_SOURCE_REMOVE;
+  if (!g->paused && ran < GRACE_MS * CC_MS)
+    {
+      g_timeout_add (GRACE_MS - (guint) (ran / CC_MS), on_grace_over, f);
+      return G_SOURCE_REMOVE;
+    }
   if (!g->paused)
     soak_audit_fail ("%s is still there after its grace", g->name);
   signal_gateway (g, SIGCONT);
@@ -327,6 +337,7 @@
     {
     case FAULT_PAUSE:
       g->paused = FALSE;
+      g->resumed = cc_clock_now ();
       signal_gateway (g, SIGCONT);
       break;
     case FAULT_CUT_TABLE:
@@ -376,7 +387,7 @@
     case FAULT_STOP:
       f->run = g->runs;
       signal_gateway (g, SIGTERM);
-      g_timeout_add (STOP_GRACE_MS + 500, on_grace_over, f);
+      g_timeout_add (GRACE_MS, on_grace_over, f);
       break;
     case FAULT_PAUSE:
       g->paused = TRUE;
