--- a/test/bench_path.c
+++ b/test/bench_path.c
@@ -76,19 +76,9 @@
       .pids = { cluster_find (c, "entry-1")->pid,
                 cluster_find (c, "dispatch-1")->pid } },
   };
-  double half;
 
   g_usleep (500000);
-  side_measure (sides, 3, 0, seconds);
-  for (guint i = 0; i < 3; i++)
-    side_print_rate (&sides[i]);
-  printf ("router over bare relay, on one core: %.2f\n",
-          sides[2].on_one_core / sides[1].on_one_core);
-  half = sides[2].on_one_core / 2;
-  side_measure (sides, 3, half, seconds);
-  printf ("at %.0f requests/s:\n", half);
-  for (guint i = 0; i < 3; i++)
-    side_print_latency (&sides[i], &sides[0]);
+  side_compare (sides, G_N_ELEMENTS (sides), seconds);
   print_memory (c);
   kill (bare_pid, SIGKILL);
   cluster_wait (bare_pid);
@@ -158,19 +148,9 @@
       .request = direct_request,
       .pids = { pid_of (all[2]), 0 } },
   };
-  double half;
 
   g_usleep (3000000);
-  side_measure (sides, 3, 0, seconds);
-  for (guint i = 0; i < 3; i++)
-    side_print_rate (&sides[i]);
-  printf ("gateway over bare relay, on one core: %.2f\n",
-          sides[2].on_one_core / sides[1].on_one_core);
-  half = sides[2].on_one_core / 2;
-  side_measure (sides, 3, half, seconds);
-  printf ("at %.0f requests/s:\n", half);
-  for (guint i = 0; i < 3; i++)
-    side_print_latency (&sides[i], &sides[0]);
+  side_compare (sides, G_N_ELEMENTS (sides), seconds);
   printf ("resident: gateway %.1f MB\n", resident_mb (pid_of (all[2])));
   for (guint i = 0; i < G_N_ELEMENTS (all); i++)
     {
--- a/test/bench_side.c
+++ b/test/bench_side.c
@@ -175,8 +175,8 @@
 }
 
 /* Prints the rate of S, and keeps that on one core. */
-void
-side_print_rate (Side *s)
+static void
+print_rate (Side *s)
 {
   double all = (double) (s->done + s->failed);
 
@@ -188,8 +188,8 @@
 }
 
 /* Prints the latencies of S beside those of DIRECT. */
-void
-side_print_latency (const Side *s, const Side *direct)
+static void
+print_latency (const Side *s, const Side *direct)
 {
   const CcHistogram *h = &s->latency;
   double half = (double) cc_histogram_quantile (h, 0.5) / 1000;
@@ -204,8 +204,8 @@
 
 /* Asks the N SIDES by turns, for SECONDS each; RATE a second, or with 0 as fast
  * as they answer. */
-void
-side_measure (Side *sides, guint n, double rate, double seconds)
+static void
+measure (Side *sides, guint n, double rate, double seconds)
 {
   for (guint i = 0; i < n; i++)
     reset (&sides[i]);
@@ -213,3 +213,25 @@
     for (guint i = 0; i < n; i++)
       run (&sides[i], rate, seconds);
 }
+
+/* Measures the N SIDES for SECONDS a turn, as fast as they answer and then at
+ * half of what the last one carries on one core.  The first is the server
+ * itself and the last but one what the last is compared with. */
+void
+side_compare (Side *sides, guint n, double seconds)
+{
+  const Side *base = &sides[n - 2];
+  const Side *last = &sides[n - 1];
+  double half;
+
+  measure (sides, n, 0, seconds);
+  for (guint i = 0; i < n; i++)
+    print_rate (&sides[i]);
+  printf ("%s over %s relay, on one core: %.2f\n", last->name, base->name,
+          last->on_one_core / base->on_one_core);
+  half = last->on_one_core / 2;
+  measure (sides, n, half, seconds);
+  printf ("at %.0f requests/s:\n", half);
+  for (guint i = 0; i < n; i++)
+    print_latency (&sides[i], &sides[0]);
+}
--- a/test/bench_side.h
+++ b/test/bench_side.h
@@ -17,8 +17,6 @@
   double on_one_core; /* requests a second */
 } Side;
 
-void side_measure (Side *sides, guint n, double rate, double seconds);
-void side_print_rate (Side *s);
-void side_print_latency (const Side *s, const Side *direct);
+void side_compare (Side *sides, guint n, double seconds);
 
 #endif
