Tests, red: one lost watch hides leaving upstreams; trouble lasts until it is noticed

Two causes, a test for each, and the five worlds: - the followed process says how fresh its copy is by its watch of the configuration alone; if its watch of the list of upstreams is swallowed, the list is up to 2.7 s old and passes for new; - when a swallowed watch is given up, the service counts as having been away until then if another table was answered in between, and deletions are doubted for 1.75 s more.

--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -93,6 +93,7 @@
 {
   Kind kind;
   Node *by;
+  gint64 asked;    /* us */
   gint64 at;       /* when it is answered without news, us */
   gint64 given_up; /* when its sender gives it up, us */
   gboolean swallowed;
@@ -160,6 +161,7 @@
 
   q->kind = kind;
   q->by = by;
+  q->asked = now;
   q->at = now + MAX (wait, kind == ASK ? PEER_TAKES : CALL_TAKES);
   q->given_up = now + wait + (kind == WATCH ? WATCH_WITHIN : CALL_WITHIN);
   q->swallowed = kind != ASK && by->service == SILENT;
@@ -691,6 +693,34 @@
   play_worlds (TRUE);
 }
 
+/* Worlds beyond the first, in which a node was found to send too late. */
+static const struct
+{
+  guint seed;
+  const char *cause; /* for which it failed then */
+} once_failed[] = {
+  { 1541, "the followed one's list of upstreams was older than it said" },
+  { 2526, "the same" },
+  { 2801, "the same" },
+  { 2260, "trouble was taken to have lasted until it was noticed" },
+  { 3766, "the same" },
+};
+
+static void
+worlds_that_once_failed (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (once_failed); i++)
+    {
+      play (once_failed[i].seed, FALSE);
+      if (w.failure[0] != '\0')
+        fail_msg ("seed %u (%s): %s", once_failed[i].seed, once_failed[i].cause,
+                  w.failure);
+      clear ();
+    }
+  cc_clock_resume ();
+}
+
 /* The one that is followed is cut off from the service alone, and says so with
  * every answer.  A follower that took that for trouble of its own would doubt
  * all deletions for as long, and its callers' requests would go to upstreams
@@ -723,13 +753,134 @@
   cc_clock_resume ();
 }
 
+static void
+run_until (gint64 until)
+{
+  while (cc_clock_now () < until)
+    {
+      cc_clock_advance (STEP);
+      step_lease (cc_clock_now ());
+      step_questions ();
+      cc_timers_run ();
+      for (guint k = 0; k < NODES; k++)
+        if (w.nodes[k].targets_due != 0 &&
+            cc_clock_now () >= w.nodes[k].targets_due)
+          update_targets (&w.nodes[k]);
+    }
+}
+
+/* Lets time pass until the granter begins to watch the list of upstreams, and
+ * has the service swallow that question and answer all others. */
+static void
+swallow_next_watch_of_upstreams (void)
+{
+  for (;;)
+    {
+      gint64 now = cc_clock_now ();
+
+      for (guint i = 0; i < w.questions->len; i++)
+        {
+          Question *q = w.questions->pdata[i];
+
+          if (q->kind != WATCH || q->name != CC_TABLE_UPSTREAMS ||
+              q->by != &w.nodes[w.granter] || q->asked < now)
+            continue;
+          q->swallowed = TRUE;
+          return;
+        }
+      run_until (now + STEP);
+    }
+}
+
+/* Whether node K would send a request for a key of the upstream u0. */
+static gboolean
+sends_to_first (guint k)
+{
+  const CcTargets *t = &w.nodes[k].targets;
+
+  return cc_targets_serves_keys (t, cc_targets_find (t, "u0"), cc_clock_now ());
+}
+
+typedef struct
+{
+  const char *name;
+  const char *row;  /* of the upstream that leaves; NULL: none */
+  gint64 leaves_ms; /* after the watch was swallowed */
+} Swallowed;
+
+static const Swallowed swallowed[] = {
+  { "one that leaves", "leaving", 100 },
+  { "one that leaves later", "leaving", 500 },
+  { "one that vanishes", NULL, 100 },
+  { "one that vanishes later", NULL, 500 },
+};
+
+/* The caller sees a request for a key sent to its owner after that has ended.
+ * The table service swallowed one watch of the list of upstreams, that of the
+ * process whose copy the others follow, and answered its watch of the
+ * configuration all the time.  So its copy passed for new, in its own eyes and
+ * in theirs, while the owner left. */
+static void
+one_watch_that_is_swallowed_makes_no_one_late (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (swallowed); i++)
+    {
+      const Swallowed *c = &swallowed[i];
+
+      begin (1, FALSE);
+      run_until (4 * CC_SECOND);
+      swallow_next_watch_of_upstreams ();
+      run_until (cc_clock_now () + c->leaves_ms * CC_MS);
+      write_upstream (0, c->row);
+      run_until (cc_clock_now () + SERVES);
+      for (guint k = 0; k < NODES; k++)
+        if (sends_to_first (k))
+          fail_msg ("%s: node %u sends to it", c->name, k);
+      clear ();
+    }
+  cc_clock_resume ();
+}
+
+/* The caller sees the same.  The swallowed watch is given up seconds later, and
+ * the service is taken to have been away until then, although it answered other
+ * calls; so the deletion of an owner that vanished in the meantime is doubted.
+ * That took another table's answer just before the watch was given up, so rows
+ * of another table change at one moment after the other. */
+static void
+trouble_is_over_with_the_next_answer (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < 40; i++)
+    {
+      gint64 left;
+
+      begin (1, FALSE);
+      run_until (4 * CC_SECOND);
+      swallow_next_watch_of_upstreams ();
+      run_until (cc_clock_now () + CC_SECOND);
+      left = cc_clock_now ();
+      write_upstream (0, NULL);
+      run_until (left + i * 50 * CC_MS);
+      write_granter ();
+      run_until (left + SERVES);
+      if (sends_to_first (w.granter))
+        fail_msg ("%u ms after the deletion", i * 50);
+      clear ();
+    }
+  cc_clock_resume ();
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_copy_is_new_and_never_goes_back),
     cmocka_unit_test (an_answer_that_was_late_is_no_younger_for_it),
+    cmocka_unit_test (worlds_that_once_failed),
     cmocka_unit_test (troubles_of_one_that_is_cut_off_are_its_own),
+    cmocka_unit_test (one_watch_that_is_swallowed_makes_no_one_late),
+    cmocka_unit_test (trouble_is_over_with_the_next_answer),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
