Trouble of the table service ends with its first answer, whoever gets that

Callers saw a request go to an owner that had vanished from the list more than two seconds before. Cause: a watch that the service swallowed in a short silence is given up 2.7 s after it was asked; when that table is answered again, the trouble was moved to the last answer of any other table, a moment ago, and all deletions before that are doubted for 1.75 s. Change: the first answer after the trouble, to this process or to a peer, ends it. Holds since an answer proves that the service was there, and a failure after it begins a trouble of its own.

--- a/mirror.c
+++ b/mirror.c
@@ -88,7 +88,8 @@
   CcView view;
   gboolean complete;   /* it was read whole once, here or by a peer */
   gboolean in_trouble; /* the last call failed */
-  gint64 trouble_at;   /* when a call last failed, us */
+  gint64 trouble_at;   /* the service was last silent then at the latest, us */
+  gboolean relieved;   /* it has answered somebody since */
   gint64 trouble_from; /* when the present trouble began, us */
   gint64 pause;        /* after the next failure, us */
   gboolean running;    /* it is read or watched at the service */
@@ -218,24 +219,43 @@
   return is_last ? t : NULL;
 }
 
+/* The service answered this process or a peer between EARLIEST and LATEST, us.
+ *
+ * Failure: it was silent for a moment, and the call that it swallowed is given
+ * up seconds later, while other calls are answered all the time.  Symptom: the
+ * trouble is taken to have lasted until then, so deletions of just now are
+ * doubted, and upstreams that left without a word are sent to after they have
+ * ended.  The service was silent until its first answer after the trouble at
+ * the latest, whoever got that; what comes later moves nothing. */
+static void
+note_service_well (CcMirror *m, gint64 earliest, gint64 latest)
+{
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    {
+      Table *t = &m->tables[i];
+
+      if (!t->in_trouble || t->relieved || earliest <= t->trouble_at)
+        continue;
+      t->trouble_at = latest;
+      t->relieved = TRUE;
+    }
+}
+
 static void
 note_answer (Table *t)
 {
   CcMirror *m = t->mirror;
   gint64 now = cc_clock_now ();
-  gint64 answered_before = m->answered_at;
 
   m->heard_at = m->answered_at = now;
   if (t->name == CC_TABLE_CONFIG)
     m->fresh_at = now;
   t->unproven = FALSE;
   t->pause = PAUSE_FIRST;
+  note_service_well (m, now, now);
   if (!t->in_trouble)
     return;
   t->in_trouble = FALSE;
-  /* The service may have been away until now, unless it answered for another
-   * table meanwhile. */
-  t->trouble_at = answered_before > t->trouble_at ? answered_before : now;
   cc_event (CC_EVENT_STATE, "table-regained", "table", table_names[t->name],
             "gone_ms", cc_event_int ((now - t->trouble_from) / CC_MS), NULL);
   if (t->name == CC_TABLE_CONFIG)
@@ -288,8 +308,8 @@
 
   /* A call that was swallowed long ago is no sign of trouble after an answer to
    * a later one. */
-  t->trouble_at =
-      t->mirror->answered_at > t->asked ? MAX (t->asked, t->trouble_at) : now;
+  t->relieved = t->mirror->answered_at > t->asked;
+  t->trouble_at = t->relieved ? MAX (t->asked, t->trouble_at) : now;
   if (!t->in_trouble)
     {
       t->trouble_from = now;
@@ -609,6 +629,7 @@
     return;
   m->others_fresh = now - age;
   m->others_trouble = trouble < 0 ? 0 : now - trouble;
+  note_service_well (m, m->others_fresh, m->others_fresh);
 }
 
 /* Takes the rows in R.  Returns how long ago, in us, they were fresh, or -1 if
