Ages in a peer's answer count from when it can have been given

Callers saw requests go to an owner after it had ended, sent by entries that knew that it leaves. Cause: an entry follows another's copy; its answers say how old their news are, and the entry subtracted that age from the moment of arrival. A lost segment, a short cut or a slow peer keeps an answer for up to 1.15 s, and by so much the marks of the version clock, and with them the beginning of an owner's leaving, were too late, and the copy too new. Ruled out: clocks of the two processes (both count suspended time), a margin in place of a bound (an answer may be a second late). Change: an answer says for how long its question was held; it was given no earlier than that after the question was sent. Copies count as old by the same bound. Times of the lease and of troubles go on counting from arrival, where later is safe.

--- a/mirror.c
+++ b/mirror.c
@@ -117,6 +117,7 @@
   CcMirrorPeer peer;
   gpointer data;
   gboolean asking;      /* a peer */
+  gint64 asked_any;     /* ... since then, us */
   CcTimer asks;         /* until a peer is asked next */
   CcVersionClock clock; /* of the service's versions */
   gint64 heard_at;      /* the table service last answered, us */
@@ -129,6 +130,7 @@
   gboolean for_others;   /* others go by this copy */
   guint distance;        /* processes on the rows' way to this one */
   gboolean following;    /* the one that is followed is being asked */
+  gint64 asked_followed; /* ... since then, us */
   gboolean lost;         /* ... did not answer, or had an old copy, at last */
   gint64 self_until;     /* watches by itself until then, us */
   gint64 refresh_at;     /* the service is not asked for all before, us */
@@ -513,16 +515,18 @@
     watch (&m->tables[i]);
 }
 
-/* What a peer sends: how long ago, in us, its rows were fresh and it last had
- * trouble with the service (-1: never); the version of the lease's row that it
- * knows, and since how long; the newest mark of its version clock, with its
- * age; for each table, since and up to which version, and the rows. */
-#define PEER_TYPE "(xxtxtxa(tta(sts)))"
+/* What a peer sends: for how long, in us, it held the question; how long ago
+ * its rows were fresh and it last had trouble with the service (-1: never); the
+ * version of the lease's row that it knows, and since how long; the newest mark
+ * of its version clock, with its age; for each table, since and up to which
+ * version, and the rows. */
+#define PEER_TYPE "(xxxtxtxa(tta(sts)))"
 #define PEER_TABLES "a(tta(sts))"
 
-/* The rows that were written after SINCE[table], as a peer reads them. */
+/* The rows that were written after SINCE[table], for a peer whose question was
+ * HELD for so long, us, as it reads them. */
 GBytes *
-cc_mirror_rows_since (CcMirror *m, const guint64 *since)
+cc_mirror_rows_since (CcMirror *m, const guint64 *since, gint64 held)
 {
   GVariantBuilder b;
   g_autoptr (GVariant) all = NULL;
@@ -540,7 +544,7 @@
                              cc_view_since (&t->view, since[i]));
     }
   all = g_variant_ref_sink (g_variant_new (
-      "(xxtxtx@" PEER_TABLES ")", now - m->fresh_at,
+      "(xxxtxtx@" PEER_TABLES ")", held, now - m->fresh_at,
       trouble != 0 ? now - trouble : -1, m->lease, now - m->lease_at,
       mark.version, now - mark.at, g_variant_builder_end (&b)));
   return g_variant_get_data_as_bytes (all);
@@ -612,8 +616,9 @@
     t->mirror->changed (t->name, t->mirror->data);
 }
 
-/* A peer's rows were fresh AGE us ago, and it last had trouble with the service
- * TROUBLE us ago, -1: never.
+/* A peer's rows were fresh AGE us before its answer, which was WAY us on its
+ * way at most, and it last had trouble with the service TROUBLE us ago, -1:
+ * never.
  *
  * Failure: this process alone loses its connection to the service, or hears
  * late that an outage is over.  Symptom: it takes upstreams that leave
@@ -621,33 +626,55 @@
  * have ended.  A peer that heard from the service after this process's own
  * trouble knows when it was in trouble last. */
 static void
-note_peer (CcMirror *m, gint64 age, gint64 trouble)
+note_peer (CcMirror *m, gint64 age, gint64 way, gint64 trouble)
 {
   gint64 now = cc_clock_now ();
 
-  if (now - age <= m->others_fresh)
+  if (now - way - age <= m->others_fresh)
     return;
-  m->others_fresh = now - age;
+  m->others_fresh = now - way - age;
   m->others_trouble = trouble < 0 ? 0 : now - trouble;
-  note_service_well (m, m->others_fresh, m->others_fresh);
+  note_service_well (m, m->others_fresh, now - age);
 }
 
-/* Takes the rows in R.  Returns how long ago, in us, they were fresh, or -1 if
- * there is nothing to take; and in *TROUBLE how long ago the peer had trouble
- * with the service, -1: never. */
+/* How long ago a peer, which was ASKED and HELD the question for so long, gave
+ * its answer at most, us.
+ *
+ * Failure: the answer is a while on its way, since a lost segment is sent again
+ * or the peer's processor is short, and the ages in it are counted from its
+ * arrival.  Symptom: an upstream is sent to after it has ended, since its word
+ * that it leaves is taken for younger than it is; and an old copy passes for a
+ * new one.  What was asked after ASKED and held for HELD was not answered
+ * before both had passed, and that compares no clocks of two machines. */
 static gint64
-take_peer_answer (CcMirror *m, const CcHttpResult *r, gint64 *trouble)
+longest_on_its_way (gint64 asked, gint64 held, gint64 now)
+{
+  return now - asked - CLAMP (held, 0, now - asked);
+}
+
+/* Takes the rows in R, the answer to a question that was ASKED then, us.
+ * Returns how long ago, in us, they were fresh at most, or -1 if there is
+ * nothing to take; and in *TROUBLE how long ago the peer had trouble with the
+ * service, -1: never.
+ *
+ * The times of the lease and of troubles count from the answer's arrival: the
+ * later a lease is taken to have been renewed, the later it is taken over, and
+ * the later a trouble, the longer deletions are doubted. */
+static gint64
+take_peer_answer (CcMirror *m, const CcHttpResult *r, gint64 asked,
+                  gint64 *trouble)
 {
   g_autoptr (GVariant) all = NULL;
   g_autoptr (GVariant) tables = NULL;
-  gint64 age, lease_age, mark_age;
+  gint64 now = cc_clock_now ();
+  gint64 held, age, lease_age, mark_age, way;
   guint64 lease, mark;
 
   if (r->end != CC_HTTP_ANSWERED || r->status != 200)
     return -1;
   all = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (PEER_TYPE), r->body, FALSE));
-  g_variant_get (all, "(xxtxtx@" PEER_TABLES ")", &age, trouble, &lease,
+  g_variant_get (all, "(xxxtxtx@" PEER_TABLES ")", &held, &age, trouble, &lease,
                  &lease_age, &mark, &mark_age, &tables);
   if (!g_variant_is_normal_form (all) ||
       g_variant_n_children (tables) != CC_TABLE_FOLLOWED)
@@ -655,8 +682,10 @@
       cc_event (CC_EVENT_STATE, "peer-answer-damaged", NULL);
       return -1;
     }
+  age = MAX (age, 0);
+  way = longest_on_its_way (asked, held, now);
   if (mark > 0)
-    cc_version_clock_note (&m->clock, mark, cc_clock_now () - mark_age);
+    cc_version_clock_note (&m->clock, mark, now - way - mark_age);
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
     {
       guint64 since, upto;
@@ -665,20 +694,19 @@
       g_variant_get_child (tables, i, "(tt@a(sts))", &since, &upto, &rows);
       take_peer_table (&m->tables[i], since, upto, rows);
     }
-  cc_mirror_lease_renewed (m, lease, cc_clock_now () - MAX (lease_age, 0));
-  note_peer (m, MAX (age, 0), *trouble);
-  return MAX (age, 0);
+  cc_mirror_lease_renewed (m, lease, now - MAX (lease_age, 0));
+  note_peer (m, age, way, *trouble);
+  return age + way;
 }
 
 static void
 on_peer_answer (const CcHttpResult *r, gpointer data)
 {
   CcMirror *m = data;
-
   gint64 trouble;
 
   m->asking = FALSE;
-  take_peer_answer (m, r, &trouble);
+  take_peer_answer (m, r, m->asked_any, &trouble);
 }
 
 /* Asks the peer at ADDRESS for what is newer than this copy, for which it may
@@ -765,7 +793,7 @@
 {
   CcMirror *m = data;
   gint64 trouble = -1;
-  gint64 age = take_peer_answer (m, r, &trouble);
+  gint64 age = take_peer_answer (m, r, m->asked_followed, &trouble);
   gint64 now = cc_clock_now ();
 
   m->following = FALSE;
@@ -809,6 +837,7 @@
   if (m->following)
     return TRUE;
   address = m->peer (CC_PEER_FOLLOWED, m->data);
+  m->asked_followed = cc_clock_now ();
   m->following =
       address != NULL && ask (m, address, follow_wait (m), on_followed_answer);
   return m->following;
@@ -823,8 +852,11 @@
   if (m->asks.place != NULL || !any_in_trouble (m))
     return;
   cc_timer_start (&m->asks, PEER_PERIOD, on_peer_time, m);
-  address = m->asking ? NULL : m->peer (CC_PEER_ANY, m->data);
-  m->asking |= address != NULL && ask (m, address, 0, on_peer_answer);
+  if (m->asking)
+    return;
+  address = m->peer (CC_PEER_ANY, m->data);
+  m->asked_any = cc_clock_now ();
+  m->asking = address != NULL && ask (m, address, 0, on_peer_answer);
 }
 
 /* The rows of table NAME. */
--- a/mirror.h
+++ b/mirror.h
@@ -41,7 +41,7 @@
 gboolean cc_mirror_is_complete (const CcMirror *m, CcTableName name);
 gint64 cc_mirror_heard_at (const CcMirror *m);
 gint64 cc_mirror_age (const CcMirror *m, gint64 now);
-GBytes *cc_mirror_rows_since (CcMirror *m, const guint64 *since);
+GBytes *cc_mirror_rows_since (CcMirror *m, const guint64 *since, gint64 held);
 gboolean cc_mirror_has_news (const CcMirror *m, const guint64 *since);
 
 /* Path at which a process answers its peers with cc_mirror_rows_since. */
--- a/peer_server.c
+++ b/peer_server.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "admin.h"
+#include "clock.h"
 #include "timers.h"
 
 struct CcPeerServer
@@ -21,13 +22,15 @@
   CcPeerServer *server;
   SoupServerMessage *message;
   guint64 since[CC_MIRROR_VERSIONS];
+  gint64 came; /* us */
   CcTimer timer;
 } Asker;
 
 static void
-answer (CcPeerServer *p, SoupServerMessage *m, const guint64 *since)
+answer (CcPeerServer *p, SoupServerMessage *m, const guint64 *since,
+        gint64 held)
 {
-  g_autoptr (GBytes) rows = cc_mirror_rows_since (p->mirror, since);
+  g_autoptr (GBytes) rows = cc_mirror_rows_since (p->mirror, since, held);
 
   soup_server_message_set_status (m, SOUP_STATUS_OK, NULL);
   soup_message_body_append_bytes (soup_server_message_get_response_body (m),
@@ -41,7 +44,7 @@
 
   cc_timer_stop (&a->timer);
   g_ptr_array_remove_fast (a->server->askers, a);
-  answer (a->server, a->message, a->since);
+  answer (a->server, a->message, a->since, cc_clock_now () - a->came);
   soup_server_message_unpause (a->message);
   g_object_unref (a->message);
   g_free (a);
@@ -55,6 +58,7 @@
 
   a->server = p;
   a->message = g_object_ref (m);
+  a->came = cc_clock_now ();
   memcpy (a->since, since, sizeof a->since);
   soup_server_message_pause (m);
   g_ptr_array_add (p->askers, a);
@@ -82,7 +86,7 @@
   for (guint i = 0; i < CC_MIRROR_VERSIONS && parts[i] != NULL; i++)
     since[i] = g_ascii_strtoull (parts[i], NULL, 10);
   if (wait <= 0 || cc_mirror_has_news (p->mirror, since))
-    answer (p, m, since);
+    answer (p, m, since, 0);
   else
     wait_for_news (p, m, since, wait);
 }
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -103,6 +103,7 @@
   guint64 after;
   CcTableRows rows;
   Node *peer;     /* ASK */
+  gint64 came;    /* ... to it, us; 0: not yet */
   GBytes *answer; /* ... on its way; NULL: not given yet */
   gint64 arrives; /* us */
   guint64 since[CC_MIRROR_VERSIONS];
@@ -283,7 +284,8 @@
     {
       if (!is_reached (q))
         return FALSE;
-      q->answer = cc_mirror_rows_since (q->peer->mirror, q->since);
+      q->answer =
+          cc_mirror_rows_since (q->peer->mirror, q->since, now - q->came);
       q->arrives = now < q->peer->late_until ? now + q->peer->late_by : now;
     }
   if (now < q->arrives)
@@ -296,6 +298,8 @@
 static gboolean
 step_question (Question *q, gint64 now)
 {
+  if (q->kind == ASK && q->came == 0 && is_reached (q))
+    q->came = now;
   if (is_frozen (q->by))
     return FALSE;
   if (now >= q->given_up)
@@ -702,7 +706,9 @@
  * An answer of that one, which says how old its news are, was on its way for
  * most of a second while the owner said that it leaves; the entry counted the
  * news' age from when the answer came.  So it took the owner's row for younger
- * than it was, and an old copy for a new one. */
+ * than it was, and an old copy for a new one.  In the logs of real processes,
+ * others had heard of the owner before the moment at which the entry held its
+ * leaving to have begun. */
 static void
 an_answer_that_was_late_is_no_younger_for_it (void **state)
 {
