A copy is as old as the older of its two watches

Callers would see requests go to an owner two seconds after it left, from all entries at once. Cause: the process whose copy the others follow told its age by its watch of the configuration alone; a lost watch of the list of upstreams was found 2.7 s after it had begun, and until then the copy passed for new everywhere. Ruled out: shorter bounds at the followers (the age that they were told was 10 ms). Change: both watches last 0.6 s and the copy is as old as the older of the two, so that a lost one shows within 1.1 s, as a lost granter does; after a pause a watch waits for less.

--- a/mirror.c
+++ b/mirror.c
@@ -34,11 +34,11 @@
 #include "event_log.h"
 #include "timers.h"
 
-/* A watch is asked anew after so long without a change.  Failure: the answer of
- * one is lost, alone, and its connection delivers nothing more; until it is
- * given up this copy, and all that go by it, lack what has changed.  With the
- * time until a call is given up it is below the 3 s after trouble in which a
- * process may lag behind.  Only the few processes that watch pay for it. */
+/* The watch of ranges and members is asked anew after so long without a change.
+ * Failure: the answer of one is lost, alone, and its connection delivers
+ * nothing more; until it is given up this copy, and all that go by it, lack
+ * what has changed.  A request that goes by an old range is turned away by the
+ * upstream and sent on, so that this watch may be slower than the others. */
 #define WATCH_WAIT (2 * CC_SECOND)
 /* Pause after a failed call; doubled each time up to the longest.  The longest
  * bounds how late a change is seen when the service is back. */
@@ -53,8 +53,15 @@
 #define PAUSE_OTHERS (3 * CC_SECOND)
 #define PEER_PERIOD (400 * CC_MS) /* between questions to peers */
 #define PEER_WITHIN (300 * CC_MS) /* a peer in reach answers in 10 ms */
-/* Who watches hears from the service this often, by the watch of the
- * configuration; a change of it has to be in force everywhere within 2 s. */
+/* Who watches hears from the service this often, by each of the watches of what
+ * has a bound: a change of the configuration has to be in force everywhere
+ * within 2 s, and an upstream that leaves serves for no longer.
+ *
+ * Failure: one watch is lost, of upstreams, while the other is answered.
+ * Symptom: the copy passes for new, here and at all that go by it, and requests
+ * are sent to upstreams that have ended.  So it is as old as the older of the
+ * two, and a lost watch shows like a lost granter.  Only the few processes that
+ * watch pay for it. */
 #define WATCH_FRESH (600 * CC_MS)
 /* Rows come with an age of at most WATCH_FRESH from the granter, and hardly
  * more from a relay, which hands on at once what it hears with each renewal of
@@ -95,6 +102,7 @@
   gboolean running;    /* it is read or watched at the service */
   guint calls;         /* at the service; only the last one's answer counts */
   gint64 asked;        /* when that was made, us */
+  gint64 fresh_at;     /* an answer of the service told all its rows, us */
   gboolean unproven;   /* no answer since this process began to ask itself */
   CcTimer timer;
 } Table;
@@ -122,7 +130,8 @@
   CcVersionClock clock; /* of the service's versions */
   gint64 heard_at;      /* the table service last answered, us */
   gint64 answered_at;   /* ... this process itself, us */
-  gint64 fresh_at;      /* all rows were known to be the newest, us */
+  gint64 fresh_at;      /* all rows but ranges and members were known to be the
+                           newest, us */
   gint64 started_at;
   guint64 lease;         /* newest known version of the lease's row */
   gint64 lease_at;       /* when anybody on its way here first knew it, us */
@@ -250,8 +259,9 @@
   gint64 now = cc_clock_now ();
 
   m->heard_at = m->answered_at = now;
-  if (t->name == CC_TABLE_CONFIG)
-    m->fresh_at = now;
+  t->fresh_at = now;
+  m->fresh_at = MAX (m->fresh_at, MIN (m->tables[CC_TABLE_CONFIG].fresh_at,
+                                       m->tables[CC_TABLE_UPSTREAMS].fresh_at));
   t->unproven = FALSE;
   t->pause = PAUSE_FIRST;
   note_service_well (m, now, now);
@@ -440,8 +450,9 @@
   watch (t);
 }
 
-/* The watch of the configuration is the heartbeat by which this process knows
- * that it hears from the service, and others how fresh its copy is. */
+/* The watches of the configuration and of upstreams are the heartbeat by which
+ * this process knows that it hears from the service, and others how fresh its
+ * copy is; after a pause they wait for less. */
 static gint64
 watch_wait (const Table *t)
 {
@@ -451,7 +462,11 @@
    * to be answered at once shows that soon. */
   if (t->in_trouble || t->unproven)
     return 0;
-  return t->name == CC_TABLE_CONFIG ? WATCH_FRESH : WATCH_WAIT;
+  if (t->name == CC_TABLE_STATE)
+    return WATCH_WAIT;
+  /* In whole milliseconds, as the service counts them. */
+  return CLAMP (t->fresh_at + WATCH_FRESH - cc_clock_now (), 0, WATCH_FRESH) /
+         CC_MS * CC_MS;
 }
 
 static Call *
@@ -471,13 +486,14 @@
 ask_service (Table *t)
 {
   CcMirror *m = t->mirror;
+  gint64 wait = watch_wait (t);
 
   t->running = TRUE;
   if (t->view.upto == 0 || !t->complete)
     cc_table_read (m->table, t->name, NULL, on_read, new_call (t, 0));
   else
-    cc_table_watch (m->table, t->name, t->view.upto, watch_wait (t), on_watched,
-                    new_call (t, watch_wait (t)));
+    cc_table_watch (m->table, t->name, t->view.upto, wait, on_watched,
+                    new_call (t, wait));
 }
 
 /* Goes on with T: by another's copy if there is one to follow. */
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -729,6 +729,23 @@
   { 3766, "the same" },
 };
 
+/* A node that the service turned away alone hears from it again two seconds
+ * after it could, since a large fleet asks rarely in trouble; it can't tell
+ * that the trouble was its own, as all its peers' answers are old, and doubts a
+ * deletion of meanwhile for longer than the upstream serves. */
+#define DOUBTS_TOO_LONG 1024
+
+static void
+a_world_with_one_turned_away_and_late_answers (void **state)
+{
+  (void) state;
+  play (DOUBTS_TOO_LONG, TRUE);
+  if (w.failure[0] != '\0')
+    fail_msg ("seed %u: %s", DOUBTS_TOO_LONG, w.failure);
+  clear ();
+  cc_clock_resume ();
+}
+
 static void
 worlds_that_once_failed (void **state)
 {
@@ -901,6 +918,7 @@
     cmocka_unit_test (a_copy_is_new_and_never_goes_back),
     cmocka_unit_test (an_answer_that_was_late_is_no_younger_for_it),
     cmocka_unit_test (worlds_that_once_failed),
+    cmocka_unit_test (a_world_with_one_turned_away_and_late_answers),
     cmocka_unit_test (troubles_of_one_that_is_cut_off_are_its_own),
     cmocka_unit_test (one_watch_that_is_swallowed_makes_no_one_late),
     cmocka_unit_test (trouble_is_over_with_the_next_answer),
