A test, red: a late answer of the service is no younger for being late

The same class at the next place: the followed process takes its copy for as new as the moment at which the service's answer came, although that was on its way, or waited for a process that stood still; its followers see an old copy pass for new. The model's service answered at once until now, and gave nothing to a process that stands still; in a third kind of worlds it does.

--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -49,9 +49,9 @@
 #define UPSTREAMS 12
 /* Rows that lapsed in trouble of the service are back so long after it. */
 #define RETURNED (2 * CC_SECOND)
-/* In some worlds, how often a node's answers to peers begin to be late, and by
- * how many seconds at most: its link loses segments, which are sent again, or
- * its processor is short. */
+/* In some worlds, how often a node's answers to peers, and the service's to it,
+ * begin to be late, and by how many seconds at most: its link loses segments,
+ * which are sent again, or its processor is short. */
 #define LATE_A_SECOND 0.1
 #define LATE_MOST 1.0
 /* One that the service turns away hears of it from its peers. */
@@ -76,13 +76,22 @@
   gint64 free_since; /* us: neither frozen nor cut off from peers */
   gboolean cut[NODES];
   gint64 cut_until;
-  gint64 late_by; /* its answers to peers are on their way for so long, us */
+  gint64 late_by; /* its answers to peers, and what the service answers it, are
+                     on their way for so long, us */
   gint64 late_until;
   guint config; /* by its copy, at the last look */
   CcTargets targets;
   gint64 targets_due; /* missing ones are looked at again, us; 0: none */
 } Node;
 
+/* Whose answers are late now and then. */
+typedef enum
+{
+  IN_TIME,
+  PEERS_LATE,
+  ALL_LATE
+} Answers;
+
 typedef enum
 {
   READ,
@@ -102,6 +111,9 @@
   CcTableName name; /* READ, WATCH */
   guint64 after;
   CcTableRows rows;
+  GVariant *told; /* ... on their way; NULL: not given yet */
+  CcStatus status;
+  guint64 upto;
   Node *peer;     /* ASK */
   gint64 came;    /* ... to it, us; 0: not yet */
   GBytes *answer; /* ... on its way; NULL: not given yet */
@@ -127,8 +139,8 @@
   gint64 renewed;      /* us */
   gint64 service_calm; /* no trouble of the service itself since, us */
   guint calls;
-  gboolean relayed;      /* the nodes but RELAYS follow those */
-  gboolean late_answers; /* of peers, now and then */
+  gboolean relayed; /* the nodes but RELAYS follow those */
+  Answers answers;
   char failure[200];
 } w;
 
@@ -246,14 +258,28 @@
   return q->kind == WATCH && w.tables[q->name].upto > q->after;
 }
 
+/* The service answers Q with STATUS, for which the answer is on its way a
+ * while. */
 static void
-answer_rows (const Question *q, CcStatus status)
+give_rows (Question *q, CcStatus status, gint64 now)
 {
   const CcView *v = &w.tables[q->name];
-  g_autoptr (GVariant) rows =
+
+  q->told =
       g_variant_ref_sink (cc_view_since (v, q->kind == READ ? 0 : q->after));
+  q->status = status;
+  q->upto = w.newest;
+  q->arrives = w.answers == ALL_LATE && now < q->by->late_until
+                   ? now + q->by->late_by
+                   : now;
+}
 
-  q->rows (status, rows, w.newest, status == CC_OK ? "" : "away", q->data);
+static void
+end_rows (Question *q)
+{
+  q->rows (q->status, q->told, q->upto, q->status == CC_OK ? "" : "away",
+           q->data);
+  g_clear_pointer (&q->told, g_variant_unref);
 }
 
 /* Hands Q's answer over, or the news that there is none. */
@@ -276,50 +302,66 @@
   end_ask (q);
 }
 
-/* Returns TRUE if the answer of Q's peer has arrived. */
-static gboolean
-step_ask (Question *q, gint64 now)
+/* Q's peer, or the service, answers if it is time and it can. */
+static void
+give_answer (Question *q, gint64 now)
 {
-  if (q->answer == NULL)
+  if (q->swallowed || q->answer != NULL || q->told != NULL ||
+      (now < q->at && !has_news (q)))
+    return;
+  if (q->kind == ASK)
     {
       if (!is_reached (q))
-        return FALSE;
+        return;
       q->answer =
           cc_mirror_rows_since (q->peer->mirror, q->since, now - q->came);
       q->arrives = now < q->peer->late_until ? now + q->peer->late_by : now;
     }
-  if (now < q->arrives)
-    return FALSE;
-  end_ask (q);
-  return TRUE;
+  else if (q->by->service == SILENT)
+    q->swallowed = TRUE;
+  else
+    give_rows (q, q->by->service == WELL ? CC_OK : CC_UNREACHABLE, now);
+}
+
+/* Q is given up. */
+static void
+lose_question (Question *q, gint64 now)
+{
+  if (q->kind == ASK)
+    {
+      lose_answer (q);
+      return;
+    }
+  g_clear_pointer (&q->told, g_variant_unref);
+  give_rows (q, CC_UNREACHABLE, now);
+  end_rows (q);
 }
 
-/* Returns TRUE if Q was answered. */
+/* Returns TRUE if Q has ended.  Whoever stands still takes no answer; in worlds
+ * in which all answers may be late it finds on waking what was given meanwhile,
+ * in the others nothing is given to it. */
 static gboolean
 step_question (Question *q, gint64 now)
 {
   if (q->kind == ASK && q->came == 0 && is_reached (q))
     q->came = now;
+  if (is_frozen (q->by) && w.answers != ALL_LATE)
+    return FALSE;
+  if (now < q->given_up)
+    give_answer (q, now);
   if (is_frozen (q->by))
     return FALSE;
   if (now >= q->given_up)
     {
-      if (q->kind == ASK)
-        lose_answer (q);
-      else
-        answer_rows (q, CC_UNREACHABLE);
+      lose_question (q, now);
       return TRUE;
     }
-  if (q->swallowed || (now < q->at && q->answer == NULL && !has_news (q)))
+  if ((q->answer == NULL && q->told == NULL) || now < q->arrives)
     return FALSE;
   if (q->kind == ASK)
-    return step_ask (q, now);
-  if (q->by->service == SILENT)
-    {
-      q->swallowed = TRUE;
-      return FALSE;
-    }
-  answer_rows (q, q->by->service == WELL ? CC_OK : CC_UNREACHABLE);
+    end_ask (q);
+  else
+    end_rows (q);
   return TRUE;
 }
 
@@ -450,12 +492,13 @@
         n->cut[i] = g_rand_boolean (w.rand);
       n->cut_until = now + span (6);
     }
-  if (w.late_answers && chance (LATE_A_SECOND))
+  if (w.answers != IN_TIME && chance (LATE_A_SECOND))
     {
       n->late_by = span (LATE_MOST);
       n->late_until = now + span (4);
     }
-  if (n->service != WELL || is_frozen (n))
+  if (n->service != WELL || is_frozen (n) ||
+      (w.answers == ALL_LATE && now < n->late_until))
     n->well_since = now;
   if (now < n->cut_until || is_frozen (n))
     n->free_since = now;
@@ -589,7 +632,7 @@
 
 /* A fleet that has just started, without any trouble yet. */
 static void
-begin (guint seed, gboolean late_answers)
+begin (guint seed, Answers answers)
 {
   gint64 now = 0;
 
@@ -598,7 +641,7 @@
   w.questions = g_ptr_array_new ();
   w.newest = w.config = w.granter = 0;
   w.relayed = seed % 2 == 0;
-  w.late_answers = late_answers;
+  w.answers = answers;
   w.renewed = w.service_calm = 0;
   w.failure[0] = '\0';
   cc_clock_pause (now, now);
@@ -624,11 +667,11 @@
 }
 
 static void
-play (guint seed, gboolean late_answers)
+play (guint seed, Answers answers)
 {
   gint64 now;
 
-  begin (seed, late_answers);
+  begin (seed, answers);
   for (guint i = 0; i < STEPS && w.failure[0] == '\0'; i++)
     {
       cc_clock_advance (STEP);
@@ -668,6 +711,7 @@
       Question *q = w.questions->pdata[i];
 
       g_clear_pointer (&q->answer, g_bytes_unref);
+      g_clear_pointer (&q->told, g_variant_unref);
       g_free (q);
     }
   g_ptr_array_unref (w.questions);
@@ -678,7 +722,7 @@
 
 /* Plays all worlds, or the one that the environment's SEED names. */
 static void
-play_worlds (gboolean late_answers)
+play_worlds (Answers answers)
 {
   const char *only = g_getenv ("SEED");
   guint first = only != NULL ? (guint) atoi (only) : 1;
@@ -686,7 +730,7 @@
 
   for (guint seed = first; seed <= last; seed++)
     {
-      play (seed, late_answers);
+      play (seed, answers);
       if (w.failure[0] != '\0')
         fail_msg ("seed %u: %s", seed, w.failure);
       clear ();
@@ -698,7 +742,7 @@
 a_copy_is_new_and_never_goes_back (void **state)
 {
   (void) state;
-  play_worlds (FALSE);
+  play_worlds (IN_TIME);
 }
 
 /* The caller sees a request for a key sent to its owner after that has ended,
@@ -713,7 +757,17 @@
 an_answer_that_was_late_is_no_younger_for_it (void **state)
 {
   (void) state;
-  play_worlds (TRUE);
+  play_worlds (PEERS_LATE);
+}
+
+/* The caller sees the same, or is routed by an old configuration.  It is the
+ * followed process that heard late from the service, since its link was slow or
+ * it stood still, and took its copy for as new as the moment. */
+static void
+a_late_answer_of_the_service_is_no_younger_for_it (void **state)
+{
+  (void) state;
+  play_worlds (ALL_LATE);
 }
 
 /* Worlds beyond the first, in which a node was found to send too late. */
@@ -739,7 +793,7 @@
 a_world_with_one_turned_away_and_late_answers (void **state)
 {
   (void) state;
-  play (DOUBTS_TOO_LONG, TRUE);
+  play (DOUBTS_TOO_LONG, PEERS_LATE);
   if (w.failure[0] != '\0')
     fail_msg ("seed %u: %s", DOUBTS_TOO_LONG, w.failure);
   clear ();
@@ -752,7 +806,7 @@
   (void) state;
   for (guint i = 0; i < G_N_ELEMENTS (once_failed); i++)
     {
-      play (once_failed[i].seed, FALSE);
+      play (once_failed[i].seed, IN_TIME);
       if (w.failure[0] != '\0')
         fail_msg ("seed %u (%s): %s", once_failed[i].seed, once_failed[i].cause,
                   w.failure);
@@ -771,7 +825,7 @@
   gint64 now = 0;
 
   (void) state;
-  begin (2, FALSE);
+  begin (2, IN_TIME);
   w.relayed = TRUE;
   for (guint i = 0; i < 1000; i++)
     {
@@ -868,7 +922,7 @@
     {
       const Swallowed *c = &swallowed[i];
 
-      begin (1, FALSE);
+      begin (1, IN_TIME);
       run_until (4 * CC_SECOND);
       swallow_next_watch_of_upstreams ();
       run_until (cc_clock_now () + c->leaves_ms * CC_MS);
@@ -895,7 +949,7 @@
     {
       gint64 left;
 
-      begin (1, FALSE);
+      begin (1, IN_TIME);
       run_until (4 * CC_SECOND);
       swallow_next_watch_of_upstreams ();
       run_until (cc_clock_now () + CC_SECOND);
@@ -917,6 +971,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_copy_is_new_and_never_goes_back),
     cmocka_unit_test (an_answer_that_was_late_is_no_younger_for_it),
+    cmocka_unit_test (a_late_answer_of_the_service_is_no_younger_for_it),
     cmocka_unit_test (worlds_that_once_failed),
     cmocka_unit_test (a_world_with_one_turned_away_and_late_answers),
     cmocka_unit_test (troubles_of_one_that_is_cut_off_are_its_own),
