mirror.c is cut in two: the table's watches, and what peers tell each other

937 lines held two jobs. mirror.c keeps the calls to the table, mirror_peers.c has what a process tells those that follow it and how it follows another; their state stands in mirror_state.h. The comment on the reserve of a leaving upstream's time no longer speaks of news on their way, which are bounded elsewhere.

--- a/gateway.c
+++ b/gateway.c
@@ -31,8 +31,8 @@
 #define RECHECK (250 * CC_MS) /* of upstreams that are missing */
 #define FLUSH (1 * CC_SECOND) /* of log lines that found no room */
 /* Part of the time for which an upstream that leaves still serves that is not
- * used: a connection to it may take 200 ms to stand (forward.c), and news may
- * be 50 ms on their way from a peer. */
+ * used: a connection to it may take 200 ms to stand (forward.c), and the
+ * request 50 ms to be written and to arrive. */
 #define LEAVING_RESERVE (250 * CC_MS)
 /* Granting takes a twentieth of a core for each hundred ranges.  When a fleet
  * starts for the first time, processes with less than STRONG cores leave the
--- /dev/null
+++ b/mirror_peers.c
@@ -0,0 +1,360 @@
+/* How a process goes by the copy of another, and what it tells those that go by
+ * its own.
+ *
+ * Load pattern: each row that changes costs each process that watches it a
+ * call, and calls are dear; a fleet of hundreds would spend thousands on one
+ * move of keys.  So one process watches for all, the one that grants keys: it
+ * hears from the service all the time anyway, since it renews its lease there.
+ * The others follow its copy, or that of another which follows it (members.h),
+ * by a question that is answered when there is news.  Answers also tell the
+ * version of the lease, so that a lost granter is noticed without a call.
+ *
+ * Failure: the process that is followed is cut off from the service or dies.
+ * Symptom: this entry routes by old rows.  Each answer says how long ago its
+ * rows were known to be fresh; who finds that longer than TOO_OLD, or gets no
+ * answer, watches by itself for a while, and a watch begins with a question for
+ * all that is newer.  That is soon enough for a change of configuration, which
+ * has to be in force everywhere within 2 s.
+ *
+ * Failure: the service turns this machine away while it serves others.  So
+ * while a watch fails, the same rows are asked of a peer, another each time.
+ * Rows carry their versions, so it doesn't matter whose word comes first
+ * (view.h). */
+#include "clock.h"
+#include "event_log.h"
+#include "mirror_state.h"
+
+#define PEER_PERIOD (400 * CC_MS) /* between questions to peers */
+#define PEER_WITHIN (300 * CC_MS) /* a peer in reach answers in 10 ms */
+/* Rows come with an age of at most WATCH_FRESH from the granter, and hardly
+ * more from a relay, which hands on at once what it hears with each renewal of
+ * the lease.  A relay finds its source too old before its followers do, and has
+ * fresh rows again before they leave it. */
+#define TOO_OLD (1100 * CC_MS)
+#define TOO_OLD_RELAYED (1600 * CC_MS)
+/* A question waits so long for news.  The granter renews its lease more often,
+ * so that most are answered by that. */
+#define FOLLOW_WAIT (900 * CC_MS)
+#define FOLLOW_WITHIN (250 * CC_MS) /* beyond that; a peer answers in 10 ms */
+/* ... and less if this copy would be too old by then; at least this, or a peer
+ * whose copy is old would be asked without a pause. */
+#define FOLLOW_WAIT_LEAST (200 * CC_MS)
+/* After the one that was followed failed: as long as a cut lasts usually. */
+#define SELF_WATCH (5 * CC_SECOND)
+/* Where relays are followed: how often the service is asked for all while they
+ * all have old copies, and the pause after one that did not answer. */
+#define REFRESH_PERIOD (800 * CC_MS)
+#define FOLLOW_PAUSE (60 * CC_MS)
+
+/* What a peer sends: for how long, in us, it held the question; how long ago
+ * its rows were fresh and it last had trouble with the service (-1: never); the
+ * version of the lease's row that it knows, and since how long; the newest mark
+ * of its version clock, with its age; for each table, since and up to which
+ * version, and the rows. */
+#define PEER_TYPE "(xxxtxtxa(tta(sts)))"
+#define PEER_TABLES "a(tta(sts))"
+
+/* The rows that were written after SINCE[table], for a peer whose question was
+ * HELD for so long, us, as it reads them. */
+GBytes *
+cc_mirror_rows_since (CcMirror *m, const guint64 *since, gint64 held)
+{
+  GVariantBuilder b;
+  g_autoptr (GVariant) all = NULL;
+  gint64 now = cc_clock_now ();
+  gint64 trouble = MAX (cc_mirror_last_trouble (m), m->their_trouble);
+  CcVersionMark mark = cc_version_clock_newest (&m->clock);
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE (PEER_TABLES));
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    {
+      const CcMirrorTable *t = &m->tables[i];
+
+      g_variant_builder_add (&b, "(tt@a(sts))", since[i],
+                             t->complete ? t->view.upto : 0,
+                             cc_view_since (&t->view, since[i]));
+    }
+  all = g_variant_ref_sink (g_variant_new (
+      "(xxxtxtx@" PEER_TABLES ")", held, now - m->fresh_at,
+      trouble != 0 ? now - trouble : -1, m->lease, now - m->lease_at,
+      mark.version, now - mark.at, g_variant_builder_end (&b)));
+  return g_variant_get_data_as_bytes (all);
+}
+
+/* Whether this copy has anything newer than SINCE. */
+gboolean
+cc_mirror_has_news (const CcMirror *m, const guint64 *since)
+{
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    if (m->tables[i].complete && m->tables[i].view.upto > since[i])
+      return TRUE;
+  return m->lease > since[CC_TABLE_LEASE];
+}
+
+static void
+take_peer_table (CcMirrorTable *t, guint64 since, guint64 upto, GVariant *rows)
+{
+  gboolean changed = cc_mirror_put_rows (t, rows);
+
+  /* A peer that has read the table whole makes this copy whole as well. */
+  if (since == 0 && upto > 0 && !t->complete)
+    {
+      t->complete = TRUE;
+      changed = TRUE;
+    }
+  if (t->complete)
+    cc_view_advance (&t->view, since, upto);
+  if (changed)
+    t->mirror->changed (t->name, t->mirror->data);
+}
+
+/* A peer's rows were fresh AGE us before its answer, which was WAY us on its
+ * way at most, and it last had trouble with the service TROUBLE us ago, -1:
+ * never.
+ *
+ * Failure: this process alone loses its connection to the service, or hears
+ * late that an outage is over.  Symptom: it takes upstreams that leave
+ * meanwhile for ones that lapsed in the outage, and sends to them after they
+ * have ended.  A peer that heard from the service after this process's own
+ * trouble knows when it was in trouble last. */
+static void
+note_peer (CcMirror *m, gint64 age, gint64 way, gint64 trouble)
+{
+  gint64 now = cc_clock_now ();
+
+  if (now - way - age <= m->others_fresh)
+    return;
+  m->others_fresh = now - way - age;
+  m->others_trouble = trouble < 0 ? 0 : now - trouble;
+  cc_mirror_service_well (m, m->others_fresh, now - age);
+}
+
+/* How long ago a peer, which was ASKED and HELD the question for so long, gave
+ * its answer at most, us.
+ *
+ * Failure: the answer is a while on its way, since a lost segment is sent again
+ * or the peer's processor is short, and the ages in it are counted from its
+ * arrival.  Symptom: an upstream is sent to after it has ended, since its word
+ * that it leaves is taken for younger than it is; and an old copy passes for a
+ * new one.  What was asked after ASKED and held for HELD was not answered
+ * before both had passed, and that compares no clocks of two machines. */
+static gint64
+longest_on_its_way (gint64 asked, gint64 held, gint64 now)
+{
+  return now - asked - CLAMP (held, 0, now - asked);
+}
+
+/* Takes the rows in R, the answer to a question that was ASKED then, us.
+ * Returns how long ago, in us, they were fresh at most, or -1 if there is
+ * nothing to take; and in *TROUBLE how long ago the peer had trouble with the
+ * service, -1: never.
+ *
+ * The times of the lease and of troubles count from the answer's arrival: the
+ * later a lease is taken to have been renewed, the later it is taken over, and
+ * the later a trouble, the longer deletions are doubted. */
+static gint64
+take_peer_answer (CcMirror *m, const CcHttpResult *r, gint64 asked,
+                  gint64 *trouble)
+{
+  g_autoptr (GVariant) all = NULL;
+  g_autoptr (GVariant) tables = NULL;
+  gint64 now = cc_clock_now ();
+  gint64 held, age, lease_age, mark_age, way;
+  guint64 lease, mark;
+
+  if (r->end != CC_HTTP_ANSWERED || r->status != 200)
+    return -1;
+  all = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (PEER_TYPE), r->body, FALSE));
+  g_variant_get (all, "(xxxtxtx@" PEER_TABLES ")", &held, &age, trouble, &lease,
+                 &lease_age, &mark, &mark_age, &tables);
+  if (!g_variant_is_normal_form (all) ||
+      g_variant_n_children (tables) != CC_TABLE_FOLLOWED)
+    {
+      cc_event (CC_EVENT_STATE, "peer-answer-damaged", NULL);
+      return -1;
+    }
+  age = MAX (age, 0);
+  way = longest_on_its_way (asked, held, now);
+  if (mark > 0)
+    cc_version_clock_note (&m->clock, mark, now - way - mark_age);
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    {
+      guint64 since, upto;
+      g_autoptr (GVariant) rows = NULL;
+
+      g_variant_get_child (tables, i, "(tt@a(sts))", &since, &upto, &rows);
+      take_peer_table (&m->tables[i], since, upto, rows);
+    }
+  cc_mirror_lease_renewed (m, lease, now - MAX (lease_age, 0));
+  note_peer (m, age, way, *trouble);
+  return age + way;
+}
+
+static void
+on_peer_answer (const CcHttpResult *r, gpointer data)
+{
+  CcMirror *m = data;
+  gint64 trouble;
+
+  m->asking = FALSE;
+  take_peer_answer (m, r, m->asked_any, &trouble);
+}
+
+/* Asks the peer at ADDRESS for what is newer than this copy, for which it may
+ * wait WAIT us.  Returns FALSE if it can't be asked. */
+static gboolean
+ask (CcMirror *m, const char *address, gint64 wait, CcHttpDone done)
+{
+  g_autofree char *head = g_strdup_printf (
+      "GET " CC_MIRROR_PATH "?since=%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT
+      ",%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT "&wait=%" G_GINT64_FORMAT
+      " HTTP/1.1\r\nHost: %s\r\n",
+      m->tables[0].view.upto, m->tables[1].view.upto, m->tables[2].view.upto,
+      m->lease, wait / CC_MS, address);
+  CcHttpOrder o = { .address = address,
+                    .head = head,
+                    .connect_within = PEER_WITHIN,
+                    .answer_within =
+                        wait + (wait > 0 ? FOLLOW_WITHIN : PEER_WITHIN),
+                    .idle_max = 2 * CC_SECOND };
+
+  return cc_http_send (m->http, &o, done, m) != NULL;
+}
+
+/* Asks the service for the tables that it is not asked for, to be answered at
+ * once. */
+static void
+ask_for_all (CcMirror *m)
+{
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    if (!m->tables[i].running)
+      {
+        m->tables[i].unproven = TRUE;
+        cc_mirror_ask_service (&m->tables[i]);
+      }
+}
+
+static void
+on_follow_again (gpointer data)
+{
+  CcMirror *m = data;
+
+  if (!cc_mirror_follow (m))
+    ask_for_all (m);
+}
+
+/* The one that is followed did not answer, or has an old copy; AGE is -1 or
+ * that copy's.
+ *
+ * A process that others follow, or one of a small fleet, watches by itself for
+ * a while.  In a large fleet that would cost ten calls a second for each
+ * process, so there it asks the service once, and goes on with another relay.
+ */
+static void
+lose_followed (CcMirror *m, gint64 age)
+{
+  gint64 now = cc_clock_now ();
+
+  if (m->distance < 2)
+    {
+      m->self_until = now + SELF_WATCH;
+      ask_for_all (m);
+      return;
+    }
+  if (now >= m->refresh_at)
+    {
+      m->refresh_at = now + REFRESH_PERIOD;
+      ask_for_all (m);
+    }
+  if (age < 0)
+    cc_timer_start (&m->again, FOLLOW_PAUSE, on_follow_again, m);
+  else
+    on_follow_again (m);
+}
+
+/* How old, in us, the copy of the one that is followed may be. */
+static gint64
+too_old (const CcMirror *m)
+{
+  return m->distance < 2 ? TOO_OLD : TOO_OLD_RELAYED;
+}
+
+static void
+on_followed_answer (const CcHttpResult *r, gpointer data)
+{
+  CcMirror *m = data;
+  gint64 trouble = -1;
+  gint64 age = take_peer_answer (m, r, m->asked_followed, &trouble);
+  gint64 now = cc_clock_now ();
+
+  m->following = FALSE;
+  if (age >= 0 && age <= too_old (m))
+    {
+      m->lost = FALSE;
+      /* The troubles of one with an old copy are its own: it may be cut off
+       * alone, and who doubts deletions for as long as that one does goes on
+       * sending to servers that have left. */
+      if (trouble >= 0)
+        m->their_trouble = MAX (m->their_trouble, now - trouble);
+      m->heard_at = now;
+      m->fresh_at = MAX (m->fresh_at, now - age);
+      on_follow_again (m);
+      return;
+    }
+  if (!m->lost)
+    cc_event (CC_EVENT_STATE, "followed-lost", "why", r->why, "age_ms",
+              cc_event_int (age / CC_MS), NULL);
+  m->lost = TRUE;
+  lose_followed (m, age);
+}
+
+/* How long the one that is followed may wait for news, so that this process
+ * watches by itself as soon as its copy is too old if no answer comes. */
+static gint64
+follow_wait (const CcMirror *m)
+{
+  gint64 left = too_old (m) - (cc_clock_now () - m->fresh_at) - FOLLOW_WITHIN;
+
+  return CLAMP (left, FOLLOW_WAIT_LEAST, FOLLOW_WAIT);
+}
+
+/* Asks the one that is followed for news, unless it is being asked.  FALSE:
+ * there is none to follow. */
+gboolean
+cc_mirror_follow (CcMirror *m)
+{
+  g_autofree char *address = NULL;
+
+  if (m->following)
+    return TRUE;
+  address = m->peer (CC_PEER_FOLLOWED, m->data);
+  m->asked_followed = cc_clock_now ();
+  m->following =
+      address != NULL && ask (m, address, follow_wait (m), on_followed_answer);
+  return m->following;
+}
+
+static void
+on_peer_time (gpointer data)
+{
+  CcMirror *m = data;
+  g_autofree char *address = NULL;
+
+  if (m->asks.place != NULL || !cc_mirror_in_trouble (m))
+    return;
+  cc_timer_start (&m->asks, PEER_PERIOD, on_peer_time, m);
+  if (m->asking)
+    return;
+  address = m->peer (CC_PEER_ANY, m->data);
+  m->asked_any = cc_clock_now ();
+  m->asking = address != NULL && ask (m, address, 0, on_peer_answer);
+}
+
+/* This process has trouble with the service: asks peers for what is new until
+ * that is over. */
+void
+cc_mirror_ask_anyone (CcMirror *m)
+{
+  on_peer_time (m);
+}
--- /dev/null
+++ b/mirror_state.h
@@ -0,0 +1,73 @@
+/* The state of a copy, for mirror.c and mirror_peers.c only. */
+#ifndef CC_MIRROR_STATE_H
+#define CC_MIRROR_STATE_H
+
+#include "mirror.h"
+#include "timers.h"
+
+/* One followed table. */
+typedef struct
+{
+  CcMirror *mirror;
+  CcTableName name;
+  CcView view;
+  gboolean complete;   /* it was read whole once, here or by a peer */
+  gboolean in_trouble; /* the last call failed */
+  gint64 trouble_at;   /* the service was last silent then at the latest, us */
+  gboolean relieved;   /* it has answered somebody since */
+  gint64 trouble_from; /* when the present trouble began, us */
+  gint64 pause;        /* after the next failure, us */
+  gboolean running;    /* it is read or watched at the service */
+  guint calls;         /* at the service; only the last one's answer counts */
+  gint64 asked;        /* when that was made, us */
+  gint64 answered;     /* the last answer was given then at the earliest, us */
+  gint64 fresh_at;     /* the service told all its rows then or later, us */
+  gboolean unproven;   /* no answer since this process began to ask itself */
+  CcTimer timer;
+} CcMirrorTable;
+
+struct CcMirror
+{
+  CcTable *table;
+  CcHttp *http;
+  CcMirrorTable tables[CC_TABLE_FOLLOWED];
+  CcMirrorChanged changed;
+  CcMirrorPeer peer;
+  gpointer data;
+  gboolean asking;      /* a peer */
+  gint64 asked_any;     /* ... since then, us */
+  CcTimer asks;         /* until a peer is asked next */
+  CcVersionClock clock; /* of the service's versions */
+  gint64 heard_at;      /* the table service last answered, us */
+  gint64 answered_at;   /* ... this process itself, us */
+  gint64 fresh_at;      /* all rows but ranges and members were known to be the
+                           newest, us */
+  gint64 started_at;
+  guint64 lease;         /* newest known version of the lease's row */
+  gint64 lease_at;       /* when anybody on its way here first knew it, us */
+  guint fleet;           /* processes */
+  gboolean for_others;   /* others go by this copy */
+  guint distance;        /* processes on the rows' way to this one */
+  gboolean following;    /* the one that is followed is being asked */
+  gint64 asked_followed; /* ... since then, us */
+  gboolean lost;         /* ... did not answer, or had an old copy, at last */
+  gint64 self_until;     /* watches by itself until then, us */
+  gint64 refresh_at;     /* the service is not asked for all before, us */
+  CcTimer again;         /* until somebody is followed again */
+  gint64 their_trouble;  /* of the one that is followed, us; 0: never */
+  gint64 others_fresh;   /* rows of a peer were fresh then, us */
+  gint64 others_trouble; /* ... which last had trouble then, us; 0: never */
+};
+
+/* What mirror_peers.c uses of mirror.c. */
+void cc_mirror_ask_service (CcMirrorTable *t);
+gboolean cc_mirror_put_rows (CcMirrorTable *t, GVariant *rows);
+void cc_mirror_service_well (CcMirror *m, gint64 earliest, gint64 latest);
+gboolean cc_mirror_in_trouble (const CcMirror *m);
+gint64 cc_mirror_last_trouble (const CcMirror *m);
+
+/* What mirror.c uses of mirror_peers.c. */
+gboolean cc_mirror_follow (CcMirror *m);
+void cc_mirror_ask_anyone (CcMirror *m);
+
+#endif
