--- a/mirror.c
+++ b/mirror.c
@@ -99,7 +99,7 @@
 }
 
 /* The service is back.  Failure: it swallowed a watch of another table while it
- * was silent, and this entry would wait for its end in vain for ten seconds. So
+ * was silent, and this entry would wait for its end in vain for seconds.  So
  * each other table is asked for anew, and the older call's answer is not waited
  * for. */
 static void
@@ -212,7 +212,8 @@
   return FALSE;
 }
 
-/* When a call to the service last failed, us; 0: never. */
+/* When the service was last silent to this process, as far as that can be told,
+ * us; 0: never. */
 gint64
 cc_mirror_last_trouble (const CcMirror *m)
 {
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -783,10 +783,12 @@
   { 3766, "the same" },
 };
 
-/* A node that the service turned away alone hears from it again two seconds
- * after it could, since a large fleet asks rarely in trouble; it can't tell
- * that the trouble was its own, as all its peers' answers are old, and doubts a
- * deletion of meanwhile for longer than the upstream serves. */
+/* A world in which a node that the service had turned away alone heard from it
+ * again two seconds after it could, since a large fleet asks rarely in trouble;
+ * it could not tell that the trouble was its own, as all its peers' answers
+ * were old, and doubted a deletion of meanwhile for longer than the upstream
+ * serves.
+ */
 #define DOUBTS_TOO_LONG 1024
 
 static void
