--- a/admission.c
+++ b/admission.c
@@ -28,9 +28,8 @@
 #include "admission.h"
 
 /* Part of the target that may be spent waiting.  The rest is for errors of the
- * estimate and for the hops.  At steady overload 0.35 to 0.9 give the same
- * goodput, and p99 grows with it; a burst and long jobs want more
- * (docs/DECISIONS.md). */
+ * estimate and for the hops.  With more of it p99 grows, with less a burst and
+ * long jobs are refused that could be served (docs/DECISIONS.md). */
 #define WAIT_SHARE 0.5
 
 /* Deviations above the mean that one's own service is reckoned with.  Mean
--- a/hedge.c
+++ b/hedge.c
@@ -18,7 +18,7 @@
 
 /* All four slots have turned over once meanwhile, so the server is alive.  More
  * costs time at servers with few requests: 12 take half a second at 25 a
- * second, and gave the same in the bench. */
+ * second. */
 #define OVERTAKEN_MIN 4
 
 /* Mean distances above the mean: work that is spread evenly ends at two, an
