Logs and metrics tell how a configuration came into force, and what had come of an answer given up

Two of the incident's hypotheses could not be told apart for an instance: a transfer given up before its end, or a configuration received in time and read slowly. configuration-taken gets bytes, age_ms and read_ms, followed-lost gets received_bytes, and the delay of a configuration has a histogram (capercrank_configuration_delay_seconds). No decision changes.

--- a/gateway.c
+++ b/gateway.c
@@ -4,6 +4,7 @@
 #include <glib-unix.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "admin.h"
@@ -92,12 +93,43 @@
                         ((CcRoutePool *) value)->connections_max);
 }
 
+/* How long ago ROW was written at most, us; -1: not known. */
+static gint64
+row_age (const Gateway *g, const CcRow *row)
+{
+  gint64 written = cc_version_clock_written_after (cc_mirror_clock (g->mirror),
+                                                   row->version);
+
+  return written == CC_LONG_AGO ? -1 : cc_clock_now () - written;
+}
+
+/* ROUTES, read from ROW in READ_TIME us, are in force. */
+static void
+note_configuration (const Gateway *g, const CcRow *row, const CcRoutes *routes,
+                    gint64 read_time)
+{
+  gint64 age = row_age (g, row);
+
+  cc_event (CC_EVENT_STATE, "configuration-taken", "version",
+            cc_event_int (routes->version), "row_version",
+            cc_event_int ((gint64) row->version), "routes",
+            cc_event_int (routes->count), "bytes",
+            cc_event_int ((gint64) strlen (row->value)), "age_ms",
+            cc_event_int (age < 0 ? -1 : age / CC_MS), "read_ms",
+            cc_event_int (read_time / CC_MS), NULL);
+  if (age >= 0)
+    cc_histogram_add (
+        cc_metrics_histogram ("capercrank_configuration_delay_seconds", ""),
+        age);
+}
+
 static void
 take_configuration (Gateway *g)
 {
   const CcRow *row = cc_view_get (cc_mirror_view (g->mirror, CC_TABLE_CONFIG),
                                   cc_edge_routes_key ());
   const CcRoutes *old = cc_callers_routes (g->callers);
+  gint64 begun = cc_clock_now ();
   char *why = NULL;
   CcRoutes *routes;
 
@@ -113,14 +145,11 @@
       cc_routes_free (routes);
       return;
     }
-  cc_event (CC_EVENT_STATE, "configuration-taken", "version",
-            cc_event_int (routes->version), "row_version",
-            cc_event_int ((gint64) row->version), "routes",
-            cc_event_int (routes->count), NULL);
   g->routes_since = cc_clock_now ();
   cc_callers_configure (g->callers, routes);
   cc_granter_configure (g->granter, routes);
   bound_connections (g);
+  note_configuration (g, row, routes, g->routes_since - begun);
 }
 
 /* ---- upstreams ---- */
--- a/http_link.c
+++ b/http_link.c
@@ -72,6 +72,7 @@
   Connection *connection;
   GByteArray *out;  /* the request */
   gsize written;    /* bytes of it */
+  gsize received;   /* bytes of the answer */
   CcTimer timer;    /* connecting, then the whole answer */
   gint64 answer_by; /* us of cc_clock_now */
   gboolean bodiless;
@@ -195,7 +196,9 @@
 finish (CcHttpCall *call, CcHttpEnd end, const char *why)
 {
   Connection *c = call->connection;
-  CcHttpResult r = { .end = end, .why = why, .reused = c->used };
+  CcHttpResult r = {
+    .end = end, .why = why, .reused = c->used, .received = call->received
+  };
   g_autoptr (GVariant) headers = NULL;
   g_autoptr (GBytes) body = NULL;
 
@@ -360,6 +363,7 @@
   CcHttpCall *call = c->call;
   gsize parsed = http_parser_execute (&c->parser, &callbacks, bytes, count);
 
+  call->received += count;
   if (c->finished)
     {
       if (parsed < count || call->written < call->out->len)
--- a/http_link.h
+++ b/http_link.h
@@ -41,6 +41,7 @@
   CcHttpEnd end;
   const char *why;   /* of an end without answer, one word */
   gboolean reused;   /* it went out on a kept connection */
+  gsize received;    /* bytes that came, of an incomplete answer too */
   guint status;      /* of an answer */
   GVariant *headers; /* packed, see headers.h */
   GBytes *body;
--- a/mirror_peers.c
+++ b/mirror_peers.c
@@ -376,7 +376,8 @@
     }
   if (!m->lost)
     cc_event (CC_EVENT_STATE, "followed-lost", "why", r->why, "age_ms",
-              cc_event_int (age / CC_MS), NULL);
+              cc_event_int (age / CC_MS), "received_bytes",
+              cc_event_int ((gint64) r->received), NULL);
   m->lost = TRUE;
   lose_followed (m, age, outage);
 }
