--- a/test/test_edge.c
+++ b/test/test_edge.c
@@ -6,6 +6,7 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
@@ -251,6 +252,61 @@
     }
 }
 
+/* An instance may have a tenth of a core, and two seconds to have a
+ * configuration in force; the rest of that is its transfer. */
+#define READ_WITHIN (125 * CC_MS) /* of processor time */
+#define MANY_ROUTES 5600
+
+static gint64
+processor_time (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t);
+  return t.tv_sec * CC_SECOND + t.tv_nsec / 1000;
+}
+
+static char *
+many_routes (void)
+{
+  GString *s = g_string_new ("{\"version\":\"00000007\",\"routes\":{");
+
+  for (guint i = 0; i < MANY_ROUTES; i++)
+    g_string_append_printf (
+        s,
+        "%s\"r-%07x\":{\"host\":\"a.example\",\"prefix\":\"/p%x/\","
+        "\"kind\":\"safe\",\"timeoutMs\":1500,\"targetLatencyMs\":800,"
+        "\"priority\":2,\"service\":\"p\",\"maxAttempts\":2}",
+        i > 0 ? "," : "", i, i);
+  g_string_append (s, "},\"services\":{}}");
+  return g_string_free (s, FALSE);
+}
+
+/* Guards against a configuration whose reading takes time by the square of its
+ * routes: a weak instance answers by the one before for seconds. */
+static void
+a_large_configuration_is_read_in_time (void **state)
+{
+  g_autofree char *value = many_routes ();
+  gint64 least = G_MAXINT64;
+
+  (void) state;
+  for (guint i = 0; i < 3; i++)
+    {
+      gint64 begun = processor_time ();
+      char *why = NULL;
+      CcRoutes *r = cc_edge_read_routes (value, &why);
+
+      least = MIN (least, processor_time () - begun);
+      assert_non_null (r);
+      assert_int_equal (r->count, MANY_ROUTES);
+      cc_routes_free (r);
+    }
+  if (least > READ_WITHIN)
+    fail_msg ("%d routes took %d ms of processor time", MANY_ROUTES,
+              (int) (least / CC_MS));
+}
+
 int
 main (void)
 {
@@ -258,6 +314,7 @@
     cmocka_unit_test (listings_are_read_as_the_cases_say),
     cmocka_unit_test (a_damaged_configuration_is_none),
     cmocka_unit_test (a_configuration_is_read),
+    cmocka_unit_test (a_large_configuration_is_read_in_time),
     cmocka_unit_test (answers_are_worth_what_the_cases_say),
   };
 
--- /dev/null
+++ b/test/test_slow_link.c
@@ -0,0 +1,408 @@
+/* How a copy of the rows keeps up over a link that carries a large row for
+ * longer than a small one's time limit.  Failure: the transfer is given up
+ * before its end and begins again, from each source, so that callers are
+ * answered by a configuration that was replaced seconds ago. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <gio/gio.h>
+
+#include "clock.h"
+#include "edge.h"
+#include "free_net.h"
+#include "mirror.h"
+
+/* The least time within which operators have a configuration in force. */
+#define IN_FORCE_WITHIN (2 * CC_SECOND)
+#define QUESTION_AGE (800 * CC_MS)
+#define TICK_MS 10
+#define PORT 7300
+
+/* An instance's link of 10 Mbit/s. */
+#define SLOW_LINK 1250000 /* bytes a second */
+
+/* The answer to REQUEST, or NULL: not yet. */
+typedef GBytes *(*Respond) (const char *request, gboolean in_time);
+
+typedef struct
+{
+  GSocketService *service;
+  char *address;
+  guint rate; /* of the link that it shares, bytes a second; 0: no limit */
+  Respond respond;
+  GPtrArray *calls; /* of Call */
+} Server;
+
+typedef struct
+{
+  GSocketConnection *connection;
+  GString *request;
+  gint64 since; /* when REQUEST was complete, us; 0: it is not */
+  GBytes *answer;
+  gsize written;
+  gboolean shares_link;
+} Call;
+
+static struct
+{
+  GString *configuration;
+  guint64 version; /* of its row */
+  CcMirror *source;
+  guint busy; /* calls that share the slow link */
+} world;
+
+/* ---- servers ---- */
+
+static void
+call_free (gpointer data)
+{
+  Call *c = data;
+
+  if (c->shares_link && c->answer != NULL)
+    world.busy--;
+  g_object_unref (c->connection);
+  g_string_free (c->request, TRUE);
+  g_clear_pointer (&c->answer, g_bytes_unref);
+  g_free (c);
+}
+
+/* How long the question in REQUEST waits for news, ms. */
+static gint64
+wait_of (const char *request)
+{
+  const char *at = strstr (request, "waitMs=");
+
+  if (at == NULL)
+    at = strstr (request, "wait=");
+  return at != NULL ? g_ascii_strtoll (strchr (at, '=') + 1, NULL, 10) : 0;
+}
+
+static void
+write_answer (Call *c, gsize most)
+{
+  GSocket *s = g_socket_connection_get_socket (c->connection);
+  gsize size;
+  const char *bytes = g_bytes_get_data (c->answer, &size);
+  gssize put = g_socket_send (s, bytes + c->written,
+                              MIN (most, size - c->written), NULL, NULL);
+
+  c->written += put > 0 ? (gsize) put : 0;
+  if (c->written < size)
+    return;
+  g_clear_pointer (&c->answer, g_bytes_unref);
+  g_string_truncate (c->request, 0);
+  c->since = 0;
+}
+
+/* Returns FALSE if the connection of C has ended. */
+static gboolean
+read_request (Call *c)
+{
+  GSocket *s = g_socket_connection_get_socket (c->connection);
+  char buffer[4096];
+  gssize got = g_socket_receive (s, buffer, sizeof buffer, NULL, NULL);
+
+  if (got == 0)
+    return FALSE;
+  if (got > 0)
+    g_string_append_len (c->request, buffer, got);
+  if (c->since == 0 && strstr (c->request->str, "\r\n\r\n") != NULL)
+    c->since = cc_clock_now ();
+  return TRUE;
+}
+
+static void
+serve (Server *v, Call *c, gsize most)
+{
+  gboolean in_time;
+
+  if (c->since == 0)
+    return;
+  in_time = cc_clock_now () - c->since < wait_of (c->request->str) * CC_MS;
+  if (c->answer == NULL)
+    c->answer = v->respond (c->request->str, in_time);
+  if (c->answer != NULL)
+    write_answer (c, most);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  Server *v = data;
+  gsize most = v->rate == 0 ? G_MAXSSIZE
+                            : v->rate / MAX (world.busy, 1) * TICK_MS / 1000;
+
+  for (guint i = v->calls->len; i > 0; i--)
+    if (!read_request (v->calls->pdata[i - 1]))
+      g_ptr_array_remove_index_fast (v->calls, i - 1);
+  for (guint i = 0; i < v->calls->len; i++)
+    {
+      Call *c = v->calls->pdata[i];
+      gboolean was_busy = c->answer != NULL;
+
+      serve (v, c, most);
+      if (v->rate > 0)
+        world.busy += (c->answer != NULL) - was_busy;
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_connection (GSocketService *service, GSocketConnection *connection,
+               GObject *source, gpointer data)
+{
+  Server *v = data;
+  Call *c = g_new0 (Call, 1);
+
+  (void) service, (void) source;
+  c->connection = g_object_ref (connection);
+  c->request = g_string_new (NULL);
+  c->shares_link = v->rate > 0;
+  g_socket_set_blocking (g_socket_connection_get_socket (connection), FALSE);
+  g_ptr_array_add (v->calls, c);
+  return TRUE;
+}
+
+static Server *
+server_new (guint port, guint rate, Respond respond)
+{
+  Server *v = g_new0 (Server, 1);
+  static guint net;
+  g_autofree char *ip = NULL;
+  g_autoptr (GSocketAddress) at = NULL;
+
+  if (net == 0)
+    net = free_net ();
+  ip = g_strdup_printf ("127.%u.0.1", net);
+  at = g_inet_socket_address_new_from_string (ip, port);
+  v->address = g_strdup_printf ("%s:%u", ip, port);
+  v->rate = rate;
+  v->respond = respond;
+  v->calls = g_ptr_array_new_with_free_func (call_free);
+  v->service = g_socket_service_new ();
+  assert_true (g_socket_listener_add_address (
+      G_SOCKET_LISTENER (v->service), at, G_SOCKET_TYPE_STREAM,
+      G_SOCKET_PROTOCOL_TCP, NULL, NULL, NULL));
+  g_signal_connect (v->service, "incoming", G_CALLBACK (on_connection), v);
+  g_timeout_add (TICK_MS, on_tick, v);
+  return v;
+}
+
+static GBytes *
+http_answer (GBytes *body)
+{
+  gsize size;
+  const char *bytes = g_bytes_get_data (body, &size);
+  GString *s = g_string_new (NULL);
+
+  g_string_printf (
+      s, "HTTP/1.1 200 OK\r\nContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
+      size);
+  g_string_append_len (s, bytes, (gssize) size);
+  return g_string_free_to_bytes (s);
+}
+
+/* The table service: one row, the configuration. */
+static GBytes *
+respond_as_table (const char *request, gboolean in_time)
+{
+  gboolean of_config = strstr (request, "table=op") != NULL;
+  const char *after = strstr (request, "after=");
+  guint64 since = after != NULL
+                      ? g_ascii_strtoull (after + strlen ("after="), NULL, 10)
+                      : 0;
+  g_autofree char *value = NULL;
+  g_autoptr (GBytes) body = NULL;
+  GString *s = g_string_new ("{\"rows\":[");
+
+  if (after != NULL && in_time && (!of_config || since >= world.version))
+    {
+      g_string_free (s, TRUE);
+      return NULL;
+    }
+  value = g_base64_encode ((const guchar *) world.configuration->str,
+                           world.configuration->len);
+  if (of_config && since < world.version)
+    g_string_append_printf (s,
+                            "{\"table\":\"op\",\"part\":\"\",\"key\":\"%s\","
+                            "\"value\":\"%s\",\"rowVersion\":%" G_GUINT64_FORMAT
+                            "}",
+                            cc_edge_routes_key (), value, world.version);
+  g_string_append_printf (
+      s,
+      "],\"hasMore\":false,\"rowVersion\":%" G_GUINT64_FORMAT ",\"nowMs\":1}",
+      world.version);
+  body = g_string_free_to_bytes (s);
+  return http_answer (body);
+}
+
+/* A peer with the copy of the source. */
+static GBytes *
+respond_as_peer (const char *request, gboolean in_time)
+{
+  const char *at = strstr (request, "since=");
+  guint64 since[CC_MIRROR_VERSIONS] = { 0 };
+  g_autoptr (GBytes) body = NULL;
+  g_auto (GStrv) parts = NULL;
+
+  assert_non_null (at);
+  parts = g_strsplit_set (at + strlen ("since="), ",&", -1);
+  for (guint i = 0; i < CC_MIRROR_VERSIONS && parts[i] != NULL; i++)
+    since[i] = g_ascii_strtoull (parts[i], NULL, 10);
+  if (in_time && !cc_mirror_has_news (world.source, since))
+    return NULL;
+  body = cc_mirror_rows_since (world.source, since, 0);
+  return http_answer (body);
+}
+
+/* ---- the copies ---- */
+
+static void
+on_rows (CcTableName name, gpointer data)
+{
+  (void) name, (void) data;
+}
+
+static char *
+no_peer (CcPeerKind kind, gpointer data)
+{
+  (void) kind, (void) data;
+  return NULL;
+}
+
+static char *
+the_peer (CcPeerKind kind, gpointer data)
+{
+  (void) kind;
+  return g_strdup (((Server *) data)->address);
+}
+
+static void
+on_peer_ended (const char *address, gboolean answered, gpointer data)
+{
+  (void) address, (void) answered, (void) data;
+}
+
+static CcMirror *
+mirror_new (const Server *table, Server *peer, guint distance)
+{
+  static CcHttp *http;
+  CcMirror *m;
+
+  if (http == NULL)
+    http = cc_http_new ("127.0.0.1");
+  m = cc_mirror_new (
+      &(CcMirrorSetup){ .table = cc_table_new (http, table->address),
+                        .http = http,
+                        .changed = on_rows,
+                        .peer = peer != NULL ? the_peer : no_peer,
+                        .peer_ended = on_peer_ended,
+                        .data = peer });
+  cc_mirror_role (m, &(CcMirrorRole){ .for_others = distance == 0,
+                                      .reads_all = distance == 0,
+                                      .distance = distance,
+                                      .fleet = 100 });
+  cc_mirror_start (m, 0);
+  return m;
+}
+
+static guint64
+version_of (CcMirror *m)
+{
+  const CcRow *row =
+      cc_view_get (cc_mirror_view (m, CC_TABLE_CONFIG), cc_edge_routes_key ());
+
+  return row != NULL ? row->version : 0;
+}
+
+/* Returns FALSE if M does not have VERSION within SPAN us. */
+static gboolean
+wait_for_version (CcMirror *m, guint64 version, gint64 span)
+{
+  gint64 end = cc_clock_now () + span;
+
+  while (version_of (m) < version && cc_clock_now () < end)
+    g_main_context_iteration (NULL, TRUE);
+  return version_of (m) >= version;
+}
+
+/* Gives the configuration COUNT routes, as operators write them. */
+static void
+write_configuration (guint count)
+{
+  GString *s = world.configuration;
+
+  world.version++;
+  g_string_printf (s, "{\"version\":\"%08x\",\"routes\":{",
+                   (guint) world.version);
+  for (guint i = 0; i < count; i++)
+    g_string_append_printf (
+        s,
+        "%s\"r-%07x\":{\"host\":\"h%u.example\",\"prefix\":\"/p%x/\","
+        "\"kind\":\"safe\",\"timeoutMs\":1500,\"targetLatencyMs\":800,"
+        "\"priority\":2,\"service\":\"s%u\",\"maxAttempts\":2}",
+        i > 0 ? "," : "", i * 40503 % 0xfffffff, i % 7, i * 2654435761U, i % 4);
+  g_string_append (s, "},\"services\":{},\"limits\":{}}");
+}
+
+typedef struct
+{
+  const char *name;
+  gboolean by_peer;
+  guint rate; /* of the link, bytes a second */
+  guint routes;
+} Case;
+
+static const Case cases[] = {
+  { "by a peer, a few routes", TRUE, SLOW_LINK, 5 },
+  { "by a peer, 2,800 routes", TRUE, SLOW_LINK, 2800 },
+  { "by a peer, 5,600 routes", TRUE, SLOW_LINK, 5600 },
+  { "by the table, 2,800 routes", FALSE, SLOW_LINK, 2800 },
+  { "by the table, 5,600 routes", FALSE, SLOW_LINK, 5600 },
+};
+
+static void
+play (const Case *c, guint port)
+{
+  Server *table = server_new (port, 0, respond_as_table);
+  Server *slow_table = server_new (port + 1, c->rate, respond_as_table);
+  Server *peer = server_new (port + 2, c->rate, respond_as_peer);
+  CcMirror *leaf;
+
+  write_configuration (5);
+  world.source = mirror_new (table, NULL, 0);
+  assert_true (wait_for_version (world.source, world.version, CC_SECOND));
+  leaf = mirror_new (slow_table, c->by_peer ? peer : NULL, c->by_peer ? 2 : 0);
+  assert_true (wait_for_version (leaf, world.version, CC_SECOND));
+  /* News that come while a question waits leave the answer the least time. */
+  wait_for_version (leaf, world.version + 1, QUESTION_AGE);
+  write_configuration (c->routes);
+  if (!wait_for_version (leaf, world.version, IN_FORCE_WITHIN))
+    fail_msg ("%s: not received within %d ms", c->name,
+              (int) (IN_FORCE_WITHIN / CC_MS));
+}
+
+/* Guards against a configuration that never arrives, since its transfer takes
+ * longer than a small answer may. */
+static void
+a_large_configuration_arrives_over_a_slow_link (void **state)
+{
+  (void) state;
+  world.configuration = g_string_new (NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    play (&cases[i], PORT + 3 * i);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_large_configuration_arrives_over_a_slow_link),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
