Routes are found by prefix in a hash table, not in a sorted list

Callers of weak instances got 404 and late answers while a configuration of thousands of routes was read: each added route sorted all routes of its host again. Evidence: configuration-taken read_ms; cc_edge_read_routes alone. Ruled out: the JSON parser, a fifteenth of the time.

--- a/routes.c
+++ b/routes.c
@@ -9,6 +9,8 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 /* What callers may send while the configuration doesn't say. */
 #define HEADERS_DEFAULT CC_HEADERS_MAX
 #define BODY_DEFAULT CC_BODY_MAX
@@ -41,10 +43,70 @@
   g_free (r);
 }
 
+/* A text that is part of another and has no terminator. */
+typedef struct
+{
+  const char *at;
+  gsize length;
+} Span;
+
+/* The routes of one host.
+ *
+ * Load pattern: thousands of routes stand for one host, and each request of a
+ * small instance looks for its own.  A prefix is found by its bytes, once for
+ * each length that any prefix of the host has. */
+typedef struct
+{
+  GHashTable *by_prefix; /* Span within the route's prefix to CcRoute */
+  GArray *lengths;       /* gsize, of all prefixes, the longest first */
+} HostRoutes;
+
+static guint
+span_hash (gconstpointer key)
+{
+  const Span *s = key;
+
+  return (guint) XXH3_64bits (s->at, s->length);
+}
+
+static gboolean
+span_equal (gconstpointer a, gconstpointer b)
+{
+  const Span *x = a, *y = b;
+
+  return x->length == y->length && memcmp (x->at, y->at, x->length) == 0;
+}
+
+static HostRoutes *
+host_routes_new (void)
+{
+  HostRoutes *h = g_new0 (HostRoutes, 1);
+
+  h->by_prefix =
+      g_hash_table_new_full (span_hash, span_equal, g_free, route_free);
+  h->lengths = g_array_new (FALSE, FALSE, sizeof (gsize));
+  return h;
+}
+
+static void
+host_routes_free (gpointer data)
+{
+  HostRoutes *h = data;
+
+  g_hash_table_unref (h->by_prefix);
+  g_array_unref (h->lengths);
+  g_free (h);
+}
+
 static void
-routes_of_host_free (gpointer data)
+note_length (HostRoutes *h, gsize length)
 {
-  g_ptr_array_unref (data);
+  guint i = 0;
+
+  while (i < h->lengths->len && g_array_index (h->lengths, gsize, i) > length)
+    i++;
+  if (i == h->lengths->len || g_array_index (h->lengths, gsize, i) != length)
+    g_array_insert_val (h->lengths, i, length);
 }
 
 /* A configuration of VERSION without routes and with default limits. */
@@ -55,8 +117,8 @@
 
   r->version = version;
   r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
-  r->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                    routes_of_host_free);
+  r->hosts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, host_routes_free);
   r->limits.headers_max = HEADERS_DEFAULT;
   r->limits.body_max = BODY_DEFAULT;
   r->limits.idle_timeout = IDLE_DEFAULT;
@@ -85,22 +147,16 @@
   g_hash_table_replace (r->pools, p->name, p);
 }
 
-static gint
-longer_first (gconstpointer a, gconstpointer b)
-{
-  const CcRoute *x = *(CcRoute *const *) a, *y = *(CcRoute *const *) b;
-
-  return (gint) strlen (y->prefix) - (gint) strlen (x->prefix);
-}
-
-/* Adds a route for HOST and PREFIX and returns it, to be filled in. */
+/* Adds a route for HOST and PREFIX, in place of one with the same two, and
+ * returns it, to be filled in. */
 CcRoute *
 cc_routes_add (CcRoutes *r, const char *name, const char *host,
                const char *prefix)
 {
   CcRoute *route = g_new0 (CcRoute, 1);
   g_autofree char *lower = g_ascii_strdown (host, -1);
-  GPtrArray *list = g_hash_table_lookup (r->hosts, lower);
+  HostRoutes *list = g_hash_table_lookup (r->hosts, lower);
+  Span *key = g_new (Span, 1);
 
   route->name = g_strdup (name);
   route->host = g_strdup (lower);
@@ -109,12 +165,12 @@
   g_array_set_clear_func (route->parts, part_clear);
   if (list == NULL)
     {
-      list = g_ptr_array_new_with_free_func (route_free);
+      list = host_routes_new ();
       g_hash_table_insert (r->hosts, g_steal_pointer (&lower), list);
     }
-  g_ptr_array_add (list, route);
-  g_ptr_array_sort (list, longer_first);
-  r->count++;
+  *key = (Span){ route->prefix, strlen (route->prefix) };
+  note_length (list, key->length);
+  r->count += g_hash_table_replace (list->by_prefix, key, route) ? 1 : 0;
   return route;
 }
 
@@ -137,11 +193,19 @@
   const char *colon = strrchr (host, ':');
   g_autofree char *name =
       g_ascii_strdown (host, colon != NULL ? colon - host : -1);
-  GPtrArray *list = g_hash_table_lookup (r->hosts, name);
+  const HostRoutes *list = g_hash_table_lookup (r->hosts, name);
+  gsize size = strlen (path);
 
-  for (guint i = 0; list != NULL && i < list->len; i++)
-    if (g_str_has_prefix (path, ((CcRoute *) list->pdata[i])->prefix))
-      return list->pdata[i];
+  for (guint i = 0; list != NULL && i < list->lengths->len; i++)
+    {
+      Span prefix = { path, g_array_index (list->lengths, gsize, i) };
+      CcRoute *found = prefix.length <= size
+                           ? g_hash_table_lookup (list->by_prefix, &prefix)
+                           : NULL;
+
+      if (found != NULL)
+        return found;
+    }
   return NULL;
 }
 
--- a/routes.h
+++ b/routes.h
@@ -45,7 +45,7 @@
 {
   guint64 version;
   GHashTable *pools; /* name to CcRoutePool */
-  GHashTable *hosts; /* host to GPtrArray of CcRoute, longest prefix first */
+  GHashTable *hosts; /* host in lower case to its routes, of routes.c */
   guint count;       /* routes of all hosts */
   CcCallerLimits limits;
 } CcRoutes;
