--- a/http_link.c
+++ b/http_link.c
@@ -31,8 +31,10 @@
 #define USER_TIMEOUT_MS                                                        \
   2500 /* bytes unacknowledged for so long: it is dead                         \
         */
-/* Bound on one answer, so that a broken server can't fill the memory. */
+/* Bounds on one answer, so that a broken server can't fill the memory, nor hold
+ * a call for ever with a byte now and then. */
 #define ANSWER_MAX (16 * 1024 * 1024)
+#define ANSWER_TIME_MAX (10 * CC_SECOND)
 
 /* The connections to one address. */
 typedef struct
@@ -70,11 +72,13 @@
 struct CcHttpCall
 {
   Connection *connection;
-  GByteArray *out;  /* the request */
-  gsize written;    /* bytes of it */
-  gsize received;   /* bytes of the answer */
-  CcTimer timer;    /* connecting, then the whole answer */
-  gint64 answer_by; /* us of cc_clock_now */
+  GByteArray *out;     /* the request */
+  gsize written;       /* bytes of it */
+  gsize received;      /* bytes of the answer */
+  CcTimer timer;       /* connecting, then the whole answer */
+  gint64 answer_by;    /* us of cc_clock_now */
+  gint64 stall_within; /* see CcHttpOrder */
+  gint64 end_by;       /* however the answer goes on, us of cc_clock_now */
   gboolean bodiless;
   char *echo;
   char *echo_value;
@@ -231,12 +235,40 @@
   finish (call, call->written > 0 ? CC_HTTP_LOST : CC_HTTP_UNSENT, why);
 }
 
+static void on_time (gpointer data);
+
+/* More of the answer has come, or is there to be read.
+ *
+ * Failure: a large answer is given up while it arrives over a slow link, and
+ * asked for again from its beginning, without end. */
+static void
+extend_time (CcHttpCall *call)
+{
+  gint64 now = cc_clock_now ();
+  gint64 by =
+      MAX (call->answer_by, MIN (now + call->stall_within, call->end_by));
+
+  cc_timer_start (&call->timer, by - now, on_time, call);
+}
+
+/* Whether a timer that is due tells of this process, which did not run, and not
+ * of the peer. */
+static gboolean
+has_unread_answer (const CcHttpCall *call)
+{
+  return call->received > 0 && call->stall_within > 0 &&
+         cc_clock_now () < call->end_by &&
+         g_socket_condition_check (call->connection->socket, G_IO_IN) != 0;
+}
+
 static void
 on_time (gpointer data)
 {
   CcHttpCall *call = data;
 
-  if (call->written > 0)
+  if (has_unread_answer (call))
+    extend_time (call);
+  else if (call->written > 0)
     finish (call, CC_HTTP_LATE, "late");
   else
     finish (call, CC_HTTP_UNSENT, "connect-timeout");
@@ -376,6 +408,8 @@
       fail (call, "not-http");
       return FALSE;
     }
+  if (call->stall_within > 0)
+    extend_time (call);
   return TRUE;
 }
 
@@ -641,6 +675,8 @@
   call->echo = g_strdup (o->echo);
   call->echo_value = g_strdup (o->echo_value);
   call->answer_by = cc_clock_now () + o->answer_within;
+  call->stall_within = o->stall_within;
+  call->end_by = MAX (call->answer_by, cc_clock_now () + ANSWER_TIME_MAX);
   call->name = g_string_new (NULL);
   call->value = g_string_new (NULL);
   call->headers = g_string_new (NULL);
--- a/mirror_peers.c
+++ b/mirror_peers.c
@@ -36,6 +36,7 @@
  * so that most are answered by that. */
 #define FOLLOW_WAIT (900 * CC_MS)
 #define FOLLOW_WITHIN (250 * CC_MS) /* beyond that; a peer answers in 10 ms */
+#define FOLLOW_STALL (500 * CC_MS)  /* in an answer that has begun */
 /* ... and less if this copy would be too old by then; at least this, or a peer
  * whose copy is old would be asked without a pause. */
 #define FOLLOW_WAIT_LEAST (200 * CC_MS)
@@ -219,6 +220,7 @@
                     .connect_within = PEER_WITHIN,
                     .answer_within =
                         wait + (wait > 0 ? FOLLOW_WITHIN : PEER_WITHIN),
+                    .stall_within = FOLLOW_STALL,
                     .idle_max = 2 * CC_SECOND };
 
   return cc_http_send (m->setup.http, &o, done, m) != NULL;
--- a/test/test_http_link.c
+++ b/test/test_http_link.c
@@ -83,8 +83,10 @@
   const Case *playing;
   GPtrArray *streams; /* open connections */
   guint accepted;
-  gssize read_end; /* of a connection that was watched to its end */
-  gboolean reset;  /* it ended by a reset */
+  gssize read_end;     /* of a connection that was watched to its end */
+  gboolean reset;      /* it ended by a reset */
+  guint byte_every_ms; /* answers are sent byte by byte; 0: at once */
+  gsize bytes_sent;
 } server;
 
 static void
@@ -99,6 +101,18 @@
   g_socket_close (socket, NULL);
 }
 
+/* One byte of the answer at a time. */
+static gboolean
+send_byte (gpointer data)
+{
+  const char *rest = server.playing->bytes + server.bytes_sent;
+
+  if (*rest == '\0' || g_socket_send (data, rest, 1, NULL, NULL) != 1)
+    return G_SOURCE_REMOVE;
+  server.bytes_sent++;
+  return G_SOURCE_CONTINUE;
+}
+
 static gboolean
 on_request (GSocket *socket, GIOCondition seen, gpointer data)
 {
@@ -116,6 +130,13 @@
   buffer[n] = '\0';
   if (strstr (buffer, "\r\n\r\n") == NULL)
     return G_SOURCE_CONTINUE;
+  if (server.byte_every_ms > 0)
+    {
+      server.bytes_sent = 0;
+      g_timeout_add_full (G_PRIORITY_DEFAULT, server.byte_every_ms, send_byte,
+                          g_object_ref (socket), g_object_unref);
+      return G_SOURCE_CONTINUE;
+    }
   g_socket_send (socket, server.playing->bytes, strlen (server.playing->bytes),
                  NULL, NULL);
   if (server.playing->then == THEN_KEEP)
@@ -302,6 +323,53 @@
   cc_http_free (h);
 }
 
+typedef struct
+{
+  const char *name;
+  guint byte_every_ms;
+  gint64 stall_within; /* us */
+  const char *bytes;
+  CcHttpEnd end;
+} Slow;
+
+/* Each of these takes longer than WITHIN, or never ends. */
+static const Slow slow_answers[] = {
+  { "goes on", 15, 150 * CC_MS, OK "Content-Length: 2\r\n\r\nhi",
+    CC_HTTP_ANSWERED },
+  { "goes on, with no exception", 15, 0, OK "Content-Length: 2\r\n\r\nhi",
+    CC_HTTP_LATE },
+  { "goes on with longer pauses", 400, 150 * CC_MS,
+    OK "Content-Length: 2\r\n\r\nhi", CC_HTTP_LATE },
+  { "stops in the middle", 15, 150 * CC_MS, OK "Content-Length: 5\r\n\r\nhi",
+    CC_HTTP_LATE },
+};
+
+/* Guards against a large answer that is given up while it arrives. */
+static void
+an_answer_that_goes_on_is_waited_for (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (slow_answers); i++)
+    {
+      const Slow *s = &slow_answers[i];
+      const Case playing = { .name = s->name, .bytes = s->bytes };
+      CcHttp *h = cc_http_new ("127.0.0.1");
+      CcHttpOrder o = order_to (server.address);
+      Outcome out;
+
+      o.stall_within = s->stall_within;
+      server.playing = &playing;
+      server.byte_every_ms = s->byte_every_ms;
+      out = call (h, &o);
+      server.byte_every_ms = 0;
+      server.bytes_sent = strlen (s->bytes);
+      turn (30);
+      if (out.end != s->end)
+        fail_msg ("%s: end %d", s->name, out.end);
+      cc_http_free (h);
+    }
+}
+
 int
 main (void)
 {
@@ -309,6 +377,7 @@
     cmocka_unit_test (ends_are_told_as_they_are),
     cmocka_unit_test (a_refused_connection_is_unsent),
     cmocka_unit_test (a_call_that_is_given_up_resets_its_connection),
+    cmocka_unit_test (an_answer_that_goes_on_is_waited_for),
   };
 
   return cmocka_run_group_tests (tests, start_server, NULL);
--- a/test/test_slow_link.c
+++ b/test/test_slow_link.c
@@ -28,11 +28,18 @@
 /* The answer to REQUEST, or NULL: not yet. */
 typedef GBytes *(*Respond) (const char *request, gboolean in_time);
 
+/* What carries the answers of some servers to one process. */
+typedef struct
+{
+  guint rate; /* bytes a second */
+  guint busy; /* answers on their way */
+} Link;
+
 typedef struct
 {
   GSocketService *service;
   char *address;
-  guint rate; /* of the link that it shares, bytes a second; 0: no limit */
+  Link *link; /* NULL: no limit */
   Respond respond;
   GPtrArray *calls; /* of Call */
 } Server;
@@ -44,7 +51,7 @@
   gint64 since; /* when REQUEST was complete, us; 0: it is not */
   GBytes *answer;
   gsize written;
-  gboolean shares_link;
+  Link *link;
 } Call;
 
 static struct
@@ -52,7 +59,6 @@
   GString *configuration;
   guint64 version; /* of its row */
   CcMirror *source;
-  guint busy; /* calls that share the slow link */
 } world;
 
 /* ---- servers ---- */
@@ -62,8 +68,8 @@
 {
   Call *c = data;
 
-  if (c->shares_link && c->answer != NULL)
-    world.busy--;
+  if (c->link != NULL && c->answer != NULL)
+    c->link->busy--;
   g_object_unref (c->connection);
   g_string_free (c->request, TRUE);
   g_clear_pointer (&c->answer, g_bytes_unref);
@@ -133,8 +139,9 @@
 on_tick (gpointer data)
 {
   Server *v = data;
-  gsize most = v->rate == 0 ? G_MAXSSIZE
-                            : v->rate / MAX (world.busy, 1) * TICK_MS / 1000;
+  gsize most = v->link == NULL
+                   ? G_MAXSSIZE
+                   : v->link->rate / MAX (v->link->busy, 1) * TICK_MS / 1000;
 
   for (guint i = v->calls->len; i > 0; i--)
     if (!read_request (v->calls->pdata[i - 1]))
@@ -145,8 +152,8 @@
       gboolean was_busy = c->answer != NULL;
 
       serve (v, c, most);
-      if (v->rate > 0)
-        world.busy += (c->answer != NULL) - was_busy;
+      if (v->link != NULL)
+        v->link->busy += (c->answer != NULL) - was_busy;
     }
   return G_SOURCE_CONTINUE;
 }
@@ -161,14 +168,14 @@
   (void) service, (void) source;
   c->connection = g_object_ref (connection);
   c->request = g_string_new (NULL);
-  c->shares_link = v->rate > 0;
+  c->link = v->link;
   g_socket_set_blocking (g_socket_connection_get_socket (connection), FALSE);
   g_ptr_array_add (v->calls, c);
   return TRUE;
 }
 
 static Server *
-server_new (guint port, guint rate, Respond respond)
+server_new (guint port, Link *link, Respond respond)
 {
   Server *v = g_new0 (Server, 1);
   static guint net;
@@ -180,7 +187,7 @@
   ip = g_strdup_printf ("127.%u.0.1", net);
   at = g_inet_socket_address_new_from_string (ip, port);
   v->address = g_strdup_printf ("%s:%u", ip, port);
-  v->rate = rate;
+  v->link = link;
   v->respond = respond;
   v->calls = g_ptr_array_new_with_free_func (call_free);
   v->service = g_socket_service_new ();
@@ -368,9 +375,10 @@
 static void
 play (const Case *c, guint port)
 {
-  Server *table = server_new (port, 0, respond_as_table);
-  Server *slow_table = server_new (port + 1, c->rate, respond_as_table);
-  Server *peer = server_new (port + 2, c->rate, respond_as_peer);
+  Link *link = g_memdup2 (&(Link){ .rate = c->rate }, sizeof (Link));
+  Server *table = server_new (port, NULL, respond_as_table);
+  Server *slow_table = server_new (port + 1, link, respond_as_table);
+  Server *peer = server_new (port + 2, link, respond_as_peer);
   CcMirror *leaf;
 
   write_configuration (5);
