http_link.c: the connections of a client are a file of their own, http_pool.c

A move, no change of behaviour: 776 lines with two jobs become 517 (calls) and 238 (connections by peer: opened, kept while idle, closed), with the state that both share in http_state.h. Names that crossed the file get the module's prefix. test_http_link and test_slow_link pass as before.

--- a/http_link.c
+++ b/http_link.c
@@ -5,73 +5,24 @@
  * that bears another request's echo is passed over, and a connection that ever
  * showed surplus bytes, or an answer before its request was written, is closed
  * after the call.  An idle connection that becomes readable is closed at once.
- *
- * Connections can go silent for good with nobody telling.  TCP's own probes
- * show it within KEEPALIVE_* and cost a packet a second on idle ones only. */
-#include "http_link.h"
-
-#include <errno.h>
-#include <gio/gio.h>
-#include <http_parser.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+ */
+#include "http_state.h"
+
 #include <string.h>
-#include <sys/socket.h>
 
 #include "clock.h"
-#include "fd_watch.h"
 #include "headers.h"
-#include "settings.h"
 #include "timers.h"
 
-#define READ_SIZE 16384      /* bytes; answers are 0.2 to 9 kB today */
-#define KEEPALIVE_IDLE_S 1   /* seconds without a byte before a probe */
-#define KEEPALIVE_PERIOD_S 1 /* seconds between probes */
-#define KEEPALIVE_PROBES 2   /* unanswered ones that end a connection */
-#define USER_TIMEOUT_MS                                                        \
-  2500 /* bytes unacknowledged for so long: it is dead                         \
-        */
+#define READ_SIZE 16384 /* bytes */
 /* Bounds on one answer, so that a broken server can't fill the memory, nor hold
  * a call for ever with a byte now and then. */
 #define ANSWER_MAX (16 * 1024 * 1024)
 #define ANSWER_TIME_MAX (10 * CC_SECOND)
 
-/* The connections to one address. */
-typedef struct
-{
-  GSocketAddress *where;
-  GPtrArray *idle; /* of Connection, the one used last at the end */
-  guint open;      /* connections, idle ones included */
-} Peer;
-
-struct CcHttp
-{
-  GInetAddress *local; /* calls come from it */
-  GHashTable *peers;   /* address to Peer */
-  guint open;          /* connections of all peers */
-  guint64 opened;      /* connections ever opened */
-};
-
-typedef struct
-{
-  CcHttp *http;
-  Peer *peer;
-  GSocket *socket;
-  CcFdWatch watch;  /* of SOCKET */
-  CcHttpCall *call; /* in progress; NULL: idle */
-  http_parser parser;
-  gint64 idle_since; /* us */
-  gint64 idle_limit; /* us that the peer keeps it idle; 0: not said */
-  gboolean connected;
-  gboolean used;     /* has carried a request before this one */
-  gboolean tainted;  /* to be closed after this call */
-  gboolean finished; /* the parser saw the whole answer */
-  gboolean skipping; /* the answer is another request's */
-} Connection;
-
 struct CcHttpCall
 {
-  Connection *connection;
+  CcHttpConnection *connection;
   GByteArray *out;     /* the request */
   gsize written;       /* bytes of it */
   gsize received;      /* bytes of the answer */
@@ -91,71 +42,6 @@
   gpointer data;
 };
 
-static void
-peer_free (gpointer data)
-{
-  Peer *p = data;
-
-  g_ptr_array_unref (p->idle);
-  g_object_unref (p->where);
-  g_free (p);
-}
-
-/* A client whose connections come from LOCAL_IP. */
-CcHttp *
-cc_http_new (const char *local_ip)
-{
-  CcHttp *h = g_new0 (CcHttp, 1);
-
-  h->local = g_inet_address_new_from_string (local_ip);
-  h->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, peer_free);
-  return h;
-}
-
-/* Makes the close of C a reset.
- *
- * The failure: the peer is cut off, a call to it is given up, and its bytes
- * wait in the kernel.  After a plain close they are still delivered when the
- * link heals.  The symptom: a grant of keys that were given to another long ago
- * arrives and is honoured, or work begins whose caller was told that it failed.
- * A reset drops what has not been delivered. */
-static void
-drop_unsent (Connection *c)
-{
-  const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
-
-  (void) setsockopt (g_socket_get_fd (c->socket), SOL_SOCKET, SO_LINGER,
-                     &at_once, sizeof at_once);
-}
-
-static void
-connection_close (Connection *c)
-{
-  cc_fd_watch_stop (&c->watch);
-  g_ptr_array_remove (c->peer->idle, c);
-  c->peer->open--;
-  c->http->open--;
-  g_socket_close (c->socket, NULL);
-  g_object_unref (c->socket);
-  g_free (c);
-}
-
-/* Ends what is idle.  Calls must have ended before. */
-void
-cc_http_free (CcHttp *h)
-{
-  GHashTableIter i;
-  gpointer peer;
-
-  g_hash_table_iter_init (&i, h->peers);
-  while (g_hash_table_iter_next (&i, NULL, &peer))
-    while (((Peer *) peer)->idle->len > 0)
-      connection_close (((Peer *) peer)->idle->pdata[0]);
-  g_hash_table_unref (h->peers);
-  g_object_unref (h->local);
-  g_free (h);
-}
-
 static void
 call_free (CcHttpCall *c)
 {
@@ -172,34 +58,21 @@
 
 /* Gives the connection of a finished call back, or closes it. */
 static void
-retire (Connection *c)
+retire (CcHttpConnection *c)
 {
   c->call = NULL;
   if (c->tainted)
     {
-      connection_close (c);
+      cc_http_connection_close (c);
       return;
     }
-  c->used = TRUE;
-  c->idle_since = cc_clock_now ();
-  g_ptr_array_add (c->peer->idle, c);
-  cc_fd_watch_want (&c->watch, G_IO_IN);
-}
-
-/* A kept connection was silent or dead: so may be all that are kept from the
- * same time.  Tried one after the other, each would cost a call its whole
- * time-out. */
-static void
-doubt_idle (Peer *p)
-{
-  while (p->idle->len > 0)
-    connection_close (p->idle->pdata[0]);
+  cc_http_connection_keep (c);
 }
 
 static void
 finish (CcHttpCall *call, CcHttpEnd end, const char *why)
 {
-  Connection *c = call->connection;
+  CcHttpConnection *c = call->connection;
   CcHttpResult r = {
     .end = end, .why = why, .reused = c->used, .received = call->received
   };
@@ -219,9 +92,9 @@
   else
     {
       c->tainted = TRUE;
-      drop_unsent (c);
+      cc_http_connection_drop_unsent (c);
       if (c->used)
-        doubt_idle (c->peer);
+        cc_http_peer_close_idle (c->peer);
     }
   cc_timer_stop (&call->timer);
   retire (c);
@@ -303,7 +176,7 @@
 static int
 on_begin (http_parser *p)
 {
-  Connection *c = p->data;
+  CcHttpConnection *c = p->data;
 
   if (c->finished)
     {
@@ -321,7 +194,7 @@
 static int
 on_field (http_parser *p, const char *at, size_t length)
 {
-  CcHttpCall *call = ((Connection *) p->data)->call;
+  CcHttpCall *call = ((CcHttpConnection *) p->data)->call;
 
   if (call->in_value)
     end_header (call);
@@ -333,7 +206,7 @@
 static int
 on_value (http_parser *p, const char *at, size_t length)
 {
-  CcHttpCall *call = ((Connection *) p->data)->call;
+  CcHttpCall *call = ((CcHttpConnection *) p->data)->call;
 
   call->in_value = TRUE;
   g_string_append_len (call->value, at, (gssize) length);
@@ -343,7 +216,7 @@
 static int
 on_headers_complete (http_parser *p)
 {
-  CcHttpCall *call = ((Connection *) p->data)->call;
+  CcHttpCall *call = ((CcHttpConnection *) p->data)->call;
 
   end_header (call);
   return call->bodiless ? 1 : 0;
@@ -352,7 +225,7 @@
 static int
 on_body (http_parser *p, const char *at, size_t length)
 {
-  CcHttpCall *call = ((Connection *) p->data)->call;
+  CcHttpCall *call = ((CcHttpConnection *) p->data)->call;
 
   if (call->body->len + length > ANSWER_MAX)
     return -1;
@@ -363,7 +236,7 @@
 static int
 on_complete (http_parser *p)
 {
-  Connection *c = p->data;
+  CcHttpConnection *c = p->data;
 
   if (p->status_code >= 100 && p->status_code < 200)
     return 0;
@@ -390,7 +263,7 @@
 
 /* Returns FALSE if C and its call are gone. */
 static gboolean
-take_bytes (Connection *c, const char *bytes, gsize count)
+take_bytes (CcHttpConnection *c, const char *bytes, gsize count)
 {
   CcHttpCall *call = c->call;
   gsize parsed = http_parser_execute (&c->parser, &callbacks, bytes, count);
@@ -415,7 +288,7 @@
 
 /* The peer closed.  That completes an answer without a length. */
 static void
-take_end (Connection *c)
+take_end (CcHttpConnection *c)
 {
   CcHttpCall *call = c->call;
 
@@ -430,7 +303,7 @@
 }
 
 static void
-read_some (Connection *c)
+read_some (CcHttpConnection *c)
 {
   char buffer[READ_SIZE];
 
@@ -442,7 +315,7 @@
 
       if (got > 0 && c->call == NULL)
         {
-          connection_close (c);
+          cc_http_connection_close (c);
           return;
         }
       if (got > 0)
@@ -457,7 +330,7 @@
           g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
         return;
       if (c->call == NULL)
-        connection_close (c);
+        cc_http_connection_close (c);
       else if (got == 0)
         take_end (c);
       else
@@ -468,7 +341,7 @@
 
 /* Returns FALSE if C and its call are gone. */
 static gboolean
-write_some (Connection *c)
+write_some (CcHttpConnection *c)
 {
   CcHttpCall *call = c->call;
 
@@ -498,7 +371,7 @@
 }
 
 static gboolean
-begin_request (Connection *c)
+begin_request (CcHttpConnection *c)
 {
   CcHttpCall *call = c->call;
 
@@ -509,7 +382,7 @@
 }
 
 static void
-on_connected (Connection *c)
+on_connected (CcHttpConnection *c)
 {
   g_autoptr (GError) error = NULL;
 
@@ -524,7 +397,7 @@
 static void
 on_socket (GIOCondition seen, gpointer data)
 {
-  Connection *c = data;
+  CcHttpConnection *c = data;
 
   if (!c->connected)
     {
@@ -541,114 +414,6 @@
   read_some (c);
 }
 
-static void
-set_options (GSocket *s)
-{
-  int fd = g_socket_get_fd (s);
-  const struct
-  {
-    int level, name, value;
-  } options[] = {
-    { IPPROTO_TCP, TCP_NODELAY, 1 },
-    { SOL_SOCKET, SO_KEEPALIVE, 1 },
-    { IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
-    { IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_PERIOD_S },
-    { IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES },
-    { IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS },
-  };
-
-  /* A kernel without one of them still carries requests; each call has a
-   * time-out of its own. */
-  for (guint i = 0; i < G_N_ELEMENTS (options); i++)
-    (void) setsockopt (fd, options[i].level, options[i].name, &options[i].value,
-                       sizeof options[i].value);
-}
-
-static Peer *
-find_peer (CcHttp *h, const char *address)
-{
-  Peer *p = g_hash_table_lookup (h->peers, address);
-  g_autofree char *ip = NULL;
-  guint16 port = 0;
-
-  if (p != NULL)
-    return p;
-  if (!cc_address_parse (address, &ip, &port))
-    return NULL;
-  p = g_new0 (Peer, 1);
-  p->where = g_inet_socket_address_new_from_string (ip, port);
-  p->idle = g_ptr_array_new ();
-  g_hash_table_insert (h->peers, g_strdup (address), p);
-  return p;
-}
-
-/* Whether C has nothing to read: a server's close or stray bytes. */
-static gboolean
-is_quiet (Connection *c)
-{
-  return g_socket_condition_check (c->socket, G_IO_IN | G_IO_HUP | G_IO_ERR) ==
-         0;
-}
-
-/* An idle connection that was used not longer than IDLE_MAX ago, or NULL.  The
- * one used last is at the end, so if it is too old, all are. */
-static Connection *
-take_idle (Peer *p, gint64 idle_max)
-{
-  gint64 now = cc_clock_now ();
-
-  while (p->idle->len > 0)
-    {
-      Connection *c = p->idle->pdata[p->idle->len - 1];
-      /* The peer's own limit may strike while the request is on its way, and
-       * then nobody knows whether it ran: half of it is safe on any link. */
-      gint64 limit =
-          c->idle_limit > 0 ? MIN (idle_max, c->idle_limit / 2) : idle_max;
-
-      if (now - c->idle_since > limit)
-        return NULL;
-      if (is_quiet (c))
-        {
-          g_ptr_array_set_size (p->idle, (gint) p->idle->len - 1);
-          return c;
-        }
-      connection_close (c);
-    }
-  return NULL;
-}
-
-static Connection *
-open_connection (CcHttp *h, Peer *p)
-{
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GSocketAddress) from = NULL;
-  Connection *c;
-  GSocket *s = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                             G_SOCKET_PROTOCOL_TCP, NULL);
-
-  if (s == NULL)
-    return NULL;
-  g_socket_set_blocking (s, FALSE);
-  set_options (s);
-  from = g_inet_socket_address_new (h->local, 0);
-  if (!g_socket_bind (s, from, FALSE, NULL) ||
-      (!g_socket_connect (s, p->where, NULL, &error) &&
-       !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_PENDING)))
-    {
-      g_object_unref (s);
-      return NULL;
-    }
-  c = g_new0 (Connection, 1);
-  c->http = h;
-  c->peer = p;
-  c->socket = s;
-  cc_fd_watch_start (&c->watch, g_socket_get_fd (s), G_IO_OUT, on_socket, c);
-  p->open++;
-  h->open++;
-  h->opened++;
-  return c;
-}
-
 static CcHttpCall *
 call_new (const CcHttpOrder *o, CcHttpDone done, gpointer data)
 {
@@ -692,17 +457,17 @@
 CcHttpCall *
 cc_http_send (CcHttp *h, const CcHttpOrder *o, CcHttpDone done, gpointer data)
 {
-  Peer *p = find_peer (h, o->address);
-  Connection *c;
+  CcHttpPeer *p = cc_http_peer (h, o->address);
+  CcHttpConnection *c;
   CcHttpCall *call;
 
   if (p == NULL)
     return NULL;
-  c = take_idle (p, o->idle_max);
+  c = cc_http_connection_take_idle (p, o->idle_max);
   if (c == NULL && o->connections_max > 0 && p->open >= o->connections_max &&
       p->idle->len == 0)
     return NULL;
-  if (c == NULL && (c = open_connection (h, p)) == NULL)
+  if (c == NULL && (c = cc_http_connection_open (h, p, on_socket)) == NULL)
     return NULL;
   call = call_new (o, done, data);
   call->connection = c;
@@ -732,35 +497,11 @@
 cc_http_cancel (CcHttpCall *c)
 {
   c->connection->tainted = TRUE;
-  drop_unsent (c->connection);
+  cc_http_connection_drop_unsent (c->connection);
   retire (c->connection);
   call_free (c);
 }
 
-/* Closes the idle connections to ADDRESS. */
-void
-cc_http_forget (CcHttp *h, const char *address)
-{
-  Peer *p = g_hash_table_lookup (h->peers, address);
-
-  if (p != NULL)
-    doubt_idle (p);
-}
-
-/* Connections that are open now. */
-guint
-cc_http_open (const CcHttp *h)
-{
-  return h->open;
-}
-
-/* Connections that were opened since the start. */
-guint64
-cc_http_opened (const CcHttp *h)
-{
-  return h->opened;
-}
-
 /* The first header NAME of an answer, or NULL.  Valid as long as R. */
 const char *
 cc_http_header (const CcHttpResult *r, const char *name)
