--- a/test/test_slow_link.c
+++ b/test/test_slow_link.c
@@ -25,8 +25,8 @@
 /* An instance's link of 10 Mbit/s. */
 #define SLOW_LINK 1250000 /* bytes a second */
 
-/* The answer to REQUEST, or NULL: not yet. */
-typedef GBytes *(*Respond) (const char *request, gboolean in_time);
+/* The answer to REQUEST, which has waited for HELD us, or NULL: not yet. */
+typedef GBytes *(*Respond) (const char *request, gint64 held);
 
 /* What carries the answers of some servers to one process. */
 typedef struct
@@ -100,6 +100,7 @@
   if (c->written < size)
     return;
   g_clear_pointer (&c->answer, g_bytes_unref);
+  c->written = 0;
   g_string_truncate (c->request, 0);
   c->since = 0;
 }
@@ -124,13 +125,10 @@
 static void
 serve (Server *v, Call *c, gsize most)
 {
-  gboolean in_time;
-
   if (c->since == 0)
     return;
-  in_time = cc_clock_now () - c->since < wait_of (c->request->str) * CC_MS;
   if (c->answer == NULL)
-    c->answer = v->respond (c->request->str, in_time);
+    c->answer = v->respond (c->request->str, cc_clock_now () - c->since);
   if (c->answer != NULL)
     write_answer (c, most);
 }
@@ -215,8 +213,9 @@
 
 /* The table service: one row, the configuration. */
 static GBytes *
-respond_as_table (const char *request, gboolean in_time)
+respond_as_table (const char *request, gint64 held)
 {
+  gboolean in_time = held < wait_of (request) * CC_MS;
   gboolean of_config = strstr (request, "table=op") != NULL;
   const char *after = strstr (request, "after=");
   guint64 since = after != NULL
@@ -249,8 +248,9 @@
 
 /* A peer with the copy of the source. */
 static GBytes *
-respond_as_peer (const char *request, gboolean in_time)
+respond_as_peer (const char *request, gint64 held)
 {
+  gboolean in_time = held < wait_of (request) * CC_MS;
   const char *at = strstr (request, "since=");
   guint64 since[CC_MIRROR_VERSIONS] = { 0 };
   g_autoptr (GBytes) body = NULL;
@@ -262,7 +262,7 @@
     since[i] = g_ascii_strtoull (parts[i], NULL, 10);
   if (in_time && !cc_mirror_has_news (world.source, since))
     return NULL;
-  body = cc_mirror_rows_since (world.source, since, 0);
+  body = cc_mirror_rows_since (world.source, since, held);
   return http_answer (body);
 }
 
