A peer's answer is taken whole or not at all, and its age counts from its arrival

A damaged row: an answer with one counted as good and fresh, so the same question was asked again at once, 154 times in 4 s, and the configuration never came; since rows are compressed it was no longer refused as a whole. Now all tables are read before any is taken; a damaged one makes the answer none. Ruled out: the wait and the way, which count already.

--- a/mirror_peers.c
+++ b/mirror_peers.c
@@ -95,35 +95,66 @@
   return m->lease > since[CC_TABLE_LEASE];
 }
 
-static void
-take_peer_table (CcMirrorTable *t, guint64 since, guint64 upto,
-                 GVariant *encoded)
+/* One table of a peer's answer. */
+typedef struct
 {
-  g_autoptr (GVariant) rows = cc_rows_decode (encoded);
-  gboolean changed;
+  guint64 since;
+  guint64 upto;
+  GVariant *rows; /* a(sts) */
+} PeerTable;
 
-  if (rows == NULL)
-    {
-      cc_event (CC_EVENT_STATE, "peer-answer-damaged", NULL);
-      return;
-    }
-  changed = cc_mirror_put_rows (t, rows);
+static void
+take_peer_table (CcMirrorTable *t, const PeerTable *p)
+{
+  gboolean changed = cc_mirror_put_rows (t, p->rows);
 
   /* A peer that has read the table whole makes this copy whole as well. */
-  if (since == 0 && upto > 0 && !t->complete)
+  if (p->since == 0 && p->upto > 0 && !t->complete)
     {
       t->complete = TRUE;
       changed = TRUE;
     }
   if (t->complete)
-    cc_view_advance (&t->view, since, upto);
+    cc_view_advance (&t->view, p->since, p->upto);
   if (changed)
     cc_mirror_notify (t);
 }
 
-/* A peer's rows were fresh AGE us before its answer, which was WAY us on its
- * way at most, and it last had an outage of the service OUTAGE us ago, -1:
- * never.
+static void
+peer_tables_clear (PeerTable *all)
+{
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    g_clear_pointer (&all[i].rows, g_variant_unref);
+}
+
+/* Reads TABLES into ALL, which is empty.  FALSE, with nothing held, if any row
+ * of them is damaged. */
+static gboolean
+read_peer_tables (GVariant *tables, PeerTable *all)
+{
+  if (g_variant_n_children (tables) != CC_TABLE_FOLLOWED)
+    return FALSE;
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    {
+      g_autoptr (GVariant) encoded = NULL;
+      GVariant *rows;
+
+      g_variant_get_child (tables, i, "(tt@" CC_ROWS_TYPE ")", &all[i].since,
+                           &all[i].upto, &encoded);
+      rows = cc_rows_decode (encoded);
+      if (rows == NULL)
+        {
+          peer_tables_clear (all);
+          return FALSE;
+        }
+      all[i].rows = g_variant_ref_sink (rows);
+    }
+  return TRUE;
+}
+
+/* A peer's rows were fresh AGE us before its answer, which came at NOW and was
+ * WAY us on its way at most, and it last had an outage of the service OUTAGE us
+ * ago, -1: never.
  *
  * Failure: this process alone loses its connection to the service, or hears
  * late that an outage is over.  Symptom: it takes upstreams that leave
@@ -131,10 +162,8 @@
  * have ended.  A peer that heard from the service after this process's own
  * outage knows when its last outage was. */
 static void
-note_peer (CcMirror *m, gint64 age, gint64 way, gint64 outage)
+note_peer (CcMirror *m, gint64 age, gint64 way, gint64 outage, gint64 now)
 {
-  gint64 now = cc_clock_now ();
-
   if (now - way - age <= m->others_fresh)
     return;
   m->others_fresh = now - way - age;
@@ -157,21 +186,23 @@
   return now - asked - CLAMP (held, 0, now - asked);
 }
 
-/* Takes the rows in R, the answer to a question that was ASKED then, us.
- * Returns how long ago, in us, they were fresh at most, or -1 if there is
- * nothing to take; and in *OUTAGE how long ago the peer had an outage of the
- * service, -1: never.
+/* Takes the rows in R, the answer to a question that was ASKED then, which came
+ * at NOW, us.  Returns how long before NOW, in us, they were fresh at most, or
+ * -1 if there is nothing to take; and in *OUTAGE how long before the peer had
+ * an outage of the service, -1: never.
  *
  * The times of the lease and of outages count from the answer's arrival: the
  * later a lease is taken to have been renewed, the later it is taken over, and
- * the later an outage, the longer deletions are doubted. */
+ * the later an outage, the longer deletions are doubted.  NOW is read before
+ * the rows are taken: what they change may occupy this process for a while, and
+ * the copy would pass for newer than it is. */
 static gint64
-take_peer_answer (CcMirror *m, const CcHttpResult *r, gint64 asked,
+take_peer_answer (CcMirror *m, const CcHttpResult *r, gint64 asked, gint64 now,
                   gint64 *outage)
 {
   g_autoptr (GVariant) all = NULL;
   g_autoptr (GVariant) tables = NULL;
-  gint64 now = cc_clock_now ();
+  PeerTable read[CC_TABLE_FOLLOWED] = { 0 };
   gint64 held, age, lease_age, mark_age, way;
   guint64 lease, mark;
 
@@ -181,8 +212,7 @@
       g_variant_new_from_bytes (G_VARIANT_TYPE (PEER_TYPE), r->body, FALSE));
   g_variant_get (all, "(xxxtxtx@" PEER_TABLES ")", &held, &age, outage, &lease,
                  &lease_age, &mark, &mark_age, &tables);
-  if (!g_variant_is_normal_form (all) ||
-      g_variant_n_children (tables) != CC_TABLE_FOLLOWED)
+  if (!g_variant_is_normal_form (all) || !read_peer_tables (tables, read))
     {
       cc_event (CC_EVENT_STATE, "peer-answer-damaged", NULL);
       return -1;
@@ -192,16 +222,10 @@
   if (mark > 0)
     cc_version_clock_note (&m->clock, mark, now - way - mark_age);
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
-    {
-      guint64 since, upto;
-      g_autoptr (GVariant) rows = NULL;
-
-      g_variant_get_child (tables, i, "(tt@" CC_ROWS_TYPE ")", &since, &upto,
-                           &rows);
-      take_peer_table (&m->tables[i], since, upto, rows);
-    }
+    take_peer_table (&m->tables[i], &read[i]);
+  peer_tables_clear (read);
   cc_mirror_lease_renewed (m, lease, now - MAX (lease_age, 0));
-  note_peer (m, age, way, *outage);
+  note_peer (m, age, way, *outage, now);
   return age + way;
 }
 
@@ -212,7 +236,7 @@
   gint64 outage;
 
   m->asking = FALSE;
-  take_peer_answer (m, r, m->asked_any, &outage);
+  take_peer_answer (m, r, m->asked_any, cc_clock_now (), &outage);
 }
 
 /* Asks the peer at ADDRESS for what is newer than this copy, for which it may
@@ -366,8 +390,8 @@
 {
   CcMirror *m = data;
   gint64 outage = -1;
-  gint64 age = take_peer_answer (m, r, m->asked_followed, &outage);
   gint64 now = cc_clock_now ();
+  gint64 age = take_peer_answer (m, r, m->asked_followed, now, &outage);
 
   m->following = FALSE;
   m->setup.peer_ended (m->followed, age >= 0, m->setup.data);
--- a/test/test_slow_link.c
+++ b/test/test_slow_link.c
@@ -14,13 +14,16 @@
 #include "clock.h"
 #include "edge.h"
 #include "free_net.h"
-#include "mirror.h"
+#include "mirror_state.h"
 
 /* The least time within which operators have a configuration in force. */
 #define IN_FORCE_WITHIN (2 * CC_SECOND)
+#define RANDOM_NAME 300 /* letters */
 #define QUESTION_AGE (800 * CC_MS)
+#define READING_TIME (450 * CC_MS)
 #define TICK_MS 10
 #define PORT 7300
+#define DAMAGED_LEAST 10000 /* bytes */
 
 /* An instance's link of 10 Mbit/s. */
 #define SLOW_LINK 1250000 /* bytes a second */
@@ -42,6 +45,7 @@
   Link *link; /* NULL: no limit */
   Respond respond;
   GPtrArray *calls; /* of Call */
+  guint tick;       /* source of the main loop */
 } Server;
 
 typedef struct
@@ -59,6 +63,9 @@
   GString *configuration;
   guint64 version; /* of its row */
   CcMirror *source;
+  GPtrArray *servers;  /* of Server, that listen */
+  gint64 reading_time; /* of the configuration by the leaf, us */
+  gboolean damages;    /* the peer's answers, where they are large */
 } world;
 
 /* ---- servers ---- */
@@ -193,10 +200,26 @@
       G_SOCKET_LISTENER (v->service), at, G_SOCKET_TYPE_STREAM,
       G_SOCKET_PROTOCOL_TCP, NULL, NULL, NULL));
   g_signal_connect (v->service, "incoming", G_CALLBACK (on_connection), v);
-  g_timeout_add (TICK_MS, on_tick, v);
+  v->tick = g_timeout_add (TICK_MS, on_tick, v);
+  g_ptr_array_add (world.servers, v);
   return v;
 }
 
+/* Copies of earlier tests find nobody any more. */
+static void
+stop_servers (void)
+{
+  for (guint i = 0; i < world.servers->len; i++)
+    {
+      Server *v = world.servers->pdata[i];
+
+      g_source_remove (v->tick);
+      g_socket_listener_close (G_SOCKET_LISTENER (v->service));
+      g_ptr_array_set_size (v->calls, 0);
+    }
+  g_ptr_array_set_size (world.servers, 0);
+}
+
 static GBytes *
 http_answer (GBytes *body)
 {
@@ -246,6 +269,17 @@
   return http_answer (body);
 }
 
+/* BODY with a byte changed within its rows, if they are large. */
+static GBytes *
+damage (GBytes *body)
+{
+  GByteArray *a = g_bytes_unref_to_array (body);
+
+  if (a->len > DAMAGED_LEAST)
+    a->data[a->len / 2] ^= 0x55;
+  return g_byte_array_free_to_bytes (a);
+}
+
 /* A peer with the copy of the source. */
 static GBytes *
 respond_as_peer (const char *request, gint64 held)
@@ -263,6 +297,8 @@
   if (in_time && !cc_mirror_has_news (world.source, since))
     return NULL;
   body = cc_mirror_rows_since (world.source, since, held);
+  if (world.damages)
+    body = damage (g_steal_pointer (&body));
   return http_answer (body);
 }
 
@@ -271,7 +307,8 @@
 static void
 on_rows (CcTableName name, gpointer data)
 {
-  (void) name, (void) data;
+  if (name == CC_TABLE_CONFIG && data != NULL)
+    g_usleep ((gulong) world.reading_time);
 }
 
 static char *
@@ -337,9 +374,23 @@
   return version_of (m) >= version;
 }
 
-/* Gives the configuration COUNT routes, as operators write them. */
+/* Valid until the next call. */
+static const char *
+random_name (void)
+{
+  static const char letters[] =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+  static char name[RANDOM_NAME + 1];
+
+  for (guint i = 0; i < RANDOM_NAME; i++)
+    name[i] = letters[g_random_int () % 64];
+  return name;
+}
+
+/* Gives the configuration COUNT routes, as operators write them, or with long
+ * random prefixes. */
 static void
-write_configuration (guint count)
+write_configuration (guint count, gboolean random)
 {
   GString *s = world.configuration;
 
@@ -349,10 +400,11 @@
   for (guint i = 0; i < count; i++)
     g_string_append_printf (
         s,
-        "%s\"r-%07x\":{\"host\":\"h%u.example\",\"prefix\":\"/p%x/\","
+        "%s\"r-%07x\":{\"host\":\"h%u.example\",\"prefix\":\"/p%x%s/\","
         "\"kind\":\"safe\",\"timeoutMs\":1500,\"targetLatencyMs\":800,"
         "\"priority\":2,\"service\":\"s%u\",\"maxAttempts\":2}",
-        i > 0 ? "," : "", i * 40503 % 0xfffffff, i % 7, i * 2654435761U, i % 4);
+        i > 0 ? "," : "", i * 40503 % 0xfffffff, i % 7, i * 2654435761U,
+        random ? random_name () : "", i % 4);
   g_string_append (s, "},\"services\":{},\"limits\":{}}");
 }
 
@@ -360,38 +412,44 @@
 {
   const char *name;
   gboolean by_peer;
-  guint rate; /* of the link, bytes a second */
+  guint peer_rate; /* of the peer's link, bytes a second; 0: the leaf's */
   guint routes;
+  gboolean random; /* names that can't be compressed */
 } Case;
 
 static const Case cases[] = {
-  { "by a peer, a few routes", TRUE, SLOW_LINK, 5 },
-  { "by a peer, 2,800 routes", TRUE, SLOW_LINK, 2800 },
-  { "by a peer, 5,600 routes", TRUE, SLOW_LINK, 5600 },
-  { "by the table, 2,800 routes", FALSE, SLOW_LINK, 2800 },
-  { "by the table, 5,600 routes", FALSE, SLOW_LINK, 5600 },
+  { "by a peer, a few routes", TRUE, 0, 5, FALSE },
+  { "by a peer, 2,800 routes", TRUE, 0, 2800, FALSE },
+  { "by a peer, 5,600 routes", TRUE, 0, 5600, FALSE },
+  { "by a peer, 2,800 routes of random names", TRUE, 0, 2800, TRUE },
+  { "by the table, 2,800 routes", FALSE, 0, 2800, FALSE },
+  { "by the table, 5,600 routes", FALSE, 0, 5600, FALSE },
 };
 
-static void
-play (const Case *c, guint port)
+/* A leaf that has the first configuration, and follows as C says; PORT and the
+ * next three are its servers'. */
+static CcMirror *
+leaf_new (const Case *c, guint port)
 {
-  Link *link = g_memdup2 (&(Link){ .rate = c->rate }, sizeof (Link));
-  Server *table = server_new (port, NULL, respond_as_table);
-  Server *slow_table = server_new (port + 1, link, respond_as_table);
-  Server *peer = server_new (port + 2, link, respond_as_peer);
+  Link *own = g_memdup2 (&(Link){ .rate = SLOW_LINK }, sizeof (Link));
+  Link *peers = g_memdup2 (&(Link){ .rate = c->peer_rate }, sizeof (Link));
+  Server *table, *slow_table, *peer;
   CcMirror *leaf;
 
-  write_configuration (5);
+  stop_servers ();
+  world.damages = FALSE;
+  world.reading_time = 0;
+  table = server_new (port, NULL, respond_as_table);
+  slow_table = server_new (port + 1, own, respond_as_table);
+  peer = server_new (port + 2, c->peer_rate > 0 ? peers : own, respond_as_peer);
+  write_configuration (5, FALSE);
   world.source = mirror_new (table, NULL, 0);
   assert_true (wait_for_version (world.source, world.version, CC_SECOND));
   leaf = mirror_new (slow_table, c->by_peer ? peer : NULL, c->by_peer ? 2 : 0);
   assert_true (wait_for_version (leaf, world.version, CC_SECOND));
   /* News that come while a question waits leave the answer the least time. */
   wait_for_version (leaf, world.version + 1, QUESTION_AGE);
-  write_configuration (c->routes);
-  if (!wait_for_version (leaf, world.version, IN_FORCE_WITHIN))
-    fail_msg ("%s: not received within %d ms", c->name,
-              (int) (IN_FORCE_WITHIN / CC_MS));
+  return leaf;
 }
 
 /* Guards against a configuration that never arrives, since its transfer takes
@@ -400,9 +458,56 @@
 a_large_configuration_arrives_over_a_slow_link (void **state)
 {
   (void) state;
-  world.configuration = g_string_new (NULL);
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
-    play (&cases[i], PORT + 3 * i);
+    {
+      const Case *c = &cases[i];
+      CcMirror *leaf = leaf_new (c, PORT + 3 * i);
+
+      write_configuration (c->routes, c->random);
+      if (!wait_for_version (leaf, world.version, IN_FORCE_WITHIN))
+        fail_msg ("%s: not received within %d ms", c->name,
+                  (int) (IN_FORCE_WITHIN / CC_MS));
+    }
+}
+
+/* Guards against an answer with a damaged row that passes for a good one: the
+ * copy would be taken for new, and the same be asked again without end. */
+static void
+a_damaged_answer_is_refused (void **state)
+{
+  static const Case by_peer = { "", TRUE, 0, 2800, FALSE };
+  CcMirror *leaf = leaf_new (&by_peer, PORT + 50);
+
+  (void) state;
+  world.damages = TRUE;
+  write_configuration (by_peer.routes, FALSE);
+  assert_true (wait_for_version (leaf, world.version, IN_FORCE_WITHIN));
+}
+
+/* Guards against a copy that passes for newer than it is by the time in which
+ * its process reads a configuration. */
+static void
+a_copy_ages_while_it_is_read (void **state)
+{
+  static const Case by_peer = { "", TRUE, 0, 2800, FALSE };
+  CcMirror *leaf = leaf_new (&by_peer, PORT + 60);
+
+  (void) state;
+  world.reading_time = READING_TIME;
+  write_configuration (by_peer.routes, FALSE);
+  assert_true (wait_for_version (leaf, world.version, IN_FORCE_WITHIN));
+  if (leaf->fresh_at > world.source->fresh_at + READING_TIME / 4)
+    fail_msg ("the copy is told to be %d ms newer than its source's",
+              (int) ((leaf->fresh_at - world.source->fresh_at) / CC_MS));
+}
+
+static int
+start (void **state)
+{
+  (void) state;
+  world.configuration = g_string_new (NULL);
+  world.servers = g_ptr_array_new ();
+  return 0;
 }
 
 int
@@ -410,7 +515,9 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_large_configuration_arrives_over_a_slow_link),
+    cmocka_unit_test (a_damaged_answer_is_refused),
+    cmocka_unit_test (a_copy_ages_while_it_is_read),
   };
 
-  return cmocka_run_group_tests (tests, NULL, NULL);
+  return cmocka_run_group_tests (tests, start, NULL);
 }
