An answer that is there to be read is not given up, however long this process stood still

Callers of a weak instance would wait for a configuration that had come: a process that stood still for longer than the bound gave up an answer of which it had read nothing, and asked again from the beginning.

--- a/http_link.c
+++ b/http_link.c
@@ -129,7 +129,7 @@
 static gboolean
 has_unread_answer (const CcHttpCall *call)
 {
-  return call->received > 0 && call->stall_within > 0 &&
+  return call->written > 0 && call->stall_within > 0 &&
          cc_clock_now () < call->end_by &&
          g_socket_condition_check (call->connection->socket, G_IO_IN) != 0;
 }
--- a/test/test_http_link.c
+++ b/test/test_http_link.c
@@ -12,6 +12,7 @@
 #include <gio/gio.h>
 
 #include "http_link.h"
+#include "timers.h"
 
 #define ECHO "X-Echo"
 #define WITHIN (300 * CC_MS)
@@ -162,15 +163,24 @@
   return TRUE;
 }
 
+static void
+on_first_timer (gpointer data)
+{
+  (void) data;
+}
+
 static int
 start_server (void **state)
 {
+  static CcTimer first;
   g_autoptr (GInetAddress) ip =
       g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
   g_autoptr (GSocketAddress) at = g_inet_socket_address_new (ip, 0);
   g_autoptr (GSocketAddress) got = NULL;
 
   (void) state;
+  /* Timers come before sockets in an iteration of the main loop. */
+  cc_timer_start (&first, 0, on_first_timer, NULL);
   server.service = g_socket_service_new ();
   server.streams = g_ptr_array_new_with_free_func (g_object_unref);
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (server.service), at,
@@ -370,6 +380,59 @@
     }
 }
 
+/* Answers one request 50 ms after it came, while the main thread sleeps. */
+static gpointer
+answer_later (gpointer data)
+{
+  g_autoptr (GSocketConnection) c =
+      g_socket_listener_accept (data, NULL, NULL, NULL);
+  GSocket *s = g_socket_connection_get_socket (c);
+  const char *answer = OK "Content-Length: 2\r\n\r\nhi";
+  char buffer[4096];
+
+  g_socket_receive (s, buffer, sizeof buffer, NULL, NULL);
+  g_usleep (50 * CC_MS);
+  g_socket_send (s, answer, strlen (answer), NULL, NULL);
+  g_usleep (2 * WITHIN);
+  return NULL;
+}
+
+/* Guards against an answer that is given up unread, since this process stood
+ * still for longer than it may take. */
+static void
+an_answer_that_is_there_is_read (void **state)
+{
+  static const struct
+  {
+    gint64 stall_within; /* us */
+    CcHttpEnd end;
+  } stalls[] = { { 100 * CC_MS, CC_HTTP_ANSWERED }, { 0, CC_HTTP_LATE } };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (stalls); i++)
+    {
+      g_autoptr (GSocketListener) l = g_socket_listener_new ();
+      guint16 port = g_socket_listener_add_any_inet_port (l, NULL, NULL);
+      g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", port);
+      CcHttp *h = cc_http_new ("127.0.0.1");
+      CcHttpOrder o = order_to (address);
+      GThread *peer = g_thread_new ("peer", answer_later, l);
+      Outcome out = { 0 };
+
+      o.stall_within = stalls[i].stall_within;
+      assert_non_null (cc_http_send (h, &o, on_done, &out));
+      turn (20);
+      g_usleep (WITHIN + 50 * CC_MS);
+      while (!out.ended)
+        g_main_context_iteration (NULL, TRUE);
+      if (out.end != stalls[i].end)
+        fail_msg ("end %d with %d ms", out.end,
+                  (int) (stalls[i].stall_within / CC_MS));
+      g_thread_join (peer);
+      cc_http_free (h);
+    }
+}
+
 int
 main (void)
 {
@@ -378,6 +441,7 @@
     cmocka_unit_test (a_refused_connection_is_unsent),
     cmocka_unit_test (a_call_that_is_given_up_resets_its_connection),
     cmocka_unit_test (an_answer_that_goes_on_is_waited_for),
+    cmocka_unit_test (an_answer_that_is_there_is_read),
   };
 
   return cmocka_run_group_tests (tests, start_server, NULL);
