row_codec.c: a compressed value with a NUL in it is refused; a row may hold 4 MB

Found by a review: an inflated value with a NUL was cut there and taken. Values are text. Tests: the NUL, that a row is compressed once for all followers (no test held that), and which of two routes with the same host and prefix counts: the last one since routes are in a hash table, the first one before, which did not say.

--- a/row_codec.c
+++ b/row_codec.c
@@ -11,8 +11,8 @@
 
 #define DEFLATE_LEAST 4096 /* bytes; smaller values fit into a few segments */
 #define DEFLATE_LEVEL 1
-#define VALUE_MAX ((gsize) 16 * 1024 * 1024) /* bytes of one row */
-#define CHUNK 32768                          /* bytes */
+#define VALUE_MAX ((gsize) 4 * 1024 * 1024) /* bytes of one row */
+#define CHUNK 32768                         /* bytes */
 
 /* What CONVERTER makes of SIZE bytes at AT; NULL: they are damaged, or it would
  * be larger than VALUE_MAX. */
@@ -59,6 +59,11 @@
 
   if (out == NULL)
     return NULL;
+  if (memchr (out->data, '\0', out->len) != NULL)
+    {
+      g_byte_array_unref (out);
+      return NULL;
+    }
   g_byte_array_append (out, (const guint8 *) "", 1);
   return (char *) g_byte_array_free (out, FALSE);
 }
--- a/test/test_routes.c
+++ b/test/test_routes.c
@@ -47,6 +47,20 @@
   cc_routes_free (r);
 }
 
+/* Operators write one route in place of another; the last one counts. */
+static void
+a_route_with_the_same_prefix_takes_the_place (void **state)
+{
+  CcRoutes *r = cc_routes_new (1);
+
+  (void) state;
+  cc_routes_add (r, "first", "a.example", "/x/");
+  cc_routes_add (r, "second", "A.Example", "/x/");
+  assert_int_equal (r->count, 1);
+  assert_string_equal (cc_routes_find (r, "a.example", "/x/1")->name, "second");
+  cc_routes_free (r);
+}
+
 /* A dozen entries with a few requests each still keep a share of a tenth. */
 static void
 shares_hold_over_few_requests_of_many_entries (void **state)
@@ -145,6 +159,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (the_longest_prefix_of_the_host_wins),
+    cmocka_unit_test (a_route_with_the_same_prefix_takes_the_place),
     cmocka_unit_test (shares_hold_over_few_requests_of_many_entries),
     cmocka_unit_test (a_route_without_weight_leads_nowhere),
     cmocka_unit_test (the_fleet_keeps_the_bound_in_every_window),
--- a/test/test_row_codec.c
+++ b/test/test_row_codec.c
@@ -47,6 +47,7 @@
       const Case *c = &cases[i];
       g_autofree char *value = value_of (c);
       g_autoptr (GVariant) encoded = NULL;
+      g_autoptr (GVariant) again = NULL;
       g_autoptr (GVariant) rows = NULL;
       const char *key, *got;
       guint64 version;
@@ -56,6 +57,8 @@
       cc_view_put (&v, "old", 3, "1");
       cc_view_put (&v, "key", 7, value);
       encoded = g_variant_ref_sink (cc_rows_encode (&v, 3));
+      again = g_variant_ref_sink (cc_rows_encode (&v, 3));
+      assert_true (g_variant_equal (encoded, again));
       if (g_variant_get_size (encoded) > c->most)
         fail_msg ("%s: %zu bytes", c->name, g_variant_get_size (encoded));
       rows = g_variant_ref_sink (cc_rows_decode (encoded));
@@ -99,6 +102,25 @@
   cc_view_clear (&v);
 }
 
+/* Guards against a relay that compresses a row for each of its followers. */
+static void
+a_row_is_compressed_once (void **state)
+{
+  g_autofree char *value = g_strnfill (100000, 'x');
+  const GBytes *first;
+  CcView v;
+
+  (void) state;
+  cc_view_init (&v);
+  cc_view_put (&v, "key", 1, value);
+  g_variant_unref (g_variant_ref_sink (cc_rows_encode (&v, 0)));
+  first = cc_view_find (&v, "key")->deflated;
+  assert_non_null (first);
+  g_variant_unref (g_variant_ref_sink (cc_rows_encode (&v, 0)));
+  assert_ptr_equal (cc_view_find (&v, "key")->deflated, first);
+  cc_view_clear (&v);
+}
+
 typedef struct
 {
   const char *name;
@@ -111,6 +133,7 @@
   { "not deflated", TRUE, "plain text", 10 },
   { "empty", TRUE, "", 0 },
   { "cut off", TRUE, "\x78\x01\x4b\x4c", 4 },
+  { "a NUL in it", TRUE, "\x78\x9c\x4b\x64\x48\x02\x00\x01\x88\x00\xc4", 11 },
   { "not UTF-8", FALSE, "\xff\xfe", 2 },
 };
 
@@ -140,6 +163,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (rows_come_out_as_they_went_in),
     cmocka_unit_test (a_changed_row_is_encoded_anew),
+    cmocka_unit_test (a_row_is_compressed_once),
     cmocka_unit_test (damaged_rows_are_refused),
   };
 
