A peer's answer that goes on arriving is given up 0.7 s after it was due

Found by a review: a relay whose own link is slow held its followers for as long as its answer went on, up to ten seconds, in which they heard of nothing, upstreams that leave included (10.5 s for 2,800 routes from a peer at 5 kB/s; 0.84 s when answers were not extended).

--- a/http_link.c
+++ b/http_link.c
@@ -15,10 +15,8 @@
 #include "timers.h"
 
 #define READ_SIZE 16384 /* bytes */
-/* Bounds on one answer, so that a broken server can't fill the memory, nor hold
- * a call for ever with a byte now and then. */
+/* Bound on one answer, so that a broken server can't fill the memory. */
 #define ANSWER_MAX (16 * 1024 * 1024)
-#define ANSWER_TIME_MAX (10 * CC_SECOND)
 
 struct CcHttpCall
 {
@@ -441,7 +439,7 @@
   call->echo_value = g_strdup (o->echo_value);
   call->answer_by = cc_clock_now () + o->answer_within;
   call->stall_within = o->stall_within;
-  call->end_by = MAX (call->answer_by, cc_clock_now () + ANSWER_TIME_MAX);
+  call->end_by = call->answer_by + o->extend_most;
   call->name = g_string_new (NULL);
   call->value = g_string_new (NULL);
   call->headers = g_string_new (NULL);
--- a/http_link.h
+++ b/http_link.h
@@ -32,8 +32,9 @@
   const char *echo_value;
   gint64 connect_within; /* us until a new connection must stand */
   gint64 answer_within;  /* us until the whole answer must be here ... */
-  gint64 stall_within;   /* ... unless it has begun, and no pause in it is
-                            longer than this, us; 0: no exception */
+  gint64 stall_within;   /* ... unless it goes on arriving, with no pause longer
+                            than this, us; 0: no exception */
+  gint64 extend_most;    /* ... and for so much longer in all, us */
   gint64 idle_max;       /* reuse a connection idle no longer, us; 0: new one */
   guint connections_max; /* open connections to this address; 0: no bound */
 } CcHttpOrder;
--- a/mirror_peers.c
+++ b/mirror_peers.c
@@ -37,7 +37,10 @@
  * so that most are answered by that. */
 #define FOLLOW_WAIT (900 * CC_MS)
 #define FOLLOW_WITHIN (250 * CC_MS) /* beyond that; a peer answers in 10 ms */
-#define FOLLOW_STALL (500 * CC_MS)  /* in an answer that has begun */
+/* An answer that goes on arriving is waited for, but not for so long that a
+ * relay whose link is slow leaves its followers without news. */
+#define FOLLOW_STALL (500 * CC_MS)
+#define FOLLOW_EXTEND (700 * CC_MS)
 /* ... and less if this copy would be too old by then; at least this, or a peer
  * whose copy is old would be asked without a pause. */
 #define FOLLOW_WAIT_LEAST (200 * CC_MS)
@@ -256,6 +259,7 @@
                     .answer_within =
                         wait + (wait > 0 ? FOLLOW_WITHIN : PEER_WITHIN),
                     .stall_within = FOLLOW_STALL,
+                    .extend_most = FOLLOW_EXTEND,
                     .idle_max = 2 * CC_SECOND };
 
   return cc_http_send (m->setup.http, &o, done, m) != NULL;
--- a/test/test_http_link.c
+++ b/test/test_http_link.c
@@ -338,20 +338,23 @@
   const char *name;
   guint byte_every_ms;
   gint64 stall_within; /* us */
+  gint64 extend_most;  /* us */
   const char *bytes;
   CcHttpEnd end;
 } Slow;
 
 /* Each of these takes longer than WITHIN, or never ends. */
 static const Slow slow_answers[] = {
-  { "goes on", 15, 150 * CC_MS, OK "Content-Length: 2\r\n\r\nhi",
+  { "goes on", 15, 150 * CC_MS, CC_SECOND, OK "Content-Length: 2\r\n\r\nhi",
     CC_HTTP_ANSWERED },
-  { "goes on, with no exception", 15, 0, OK "Content-Length: 2\r\n\r\nhi",
+  { "goes on, with no exception", 15, 0, 0, OK "Content-Length: 2\r\n\r\nhi",
     CC_HTTP_LATE },
-  { "goes on with longer pauses", 400, 150 * CC_MS,
+  { "goes on for too long", 15, 150 * CC_MS, 100 * CC_MS,
     OK "Content-Length: 2\r\n\r\nhi", CC_HTTP_LATE },
-  { "stops in the middle", 15, 150 * CC_MS, OK "Content-Length: 5\r\n\r\nhi",
-    CC_HTTP_LATE },
+  { "goes on with longer pauses", 400, 150 * CC_MS, CC_SECOND,
+    OK "Content-Length: 2\r\n\r\nhi", CC_HTTP_LATE },
+  { "stops in the middle", 15, 150 * CC_MS, CC_SECOND,
+    OK "Content-Length: 5\r\n\r\nhi", CC_HTTP_LATE },
 };
 
 /* Guards against a large answer that is given up while it arrives. */
@@ -368,6 +371,7 @@
       Outcome out;
 
       o.stall_within = s->stall_within;
+      o.extend_most = s->extend_most;
       server.playing = &playing;
       server.byte_every_ms = s->byte_every_ms;
       out = call (h, &o);
@@ -420,6 +424,7 @@
       Outcome out = { 0 };
 
       o.stall_within = stalls[i].stall_within;
+      o.extend_most = CC_SECOND;
       assert_non_null (cc_http_send (h, &o, on_done, &out));
       turn (20);
       g_usleep (WITHIN + 50 * CC_MS);
--- a/test/test_slow_link.c
+++ b/test/test_slow_link.c
@@ -424,6 +424,7 @@
   { "by a peer, 2,800 routes of random names", TRUE, 0, 2800, TRUE },
   { "by the table, 2,800 routes", FALSE, 0, 2800, FALSE },
   { "by the table, 5,600 routes", FALSE, 0, 5600, FALSE },
+  { "by a peer that is much slower than the table", TRUE, 5000, 2800, FALSE },
 };
 
 /* A leaf that has the first configuration, and follows as C says; PORT and the
@@ -453,7 +454,7 @@
 }
 
 /* Guards against a configuration that never arrives, since its transfer takes
- * longer than a small answer may. */
+ * longer than a small answer may, or waits for a slow peer. */
 static void
 a_large_configuration_arrives_over_a_slow_link (void **state)
 {
