--- a/test/mirror_world.c
+++ b/test/mirror_world.c
@@ -107,8 +107,9 @@
   q->data = data;
 }
 
-static Node *
-node_at (const char *address)
+/* The node at ADDRESS, 10.0.0.I:1. */
+Node *
+world_node_at (const char *address)
 {
   return &world.nodes[atoi (address + strlen ("10.0.0."))];
 }
@@ -123,7 +124,8 @@
 
   for (guint i = 0; i < CC_MIRROR_VERSIONS; i++)
     q->since[i] = g_ascii_strtoull (since, (char **) &since, 10), since++;
-  q->peer = node_at (o->address);
+  q->peer = world_node_at (o->address);
+  g_hash_table_add (q->peer->askers, q->by);
   q->given_up = cc_clock_now () + o->answer_within;
   q->done = done;
   q->data = data;
@@ -315,7 +317,7 @@
 is_leaf (const Node *n, const CcRow *row)
 {
   return world.relayed && n - world.nodes >= RELAYS &&
-         node_at (row->value) != n;
+         world_node_at (row->value) != n;
 }
 
 static char *
@@ -333,8 +335,8 @@
     return g_strdup_printf ("10.0.0.%u:1", other);
   if (row != NULL && is_leaf (n, row))
     return g_strdup_printf ("10.0.0.%u:1", other % RELAYS);
-  return row == NULL || node_at (row->value) == n ? NULL
-                                                  : g_strdup (row->value);
+  return row == NULL || world_node_at (row->value) == n ? NULL
+                                                        : g_strdup (row->value);
 }
 
 static void
@@ -436,7 +438,7 @@
     take_members (n);
   else if (name == CC_TABLE_STATE && row != NULL)
     {
-      gboolean grants = node_at (row->value) == n;
+      gboolean grants = world_node_at (row->value) == n;
       CcMirrorRole role = {
         .for_others = grants || (world.relayed && n - world.nodes < RELAYS),
         .reads_all = grants || n - world.nodes < FIRST_READERS,
@@ -657,7 +659,8 @@
   Node *n = &world.nodes[i];
   gboolean by_members = world.by_members || world.zones > 0;
 
-  *n = (Node){ .cut = g_new0 (gboolean, world.count) };
+  *n = (Node){ .cut = g_new0 (gboolean, world.count),
+               .askers = g_hash_table_new (NULL, NULL) };
   cc_targets_init (&n->targets);
   n->targets.leaving_serves = SENT_TO;
   if (world.zones > 0)
@@ -698,6 +701,7 @@
   if (n->members != NULL)
     cc_members_free (n->members);
   cc_targets_clear (&n->targets);
+  g_hash_table_unref (n->askers);
   g_free (n->cut);
 }
 
@@ -715,6 +719,20 @@
   g_ptr_array_set_size (world.questions, 0);
 }
 
+/* Counts from now on. */
+void
+world_forget_counts (void)
+{
+  for (guint i = 0; i < world.count; i++)
+    {
+      Node *n = &world.nodes[i];
+
+      n->calls = n->answers = 0;
+      n->bytes = 0;
+      g_hash_table_remove_all (n->askers);
+    }
+}
+
 /* All members are killed and started again at one moment. */
 void
 world_restart (void)
--- a/test/mirror_world.h
+++ b/test/mirror_world.h
@@ -70,6 +70,7 @@
   CcMembers *members; /* NULL: it follows as RELAYED says */
   guint answers;      /* to peers */
   guint64 bytes;      /* ... of rows in them */
+  GHashTable *askers; /* of Node: peers that asked it */
   guint config;       /* by its copy, at the last look */
   CcTargets targets;
   gint64 targets_due; /* missing ones are looked at again, us; 0: none */
@@ -145,6 +146,8 @@
 void world_restart (void);
 void world_write_range (const char *value);
 void world_clear (void);
+Node *world_node_at (const char *address);
+void world_forget_counts (void);
 void world_run_until (gint64 until);
 guint world_calls_most (gint64 outage, guint fleet);
 void world_step_questions (void);
--- a/test/test_control_path.c
+++ b/test/test_control_path.c
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "clock.h"
+#include "load_reporter.h"
 #include "mirror_world.h"
 
 #define ZONES 5
@@ -30,6 +31,15 @@
 #define ASKS_A_SECOND (1 / 0.9 + CHANGES_A_SECOND + 2)
 #define WHOLE_WITHIN (700 * CC_MS)
 
+/* What a member of a fleet of 2,700 may spend on control: 1.2% of a core, at
+ * 0.1 ms of it an answer or a report, and 6 kB a second. */
+#define ANSWERS_MOST 120.0 /* a second */
+#define REPORTS_MOST 120.0 /* a second */
+#define BYTES_MOST 6000.0  /* of rows, a second */
+#define PEERS_MOST 390     /* a tenth of the sockets of a weak member */
+#define SLOW_CHANGES 1     /* a second, to ranges */
+#define SLOW_SPAN 4        /* s */
+
 /* The last takes too long for all but one test. */
 static const guint sizes[] = { 30, 100, 300, 1000 };
 
@@ -55,13 +65,6 @@
   world_run_until (6 * CC_SECOND);
 }
 
-static void
-forget_counts (void)
-{
-  for (guint i = 0; i < world.count; i++)
-    world.nodes[i].calls = world.nodes[i].answers = world.nodes[i].bytes = 0;
-}
-
 static guint
 all_calls (void)
 {
@@ -114,7 +117,7 @@
       guint changes = 3 * CHANGES_A_SECOND;
 
       begin_with_ranges (s + 1, sizes[s]);
-      forget_counts ();
+      world_forget_counts ();
       for (guint i = 0; i < changes; i++)
         {
           const char *value = i % 2 ? "a" : "b";
@@ -134,6 +137,102 @@
   cc_clock_resume ();
 }
 
+/* Where member I sends its next report of load. */
+static char *
+report_address (guint i)
+{
+  const CcRow *row = cc_view_get (
+      cc_mirror_view (world.nodes[i].mirror, CC_TABLE_STATE), CC_GRANTER_KEY);
+
+  return g_strdup (row->value);
+}
+
+/* The reports a second of the member that takes most. */
+static double
+most_reports (void)
+{
+  g_autofree guint *taken = g_new0 (guint, world.count);
+  guint periods = 10, most = 0;
+
+  for (guint p = 0; p < periods; p++)
+    for (guint i = 0; i < world.count; i++)
+      {
+        g_autofree char *address = report_address (i);
+
+        taken[world_node_at (address) - world.nodes]++;
+      }
+  for (guint i = 0; i < world.count; i++)
+    most = MAX (most, taken[i]);
+  return most / (periods * (double) CC_LOAD_REPORT_PERIOD / CC_SECOND);
+}
+
+/* The most that one member did, a second. */
+typedef struct
+{
+  double answers;
+  double bytes;
+  double reports;
+  guint peers; /* connections of those that asked it */
+} Busiest;
+
+static Busiest
+find_busiest (double seconds)
+{
+  Busiest b = { .reports = most_reports () };
+
+  for (guint i = 0; i < world.count; i++)
+    {
+      const Node *n = &world.nodes[i];
+
+      b.answers = MAX (b.answers, n->answers / seconds);
+      b.bytes = MAX (b.bytes, (double) n->bytes / seconds);
+      b.peers = MAX (b.peers, g_hash_table_size (n->askers));
+    }
+  return b;
+}
+
+static void
+change_ranges (guint changes, gint64 pause)
+{
+  for (guint i = 0; i < changes; i++)
+    {
+      gint64 at = cc_clock_now ();
+
+      world_write_range (i % 2 ? "a" : "b");
+      world_run_until (at + pause);
+    }
+}
+
+/* Load: a range changes each second.  Guards against a member whose work for
+ * the others grows with the fleet. */
+static void
+the_busiest_member_keeps_within_its_share (void **state)
+{
+  const guint *size = *state;
+  Busiest b;
+
+  begin_with_ranges (1, *size);
+  world_forget_counts ();
+  change_ranges (SLOW_SPAN * SLOW_CHANGES, CC_SECOND / SLOW_CHANGES);
+  b = find_busiest (SLOW_SPAN);
+  world_clear ();
+  cc_clock_resume ();
+  print_message ("%u members: %.0f answers, %.0f bytes, %.0f reports a second, "
+                 "%u peers\n",
+                 *size, b.answers, b.bytes, b.reports, b.peers);
+  if (b.answers > ANSWERS_MOST || b.bytes > BYTES_MOST ||
+      b.reports > REPORTS_MOST || b.peers > PEERS_MOST)
+    fail_msg ("%u members: more than %.0f answers, %.0f bytes, %.0f reports a "
+              "second, %d peers",
+              *size, ANSWERS_MOST, BYTES_MOST, REPORTS_MOST, PEERS_MOST);
+}
+
+#define SHARE_TEST(NAME, SIZE)                                                 \
+  {                                                                            \
+    NAME, the_busiest_member_keeps_within_its_share, NULL, NULL,               \
+        (void *) &sizes[SIZE]                                                  \
+  }
+
 /* Load: all members are killed and started again.  Guards against a start that
  * takes longer, or costs a member more calls, in a larger fleet. */
 static void
@@ -175,7 +274,7 @@
   for (guint s = 0; s < G_N_ELEMENTS (sizes) - 1; s++)
     {
       begin_with_ranges (s + 1, sizes[s]);
-      forget_counts ();
+      world_forget_counts ();
       for (guint i = 0; i < world.count; i++)
         world.nodes[i].service = REFUSES;
       world_run_until (cc_clock_now () + outage);
@@ -193,6 +292,10 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (moves_cost_the_table_nothing_more_in_a_large_fleet),
+    SHARE_TEST ("busiest_of_30_members_keeps_within_its_share", 0),
+    SHARE_TEST ("busiest_of_100_members_keeps_within_its_share", 1),
+    SHARE_TEST ("busiest_of_300_members_keeps_within_its_share", 2),
+    SHARE_TEST ("busiest_of_1000_members_keeps_within_its_share", 3),
     cmocka_unit_test (a_fleet_is_whole_again_soon),
     cmocka_unit_test (an_outage_costs_a_member_less_in_a_large_fleet),
   };
