The granter does not relay to its zone

Seen: test_control_path, ten changes of ranges a second: at 300 members the granter gave 323 answers a second, 140 of them to its relays. Cause: relays are the three strongest of each zone, and the lease goes to the strongest, so a third of the granter's zone followed it directly beside the relays of all zones. Ruled out: more of its own calls; what it says to relays does not grow.

The granter is passed over when a zone's relays are chosen, and they are chosen again when another grants keys. A zone with two strong processes beside it has these two, else three, so a weak one relays only where there is none better.

--- a/members.c
+++ b/members.c
@@ -22,6 +22,8 @@
  * granter 0.1 ms, and each process asks three times in two seconds. */
 #define LARGE_FLEET 24
 #define RELAYS 3        /* of each zone: two may be lost at once */
+#define RELAYS_LEAST 2  /* beside which weak processes are none */
+#define WEAK_PART 0.5   /* of the cores of the one before: less is weak */
 #define FIRST_READERS 3 /* of the fleet */
 /* A relay that did not answer is passed over for so long, doubled each time. */
 #define BACKOFF_MIN (1 * CC_SECOND)
@@ -54,9 +56,10 @@
   char *zone;
   double cores;
   char **seeds;
-  GArray *list;      /* of Member: the strongest of each zone, the next ... */
-  char *granter;     /* address of the one that grants keys; NULL: none yet */
-  GPtrArray *relays; /* addresses of its zone's relays, without its own */
+  GArray *list;        /* of Member: the strongest of each zone, the next ... */
+  char *granter;       /* address of the one that grants keys; NULL: none yet */
+  GPtrArray *relays;   /* addresses of its zone's relays, without its own */
+  gboolean falls_back; /* follows the granter if no relay answers */
   GHashTable *backoffs; /* address to Backoff */
   gboolean is_relay;
   guint rank;         /* of this process in LIST; its length: not in it */
@@ -240,26 +243,77 @@
     }
 }
 
-/* In a large fleet the first RELAYS processes of each zone are its relays.
- * Those that grant and relay have the most to do, and machines differ by five
- * times in what they can: so the strongest come first in the order. */
+static gboolean
+is_granter_at (const CcMembers *m, const char *address)
+{
+  return g_strcmp0 (m->granter, address) == 0;
+}
+
+/* The members of this zone, the strongest first. */
+static GPtrArray *
+zone_members (const CcMembers *m)
+{
+  GPtrArray *found = g_ptr_array_new ();
+
+  for (guint i = 0; i < m->list->len; i++)
+    {
+      Member *one = &g_array_index (m->list, Member, i);
+
+      if (g_str_equal (one->zone, m->zone))
+        g_ptr_array_add (found, one);
+    }
+  return found;
+}
+
+/* Takes the granter out of MEMBERS, since it has the most to do already.
+ * Returns its place there, or -1. */
+static gint
+remove_granter (const CcMembers *m, GPtrArray *members)
+{
+  for (guint i = 0; i < members->len; i++)
+    if (is_granter_at (m, ((const Member *) members->pdata[i])->address))
+      {
+        g_ptr_array_remove_index (members, i);
+        return (gint) i;
+      }
+  return -1;
+}
+
+/* How many of CANDIDATES are relays: RELAYS, or as few as RELAYS_LEAST if the
+ * next one is much weaker than those. */
+static guint
+count_relays (const GPtrArray *candidates)
+{
+  guint count = MIN (candidates->len, RELAYS);
+
+  for (guint i = RELAYS_LEAST; i < count; i++)
+    {
+      const Member *before = candidates->pdata[i - 1];
+
+      if (((const Member *) candidates->pdata[i])->cores <
+          WEAK_PART * before->cores)
+        return i;
+    }
+  return count;
+}
+
+/* Chooses this zone's relays.  In a large fleet they are its strongest
+ * processes beside the granter. */
 static void
 choose_relays (CcMembers *m)
 {
-  guint found = 0;
+  g_autoptr (GPtrArray) members = zone_members (m);
+  gint place = remove_granter (m, members);
+  guint count = m->list->len < LARGE_FLEET ? 0 : count_relays (members);
 
   g_ptr_array_set_size (m->relays, 0);
   m->is_relay = FALSE;
-  if (m->list->len < LARGE_FLEET)
-    return;
-  for (guint i = 0; i < m->list->len && found < RELAYS; i++)
+  m->falls_back = place >= 0 && place < RELAYS;
+  for (guint i = 0; i < count; i++)
     {
-      const Member *one = &g_array_index (m->list, Member, i);
+      const Member *one = members->pdata[i];
 
-      if (!g_str_equal (one->zone, m->zone))
-        continue;
-      found++;
-      if (i == m->rank)
+      if (one->is_self)
         m->is_relay = TRUE;
       else
         g_ptr_array_add (m->relays, g_strdup (one->address));
@@ -295,7 +349,6 @@
   for (guint i = 0; i < m->list->len; i++)
     if (g_array_index (m->list, Member, i).is_self)
       m->rank = i;
-  choose_relays (m);
 }
 
 /* Whether the row KEY of STATE is one that cc_members_update reads.  Most
@@ -314,14 +367,18 @@
 {
   g_autoptr (GPtrArray) rows = cc_view_list (state, MEMBER_PREFIX);
   const CcRow *granter = cc_view_get (state, CC_GRANTER_KEY);
+  const char *address = granter != NULL ? granter->value : NULL;
   guint64 newest = newest_of (rows);
+  gboolean is_listed = newest == m->newest && rows->len == m->list->len;
 
-  g_free (m->granter);
-  m->granter = granter != NULL ? g_strdup (granter->value) : NULL;
-  if (newest == m->newest && rows->len == m->list->len)
+  if (is_listed && is_granter_at (m, address))
     return;
+  g_free (m->granter);
+  m->granter = g_strdup (address);
   m->newest = newest;
-  read_members (m, rows);
+  if (!is_listed)
+    read_members (m, rows);
+  choose_relays (m);
 }
 
 /* How many processes ever registered. */
@@ -341,7 +398,7 @@
 static gboolean
 is_granter (const CcMembers *m)
 {
-  return g_strcmp0 (m->granter, m->address) == 0;
+  return is_granter_at (m, m->address);
 }
 
 /* Whether others follow this process's copy of the rows. */
@@ -424,7 +481,8 @@
   return s != NULL && cc_clock_now () < s->until;
 }
 
-/* One of the relays, of those that answer if there are any. */
+/* One of the relays, of those that answer if there are any; the granter, if it
+ * is among the strongest of this zone and no relay answers. */
 static char *
 any_relay (const CcMembers *m)
 {
@@ -434,6 +492,8 @@
   for (guint i = 0; i < m->relays->len; i++)
     if (!is_backed_off (m, m->relays->pdata[i]))
       g_ptr_array_add (answering, m->relays->pdata[i]);
+  if (answering->len == 0 && m->falls_back && !is_backed_off (m, m->granter))
+    return g_strdup (m->granter);
   if (answering->len == 0)
     from = m->relays;
   return g_strdup (from->pdata[g_random_int_range (0, (gint32) from->len)]);
--- a/test/test_control_path.c
+++ b/test/test_control_path.c
@@ -90,13 +90,14 @@
 {
   /* Drawn at random, a relay has more of them than its share now and then. */
   guint followers = (world.count / ZONES / STRONG) * 2;
+  guint answers = 0;
 
   for (guint i = 0; i < world.count; i++)
     {
       const Node *n = &world.nodes[i];
-      /* The granter is a relay of its zone, too. */
-      guint most = i == world.granter ? followers + STRONG * ZONES : followers;
+      guint most = i == world.granter ? STRONG * ZONES : followers;
 
+      answers = MAX (answers, n->answers);
       if ((double) n->bytes > ROWS_PART * link_of (i) * seconds)
         fail_msg ("%u members: member %u sent %.0f bytes a second", world.count,
                   i, (double) n->bytes / seconds);
@@ -104,6 +105,10 @@
         fail_msg ("%u members: member %u gave %.0f answers a second",
                   world.count, i, n->answers / seconds);
     }
+  print_message ("%u members: %.0f answers a second by the granter, %.0f by "
+                 "the busiest\n",
+                 world.count, world.nodes[world.granter].answers / seconds,
+                 answers / seconds);
 }
 
 /* Load: ranges of keys change ten times a second.  Guards against calls to the
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -311,6 +311,156 @@
   cc_clock_resume ();
 }
 
+#define SILENT_MOST 3
+
+typedef struct
+{
+  const char *name;
+  guint members; /* of the fleet */
+  guint in_zone; /* the first of them are of this process's zone */
+  guint strong;  /* the first of them have more cores */
+  guint granter;
+  guint silent[SILENT_MOST + 1]; /* did not answer; NONE ends them */
+  const char *followed;          /* members, in order */
+} RelayCase;
+
+static const RelayCase relay_cases[] = {
+  { "the granter is of another zone", 30, 20, 3, 25, { NONE }, "0 1 2" },
+  { "the granter is a weak one", 30, 20, 3, 7, { NONE }, "0 1 2" },
+  { "the two strong ones beside the granter", 30, 20, 3, 1, { NONE }, "0 2" },
+  { "three strong ones beside it", 30, 20, 4, 0, { NONE }, "1 2 3" },
+  { "one strong one beside it", 30, 20, 2, 0, { NONE }, "1 2 3" },
+  { "none beside it", 30, 20, 1, 0, { NONE }, "1 2 3" },
+  { "all are alike", 30, 20, 0, 0, { NONE }, "1 2 3" },
+  { "one weak one beside it", 30, 2, 1, 0, { NONE }, "1" },
+  { "nobody beside it", 30, 1, 1, 0, { NONE }, "0" },
+  { "a weaker granter of a zone of two, and the other is silent",
+    30,
+    2,
+    1,
+    1,
+    { 0, NONE },
+    "1" },
+  { "a small fleet", 11, 11, 3, 1, { NONE }, "1" },
+  { "one relay is silent", 30, 20, 3, 1, { 0, NONE }, "2" },
+  { "both are, and the granter is left", 30, 20, 3, 1, { 0, 2, NONE }, "1" },
+  { "it is silent as well", 30, 20, 3, 1, { 0, 1, 2, NONE }, "0 2" },
+  { "all are, and the granter is a weak one",
+    30,
+    20,
+    3,
+    7,
+    { 0, 1, 2, NONE },
+    "0 1 2" },
+  { "all relays of another zone are",
+    30,
+    20,
+    3,
+    25,
+    { 0, 1, 2, NONE },
+    "0 1 2" },
+};
+
+static void
+put_fleet (CcView *v, const RelayCase *c)
+{
+  g_autofree char *granter = g_strdup_printf ("10.0.0.%u:1", c->granter);
+
+  for (guint i = 0; i < c->members; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("member/i%03u", i);
+      g_autofree char *value = g_strdup_printf (
+          "{\"address\":\"10.0.0.%u:1\",\"zone\":\"%s\",\"cores\":%s}", i,
+          i < c->in_zone ? "a" : "b", i < c->strong ? "0.5" : "0.1");
+
+      cc_view_put (v, key, i + 1, value);
+    }
+  cc_view_put (v, CC_GRANTER_KEY, 1000 + c->granter, granter);
+}
+
+/* The members that M follows by many draws, in order. */
+static char *
+drawn_members (const CcMembers *m)
+{
+  gboolean drawn[NONE] = { FALSE };
+  GString *all = g_string_new (NULL);
+
+  for (guint i = 0; i < DRAWS_MADE; i++)
+    {
+      g_autofree char *address = cc_members_peer (m, CC_PEER_FOLLOWED);
+
+      drawn[g_ascii_strtoull (address + strlen ("10.0.0."), NULL, 10)] = TRUE;
+    }
+  for (guint i = 0; i < NONE; i++)
+    if (drawn[i])
+      g_string_append_printf (all, all->len > 0 ? " %u" : "%u", i);
+  return g_string_free (all, FALSE);
+}
+
+static void
+check_relays (CcMembers *m, const RelayCase *c)
+{
+  g_autofree char *followed = NULL;
+  CcView v;
+
+  cc_view_init (&v);
+  put_fleet (&v, c);
+  cc_members_update (m, &v);
+  for (guint i = 0; c->silent[i] != NONE; i++)
+    {
+      g_autofree char *address = g_strdup_printf ("10.0.0.%u:1", c->silent[i]);
+
+      cc_members_peer_ended (m, address, FALSE);
+    }
+  followed = drawn_members (m);
+  if (!g_str_equal (followed, c->followed))
+    fail_msg ("%s: follows %s", c->name, followed);
+  cc_view_clear (&v);
+}
+
+/* Load: a fleet of hundreds.  Guards against the granter relaying to its zone
+ * beside granting, and against a zone without relays because of that. */
+static void
+the_granter_does_not_relay (void **state)
+{
+  (void) state;
+  cc_clock_pause (0, 0);
+  for (guint i = 0; i < G_N_ELEMENTS (relay_cases); i++)
+    {
+      CcMembersSetup setup = { .instance = "i090",
+                               .address = "10.0.0.90:1",
+                               .zone = "a",
+                               .seeds = g_strsplit ("", ",", -1) };
+      CcMembers *m = cc_members_new (&setup);
+
+      check_relays (m, &relay_cases[i]);
+      cc_members_free (m);
+    }
+  cc_clock_resume ();
+}
+
+/* Failure: the granter is lost and another takes over.  Guards against relays
+ * that stay those of the granter of before. */
+static void
+relays_change_with_the_granter (void **state)
+{
+  static const RelayCase changes[] = {
+    { "first", 30, 20, 3, 0, { NONE }, "1 2" },
+    { "second", 30, 20, 3, 1, { NONE }, "0 2" },
+    { "of another zone", 30, 20, 3, 25, { NONE }, "0 1 2" },
+  };
+  CcMembersSetup setup = { .instance = "i090",
+                           .address = "10.0.0.90:1",
+                           .zone = "a",
+                           .seeds = g_strsplit ("", ",", -1) };
+  CcMembers *m = cc_members_new (&setup);
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (changes); i++)
+    check_relays (m, &changes[i]);
+  cc_members_free (m);
+}
+
 int
 main (void)
 {
@@ -320,6 +470,8 @@
     cmocka_unit_test (only_rows_of_members_are_read),
     cmocka_unit_test (the_first_of_the_order_are_of_different_zones),
     cmocka_unit_test (a_relay_that_does_not_answer_is_passed_over),
+    cmocka_unit_test (the_granter_does_not_relay),
+    cmocka_unit_test (relays_change_with_the_granter),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
