Zones of hundreds have more relays

Cause: three relays of a zone of any size, two of a strong zone beside the granter. Ruled out: uneven draws; 988 answers at ten changes a second are 100 followers' evenly.

A zone has as many relays as it takes for 40 followers each in the mean, weak ones too where there are not enough strong ones; up to 82 candidates that is what there was, so fleets of up to some 400 in five zones keep their relays. test_members: five cases. test_control_path's bound of a member's answers has 40 followers at most now, stricter than before at 1,000.

--- a/members.c
+++ b/members.c
@@ -21,10 +21,11 @@
 /* Processes from which on a zone has relays.  An answer to a question costs the
  * granter 0.1 ms, and each process asks three times in two seconds. */
 #define LARGE_FLEET 24
-#define RELAYS 3        /* of each zone: two may be lost at once */
-#define RELAYS_LEAST 2  /* beside which weak processes are none */
-#define WEAK_PART 0.5   /* of the cores of the one before: less is weak */
-#define FIRST_READERS 3 /* of the fleet */
+#define RELAYS 3          /* of each zone: two may be lost at once */
+#define RELAYS_LEAST 2    /* beside which weak processes are none */
+#define FOLLOWERS_MOST 40 /* of a relay, in the mean */
+#define WEAK_PART 0.5     /* of the cores of the one before: less is weak */
+#define FIRST_READERS 3   /* of the fleet */
 /* A relay that did not answer is passed over for so long, doubled each time. */
 #define BACKOFF_MIN (1 * CC_SECOND)
 #define BACKOFF_MAX (30 * CC_SECOND)
@@ -280,13 +281,14 @@
 }
 
 /* How many of CANDIDATES are relays: RELAYS, or as few as RELAYS_LEAST if the
- * next one is much weaker than those. */
+ * next one is much weaker than those; more in a zone of hundreds. */
 static guint
 count_relays (const GPtrArray *candidates)
 {
-  guint count = MIN (candidates->len, RELAYS);
+  guint least = (candidates->len + FOLLOWERS_MOST) / (FOLLOWERS_MOST + 1);
+  guint count = MIN (candidates->len, MAX (RELAYS, least));
 
-  for (guint i = RELAYS_LEAST; i < count; i++)
+  for (guint i = MAX (RELAYS_LEAST, least); i < count; i++)
     {
       const Member *before = candidates->pdata[i - 1];
 
