The granter polls and receives, in place of looking and hearing

Renames only, by docs/GLOSSARY.md: next_look, look_period, LOOK_* and look_when_free are polls, cc_granter_lease_heard is cc_granter_lease_received; comments of granter.c and test_granter.c likewise, two of them shorter. No logged name changes. test_granter and test_gateway pass.

--- a/gateway.c
+++ b/gateway.c
@@ -28,7 +28,7 @@
 #define DRAIN_QUIET (2600 * CC_MS)
 /* Part of the time until the platform kills the process that is used. */
 #define DRAIN_RESERVE (400 * CC_MS)
-#define DRAIN_LOOK (50 * CC_MS)
+#define DRAIN_POLL (50 * CC_MS)
 #define RECHECK (250 * CC_MS) /* of upstreams that are missing */
 #define FLUSH (1 * CC_SECOND) /* of log lines that found no room */
 /* Part of the time for which an upstream that leaves still serves that is not
@@ -56,7 +56,7 @@
   CcMirror *mirror;
   CcTargets targets;
   gboolean targets_changed; /* since the granter was last told */
-  gboolean cut_off;         /* by the last look (isolation.h) */
+  gboolean cut_off;         /* by the last check (isolation.h) */
   CcForwarder *forwarder;
   CcCallers *callers;
   CcGranter *granter;
@@ -319,7 +319,7 @@
   gint64 seen_at;
   guint64 version = cc_mirror_lease (g->mirror, &seen_at);
 
-  cc_granter_lease_heard (g->granter, version, seen_at);
+  cc_granter_lease_received (g->granter, version, seen_at);
 }
 
 static void
@@ -353,9 +353,9 @@
 
 /* ---- the ports beside the callers' ---- */
 
-/* Looks whether this process is cut off, and tells callers so. */
+/* Checks whether this process is cut off, and tells callers so. */
 static void
-look_for_isolation (Gateway *g)
+check_isolation (Gateway *g)
 {
   gint64 now = cc_clock_now (), heard_at = cc_mirror_heard_at (g->mirror);
   gboolean cut_off =
@@ -377,7 +377,7 @@
 
   if (g->stop_at != 0)
     return "draining\n";
-  look_for_isolation (g);
+  check_isolation (g);
   if (g->cut_off)
     return "cut off\n";
   if (cc_callers_routes (g->callers) == NULL)
@@ -479,7 +479,7 @@
       (now >= g->quiet_at && cc_callers_pending (g->callers) == 0 &&
        cc_granter_has_resigned (g->granter)))
     leave (g);
-  cc_timer_start (&g->drain, DRAIN_LOOK, on_draining, g);
+  cc_timer_start (&g->drain, DRAIN_POLL, on_draining, g);
 }
 
 static gboolean
@@ -496,7 +496,7 @@
             cc_event_int (cc_callers_pending (g->callers)), NULL);
   cc_callers_drain (g->callers, g->quiet_at, g->stop_at);
   cc_granter_resign (g->granter);
-  cc_timer_start (&g->drain, DRAIN_LOOK, on_draining, g);
+  cc_timer_start (&g->drain, DRAIN_POLL, on_draining, g);
   return G_SOURCE_CONTINUE;
 }
 
--- a/granter.c
+++ b/granter.c
@@ -26,21 +26,20 @@
 
 #define LEASE_KEY "granter"
 #define TICK (50 * CC_MS)
-/* How often a process looks at the lease's row: the first few of the fleet
- * often enough to take over in time, the rest only so that somebody does. */
+/* How often a process polls the lease's row: the first few of the fleet often
+ * enough to take over in time, the rest only so that somebody does. */
 #define WATCH_PERIOD (400 * CC_MS)
 #define WATCH_RANKS 3
-/* The rest take turns: together they look about every LOOK_TOGETHER, and each
+/* The rest take turns: together they poll about every POLL_TOGETHER, and each
  * at least every WATCH_PERIOD_MOST. */
-#define LOOK_TOGETHER (350 * CC_MS)
+#define POLL_TOGETHER (350 * CC_MS)
 #define WATCH_PERIOD_MOST (15 * CC_SECOND)
-/* Who hears of each renewal without looking looks only when it hears nothing
- * for this long: two renewals, and the way to here. */
-#define HEARD_QUIET (1500 * CC_MS)
-/* Who finds that the lease may soon be claimed looks again then, within this:
- * not all at once. */
+/* A process that is told of each renewal polls only if it is told nothing for
+ * this long: two renewals, and the way to here. */
+#define RENEWAL_QUIET (1500 * CC_MS)
+/* Spread of the polls at the moment at which a lease may be claimed. */
 #define CLAIM_SPREAD (150 * CC_MS)
-#define LOOK_AGAIN                                                             \
+#define POLL_RETRY                                                             \
   (150 * CC_MS) /* pause after a reading that is to be repeated */
 /* Rows of one transaction, which may hold 100. */
 #define ROWS_MAX 90
@@ -49,7 +48,7 @@
 #define SETTLE_MOST                                                            \
   (2500 * CC_MS) /* from then on, with those that are there                    \
                   */
-/* How often load is looked at, after the first BALANCE_FIRST of a lease in
+/* How often load is levelled, after the first BALANCE_FIRST of a lease in
  * which reports come in. */
 #define BALANCE_PERIOD (400 * CC_MS)
 #define BALANCE_FIRST (3 * CC_SECOND)
@@ -74,7 +73,7 @@
   gboolean may_claim;       /* by the row as it was last read */
   gboolean claiming;        /* a claim may still take effect */
   gint64 stand_back;        /* claims nothing before, us */
-  gint64 next_look;         /* at the row, while watching, us */
+  gint64 next_poll;         /* of the row, while watching, us */
   gint64 sent;              /* the write in progress, us */
   guint rank;               /* in the order of watching */
   guint fleet;              /* processes that registered */
@@ -85,7 +84,7 @@
   gint64 loaded_at;         /* when the rows were read, us */
   gint64 plan_after; /* until then upstreams may be missing by mistake, us */
   gboolean announce; /* the row that says where reports go is to be written */
-  gint64 balance_at; /* when load is looked at next, us */
+  gint64 balance_at; /* when load is levelled next, us */
   CcWorkRates rates; /* of upstreams */
   GHashTable
       *pools; /* keyed pools in the configuration: name to CcGrantedPool */
@@ -146,17 +145,17 @@
 }
 
 static gint64
-look_period (const CcGranter *g)
+poll_period (const CcGranter *g)
 {
   return g->rank < WATCH_RANKS
              ? WATCH_PERIOD
-             : MIN (LOOK_TOGETHER * MAX (g->fleet, 1), WATCH_PERIOD_MOST);
+             : MIN (POLL_TOGETHER * MAX (g->fleet, 1), WATCH_PERIOD_MOST);
 }
 
 /* This process is the RANK-th of a FLEET of so many in the order of watching.
  *
- * Load pattern: all processes start together, and each looks at the lease's row
- * at once.  Only the first few need to. */
+ * Load pattern: all processes start together, and each polls the lease's row at
+ * once.  Only the first few need to. */
 void
 cc_granter_rank (CcGranter *g, guint rank, guint fleet)
 {
@@ -165,42 +164,42 @@
   g->rank = rank;
   g->fleet = fleet;
   if (is_first && rank >= WATCH_RANKS && !g->shared.lease.held)
-    g->next_look = cc_clock_now () +
-                   (gint64) (g_random_double () * (double) look_period (g));
+    g->next_poll = cc_clock_now () +
+                   (gint64) (g_random_double () * (double) poll_period (g));
 }
 
 /* The rows say that this process grants keys.  If it does not, an earlier run
- * of it did, which has ended: it looks at the lease's row at once.
+ * of it did, which has ended: it polls the lease's row at once.
  *
  * Load pattern: the whole fleet is killed and started again.  The others have
- * to wait for a term, in which keys lapse; and a weak process would not look in
- * that time. */
+ * to wait for a term, in which keys lapse; and a weak process would not poll it
+ * in that time. */
 void
 cc_granter_named (CcGranter *g)
 {
   if (!g->named && !g->shared.lease.held)
-    g->next_look = 0;
+    g->next_poll = 0;
   g->named = TRUE;
 }
 
 /* Other processes have known since SEEN_AT, us, that the lease's row has
  * VERSION.
  *
- * Who has heard of it need not look soon.  Only the first few look as soon as
- * renewals may be missing; the others at different times, since all of them
- * hear at once, and the first few may be cut off. */
+ * So it need not be polled soon.  Only the first few poll as soon as renewals
+ * may be missing; the others at different times, since all of them receive the
+ * same news at once, and the first few may be cut off. */
 void
-cc_granter_lease_heard (CcGranter *g, guint64 version, gint64 seen_at)
+cc_granter_lease_received (CcGranter *g, guint64 version, gint64 seen_at)
 {
-  gint64 quiet = HEARD_QUIET;
+  gint64 quiet = RENEWAL_QUIET;
 
   if (g->shared.lease.held || version <= g->shared.lease.version)
     return;
   if (g->rank >= WATCH_RANKS)
-    quiet += (gint64) (g_random_double () * (double) look_period (g));
+    quiet += (gint64) (g_random_double () * (double) poll_period (g));
   cc_granter_lease_seen (&g->shared.lease, version, FALSE, seen_at);
   g->may_claim = FALSE;
-  g->next_look = seen_at + quiet;
+  g->next_poll = seen_at + quiet;
 }
 
 /* The upstreams that may own keys have changed.  OUTAGE is when their list's
@@ -330,7 +329,7 @@
             cc_event_int ((gint64) g->shared.lease.version), NULL);
   confirm_lease (g, version);
   g->loaded = FALSE;
-  g->next_look = 0;
+  g->next_poll = 0;
 }
 
 /* Whether nobody acts for HOLDER any more: it resigned, or it was a run before
@@ -343,22 +342,22 @@
   return holder[0] == '\0' || g_str_has_prefix (holder, g->place);
 }
 
-/* Looks at the row again when its holder, if silent until then, has lost the
+/* Polls the row again when its holder, if silent until then, has lost the
  * lease.
  *
  * Failure: the holder is cut off as it renews the lease, so the others had not
- * heard of the last renewal, and whoever looks first finds a version that is
- * news.  Symptom: by its turn it looks again after several seconds, while all
- * keys lapse. */
+ * received the last renewal, and the first one to poll finds a new version.
+ * Symptom: by its turn it polls again after several seconds, while all keys
+ * lapse. */
 static void
-look_when_free (CcGranter *g, gint64 now)
+poll_when_free (CcGranter *g, gint64 now)
 {
   const CcGranterLease *l = &g->shared.lease;
   gint64 free_at = l->seen_at + CC_GRANTER_TERM + CC_GRANTER_MARGIN;
   gint64 spread = (gint64) (g_random_double () * CLAIM_SPREAD);
 
   if (free_at > now)
-    g->next_look = MIN (g->next_look, free_at + spread);
+    g->next_poll = MIN (g->next_poll, free_at + spread);
 }
 
 static void
@@ -395,7 +394,7 @@
       /* Only what was read just now says that the holder is silent. */
       g->may_claim = cc_granter_lease_may_claim (&g->shared.lease, now) &&
                      (version != 0 || now >= g->started + g->setup.patience);
-      look_when_free (g, now);
+      poll_when_free (g, now);
       return;
     }
   g->doubtful = FALSE;
@@ -408,7 +407,7 @@
 }
 
 static void
-look (CcGranter *g)
+poll_lease (CcGranter *g)
 {
   g->calling = TRUE;
   cc_table_read (g->setup.table, CC_TABLE_LEASE, LEASE_KEY, on_lease_read, g);
@@ -533,14 +532,14 @@
         take_lease (g, version);
       else
         /* A renewal of the lease that was given up meanwhile. */
-        g->next_look = 0;
+        g->next_poll = 0;
       break;
     case CC_CONFLICT:
     case CC_UNKNOWN:
       mark_unwritten (g);
       g->doubtful = held;
       g->claiming &= status == CC_UNKNOWN;
-      g->next_look = 0;
+      g->next_poll = 0;
       break;
     default:
       mark_unwritten (g);
@@ -587,26 +586,26 @@
         g->resigned = TRUE;
       else if (g->may_claim && now >= g->stand_back)
         write_lease (g);
-      else if (now >= g->next_look)
+      else if (now >= g->next_poll)
         {
-          g->next_look = now + look_period (g);
-          look (g);
+          g->next_poll = now + poll_period (g);
+          poll_lease (g);
         }
     }
   else if (!cc_granter_lease_may_renew (&g->shared.lease, now))
     lose_lease (g, "table-out-of-reach");
-  else if (g->doubtful && now >= g->next_look)
+  else if (g->doubtful && now >= g->next_poll)
     {
-      g->next_look = now + LOOK_AGAIN;
-      look (g);
+      g->next_poll = now + POLL_RETRY;
+      poll_lease (g);
     }
   else if (g->doubtful)
     return;
   else if (g->resigning)
     write_lease (g);
-  else if (!g->loaded && now >= g->next_look)
+  else if (!g->loaded && now >= g->next_poll)
     {
-      g->next_look = now + LOOK_AGAIN;
+      g->next_poll = now + POLL_RETRY;
       g->calling = TRUE;
       cc_table_read (g->setup.table, CC_TABLE_STATE, NULL, on_state_read, g);
     }
--- a/granter_lease.h
+++ b/granter_lease.h
@@ -10,14 +10,14 @@
  * users allow a key to be away. */
 #define CC_GRANT_HOLD (4 * CC_SECOND)
 /* An upstream's clock may be slow by 2%, and a grant decided just before the
- * granter's own look at the clock leaves a moment later. */
+ * granter's own reading of the clock leaves a moment later. */
 #define CC_GRANT_MARGIN_PART 0.02
 #define CC_GRANT_SLACK (150 * CC_MS)
 /* A grant is renewed every so often: three in a hold. */
 #define CC_GRANT_RENEW (1100 * CC_MS)
 
 /* The lease lapses this long after its last renewal was sent.  Together with
- * the watchers' look and the first grants it stays below CC_GRANT_HOLD minus
+ * the watchers' poll and the first grants it stays below CC_GRANT_HOLD minus
  * CC_GRANT_RENEW. */
 #define CC_GRANTER_TERM (2000 * CC_MS)
 #define CC_GRANTER_RENEW (650 * CC_MS) /* two lost renewals cost nothing */
--- a/range_grant.c
+++ b/range_grant.c
@@ -403,7 +403,7 @@
   if (now < x->not_before)
     return;
   /* A process that stood still may find its lease long over here, before it
-   * looks at the lease itself. */
+   * polls the lease itself. */
   if (!cc_granter_lease_may_renew (&x->shared->lease, now))
     return;
   /* Who takes over goes by the rows: a move that is finished here and not yet
--- a/test/test_granter.c
+++ b/test/test_granter.c
@@ -112,7 +112,7 @@
   GHashTable *store; /* "table/key" to StoreRow */
   guint64 version;
   guint running;      /* index of the process that is running */
-  gboolean weak;      /* processes that start seldom look at the lease */
+  gboolean weak;      /* processes that start seldom poll the lease */
   GHashTable *fences; /* bucket of keys to highest fence and its server */
   char failure[200];
   double faults; /* how likely a call goes wrong */
@@ -780,9 +780,9 @@
   world_clear ();
 }
 
-/* A process that seldom looks at the lease's row finds it free.  Callers get no
+/* A process that seldom polls the lease's row finds it free.  Callers get no
  * owner for their keys until it has read the ranges, which must not wait for
- * its next look. */
+ * its next poll. */
 static void
 whoever_takes_the_lease_grants_at_once (void **state)
 {
@@ -797,7 +797,7 @@
 }
 
 /* Guards against keys that lapse while a fleet that was killed and started
- * again waits for the term of a weak granter, which seldom looks at the lease.
+ * again waits for the term of a weak granter, which seldom polls the lease.
  */
 static void
 a_granter_that_is_started_again_grants_at_once (void **state)
@@ -849,7 +849,7 @@
       cc_view_put (&w.processes[i].view, "another", ++w.version, "0 1 1");
       list_servers (&w.processes[i], cc_clock_now ());
     }
-  /* A term, a look, the first grants, and some time for what was in progress.
+  /* A term, a poll, the first grants, and some time for what was in progress.
    */
   for (guint i = 0; i < 6 * CC_SECOND / STEP; i++)
     step (600 + i);
@@ -886,10 +886,11 @@
       lost = i;
   lost_at = cc_clock_now ();
   w.processes[lost].frozen_until = G_MAXINT64;
-  /* The others had heard of a renewal, and not of the last one. */
+  /* The others had received a renewal, and not the last one. */
   for (guint i = 0; i < GRANTERS; i++)
     if (i != lost)
-      cc_granter_lease_heard (w.processes[i].granter, w.version - 1, lost_at);
+      cc_granter_lease_received (w.processes[i].granter, w.version - 1,
+                                 lost_at);
   for (guint i = 0; i < 2000 && !lease_is_held_by_another (lost); i++)
     step (i);
   taken_at = cc_clock_now ();
@@ -901,7 +902,7 @@
 /* Callers get no answer for keys that have lapsed, four seconds after their
  * last renewal at the latest.  The granter is cut off as it renews its lease;
  * the others hear nothing, and the one whose turn comes first finds a renewal
- * that it had not heard of.  It must look again when that has lapsed. */
+ * that it had not received.  It must poll again when that has lapsed. */
 static void
 a_granter_that_is_lost_as_it_renews_is_replaced_soon (void **state)
 {
