Failing test: a request's target with escapes reaches servers as another one

Callers whose path bears an escape (%2F, %20, %0D%0A) have it sent to a server in decoded form, or are answered 400 where a segment is "..". The server that callers are answered by is now made in one place, without any change of what it does; the test sends 18 targets to it.

--- a/admin.c
+++ b/admin.c
@@ -28,6 +28,13 @@
                                     strlen (body));
 }
 
+/* A server for callers; it listens nowhere yet. */
+SoupServer *
+cc_http_server_new (void)
+{
+  return soup_server_new (NULL, NULL);
+}
+
 /* The path of M's request with its query, as the caller sent it.  The caller
  * frees it. */
 char *
--- a/admin.h
+++ b/admin.h
@@ -9,6 +9,7 @@
 
 SoupServer *cc_admin_listen (const char *address, CcAdminReady ready,
                              gpointer data, char **message);
+SoupServer *cc_http_server_new (void);
 char *cc_http_target (SoupServerMessage *m);
 gboolean cc_http_listen (SoupServer *server, const char *address,
                          char **message);
--- a/callers.c
+++ b/callers.c
@@ -398,7 +398,7 @@
 gboolean
 cc_callers_listen (CcCallers *c, const char *address, char **message)
 {
-  c->server = soup_server_new (NULL, NULL);
+  c->server = cc_http_server_new ();
   soup_server_add_early_handler (c->server, NULL, on_headers, c, NULL);
   soup_server_add_handler (c->server, NULL, on_request, c, NULL);
   return cc_http_listen (c->server, address, message);
--- a/entry.c
+++ b/entry.c
@@ -385,7 +385,8 @@
 {
   g_autofree char *message = NULL;
 
-  e->callers = soup_server_new ("server-header", "capercrank", NULL);
+  e->callers = cc_http_server_new ();
+  g_object_set (e->callers, "server-header", "capercrank", NULL);
   soup_server_add_early_handler (e->callers, NULL, on_headers, e, NULL);
   soup_server_add_handler (e->callers, NULL, on_request, e, NULL);
   e->mailbox = cc_mailbox_new (cc_setting (settings, "listen"),
--- /dev/null
+++ b/test/test_target.c
@@ -0,0 +1,105 @@
+/* What callers wrote as the target of a request goes on to servers byte by
+ * byte.  A decoded path is another one, and line ends in it would end the
+ * request's head. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "admin.h"
+#include "capercrank.h"
+#include "clock.h"
+#include "http_link.h"
+
+typedef struct
+{
+  const char *sent;
+  const char *seen; /* NULL: as sent */
+} Case;
+
+static const Case cases[] = {
+  { "/a/b", NULL },       { "/", NULL },
+  { "/a%2Fb", NULL },     { "/a%20b", NULL },
+  { "/a%3Fb", NULL },     { "/a%0D%0AX-Shard-Key:%201%0D%0A", NULL },
+  { "/a%25b", NULL },     { "/%7Ea/%61", NULL },
+  { "/%c3%a9", NULL },    { "/a//b", NULL },
+  { "//a/b", NULL },      { "/a/../b", NULL },
+  { "/a/./b/..", NULL },  { "/a;v=1,@:$!'()*+", NULL },
+  { "/a?", NULL },        { "/a?q=/b/?&x=%2F%0A", NULL },
+  { "/a%2Fb?%41", NULL }, { "http://other.example:80/a%2Fb?q", "/a%2Fb?q" },
+};
+
+static GMainLoop *loop;
+
+static void
+on_request (SoupServer *server, SoupServerMessage *m, const char *path,
+            GHashTable *query, gpointer data)
+{
+  g_autofree char *target = cc_http_target (m);
+
+  (void) server, (void) path, (void) query, (void) data;
+  cc_http_answer (m, 200, "text/plain", target);
+}
+
+static void
+on_answer (const CcHttpResult *r, gpointer data)
+{
+  char **body = data;
+
+  if (r->end == CC_HTTP_ANSWERED)
+    *body = g_strndup (g_bytes_get_data (r->body, NULL),
+                       g_bytes_get_size (r->body));
+  g_main_loop_quit (loop);
+}
+
+static void
+a_target_is_not_changed (void **state)
+{
+  g_autofree char *at =
+      g_strdup_printf ("127.78.0.1:%u", 20000 + (guint) getpid () % 20000);
+  g_autoptr (SoupServer) server = cc_http_server_new ();
+  CcHttp *http = cc_http_new ("127.78.0.2");
+  char *message = NULL;
+  guint changed = 0;
+
+  (void) state;
+  loop = g_main_loop_new (NULL, FALSE);
+  soup_server_add_handler (server, NULL, on_request, NULL, NULL);
+  assert_true (cc_http_listen (server, at, &message));
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      g_autofree char *head =
+          g_strdup_printf ("GET %s HTTP/1.1\r\nHost: a.example\r\n", c->sent);
+      g_autofree char *seen = NULL;
+      CcHttpOrder o = { .address = at,
+                        .head = head,
+                        .connect_within = CC_SECOND,
+                        .answer_within = CC_SECOND };
+
+      assert_non_null (cc_http_send (http, &o, on_answer, &seen));
+      g_main_loop_run (loop);
+      if (g_strcmp0 (seen, c->seen != NULL ? c->seen : c->sent) != 0)
+        {
+          print_error ("%s was seen as %s\n", c->sent, seen);
+          changed++;
+        }
+    }
+  assert_int_equal (changed, 0);
+  g_main_loop_unref (loop);
+  cc_http_free (http);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_target_is_not_changed),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
