--- a/test/test_request_stats.c
+++ b/test/test_request_stats.c
@@ -69,12 +69,43 @@
       text, "capercrank_sent_to_leaving_seconds_count{class=\"pay\"} 1\n"));
 }
 
+typedef struct
+{
+  double value;
+  const char *line;
+} Gauge;
+
+static const Gauge gauges[] = {
+  { 0, "g{} 0\n" },
+  { 0.25, "g{} 0.25\n" },
+  { 12710000, "g{} 12710000\n" },
+  { 12710999, "g{} 12710999\n" },
+  { 4294967295.0, "g{} 4294967295\n" },
+};
+
+/* A version has up to 32 bits; printed with six digits it is another one. */
+static void
+a_gauge_keeps_its_digits (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (gauges); i++)
+    {
+      g_autofree char *text = NULL;
+
+      cc_metrics_gauge ("g", "", gauges[i].value);
+      text = cc_metrics_text ();
+      if (strstr (text, gauges[i].line) == NULL)
+        fail_msg ("no %s in %s", gauges[i].line, strstr (text, "g{}"));
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (each_end_is_counted_with_its_cause),
     cmocka_unit_test (times_are_of_those_that_have_them),
+    cmocka_unit_test (a_gauge_keeps_its_digits),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
