Gauges are printed with all digits of their values

Operators saw: the version of the configuration in force, which has up to 32 bits, rounded to six decimal digits, so that it could not be compared with the one written.

Change: 15 digits, which hold 49 bits.

--- a/metrics.c
+++ b/metrics.c
@@ -184,7 +184,7 @@
                               s->labels, s->u.counter);
       break;
     case SERIES_GAUGE:
-      g_string_append_printf (out, "%s{%s} %g\n", s->name, s->labels,
+      g_string_append_printf (out, "%s{%s} %.15g\n", s->name, s->labels,
                               s->u.gauge);
       break;
     case SERIES_HISTOGRAM:
