The soak draws configurations, and judges each request by those in force

Before, its configurations had one host and grew by one route at a time. Now, by the seed: three hosts, nested and overlapping prefixes, routes that are added, removed and back under another pool, split by weight, with other limits; blocks of 1,200 routes; rows that can't be read or are older, for under a second; several changes within half a second, during all faults and eight seconds after them.

Callers write Host in any case, with and without a port, in absolute form; paths with queries, escapes and repeated slashes. Checked from outside: where a request runs, its target, refusals, the end by its route's timeout, all against the versions that may be in force at that gateway; the version that each gateway's metrics tell, which never goes back in a run and is due 2 s after its writing at who has been in touch for 3 s, also right after a start or a heal. The report names version, age and the slowest version of each gateway.

The check that a run goes on serving a route that it served is replaced by a stricter one: whatever a request shows of the versions in force bounds all later ones of that run, for all routes and for where they lead.

--- a/test/soak.c
+++ b/test/soak.c
@@ -36,6 +36,8 @@
  * that a lost holder of keys is waited for, and a start. */
 #define RECOVERY_MS 16000
 #define MEASURED_MS 3000
+/* Configurations go on changing while what was harmed recovers. */
+#define CHANGES_AFTER_MS 8000
 #define SERVED_LEAST 0.95
 /* The operators' bound on repeats. */
 #define RETRY_RATIO "0.2"
@@ -89,7 +91,7 @@
 typedef struct
 {
   FaultKind kind;
-  guint at, span; /* ms */
+  guint span; /* ms */
   guint gateway, server;
   guint draw;
   char *a, *b; /* of a rule of the relay */
@@ -105,8 +107,8 @@
   GSubprocess *relay;
   Gateway gateways[GATEWAYS];
   SoakServer *servers[SERVERS];
-  SoakCallers callers;
-  guint version;
+  char **fronts; /* where callers find the gateways */
+  char **admin;  /* where their metrics are */
   gboolean ending;
   GMainLoop *loop;
 } soak;
@@ -215,7 +217,6 @@
         "%s ended by itself: exit %d, signal %d", g->name,
         g_subprocess_get_if_exited (p) ? g_subprocess_get_exit_status (p) : -1,
         g_subprocess_get_if_signaled (p) ? g_subprocess_get_term_sig (p) : 0);
-  soak_callers_forget (g->front);
   g_clear_object (&g->process);
   g_timeout_add ((guint) g_random_int_range (50, 1000), on_restart, g);
 }
@@ -244,6 +245,7 @@
   g->process = gateway_spawn (&place, more);
   g->signalled = 0;
   g->paused = FALSE;
+  soak_watch_started (g->index - 1);
   g_subprocess_wait_async (g->process, NULL, on_ended, g);
 }
 
@@ -279,46 +281,46 @@
   return G_SOURCE_REMOVE;
 }
 
-/* ---- configuration ---- */
+/* ---- faults ---- */
 
+/* The harm that F does to what gateways need for their configuration begins or
+ * ends. */
 static void
-configure (void)
+disturb (const Fault *f, gboolean begins)
 {
-  g_autoptr (GString) s = g_string_new (NULL);
-  static const struct
-  {
-    const char *name, *kind, *service;
-  } routes[] = { { "look", "safe", "keys" },
-                 { "book", "unsafe", "free" },
-                 { "change", "unsafe", "keys" },
-                 { "list", "safe", "free" } };
-
-  soak.version += (guint) g_random_int_range (1, 4);
-  g_string_append_printf (s,
-                          "{\"version\":\"%08x\",\"services\":{\"keys\":"
-                          "{\"sharding\":true,\"maxConns\":130},\"free\":"
-                          "{\"maxConns\":130}},\"limits\":{},\"routes\":{",
-                          soak.version);
-  for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
-    g_string_append_printf (
-        s,
-        "\"%s\":{\"host\":\"a.example\",\"prefix\":\"/%s/\",\"kind\":\"%s\","
-        "\"service\":\"%s\",\"timeoutMs\":1200,\"targetLatencyMs\":400,"
-        "\"maxAttempts\":3,\"priority\":%u},",
-        routes[i].name, routes[i].name, routes[i].kind, routes[i].service, i);
-  for (guint i = 0; i <= soak.callers.routes; i++)
-    g_string_append_printf (
-        s,
-        "%s\"r%u\":{\"host\":\"a.example\",\"prefix\":\"/r%u/\",\"kind\":"
-        "\"safe\",\"service\":\"free\",\"timeoutMs\":1200,"
-        "\"targetLatencyMs\":400,\"maxAttempts\":2,\"priority\":3}",
-        i == 0 ? "" : ",", i, i);
-  g_string_append (s, "}}");
-  soak_table_put ("op", "config", s->str);
-  soak.callers.routes++;
-}
+  gboolean link = g_str_equal (f->a, "table") || g_str_equal (f->b, "table");
+  gboolean all =
+      g_str_equal (f->a, "gateways") || g_str_equal (f->b, "gateways");
+  guint whom = all ? SOAK_TABLE_LINK : f->gateway;
 
-/* ---- faults ---- */
+  switch (f->kind)
+    {
+    case FAULT_TABLE:
+      soak_watch_disturb (SOAK_TABLE_LINK, begins);
+      break;
+    case FAULT_PAUSE:
+      soak_watch_disturb (f->gateway, begins);
+      break;
+    case FAULT_CUT_TABLE:
+    case FAULT_ONE_WAY:
+    case FAULT_DELAY:
+      if (link)
+        soak_watch_disturb (whom, begins);
+      break;
+    case FAULT_KILL:
+    case FAULT_STOP:
+      if (begins)
+        soak_watch_shake (f->gateway);
+      break;
+    case FAULT_SILENCE:
+    case FAULT_RESET:
+      if (link && begins)
+        soak_watch_shake (whom);
+      break;
+    default:
+      break;
+    }
+}
 
 static void
 begin_rule (Fault *f, const char *verb, const char *more)
@@ -333,6 +335,7 @@
   Gateway *g = &soak.gateways[f->gateway];
   SoakServer *s = soak.servers[f->server];
 
+  disturb (f, FALSE);
   switch (f->kind)
     {
     case FAULT_PAUSE:
@@ -433,7 +436,7 @@
       soak_server_mode (s, SOAK_SERVER_LATE_GRANTS);
       break;
     case FAULT_CONFIGURE:
-      configure ();
+      soak_config_change ();
       break;
     case FAULT_BURST:
       soak_callers_burst (4);
@@ -451,6 +454,7 @@
   soak_audit_log ("%s: gw%u, s%u, %s-%s, %u ms, draw %u", fault_names[f->kind],
                   f->gateway + 1, f->server + 1, f->a, f->b, f->span,
                   f->draw % 4);
+  disturb (f, TRUE);
   begin_fault (f);
   g_timeout_add (f->span, on_fault_over, f);
   return G_SOURCE_REMOVE;
@@ -505,7 +509,6 @@
       Fault *f = g_new0 (Fault, 1);
 
       f->kind = (FaultKind) g_rand_int_range (r, 0, FAULTS);
-      f->at = at;
       f->span = (guint) g_rand_int_range (r, 200, 4000);
       f->gateway = (guint) g_rand_int_range (r, 0, GATEWAYS);
       f->server = (guint) g_rand_int_range (r, 0, SERVERS);
@@ -518,6 +521,28 @@
   return over;
 }
 
+static gboolean
+on_change (gpointer unused)
+{
+  (void) unused;
+  soak_config_change ();
+  return G_SOURCE_REMOVE;
+}
+
+/* Configurations change for FOR_MS: some in quick succession, some after all
+ * could take the one before. */
+static void
+plan_changes (guint seed, guint for_ms)
+{
+  GRand *r = g_rand_new_with_seed (~seed);
+
+  for (guint at = 0; at < for_ms;
+       at += (guint) (g_rand_boolean (r) ? g_rand_int_range (r, 50, 600)
+                                         : g_rand_int_range (r, 1500, 5000)))
+    g_timeout_add (at, on_change, NULL);
+  g_rand_free (r);
+}
+
 /* ---- the run ---- */
 
 static gboolean
@@ -535,7 +560,7 @@
 }
 
 static void
-build (void)
+build (guint seed)
 {
   g_autofree char *table = table_address ();
 
@@ -545,13 +570,16 @@
       g_autofree char *real = address (3, i + 1, 7200);
       g_autofree char *front = address (4, i + 1, 7200);
 
-      soak.servers[i] =
-          soak_server_new (i < KEYED ? "keys" : "free", i < KEYED,
-                           i % 2 == 0 ? "a" : "b", real, front, i + 1);
+      soak.servers[i] = soak_server_new (i < KEYED       ? "keys"
+                                         : i < KEYED + 2 ? "free"
+                                                         : "more",
+                                         i < KEYED, i % 2 == 0 ? "a" : "b",
+                                         real, front, i + 1);
       soak_server_start (soak.servers[i], FALSE);
     }
-  configure ();
-  soak.callers.gateways = g_new0 (char *, GATEWAYS + 1);
+  soak_config_begin (seed);
+  soak.fronts = g_new0 (char *, GATEWAYS + 1);
+  soak.admin = g_new0 (char *, GATEWAYS + 1);
   for (guint i = 0; i < GATEWAYS; i++)
     {
       Gateway *g = &soak.gateways[i];
@@ -559,7 +587,8 @@
       g->index = i + 1;
       g->name = g_strdup_printf ("gw%u", i + 1);
       g->front = address (5, i + 1, 7100);
-      soak.callers.gateways[i] = g->front;
+      soak.fronts[i] = g->front;
+      soak.admin[i] = address (1, i + 1, GATEWAY_ADMIN);
       start_gateway (g);
     }
 }
@@ -571,7 +600,6 @@
   guint asked, served;
 
   turn (RECOVERY_MS);
-  soak_callers_strict ();
   soak_audit_served (&asked, &served);
   turn (MEASURED_MS);
   soak_audit_served (&asked, &served);
@@ -589,6 +617,7 @@
   if (soak_callers_waiting () > 0)
     soak_audit_fail ("%u requests never ended", soak_callers_waiting ());
   soak.ending = TRUE;
+  soak_watch_stop ();
   for (guint i = 0; i < GATEWAYS; i++)
     signal_gateway (&soak.gateways[i], SIGTERM);
   turn (STOP_GRACE_MS + 500);
@@ -629,13 +658,15 @@
   g_random_set_seed (seed);
   callers = g_strdup_printf ("127.%u.9.1", soak.net);
   soak_audit_log ("seed %u, logs in %s", seed, soak.folder);
-  build ();
+  build (seed);
   start_relay ();
   turn (4000);
-  soak_callers_start (&soak.callers, callers, PER_SECOND);
+  soak_watch_begin (callers, soak.admin);
+  soak_callers_start (soak.fronts, callers, PER_SECOND);
   turn (2000);
   over = plan_faults (seed, 0,
                       (guint) cc_setting_number (settings, "seconds") * 1000);
+  plan_changes (seed, over + CHANGES_AFTER_MS);
   turn (over + 200);
   relay ("heal", "", "", "");
   check_recovery ();
@@ -643,6 +674,8 @@
   soak_audit_budget (g_ascii_strtod (RETRY_RATIO, NULL),
                      g_ascii_strtod (RETRY_SLACK, NULL),
                      g_ascii_strtoll (RETRY_WINDOW, NULL, 10) * CC_SECOND);
+  soak_watch_report ();
+  soak_probe_summary ();
   soak_audit_summary ();
   return soak_audit_faults () == 0 ? 0 : 1;
 }
--- a/test/soak.h
+++ b/test/soak.h
@@ -64,19 +64,57 @@
 void soak_server_mode (SoakServer *s, SoakServerMode mode);
 gboolean soak_server_is_up (const SoakServer *s);
 
-/* ---- callers (soak_caller.c) ---- */
+/* ---- the operators (soak_config.c) ---- */
 
+/* What some versions allow for one request. */
 typedef struct
 {
-  char **gateways; /* addresses */
-  guint routes;    /* /rN/ are in the newest configuration, N below it */
-} SoakCallers;
+  gboolean always; /* each of them has a route for it */
+  guint pools;     /* that one of them allows, bit by bit */
+  guint timeout;   /* the longest, ms */
+} SoakAllowed;
+
+void soak_config_begin (guint seed);
+void soak_config_change (void);
+guint soak_config_count (void);
+guint soak_config_version (guint i);
+gint64 soak_config_written (guint i);
+gboolean soak_config_is_proper (guint i);
+guint soak_config_find (guint version);
+void soak_config_ask (guint low, const char *host, const char *path,
+                      SoakAllowed *out);
+gboolean soak_config_allows (const SoakAllowed *a, const char *pool);
+guint soak_config_first (guint low, const char *host, const char *path,
+                         const char *pool);
+void soak_config_place (const char **host, char **path);
+
+/* ---- which configuration each gateway must have (soak_watch.c) ---- */
+
+#define SOAK_TABLE_LINK G_MAXUINT /* in place of a gateway: of all of them */
+
+void soak_watch_begin (const char *ip, char **admin);
+void soak_watch_started (guint gateway);
+void soak_watch_disturb (guint gateway, gboolean begins);
+void soak_watch_shake (guint gateway);
+void soak_watch_seen (guint gateway, guint run, guint entry);
+guint soak_watch_run (guint gateway);
+guint soak_watch_low (guint gateway);
+gboolean soak_watch_calm_since (guint gateway, gint64 at);
+void soak_watch_stop (void);
+void soak_watch_report (void);
+
+/* ---- what becomes of a request (soak_probe.c) ---- */
+
+void soak_probe_sent (guint gateway, const char *id, const char *host,
+                      const char *target);
+void soak_probe_ran (const char *id, const char *pool, const char *target);
+void soak_probe_answered (const char *id, guint status);
+void soak_probe_summary (void);
+
+/* ---- callers (soak_caller.c) ---- */
 
-void soak_callers_start (SoakCallers *c, const char *ip, guint per_second);
+void soak_callers_start (char **gateways, const char *ip, guint per_second);
 void soak_callers_burst (guint factor);
-void soak_callers_forget (const char *address);
-/* From now on each gateway must serve all routes. */
-void soak_callers_strict (void);
 void soak_callers_stop (void);
 guint soak_callers_waiting (void);
 
--- a/test/soak_audit.c
+++ b/test/soak_audit.c
@@ -13,7 +13,8 @@
 {
   gboolean once; /* may run at most once */
   guint runs;
-  guint status; /* that the caller saw; 0: no answer */
+  guint status;   /* that the caller saw; 0: no answer */
+  gboolean usual; /* counts for the share that is served */
 } Asked;
 
 /* Who holds a key by the servers' own words. */
@@ -103,7 +104,10 @@
 void
 soak_audit_asked (const char *id, gboolean once)
 {
-  find_asked (id)->once = once;
+  Asked *a = find_asked (id);
+
+  a->once = once;
+  a->usual = TRUE;
   lately_asked++;
 }
 
@@ -162,7 +166,7 @@
     soak_audit_fail ("request %s ran and was told %u", id, status);
   if (status == 200)
     {
-      lately_served++;
+      lately_served += a->usual;
       if (!g_str_equal (body, expected) || a->runs == 0)
         soak_audit_fail ("request %s got another answer: %.40s", id, body);
     }
--- a/test/soak_server.c
+++ b/test/soak_server.c
@@ -218,7 +218,10 @@
 {
   guint work = (guint) g_random_int_range (WORK_LEAST_MS, WORK_MOST_MS);
 
+  g_autofree char *target = cc_http_target (j->message);
+
   soak_audit_started (j->id, s->pool, s->life);
+  soak_probe_ran (j->id, s->pool, target);
   if (s->mode == SOAK_SERVER_SLOW)
     work *= SLOW_FACTOR;
   j->source = g_timeout_add (work, on_work_done, j);
@@ -421,7 +424,7 @@
   s->draining = FALSE;
   memset (s->until, 0, sizeof s->until);
   memset (s->fence, 0, sizeof s->fence);
-  s->http = soup_server_new (NULL, NULL);
+  s->http = cc_http_server_new ();
   soup_server_add_handler (s->http, NULL, on_call, s, NULL);
   if (!cc_http_listen (s->http, s->real, &message))
     g_error ("soak: %s", message);
