--- a/callers.c
+++ b/callers.c
@@ -333,20 +333,26 @@
  * process ends.  Broken off then, nobody would know whether it ran; told now,
  * its caller is answered by another instance.
  *
- * While the balancer may still send callers here there is time for most; what a
- * request may take is known without the time for which it waits, so from then
- * on, when only callers with kept connections come, none is taken. */
+ * While the balancer may still send callers here there is time for most. */
 static gboolean
 comes_too_late (const CcCallers *c, const CcRoute *route, const char *pool,
                 const CcCallerInfo *info)
 {
-  gint64 now = cc_clock_now ();
   gint64 need =
       MIN (route->timeout, cc_forwarder_longest (c->forwarder, pool, route));
 
   if (info->left >= 0)
     need = MIN (need, info->left);
-  return c->stop_at != 0 && (now >= c->quiet_at || now + need > c->stop_at);
+  return c->stop_at != 0 && cc_clock_now () + need > c->stop_at;
+}
+
+/* Whether the process is so near its end that no request is taken.  What one
+ * may take is known without the time for which it waits, so when only callers
+ * with kept connections come, none is. */
+gboolean
+cc_callers_are_turned_away (const CcCallers *c)
+{
+  return c->stop_at != 0 && cc_clock_now () >= c->quiet_at;
 }
 
 static void
@@ -367,7 +373,9 @@
   if (c->routes != NULL && host != NULL)
     route = cc_routes_find (c->routes, host,
                             g_uri_get_path (soup_server_message_get_uri (m)));
-  if (c->routes == NULL)
+  if (cc_callers_are_turned_away (c))
+    refuse (c, m, &stopping, &info, route);
+  else if (c->routes == NULL)
     refuse (c, m, &no_configuration, &info, NULL);
   else if (route == NULL)
     refuse (c, m, &no_route, &info, NULL);
