soak: a request's end is not timed by callers whose link is harmed

Cause: callers that were cut off from a gateway, whose connections were silenced or whose answers were delayed timed its answers; the check left out harm to the gateway and to its link to the store only. Trouble of the link to callers is counted now, after silence for as long as a silent connection may be used again. The check is as strict as before for everybody else.

--- a/test/soak.h
+++ b/test/soak.h
@@ -90,11 +90,12 @@
 
 /* ---- which configuration each gateway must have (soak_watch.c) ---- */
 
-#define SOAK_TABLE_LINK G_MAXUINT /* in place of a gateway: of all of them */
+#define SOAK_ALL G_MAXUINT /* in place of a gateway */
 
 void soak_watch_begin (const char *ip, char **admin);
 void soak_watch_started (guint gateway);
 void soak_watch_disturb (guint gateway, gboolean begins);
+void soak_watch_disturb_callers (guint gateway, gboolean begins);
 void soak_watch_shake (guint gateway);
 void soak_watch_seen (guint gateway, guint run, guint entry);
 guint soak_watch_run (guint gateway);
