--- a/admin.c
+++ b/admin.c
@@ -29,7 +29,7 @@
 }
 
 /* A server for callers; it listens nowhere yet.  The library would decode
- * paths, and refuse those with "..". */
+ * paths, and refuse those in which that makes a segment "..". */
 SoupServer *
 cc_http_server_new (void)
 {
--- a/test/test_target.c
+++ b/test/test_target.c
@@ -25,6 +25,7 @@
   { "/a/b", NULL },
   { "/", NULL },
   { "/a%2Fb", NULL },
+  { "/a%2F..%2Fb", NULL },
   { "/a%20b", NULL },
   { "/a%3Fb", NULL },
   { "/a%0D%0AX-Shard-Key:%201%0D%0A", NULL },
