--- a/test/soak_server.c
+++ b/test/soak_server.c
@@ -191,6 +191,28 @@
     }
 }
 
+/* The answer to J, which has run, as the server's mode spoils it.  FALSE: it
+ * does not. */
+static gboolean
+spoil (Job *j)
+{
+  SoakServer *s = j->server;
+
+  if ((s->mode != SOAK_SERVER_BREAKS && s->mode != SOAK_SERVER_SPOILS) ||
+      g_random_boolean ())
+    return FALSE;
+  if (s->mode == SOAK_SERVER_BREAKS)
+    {
+      cut_off (j->message);
+      return TRUE;
+    }
+  answer (s, j->message, 200, "done another");
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (j->message), "X-Request-Id",
+      "another");
+  return TRUE;
+}
+
 static gboolean
 on_work_done (gpointer data)
 {
@@ -199,7 +221,8 @@
   g_autofree char *body = g_strconcat ("done ", j->id, NULL);
   gboolean lapsed = s->keyed && s->until[j->key] <= cc_clock_now ();
 
-  answer (s, j->message, lapsed ? 500 : 200, lapsed ? "" : body);
+  if (!spoil (j))
+    answer (s, j->message, lapsed ? 500 : 200, lapsed ? "" : body);
   soup_server_message_unpause (j->message);
   job_free (j);
   end_releases (s);
