--- a/test/mirror_world.c
+++ b/test/mirror_world.c
@@ -146,12 +146,20 @@
   return !q->by->cut[peer] && !is_frozen (q->peer) && q->peer != q->by;
 }
 
+/* Whether Q watches from a version on whose successors are forgotten. */
+static gboolean
+is_forgotten (const Question *q)
+{
+  return q->kind == WATCH && q->after < world.forgotten;
+}
+
 static gboolean
 has_news (const Question *q)
 {
   if (q->kind == ASK)
     return cc_mirror_has_news (q->peer->mirror, q->since);
-  return q->kind == WATCH && world.tables[q->name].upto > q->after;
+  return is_forgotten (q) ||
+         (q->kind == WATCH && world.tables[q->name].upto > q->after);
 }
 
 /* The rows that Q reads.  A page holds PAGE of them, and each further one costs
@@ -163,7 +171,8 @@
       g_variant_ref_sink (cc_view_since (&world.tables[q->name], 0));
   GVariantBuilder b;
   GVariantIter i;
-  const char *key;
+  const char *key, *value;
+  guint64 version;
   guint rows = 0;
 
   g_variant_builder_init (&b, G_VARIANT_TYPE ("a(sts)"));
@@ -171,8 +180,9 @@
   for (GVariant *row; (row = g_variant_iter_next_value (&i)) != NULL;
        g_variant_unref (row))
     {
-      g_variant_get_child (row, 0, "&s", &key);
-      if (q->to != NULL && strcmp (key, q->to) >= 0)
+      g_variant_get (row, "(&st&s)", &key, &version, &value);
+      if ((q->to != NULL && strcmp (key, q->to) >= 0) ||
+          (world.answers == FORGETS && value[0] == '\0'))
         continue;
       rows++;
       g_variant_builder_add_value (&b, row);
@@ -187,9 +197,15 @@
 give_rows (Question *q, CcStatus status, gint64 now)
 {
   const CcView *v = &world.tables[q->name];
+  guint64 after = q->after;
 
+  if (status == CC_OK && is_forgotten (q))
+    {
+      status = CC_GONE;
+      after = world.newest;
+    }
   q->told = g_variant_ref_sink (q->kind == READ ? read_rows (q)
-                                                : cc_view_since (v, q->after));
+                                                : cc_view_since (v, after));
   q->status = status;
   q->upto = world.newest;
   q->arrives = world.answers == ALL_LATE && now < q->by->late_until
@@ -482,7 +498,8 @@
         n->cut[i] = g_rand_boolean (world.rand);
       n->cut_until = now + span (6);
     }
-  if (world.answers != IN_TIME && chance (LATE_A_SECOND))
+  if ((world.answers == PEERS_LATE || world.answers == ALL_LATE) &&
+      chance (LATE_A_SECOND))
     {
       n->late_by = span (LATE_MOST);
       n->late_until = now + span (4);
@@ -633,6 +650,7 @@
   g_random_set_seed (seed);
   world.questions = g_ptr_array_new ();
   world.newest = world.config = world.granter = 0;
+  world.forgotten = 0;
   world.relayed = seed % 2 == 0;
   world.answers = answers;
   world.renewed = world.service_calm = 0;
@@ -742,6 +760,8 @@
         change_upstream (now);
       if (chance (0.02))
         fail_service (now);
+      if (world.answers == FORGETS && chance (FORGETS_A_SECOND))
+        world.forgotten = world.newest;
       for (guint k = 0; k < world.count; k++)
         fail_node (&world.nodes[k], now);
       step_lease (now);
--- a/test/mirror_world.h
+++ b/test/mirror_world.h
@@ -40,6 +40,8 @@
  * which are sent again, or its processor is short. */
 #define LATE_A_SECOND 0.1
 #define LATE_MOST 1.0
+/* How often the service forgets its history, in some worlds. */
+#define FORGETS_A_SECOND 0.5
 #define LARGE 50 /* processes of such a fleet */
 /* One that the service turns away hears of it from its peers. */
 #define APPLIED_BY_PEERS (7 * CC_SECOND)
@@ -75,12 +77,13 @@
   gint64 targets_due; /* missing ones are looked at again, us; 0: none */
 } Node;
 
-/* Whose answers are late now and then. */
+/* Whose answers are late now and then, or what else is wrong with them. */
 typedef enum
 {
   IN_TIME,
   PEERS_LATE,
-  ALL_LATE
+  ALL_LATE,
+  FORGETS /* in time; the service forgets its history now and then */
 } Answers;
 
 typedef enum
@@ -123,6 +126,7 @@
   GPtrArray *questions; /* of Question */
   CcView tables[CC_TABLE_FOLLOWED];
   guint64 newest;
+  guint64 forgotten;      /* changes up to this one aren't known any more */
   guint config;           /* counts the changes */
   gint64 changed[STEPS];  /* when each configuration was written, us */
   gint64 left[UPSTREAMS]; /* when each said that it leaves, us; 0: it has not */
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -73,6 +73,16 @@
   play_worlds (ALL_LATE);
 }
 
+/* The caller sees a request sent to an upstream that has ended.  The service
+ * forgot its history, with the deletion of that upstream's row in it; who reads
+ * the table whole must find the row missing. */
+static void
+a_forgotten_history_hides_no_deletion (void **state)
+{
+  (void) state;
+  play_worlds (FORGETS);
+}
+
 /* Worlds beyond the first, in which a node was found to send too late. */
 static const struct
 {
@@ -490,6 +500,7 @@
     cmocka_unit_test (a_copy_is_new_and_never_goes_back),
     cmocka_unit_test (an_answer_that_was_late_is_no_younger_for_it),
     cmocka_unit_test (a_late_answer_of_the_service_is_no_younger_for_it),
+    cmocka_unit_test (a_forgotten_history_hides_no_deletion),
     cmocka_unit_test (worlds_that_once_failed),
     cmocka_unit_test (a_world_with_one_turned_away_and_late_answers),
     cmocka_unit_test (outages_of_one_that_is_cut_off_are_its_own),
