An entry whose question met a forgotten history reads the table whole

Callers would see: requests routed by an old configuration, or sent to upstreams that have ended, for as long as the copies of the followed are old, after the service has dropped its history (a granter that hears nothing from the service, and a compaction).

Cause: who finds the followed copy old asks the service for all tables once. The answer "history forgotten" set the version back to 0 and went on with watch(), which follows a peer where there is one; that peer is the one whose copy is old, so nothing was read, and the next question came 0.8 s later at the earliest, to meet the same answer.

Ruled out: the relayed copies (all ages over 1.1 s there); calls given up late.

Change: after "history forgotten" the table is read from the service at once.

--- a/mirror.c
+++ b/mirror.c
@@ -328,7 +328,10 @@
       cc_event (CC_EVENT_STATE, "history-forgotten", "table",
                 table_names[t->name], "version",
                 cc_event_int ((gint64) t->view.upto), NULL);
+      /* Whoever is followed may lack what this question was about. */
       t->view.upto = 0;
+      cc_mirror_ask_service (t);
+      return;
     }
   else if (status != CC_OK)
     {
