A model of a burst before 3, 12 and 80 entries

What callers see: on the large fleet a burst of 2.6 times fails a third of what is asked in its worst seconds; on a small one of the same pools 5 in 100.

The model drives pick, choose, backlog, work_times and retry_budget. The pool grows with the fleet; its upstreams have two slots, a queue of eight, three speeds, and reset what they have no room for. A new connection waits for a slot, and its request is queued only then.

--- /dev/null
+++ b/test/test_overload.c
@@ -0,0 +1,623 @@
+/* A burst of more than a pool can serve, before few and before many entries.
+ * Each entry sees its own requests and the words of its own answers only, so
+ * the more there are, the less and the later each knows of one upstream.
+ *
+ * The pool grows with the fleet.  Its upstreams differ in speed, hold a bounded
+ * queue that nobody tells, and reset what they have no room for.  A connection
+ * that is opened to one waits for a slot there like a request, and the request
+ * on it is queued only then.  A refused caller comes back once, when it was
+ * told to; one that was failed comes back at once if its work may be repeated.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <math.h>
+
+#include <cmocka.h>
+
+#include "backlog.h"
+#include "choose.h"
+#include "retry_budget.h"
+#include "work_times.h"
+
+#define SEEDS 5
+#define TICK (5 * CC_MS)
+#define SLOTS 2
+#define QUEUE 8
+#define WORK (220.0 * CC_MS)     /* in the mean, at an upstream of speed 1 */
+#define SPREAD 0.7               /* of its logarithm */
+#define GREETING (1 * CC_MS)     /* in a slot, of a new connection */
+#define IDLE_MAX (8 * CC_SECOND) /* a connection is kept for so long */
+#define TARGET (700 * CC_MS)     /* an answer is in time until then */
+#define TIMEOUT (1500 * CC_MS)   /* an entry waits no longer */
+#define DEADLINE (3000 * CC_MS)  /* of the caller */
+#define CALM 0.65                /* of the capacity is asked for */
+#define BURST_FROM (5 * CC_SECOND)
+#define BURST_TO (11 * CC_SECOND)
+#define END (15 * CC_SECOND)
+#define KIND "read"
+
+static const double speeds[] = { 0.6, 1.0, 1.4 };
+
+typedef struct
+{
+  const char *name;
+  guint entries;
+  gboolean keyed; /* each key has one upstream */
+  double burst;   /* times the calm load */
+  /* Of those who ask in the burst: */
+  double in_time; /* ... and of what the capacity allows, at least */
+  double failed;  /* at most */
+} Case;
+
+typedef struct
+{
+  CcBacklogEntry place;
+  gint64 asked;    /* when its caller first asked, us */
+  gint64 due;      /* when it asks (again), us */
+  gint64 sent;     /* us */
+  gint64 ends;     /* in a slot, us; 0: it waits */
+  gint64 limit;    /* nobody waits for it after that, us */
+  gint64 began;    /* at its entry, us */
+  gboolean once;   /* its work may not be repeated */
+  gboolean greets; /* its connection is not taken yet */
+  double share;    /* of its time that is work, by the entry's estimate */
+  guint entry;
+  guint owner; /* the upstream of its key */
+  guint at;    /* the upstream that it is at */
+  guint asks;  /* of its caller */
+  guint tries; /* of its entry */
+} Request;
+
+typedef struct
+{
+  CcTargets targets;
+  CcTarget *seen; /* the upstreams, as this entry sees them */
+  CcWorkTimes times;
+  CcBacklog backlog;
+  CcRetryBudget budget;
+  GQueue *idle; /* times from which connections to each upstream are idle */
+} Entry;
+
+typedef struct
+{
+  guint asked;
+  guint in_time;
+  guint late;
+  guint refused;
+  guint failed;
+} Result;
+
+typedef struct
+{
+  const Case *c;
+  GRand *rand;
+  guint upstreams;
+  Entry *entries;
+  GPtrArray **inside; /* of Request, in order, by upstream */
+  GPtrArray *coming;  /* of Request, that ask later */
+  Result result;
+} World;
+
+static const CcRetryBound bound = { 0.2, 60, 10 * CC_SECOND };
+
+static double
+speed (guint upstream)
+{
+  return speeds[upstream % G_N_ELEMENTS (speeds)];
+}
+
+static double
+normal (GRand *r)
+{
+  return sqrt (-2.0 * log (1.0 - g_rand_double (r))) *
+         cos (2.0 * G_PI * g_rand_double (r));
+}
+
+static gint64
+draw_work (World *w, guint upstream)
+{
+  return (gint64) (WORK / speed (upstream) *
+                   exp (SPREAD * normal (w->rand) - SPREAD * SPREAD / 2.0));
+}
+
+/* Keys are spread by what their owners can serve. */
+static guint
+draw_owner (World *w)
+{
+  for (;;)
+    {
+      guint u = (guint) g_rand_int_range (w->rand, 0, (gint32) w->upstreams);
+
+      if (g_rand_double (w->rand) < speed (u) / speeds[2])
+        return u;
+    }
+}
+
+static CcTypicalWork
+typical_of (const Entry *e)
+{
+  return cc_work_times_of (&e->times, KIND);
+}
+
+static CcChoice
+choice_of (const Entry *e, const GPtrArray *tried)
+{
+  return (CcChoice){ .targets = &e->targets,
+                     .pool = "p",
+                     .zone = "a",
+                     .tried = tried,
+                     .target_time = TARGET,
+                     .typical = typical_of (e) };
+}
+
+static guint
+count (const World *w, guint upstream, gboolean running)
+{
+  const GPtrArray *inside = w->inside[upstream];
+  guint n = 0;
+
+  for (guint i = 0; i < inside->len; i++)
+    {
+      const Request *r = inside->pdata[i];
+
+      n += !r->greets && (r->ends != 0) == running;
+    }
+  return n;
+}
+
+static void
+note_end (World *w, const Request *r, CcPickEnd end, gint64 now)
+{
+  Entry *e = &w->entries[r->entry];
+  CcPickResult result = { .end = end,
+                          .took = now - r->sent,
+                          .work_share = r->share,
+                          .typical = typical_of (e).kind };
+
+  if (end == CC_PICK_ANSWERED)
+    result.report =
+        (CcLoadReport){ TRUE, count (w, r->at, TRUE), count (w, r->at, FALSE) };
+  cc_pick_ended (&e->seen[r->at].load, &result, now);
+  cc_backlog_ended (&e->backlog, now);
+}
+
+static gboolean
+counts (const Request *r)
+{
+  return r->asked >= BURST_FROM && r->asked < BURST_TO;
+}
+
+/* Its caller is done with R. */
+static void
+finish (World *w, Request *r, guint *what)
+{
+  if (counts (r))
+    ++*what;
+  cc_backlog_remove (&w->entries[r->entry].backlog, &r->place);
+  g_free (r);
+}
+
+static void
+come_back (World *w, Request *r, gint64 at)
+{
+  r->due = at;
+  r->tries = 0;
+  g_ptr_array_add (w->coming, r);
+}
+
+static void
+refuse (World *w, Request *r, gint64 wait, gint64 now)
+{
+  gint64 left = r->asked + DEADLINE - now;
+  gint64 after = cc_backlog_retry_after (wait, left, g_rand_double (w->rand));
+
+  cc_backlog_remove (&w->entries[r->entry].backlog, &r->place);
+  if (r->asks > 1 || after > left / 3)
+    finish (w, r, &w->result.refused);
+  else
+    come_back (w, r, now + after);
+}
+
+/* Its upstream has reset R, or did not answer it, and nobody knows whether it
+ * ran. */
+static void
+lose (World *w, Request *r, gint64 now)
+{
+  Entry *e = &w->entries[r->entry];
+
+  if (!r->once && r->tries == 1 && now < r->limit &&
+      cc_retry_budget_take (&e->budget, &bound, w->c->entries, now))
+    {
+      r->due = now;
+      g_ptr_array_add (w->coming, r);
+    }
+  else if (!r->once && r->asks == 1 && now < r->asked + DEADLINE)
+    come_back (w, r, now);
+  else
+    finish (w, r, &w->result.failed);
+}
+
+/* The request R, whose connection stands, asks for a place in its upstream. */
+static gboolean
+take_in (World *w, Request *r, gint64 now)
+{
+  if (count (w, r->at, FALSE) < QUEUE)
+    {
+      r->greets = FALSE;
+      r->ends = 0;
+      g_ptr_array_add (w->inside[r->at], r);
+      return TRUE;
+    }
+  note_end (w, r,
+            (double) (now - r->sent) <
+                    0.25 * typical_of (&w->entries[r->entry]).kind
+                ? CC_PICK_TURNED_AWAY
+                : CC_PICK_FAILED,
+            now);
+  lose (w, r, now);
+  return FALSE;
+}
+
+static gboolean
+take_connection (Entry *e, guint upstream, gint64 now)
+{
+  GQueue *idle = &e->idle[upstream];
+  gint64 *since = g_queue_pop_tail (idle);
+  gboolean fresh = since != NULL && now - *since < IDLE_MAX;
+
+  g_free (since);
+  return fresh;
+}
+
+static void
+keep_connection (Entry *e, guint upstream, gint64 now)
+{
+  gint64 *since = g_new (gint64, 1);
+
+  *since = now;
+  g_queue_push_tail (&e->idle[upstream], since);
+}
+
+static void
+send_to (World *w, Request *r, guint upstream, gint64 now)
+{
+  Entry *e = &w->entries[r->entry];
+  CcTargetLoad *l = &e->seen[upstream].load;
+  CcTypicalWork typical = typical_of (e);
+
+  cc_backlog_remove (&e->backlog, &r->place);
+  r->at = upstream;
+  r->sent = now;
+  r->tries++;
+  r->share =
+      cc_pick_sent (l, &typical,
+                    w->c->keyed ? cc_pick_owner_inside (l, typical.any, now)
+                                : cc_pick_inside (l, now));
+  r->greets = !take_connection (e, upstream, now);
+  r->ends = 0;
+  if (r->greets)
+    g_ptr_array_add (w->inside[upstream], r);
+  else
+    take_in (w, r, now);
+}
+
+/* R waits at its entry for an upstream with room.  Returns FALSE if it still
+ * does. */
+static gboolean
+try_any (World *w, Request *r, gint64 now)
+{
+  Entry *e = &w->entries[r->entry];
+  g_autoptr (GPtrArray) tried = g_ptr_array_new ();
+  CcChoice c;
+  CcChosen chosen;
+
+  if (r->tries > 0)
+    g_ptr_array_add (tried, &e->seen[r->at]);
+  c = choice_of (e, tried);
+  chosen = cc_choose_any (&c, now);
+  if (chosen.target == NULL)
+    return FALSE;
+  send_to (w, r, (guint) (chosen.target - e->seen), now);
+  return TRUE;
+}
+
+static void
+ask_keyed (World *w, Request *r, gint64 now)
+{
+  Entry *e = &w->entries[r->entry];
+  CcChoice c = choice_of (e, NULL);
+  CcTarget *owner = &e->seen[r->owner];
+
+  if (cc_choose_has_room (&c, owner, now))
+    send_to (w, r, r->owner, now);
+  else
+    refuse (w, r, cc_choose_room_at (&c, owner, now) - now, now);
+}
+
+static void
+ask_any (World *w, Request *r, gint64 now)
+{
+  Entry *e = &w->entries[r->entry];
+  gint64 wait = cc_backlog_wait (&e->backlog, 0, now);
+  gboolean admitted =
+      cc_backlog_admits (wait, (gint64) typical_of (e).kind, TARGET, TIMEOUT);
+
+  if (try_any (w, r, now))
+    return;
+  if (!admitted)
+    {
+      refuse (w, r, wait, now);
+      return;
+    }
+  r->place = (CcBacklogEntry){ .due = r->began + TARGET, .item = r };
+  cc_backlog_push (&e->backlog, &r->place);
+}
+
+static void
+ask (World *w, Request *r, gint64 now)
+{
+  if (r->tries == 0)
+    {
+      r->entry = (guint) g_rand_int_range (w->rand, 0, (gint32) w->c->entries);
+      r->asks++;
+      r->began = now;
+      r->limit = MIN (now + TIMEOUT, r->asked + DEADLINE);
+      cc_retry_budget_first (&w->entries[r->entry].budget, &bound);
+    }
+  if (w->c->keyed)
+    ask_keyed (w, r, now);
+  else
+    ask_any (w, r, now);
+}
+
+static void
+end_work (World *w, Request *r, gint64 now)
+{
+  Entry *e = &w->entries[r->entry];
+  gboolean in_time = now - r->asked <= TARGET;
+
+  note_end (w, r, CC_PICK_ANSWERED, now);
+  cc_work_times_add (&e->times, KIND, (double) (now - r->sent) * r->share);
+  keep_connection (e, r->at, now);
+  finish (w, r, in_time ? &w->result.in_time : &w->result.late);
+}
+
+static void
+give_up (World *w, Request *r, gint64 now)
+{
+  note_end (w, r, CC_PICK_GIVEN_UP, now);
+  finish (w, r, &w->result.failed);
+}
+
+static void
+serve (World *w, guint u, gint64 now)
+{
+  GPtrArray *inside = w->inside[u];
+
+  for (guint i = 0; i < inside->len; i++)
+    {
+      Request *r = inside->pdata[i];
+      gboolean done = r->ends != 0 && r->ends <= now;
+
+      if (!done && r->limit > now)
+        continue;
+      g_ptr_array_remove_index (inside, i--);
+      if (!done)
+        give_up (w, r, now);
+      else if (r->greets)
+        take_in (w, r, now);
+      else
+        end_work (w, r, now);
+    }
+  for (guint i = 0, busy = 0; i < inside->len && busy < SLOTS; i++, busy++)
+    {
+      Request *r = inside->pdata[i];
+
+      if (r->ends == 0)
+        r->ends = now + (r->greets ? GREETING : draw_work (w, u));
+    }
+}
+
+static void
+pump (World *w, Entry *e, gint64 now)
+{
+  GSequenceIter *i = g_sequence_get_begin_iter (e->backlog.order);
+
+  while (!g_sequence_iter_is_end (i))
+    {
+      Request *r = ((CcBacklogEntry *) g_sequence_get (i))->item;
+
+      i = g_sequence_iter_next (i);
+      if (now >= r->limit)
+        finish (w, r, &w->result.refused);
+      else if (!try_any (w, r, now))
+        return;
+    }
+}
+
+static void
+arrive (World *w, gint64 now)
+{
+  double rate = CALM * w->upstreams * SLOTS / WORK;
+  double expected;
+
+  if (now >= BURST_FROM && now < BURST_TO)
+    rate *= w->c->burst;
+  for (expected = rate * TICK; expected > 0; expected -= 1.0)
+    if (g_rand_double (w->rand) < expected)
+      {
+        Request *r = g_new0 (Request, 1);
+
+        r->asked = r->due = now;
+        r->owner = draw_owner (w);
+        r->once = g_rand_boolean (w->rand);
+        w->result.asked += counts (r);
+        g_ptr_array_add (w->coming, r);
+      }
+  for (guint i = 0; i < w->coming->len; i++)
+    {
+      Request *r = w->coming->pdata[i];
+
+      if (r->due > now)
+        continue;
+      g_ptr_array_remove_index_fast (w->coming, i--);
+      ask (w, r, now);
+    }
+}
+
+static void
+entry_init (Entry *e, guint upstreams)
+{
+  GPtrArray *all = g_ptr_array_new ();
+
+  e->seen = g_new0 (CcTarget, upstreams);
+  e->idle = g_new0 (GQueue, upstreams);
+  cc_targets_init (&e->targets);
+  cc_backlog_init (&e->backlog);
+  cc_work_times_init (&e->times);
+  cc_work_times_add (&e->times, KIND, WORK);
+  for (guint u = 0; u < upstreams; u++)
+    {
+      e->seen[u] = (CcTarget){ .load.slots = SLOTS, .listing.zone = "a" };
+      g_ptr_array_add (all, &e->seen[u]);
+    }
+  g_hash_table_insert (e->targets.by_pool, g_strdup ("p"), all);
+}
+
+static void
+entry_clear (Entry *e, guint upstreams)
+{
+  for (guint u = 0; u < upstreams; u++)
+    g_queue_clear_full (&e->idle[u], g_free);
+  g_free (e->idle);
+  cc_backlog_clear (&e->backlog);
+  cc_work_times_clear (&e->times);
+  cc_targets_clear (&e->targets);
+  g_free (e->seen);
+}
+
+static void
+world_init (World *w, const Case *c, guint seed)
+{
+  *w = (World){ .c = c,
+                .rand = g_rand_new_with_seed (seed),
+                .upstreams = MAX (c->entries, G_N_ELEMENTS (speeds)) };
+  w->entries = g_new0 (Entry, c->entries);
+  w->inside = g_new0 (GPtrArray *, w->upstreams);
+  w->coming = g_ptr_array_new_with_free_func (NULL);
+  for (guint e = 0; e < c->entries; e++)
+    entry_init (&w->entries[e], w->upstreams);
+  for (guint u = 0; u < w->upstreams; u++)
+    w->inside[u] = g_ptr_array_new ();
+}
+
+static void
+free_all (GPtrArray *list)
+{
+  g_ptr_array_set_free_func (list, g_free);
+  g_ptr_array_unref (list);
+}
+
+static void
+world_clear (World *w)
+{
+  for (guint e = 0; e < w->c->entries; e++)
+    {
+      GSequenceIter *i =
+          g_sequence_get_begin_iter (w->entries[e].backlog.order);
+
+      for (; !g_sequence_iter_is_end (i); i = g_sequence_iter_next (i))
+        g_free (((CcBacklogEntry *) g_sequence_get (i))->item);
+      entry_clear (&w->entries[e], w->upstreams);
+    }
+  for (guint u = 0; u < w->upstreams; u++)
+    free_all (w->inside[u]);
+  free_all (w->coming);
+  g_free (w->inside);
+  g_free (w->entries);
+  g_rand_free (w->rand);
+}
+
+static void
+play (const Case *c, guint seed, Result *sum)
+{
+  World w;
+
+  g_random_set_seed (seed);
+  world_init (&w, c, seed);
+  for (gint64 now = TICK; now < END; now += TICK)
+    {
+      for (guint u = 0; u < w.upstreams; u++)
+        serve (&w, u, now);
+      for (guint e = 0; e < c->entries; e++)
+        pump (&w, &w.entries[e], now);
+      arrive (&w, now);
+    }
+  world_clear (&w);
+  sum->asked += w.result.asked;
+  sum->in_time += w.result.in_time;
+  sum->late += w.result.late;
+  sum->refused += w.result.refused;
+  sum->failed += w.result.failed;
+}
+
+static const Case cases[] = {
+  { "3 entries, keyed", 3, TRUE, 2.6, 0.56, 0.06 },
+  { "12 entries, keyed", 12, TRUE, 2.6, 0.44, 0.12 },
+  { "80 entries, keyed", 80, TRUE, 2.6, 0.3, 0.31 },
+  { "3 entries, any", 3, FALSE, 2.6, 0.3, 0.14 },
+  { "12 entries, any", 12, FALSE, 2.6, 0.33, 0.27 },
+  { "80 entries, any", 80, FALSE, 2.6, 0.27, 0.41 },
+  { "80 entries, keyed, a little", 80, TRUE, 1.3, 0.74, 0.04 },
+  { "80 entries, any, a little", 80, FALSE, 1.3, 0.82, 0.03 },
+};
+
+/* Failure: in a large fleet no entry sees enough of one upstream to notice that
+ * it is full; all go on sending, and a third of what is sent is reset. */
+static void
+a_burst_is_served_as_well_before_many_entries (void **state)
+{
+  gboolean print = g_getenv ("PRINT") != NULL;
+  guint wrong = 0;
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      double best = MIN (1.0, 1.0 / (CALM * c->burst));
+      double in_time, failed, all;
+      Result r = { 0 };
+
+      for (guint seed = 1; seed <= SEEDS; seed++)
+        play (c, seed, &r);
+      all = r.asked;
+      in_time = r.in_time / all / best;
+      failed = r.failed / all;
+      if (print)
+        print_message ("%-28s in time %.3f, of the best %.3f, late %.3f, "
+                       "refused %.3f, failed %.3f of %u\n",
+                       c->name, r.in_time / all, in_time, r.late / all,
+                       r.refused / all, failed, r.asked);
+      if (in_time >= c->in_time && failed <= c->failed)
+        continue;
+      print_error ("%s: in time %.3f of the best, failed %.3f\n", c->name,
+                   in_time, failed);
+      wrong++;
+    }
+  assert_int_equal (wrong, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_burst_is_served_as_well_before_many_entries),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
