Each upstream counts once in what is believed of its pool

Cause: busy keys. An upstream that gets three times the requests sent three times the reports, so the pool's mean was that of the busy few, and requests for the keys of others were refused or waited for by it.

Change: a new report of an upstream takes the place of its last one in the sums. An idle report is no longer added to a few upstreams' mean, but takes over as less than one report is left. What an owner said itself holds as long as before again (1 s at least): without, test_owner is as good, but a hot owner was sent to too soon.

Tried and not kept: owners sent to while an answer is expected within one target, not 1.3.

--- a/exchange.c
+++ b/exchange.c
@@ -129,10 +129,11 @@
   double inside = r->report.running + r->report.waiting;
 
   if (r->report.said)
-    cc_pool_load_add (load, inside / MAX (e->target->load.slots, 1),
-                      e->typical.any, now);
+    cc_pool_load_add (load, &e->target->load.in_pool,
+                      inside / MAX (e->target->load.slots, 1), e->typical.any,
+                      now);
   else if (r->end == CC_PICK_TURNED_AWAY || r->end == CC_PICK_FAILED)
-    cc_pool_load_full (load, e->typical.any, now);
+    cc_pool_load_full (load, &e->target->load.in_pool, e->typical.any, now);
 }
 
 static void
--- a/pick.c
+++ b/pick.c
@@ -17,6 +17,10 @@
 /* A report on the load is worth half of itself after this: about the time in
  * which a server of today ends one request of its four. */
 #define REPORT_TIME (150 * CC_MS)
+/* The belief in what an owner of keys has inside is worth half of itself after
+ * the time in which as much is served, and not before this: an owner of a busy
+ * key stays busy for longer than its queue takes to drain. */
+#define BELIEF_TIME_LEAST (1 * CC_SECOND)
 /* Weight of a new report in the others' mean. */
 #define USUAL_WEIGHT 0.2
 /* An upstream is believed to be like the others until answers show otherwise,
@@ -103,9 +107,11 @@
  * have sent more than this entry knows, but not less than L once said to hold.
  */
 static void
-note_full (CcTargetLoad *l, gint64 now)
+note_full (CcTargetLoad *l, double work, gint64 now)
 {
-  double full_from = MAX (MAX (l->mine + l->others, l->held), l->slots);
+  CcTypicalWork alone = { .kind = work, .any = work };
+  double inside = cc_pick_owner_inside (l, &alone, now);
+  double full_from = MAX (MAX (inside, l->held), l->slots);
 
   if (l->full_from > 0)
     full_from = MIN (full_from, full_limit (l, now));
@@ -147,7 +153,7 @@
       count_end (l, 0.0, now);
       break;
     case CC_PICK_TURNED_AWAY:
-      note_full (l, now);
+      note_full (l, r->typical, now);
       count_end (l, 1.0, now);
       break;
     case CC_PICK_SHED:
@@ -184,15 +190,15 @@
   return l->mine + weight * l->others + (1.0 - weight) * l->others_typical;
 }
 
-/* The same by L's last report as far as that holds, by half after HALF, and
- * beyond that by what its pool's upstreams have inside now. */
+/* The same if OTHERS were inside L when it last said so, a belief that is worth
+ * half of itself after HALF; for the rest L is like its pool's upstreams. */
 static double
 inside_by_pool (const CcTargetLoad *l, const CcTypicalWork *typical,
-                gint64 half, gint64 now)
+                double others, gint64 half, gint64 now)
 {
   double weight = l->others_at == 0 ? 0.0 : faded (l->others_at, now, half);
 
-  return l->mine + weight * l->others +
+  return l->mine + weight * others +
          (1.0 - weight) * others_by_pool (l, typical);
 }
 
@@ -208,9 +214,11 @@
 cc_pick_owner_inside (const CcTargetLoad *l, const CcTypicalWork *typical,
                       gint64 now)
 {
-  double drained = (l->others + 1.0) * typical->any / MAX (l->slots, 1);
+  double others = cc_pick_inside (l, typical, now) - l->mine;
+  double drained = l->others_typical * typical->any / MAX (l->slots, 1);
 
-  return inside_by_pool (l, typical, (gint64) drained + 1, now);
+  return inside_by_pool (l, typical, others,
+                         MAX ((gint64) drained, BELIEF_TIME_LEAST), now);
 }
 
 /* How much longer L takes for the same work than a typical upstream; 1: as
@@ -263,7 +271,7 @@
 {
   if (now < l->avoid_until)
     return FALSE;
-  return inside_by_pool (l, typical, REPORT_TIME, now) <
+  return inside_by_pool (l, typical, l->others, REPORT_TIME, now) <
          l->slots * (1 + WAITING_A_SLOT);
 }
 
--- a/pick.h
+++ b/pick.h
@@ -2,7 +2,7 @@
 #ifndef CC_PICK_H
 #define CC_PICK_H
 
-#include "capercrank.h"
+#include "pool_load.h"
 
 /* What this entry knows of one upstream's load. */
 typedef struct
@@ -21,12 +21,13 @@
   gint64 slowness_at;     /* when that was last added to, us */
   double work_unreported; /* of its answers since the last report, us */
   guint answers_unreported;
-  double failures;    /* share of attempts that failed lately, 0 to 1 */
-  gint64 failures_at; /* when an attempt last ended, us */
-  gint64 cold_until;  /* slow for having just started, us */
-  gint64 avoid_until; /* not reachable or shedding: not before, us */
-  gint64 avoid_span;  /* of the last such time, us */
-  gint64 reached_at;  /* it last answered, us; 0: never */
+  double failures;      /* share of attempts that failed lately, 0 to 1 */
+  gint64 failures_at;   /* when an attempt last ended, us */
+  gint64 cold_until;    /* slow for having just started, us */
+  gint64 avoid_until;   /* not reachable or shedding: not before, us */
+  gint64 avoid_span;    /* of the last such time, us */
+  gint64 reached_at;    /* it last answered, us; 0: never */
+  CcPoolReport in_pool; /* its part of its pool's load */
 } CcTargetLoad;
 
 /* How an attempt at it ended. */
--- a/pool_load.c
+++ b/pool_load.c
@@ -11,45 +11,59 @@
 
 #include <math.h>
 
+/* How often the sums of P fade by half from its last report until NOW. */
 static double
-kept (const CcPoolLoad *p, gint64 now)
+halvings (const CcPoolLoad *p, gint64 now)
 {
-  if (p->at == 0)
-    return 0.0;
-  return exp2 (-(double) MAX (now - p->at, 0) / (double) p->half);
+  return p->at == 0 ? 0.0 : (double) MAX (now - p->at, 0) / (double) p->half;
+}
+
+static void
+fade (CcPoolLoad *p, gint64 now)
+{
+  double n = halvings (p, now);
+
+  p->faded += n;
+  p->inside *= exp2 (-n);
+  p->reports *= exp2 (-n);
+  p->at = now;
 }
 
 /* An upstream of P was seen to have INSIDE requests for each of its slots; one
- * takes WORK us. */
+ * takes WORK us.  LAST is its last report: each counts once, or the mean would
+ * be that of the few which get most requests. */
 void
-cc_pool_load_add (CcPoolLoad *p, double inside, double work, gint64 now)
+cc_pool_load_add (CcPoolLoad *p, CcPoolReport *last, double inside, double work,
+                  gint64 now)
 {
-  double k = kept (p, now);
+  double kept;
 
-  p->inside = k * p->inside + inside;
-  p->reports = k * p->reports + 1.0;
+  fade (p, now);
+  kept = last->said ? exp2 (last->faded - p->faded) : 0.0;
+  p->inside = MAX (p->inside - kept * last->inside, 0.0) + inside;
+  p->reports = MAX (p->reports - kept, 0.0) + 1.0;
   p->most = MAX (p->most, inside);
-  p->at = now;
   /* In that time an upstream serves what it has inside. */
   p->half = (gint64) (work * (1.0 + p->inside / p->reports)) + 1;
+  *last = (CcPoolReport){ TRUE, inside, p->faded };
 }
 
 /* An upstream of P reset a request.  It does so when it is full, but also when
  * it breaks; the first is believed while others say that requests wait. */
 void
-cc_pool_load_full (CcPoolLoad *p, double work, gint64 now)
+cc_pool_load_full (CcPoolLoad *p, CcPoolReport *last, double work, gint64 now)
 {
   if (p->reports > 0 && p->inside > p->reports)
-    cc_pool_load_add (p, p->most, work, now);
+    cc_pool_load_add (p, last, p->most, work, now);
 }
 
 /* How many requests an upstream of P has inside for each of its slots, in the
- * mean.  One report of an idle upstream is added: with old or few reports it
- * outweighs them, and who refused all of its requests by them sends again. */
+ * mean.  As less than one report is left it goes to that of an idle pool, so
+ * that who refuses all requests by it sends again. */
 double
 cc_pool_load_typical (const CcPoolLoad *p, gint64 now)
 {
-  double k = kept (p, now);
+  double k = exp2 (-halvings (p, now));
 
-  return k * p->inside / (k * p->reports + 1.0);
+  return k * p->inside / MAX (k * p->reports, 1.0);
 }
