An idle report counts in the pool's mean again

Cause: with few reports the mean is that of one or two upstreams, and belief in a full pool holds until less than one report is left.

Change: taken back.

--- a/pool_load.c
+++ b/pool_load.c
@@ -58,12 +58,12 @@
 }
 
 /* How many requests an upstream of P has inside for each of its slots, in the
- * mean.  As less than one report is left it goes to that of an idle pool, so
- * that who refuses all requests by it sends again. */
+ * mean.  The report of an idle upstream is added, which outweighs few or old
+ * ones, so that who refuses all requests by them sends again. */
 double
 cc_pool_load_typical (const CcPoolLoad *p, gint64 now)
 {
   double k = exp2 (-halvings (p, now));
 
-  return k * p->inside / MAX (k * p->reports, 1.0);
+  return k * p->inside / (k * p->reports + 1.0);
 }
