Test of what an entry believes of a pool

Table of cases for pool_load: each upstream counts once, resets count while others wait, few and old reports go to idle. The head of pick.c says what room goes by. No change of what runs.

--- a/pick.c
+++ b/pick.c
@@ -1,12 +1,14 @@
-/* Load pattern: a dozen entries send to the same upstreams, and each sees only
+/* Load pattern: many entries send to the same upstreams, and each sees only
  * its own part.  Sent by turns, requests queue at the slow and the full ones
  * while others idle; sent by what each entry has in flight alone, all entries
  * find the same upstream free at the same time.
  *
  * So the number inside an upstream is this entry's own, which it knows exactly,
  * and an estimate of the others': what the upstream last said, which fades into
- * their mean as the report ages.  From it follows the time after which an
- * answer is to be expected, and the request goes where that is shortest.  Slow
+ * their mean as the report ages.  Whether there is room goes by what the pool's
+ * upstreams have inside instead of that mean (pool_load.h).  From the number
+ * follows the time after which an answer is to be expected, and the request
+ * goes where that is shortest.  Slow
  * upstreams are measured slow, failing ones count as slower by the attempts
  * that they waste, and both are forgotten with time, so that one that has
  * recovered is tried again. */
--- /dev/null
+++ b/test/test_pool_load.c
@@ -0,0 +1,103 @@
+/* What an entry believes of a pool by the reports on its upstreams. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+
+#include <math.h>
+
+#include <cmocka.h>
+
+#include "pool_load.h"
+
+#define WORK (100.0 * CC_MS)
+#define START (10 * CC_SECOND)
+#define UPSTREAMS 20
+
+/* Reports of UPSTREAMS at one moment, then the mean some time later. */
+typedef struct
+{
+  const char *name;
+  guint idle; /* upstreams that report nothing inside */
+  guint busy; /* ... that report LOAD for each slot */
+  double load;
+  guint repeated; /* times that one of the busy reports again */
+  guint resets;   /* upstreams that then reset a request */
+  gint64 after;   /* us */
+  double least;   /* the mean is from ... */
+  double most;    /* ... to */
+} Case;
+
+static const Case cases[] = {
+  { "nothing known", 0, 0, 0, 0, 0, 0, 0, 0 },
+  { "all alike", 0, 20, 3, 0, 0, 0, 2.8, 3 },
+  { "half of them", 10, 10, 3, 0, 0, 0, 1.4, 1.5 },
+  { "few reports", 0, 1, 3, 0, 0, 0, 1.4, 1.5 },
+  /* By the number of reports it would be 3. */
+  { "one that reports often", 19, 1, 4, 60, 0, 0, 0.15, 0.25 },
+  { "resets while others wait", 0, 10, 3, 0, 10, 0, 2.7, 3 },
+  { "resets while others idle", 10, 0, 0, 0, 10, 0, 0, 0 },
+  /* Sixteen halvings of what twenty upstreams said. */
+  { "long ago", 0, 20, 3, 0, 0, 16 * 400 * CC_MS, 0, 0.01 },
+};
+
+static double
+play (const Case *c)
+{
+  CcPoolReport reports[UPSTREAMS] = { 0 };
+  CcPoolLoad p = { 0 };
+  guint u = 0;
+
+  for (guint i = 0; i < c->idle; i++)
+    cc_pool_load_add (&p, &reports[u++], 0, WORK, START);
+  for (guint i = 0; i < c->busy; i++)
+    cc_pool_load_add (&p, &reports[u++], c->load, WORK, START);
+  for (guint i = 0; i < c->repeated; i++)
+    cc_pool_load_add (&p, &reports[u - 1], c->load, WORK, START);
+  for (guint i = 0; i < c->resets; i++)
+    cc_pool_load_full (&p, &reports[u++], WORK, START);
+  return cc_pool_load_typical (&p, START + c->after);
+}
+
+static void
+a_pool_is_believed_to_be_as_its_upstreams_say (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      double mean = play (&cases[i]);
+
+      if (mean < cases[i].least || mean > cases[i].most)
+        fail_msg ("%s: %.3f", cases[i].name, mean);
+    }
+}
+
+/* A fuller report fades more slowly: more is to be served before it is wrong.
+ */
+static void
+a_long_queue_is_believed_in_for_longer (void **state)
+{
+  CcPoolReport reports[2] = { 0 };
+  CcPoolLoad pools[2] = { 0 };
+  double kept[2];
+
+  (void) state;
+  for (guint i = 0; i < 2; i++)
+    {
+      cc_pool_load_add (&pools[i], &reports[i], i == 0 ? 1 : 5, WORK, START);
+      kept[i] = cc_pool_load_typical (&pools[i], START + 300 * CC_MS) /
+                cc_pool_load_typical (&pools[i], START);
+    }
+  assert_true (kept[1] > 1.5 * kept[0]);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_pool_is_believed_to_be_as_its_upstreams_say),
+    cmocka_unit_test (a_long_queue_is_believed_in_for_longer),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
