make demo shows the gateways as they are run, with an audit

Three capercrank-gateway processes on loopback, with the table, servers and callers of the soak: a hot key, a server lost, one joining, one leaving, the gateway that grants keys killed and started again; a line each second, an audit, and what to try next with the addresses and log of that run. KEEP=120 leaves it running for as long after the audit.

The old demo is `make demo-path`. The stand-ins stay as they are but for an observer of answers and a hot key in the callers, and counts in the audit; without these set, the draws of a soak's seed are the same.

Callers are sent past a gateway that is not ready as a balancer does it, by the answers of the seconds before.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # make          build the programs
-# make demo     run a deployment of today on loopback, with an audit
+# make demo     gateways on loopback, a few faults and an audit, under 30 s
 # make check    warnings as errors, formatter, linter, all tests
 # Packages are listed in .ci/packages; make deps installs what is missing.
 
@@ -19,7 +19,7 @@
 BIN = $(PROGRAMS:%=$(BUILD)/capercrank-%) $(BUILD)/capercrankctl
 TEST_SRC = $(wildcard test/test_*.c)
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
-STAND_INS = platform upstream relay load demo prove bench bench_path \
+STAND_INS = platform upstream relay load demo demo_path prove bench bench_path \
   bare_relay bench_assignment soak direct_stand
 # The rest of test/ is shared by them and by the tests.
 TEST_LIB = $(filter-out test_% mirror_world $(STAND_INS),$(patsubst test/%.c,%,$(wildcard test/*.c)))
@@ -72,7 +72,7 @@
 bench-path: build-all
 	@$(BUILD)/test/bench_path
 
-.PHONY: all gateway bench bench-assignment bench-path build-all prove soak soak-seeds modules deps demo check \
+.PHONY: all gateway bench bench-assignment bench-path build-all prove soak soak-seeds modules deps demo demo-path check \
   format lint test clean
 
 deps:
@@ -80,9 +80,16 @@
 
 build-all: $(BIN) $(STAND_BIN) $(TEST_BIN) $(EXAMPLE_BIN)
 
+# make demo KEEP=120: and 120 s more to try it by hand
+KEEP ?= 0
 demo: deps
+	@$(MAKE) -s $(BUILD)/capercrank-gateway $(BUILD)/test/demo
+	@$(BUILD)/test/demo --bin $(BUILD) --keep $(KEEP)
+
+# the path of entry, dispatcher and assigner
+demo-path: deps
 	@$(MAKE) -s build-all
-	@$(BUILD)/test/demo test/$(DEPLOYMENT).json
+	@$(BUILD)/test/demo_path test/$(DEPLOYMENT).json
 
 # make prove SCENARIO=kill-dispatcher SEED=7; SCENARIO=list names them all
 prove: build-all
--- /dev/null
+++ b/test/demo_fleet.c
@@ -0,0 +1,373 @@
+/* Gateways are the real program, each at an IP of its own; the table and the
+ * servers are played by this process, with the stand-ins of the soak. */
+#include "demo_fleet.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "capercrank.h"
+#include "free_net.h"
+#include "gateway_process.h"
+#include "soak.h"
+
+#define KEYED                                                                  \
+  5 /* servers of the pool that owns keys, and the one that joins              \
+     */
+#define STOP_GRACE_MS 3000
+#define ANSWER_WITHIN (1000 * CC_MS)
+#define SERVER_PORT 7200
+/* The servers that leave; both own keys. */
+#define LOST 1
+#define DRAINED 3
+
+typedef struct
+{
+  char name[8];
+  char *ip;
+  char *listen;         /* for callers */
+  GSubprocess *process; /* NULL: not running */
+  guint runs;
+  gboolean ready;  /* by its last answer */
+  gboolean grants; /* keys, by its last answer */
+  gboolean knows;  /* the owners of all keys, by its last answer */
+} Gateway;
+
+static struct
+{
+  const char *bin, *folder;
+  guint net;
+  CcHttp *http;
+  Gateway gateways[DEMO_GATEWAYS];
+  SoakServer *servers[DEMO_SERVERS];
+  Gateway *killed;
+  void (*stopped) (void); /* NULL: not stopping */
+} fleet;
+
+static const char configuration[] =
+    "{\"version\":\"00000001\",\"services\":{\"keys\":{\"sharding\":true,"
+    "\"maxConns\":130},\"free\":{\"maxConns\":130}},\"limits\":{},\"routes\":{"
+    "\"look\":{\"host\":\"a.example\",\"prefix\":\"/look/\",\"kind\":\"safe\","
+    "\"service\":\"keys\",\"timeoutMs\":1200,\"targetLatencyMs\":400,"
+    "\"maxAttempts\":3,\"priority\":0},"
+    "\"book\":{\"host\":\"a.example\",\"prefix\":\"/book/\",\"kind\":"
+    "\"unsafe\",\"service\":\"free\",\"timeoutMs\":1200,"
+    "\"targetLatencyMs\":400,\"maxAttempts\":3,\"priority\":1},"
+    "\"change\":{\"host\":\"a.example\",\"prefix\":\"/change/\",\"kind\":"
+    "\"unsafe\",\"service\":\"keys\",\"timeoutMs\":1200,"
+    "\"targetLatencyMs\":400,\"maxAttempts\":3,\"priority\":2},"
+    "\"list\":{\"host\":\"a.example\",\"prefix\":\"/list/\",\"kind\":\"safe\","
+    "\"service\":\"free\",\"timeoutMs\":1200,\"targetLatencyMs\":400,"
+    "\"maxAttempts\":3,\"priority\":3}}}";
+
+static char *
+table_address (void)
+{
+  return g_strdup_printf ("127.%u.0.2:7000", fleet.net);
+}
+
+/* PORT of gateway I, "IP:PORT", to be freed. */
+char *
+demo_fleet_address (guint i, guint port)
+{
+  return g_strdup_printf ("%s:%u", fleet.gateways[i].ip, port);
+}
+
+const char *
+demo_fleet_callers_ip (void)
+{
+  static char ip[32];
+
+  g_snprintf (ip, sizeof ip, "127.%u.9.1", fleet.net);
+  return ip;
+}
+
+/* ---- calls ---- */
+
+typedef struct
+{
+  DemoAnswered done;
+  gpointer data;
+} Call;
+
+static void
+on_answer (const CcHttpResult *r, gpointer data)
+{
+  Call *c = data;
+  gboolean answered = r->end == CC_HTTP_ANSWERED;
+  g_autofree char *body = answered
+                              ? g_strndup (g_bytes_get_data (r->body, NULL),
+                                           g_bytes_get_size (r->body))
+                              : g_strdup ("");
+
+  c->done (answered ? r->status : 0, body, c->data);
+  g_free (c);
+}
+
+/* Sends a request with HEAD, its first line and headers, to ADDRESS. */
+void
+demo_fleet_get (const char *address, const char *head, DemoAnswered done,
+                gpointer data)
+{
+  CcHttpOrder o = { .address = address,
+                    .head = head,
+                    .connect_within = ANSWER_WITHIN,
+                    .answer_within = ANSWER_WITHIN };
+  Call *c = g_new0 (Call, 1);
+
+  c->done = done;
+  c->data = data;
+  if (cc_http_send (fleet.http, &o, on_answer, c) != NULL)
+    return;
+  done (0, "", data);
+  g_free (c);
+}
+
+/* ---- gateways ---- */
+
+static void
+on_ready (guint status, const char *body, gpointer data)
+{
+  ((Gateway *) data)->ready = status == 200;
+}
+
+static void
+on_metrics (guint status, const char *body, gpointer data)
+{
+  Gateway *g = data;
+
+  g->grants = strstr (body, "capercrank_grants_keys{} 1") != NULL;
+  g->knows =
+      strstr (body, "capercrank_keys_owned{pool=\"keys\"} 65536") != NULL;
+}
+
+/* Asks all gateways how they are. */
+void
+demo_fleet_look (void)
+{
+  for (guint i = 0; i < DEMO_GATEWAYS; i++)
+    {
+      Gateway *g = &fleet.gateways[i];
+      g_autofree char *admin = demo_fleet_address (i, GATEWAY_ADMIN);
+
+      demo_fleet_get (admin, "GET /readyz HTTP/1.1\r\nHost: a\r\n", on_ready,
+                      g);
+      demo_fleet_get (admin, "GET /metrics HTTP/1.1\r\nHost: a\r\n", on_metrics,
+                      g);
+    }
+}
+
+/* The gateway that grants keys, by what they said last. */
+static Gateway *
+granter (void)
+{
+  for (guint i = 0; i < DEMO_GATEWAYS; i++)
+    if (fleet.gateways[i].grants && fleet.gateways[i].process != NULL)
+      return &fleet.gateways[i];
+  return NULL;
+}
+
+/* Whether all gateways take requests and know an owner of each key. */
+gboolean
+demo_fleet_is_ready (void)
+{
+  for (guint i = 0; i < DEMO_GATEWAYS; i++)
+    if (!fleet.gateways[i].ready || !fleet.gateways[i].knows)
+      return FALSE;
+  return granter () != NULL;
+}
+
+const char *
+demo_fleet_granter (void)
+{
+  const Gateway *g = granter ();
+
+  return g != NULL ? g->name : "none";
+}
+
+static gboolean
+some_run (void)
+{
+  for (guint i = 0; i < DEMO_GATEWAYS; i++)
+    if (fleet.gateways[i].process != NULL)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+on_ended (GObject *process, GAsyncResult *result, gpointer data)
+{
+  Gateway *g = data;
+
+  (void) g_subprocess_wait_finish (G_SUBPROCESS (process), result, NULL);
+  if (fleet.stopped == NULL && g != fleet.killed)
+    soak_audit_fail ("%s ended by itself", g->name);
+  g->grants = FALSE;
+  g_clear_object (&g->process);
+  if (fleet.stopped != NULL && !some_run ())
+    fleet.stopped ();
+}
+
+static void
+start_gateway (Gateway *g)
+{
+  g_autofree char *program =
+      g_build_filename (fleet.bin, "capercrank-gateway", NULL);
+  g_autofree char *log =
+      g_strdup_printf ("%s/%s.%u.log", fleet.folder, g->name, ++g->runs);
+  g_autofree char *table = table_address ();
+  GatewayPlace place = { .program = program,
+                         .instance = g->name,
+                         .zone = g == &fleet.gateways[1] ? "a" : "b",
+                         .ip = g->ip,
+                         .table = table,
+                         .grace = STOP_GRACE_MS,
+                         .log = log };
+
+  g->process = gateway_spawn (&place, NULL);
+  g_subprocess_wait_async (g->process, NULL, on_ended, g);
+}
+
+/* ---- the whole ---- */
+
+static void
+start_servers (void)
+{
+  for (guint i = 0; i < DEMO_SERVERS; i++)
+    {
+      gboolean keyed = i < KEYED || i == DEMO_SERVERS - 1;
+      g_autofree char *address =
+          g_strdup_printf ("127.%u.3.%u:%u", fleet.net, i + 1, SERVER_PORT);
+
+      fleet.servers[i] =
+          soak_server_new (keyed ? "keys" : "free", keyed,
+                           i % 2 == 0 ? "a" : "b", address, address, i + 1);
+      if (i < DEMO_SERVERS - 1)
+        soak_server_start (fleet.servers[i], FALSE);
+    }
+}
+
+void
+demo_fleet_start (const char *bin, const char *folder)
+{
+  g_autofree char *table = NULL;
+
+  fleet.bin = bin;
+  fleet.folder = folder;
+  fleet.net = free_net ();
+  fleet.http = cc_http_new (demo_fleet_callers_ip ());
+  table = table_address ();
+  soak_table_listen (table);
+  soak_table_put ("op", "config", configuration);
+  start_servers ();
+  for (guint i = 0; i < DEMO_GATEWAYS; i++)
+    {
+      Gateway *g = &fleet.gateways[i];
+
+      g_snprintf (g->name, sizeof g->name, "gw%u", i + 1);
+      g->ip = g_strdup_printf ("127.%u.1.%u", fleet.net, i + 1);
+      g->listen = demo_fleet_address (i, GATEWAY_LISTEN);
+      start_gateway (g);
+    }
+}
+
+/* Fills LIST, of DEMO_GATEWAYS addresses and NULL, with where callers are sent:
+ * to the gateways that said they are ready when asked last, as a balancer does
+ * it; to all if none did. */
+void
+demo_fleet_balance (char **list)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < DEMO_GATEWAYS; i++)
+    if (fleet.gateways[i].ready)
+      list[n++] = fleet.gateways[i].listen;
+  for (guint i = 0; n == 0 && i < DEMO_GATEWAYS; i++)
+    list[i] = fleet.gateways[i].listen;
+  if (n > 0)
+    list[n] = NULL;
+}
+
+/* ---- what is done to it; each returns the name of what it was done to ---- */
+
+static const char *
+server_name (guint i)
+{
+  static char name[8];
+
+  g_snprintf (name, sizeof name, "s%u", i + 1);
+  return name;
+}
+
+const char *
+demo_fleet_lose_server (void)
+{
+  soak_server_crash (fleet.servers[LOST]);
+  return server_name (LOST);
+}
+
+const char *
+demo_fleet_add_server (void)
+{
+  soak_server_start (fleet.servers[DEMO_SERVERS - 1], FALSE);
+  return server_name (DEMO_SERVERS - 1);
+}
+
+const char *
+demo_fleet_drain_server (void)
+{
+  soak_server_drain (fleet.servers[DRAINED]);
+  return server_name (DRAINED);
+}
+
+/* Kills the gateway that grants keys, or the first one if none said so. */
+const char *
+demo_fleet_kill_granter (void)
+{
+  Gateway *g = granter ();
+
+  fleet.killed = g != NULL ? g : &fleet.gateways[0];
+  if (fleet.killed->process != NULL)
+    g_subprocess_send_signal (fleet.killed->process, SIGKILL);
+  return fleet.killed->name;
+}
+
+const char *
+demo_fleet_restart (void)
+{
+  Gateway *g = fleet.killed;
+
+  if (g->process == NULL)
+    start_gateway (g);
+  fleet.killed = NULL;
+  return g->name;
+}
+
+static gboolean
+on_grace_over (gpointer unused)
+{
+  for (guint i = 0; i < DEMO_GATEWAYS; i++)
+    {
+      Gateway *g = &fleet.gateways[i];
+
+      if (g->process == NULL)
+        continue;
+      printf ("%s did not end in %d ms and is killed\n", g->name,
+              STOP_GRACE_MS);
+      g_subprocess_send_signal (g->process, SIGKILL);
+    }
+  return G_SOURCE_REMOVE;
+}
+
+void
+demo_fleet_stop (void (*done) (void))
+{
+  fleet.stopped = done;
+  for (guint i = 0; i < DEMO_GATEWAYS; i++)
+    if (fleet.gateways[i].process != NULL)
+      g_subprocess_send_signal (fleet.gateways[i].process, SIGTERM);
+  if (!some_run ())
+    done ();
+  else
+    g_timeout_add (STOP_GRACE_MS, on_grace_over, NULL);
+}
--- /dev/null
+++ b/test/demo_fleet.h
@@ -0,0 +1,35 @@
+/* The processes of the demo: gateways, and the servers that it plays. */
+#ifndef TEST_DEMO_FLEET_H
+#define TEST_DEMO_FLEET_H
+
+#include <glib.h>
+
+#include "http_link.h"
+
+#define DEMO_GATEWAYS 3
+#define DEMO_SERVERS 10 /* the last one joins later */
+
+/* An answer of a process: its status (0: none) and body, valid in the call. */
+typedef void (*DemoAnswered) (guint status, const char *body, gpointer data);
+
+/* BIN: folder of the programs.  FOLDER: for logs. */
+void demo_fleet_start (const char *bin, const char *folder);
+void demo_fleet_balance (char **list);
+void demo_fleet_get (const char *address, const char *head, DemoAnswered done,
+                     gpointer data);
+void demo_fleet_look (void);
+gboolean demo_fleet_is_ready (void);
+const char *demo_fleet_granter (void);
+const char *demo_fleet_callers_ip (void);
+char *demo_fleet_address (guint gateway, guint port);
+
+const char *demo_fleet_lose_server (void);
+const char *demo_fleet_add_server (void);
+const char *demo_fleet_drain_server (void);
+const char *demo_fleet_kill_granter (void);
+const char *demo_fleet_restart (void);
+
+/* DONE is called when all gateways have ended. */
+void demo_fleet_stop (void (*done) (void));
+
+#endif
--- a/test/run_all.sh
+++ b/test/run_all.sh
@@ -32,6 +32,12 @@
   echo "not ok - soak" | tee -a "$out"
   cat "$out.one"
 fi
+if timeout "$TEST_TIMEOUT_S" "$bin/test/demo" --bin "$bin" >"$out.one" 2>&1; then
+  echo "ok - demo" >>"$out"
+else
+  echo "not ok - demo" | tee -a "$out"
+  cat "$out.one"
+fi
 rm -f "$out.one" "$out.log"
 passed=$(grep -c '^ok' "$out")
 failed=0
--- a/test/soak.h
+++ b/test/soak.h
@@ -28,6 +28,18 @@
 void soak_audit_budget (double ratio, double slack, gint64 window);
 void soak_audit_summary (void);
 
+typedef struct
+{
+  guint asked, once, answered, refused;
+  guint ran_twice;     /* once-only requests that did */
+  guint refused_ran;   /* told that they had not run, and did */
+  guint wrong_answers; /* of another request */
+  guint owner_faults;  /* grants of a key that was another's */
+} SoakAuditCounts;
+
+void soak_audit_count (SoakAuditCounts *c);
+guint soak_audit_held (guint *owners);
+
 /* ---- the platform's store (soak_table.c) ---- */
 
 typedef enum
@@ -68,8 +80,14 @@
 
 typedef struct
 {
-  char **gateways; /* addresses */
-  guint routes;    /* /rN/ are in the newest configuration, N below it */
+  char **gateways;   /* addresses */
+  guint routes;      /* /rN/ are in the newest configuration, N below it */
+  guint hot_percent; /* of the requests with a key are for HOT_KEY */
+  gint32 hot_key;
+  /* Called with each answer, its STATUS (0: none) and the us that it took; NULL
+   * is allowed. */
+  void (*ended) (guint status, gint64 took, gpointer data);
+  gpointer data;
 } SoakCallers;
 
 void soak_callers_start (SoakCallers *c, const char *ip, guint per_second);
--- a/test/soak_audit.c
+++ b/test/soak_audit.c
@@ -36,7 +36,7 @@
 static gint64 began;
 static guint faults, lately_asked, lately_served;
 static guint ends[6]; /* by hundreds of the status; 0: none */
-static guint refused;
+static guint refused, wrong_answers, owner_faults;
 
 static double
 age (void)
@@ -164,7 +164,10 @@
     {
       lately_served++;
       if (!g_str_equal (body, expected) || a->runs == 0)
-        soak_audit_fail ("request %s got another answer: %.40s", id, body);
+        {
+          wrong_answers++;
+          soak_audit_fail ("request %s got another answer: %.40s", id, body);
+        }
     }
 }
 
@@ -256,6 +259,7 @@
       h->until = MAX (h->until, until);
       good = good && check_key (key, h, now);
     }
+  owner_faults += !good;
 }
 
 void
@@ -318,3 +322,62 @@
           requests != NULL ? g_hash_table_size (requests) : 0, ends[2], refused,
           ends[5] - MIN (ends[5], refused), ends[0], faults);
 }
+
+/* What is known of all requests so far. */
+void
+soak_audit_count (SoakAuditCounts *c)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  *c = (SoakAuditCounts){ .answered = ends[2],
+                          .refused = refused,
+                          .wrong_answers = wrong_answers,
+                          .owner_faults = owner_faults };
+  if (requests == NULL)
+    return;
+  g_hash_table_iter_init (&i, requests);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const Asked *a = value;
+
+      c->asked++;
+      c->once += a->once;
+      c->ran_twice += a->once && a->runs > 1;
+      c->refused_ran += is_promise (a->status) && a->runs > 0;
+    }
+}
+
+static const Holder *
+holder_now (guint key, gint64 now)
+{
+  for (guint i = 0; holders[key] != NULL && i < holders[key]->len; i++)
+    {
+      const Holder *h = holders[key]->pdata[i];
+
+      if (h->until > now)
+        return h;
+    }
+  return NULL;
+}
+
+/* How many keys are granted to somebody now, and to how many OWNERS. */
+guint
+soak_audit_held (guint *owners)
+{
+  g_autoptr (GHashTable) lives = g_hash_table_new (g_str_hash, g_str_equal);
+  gint64 now = cc_clock_now ();
+  guint held = 0;
+
+  for (guint key = 0; key < SOAK_KEYS; key++)
+    {
+      const Holder *h = holder_now (key, now);
+
+      if (h == NULL)
+        continue;
+      held++;
+      g_hash_table_add (lives, h->life);
+    }
+  *owners = g_hash_table_size (lives);
+  return held;
+}
--- a/test/soak_caller.c
+++ b/test/soak_caller.c
@@ -28,6 +28,7 @@
   char *id;
   char *gateway;
   int route; /* that was probed; -1: none */
+  gint64 asked;
 } Call;
 
 static SoakCallers *callers;
@@ -85,6 +86,8 @@
     check_route (c, status);
   else
     soak_audit_answered (c->id, status, body);
+  if (c->route < 0 && callers->ended != NULL)
+    callers->ended (status, cc_clock_now () - c->asked, callers->data);
   call_free (c);
 }
 
@@ -103,6 +106,7 @@
   c->id = g_strdup_printf ("q%" G_GUINT64_FORMAT, next_id++);
   c->gateway = g_strdup (callers->gateways[g_random_int_range (0, (gint32) n)]);
   c->route = route;
+  c->asked = cc_clock_now ();
   g_string_append_printf (head,
                           "%s %s%s HTTP/1.1\r\nHost: a.example\r\n"
                           "X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n",
@@ -120,6 +124,17 @@
     call_free (c);
 }
 
+/* Half of the keys asked for lie in a sixteenth of them. */
+static gint32
+draw_key (void)
+{
+  if (callers->hot_percent > 0 &&
+      g_random_int_range (0, 100) < (gint32) callers->hot_percent)
+    return callers->hot_key;
+  return g_random_int_range (0,
+                             g_random_boolean () ? SOAK_KEYS : SOAK_KEYS / 16);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -129,9 +144,7 @@
   for (due += per_tick_permille * factor; due >= 1000; due -= 1000)
     {
       guint k = (guint) g_random_int_range (0, G_N_ELEMENTS (kinds));
-      /* Half of the keys asked for lie in a sixteenth of them. */
-      gint32 key = g_random_int_range (0, g_random_boolean () ? SOAK_KEYS
-                                                              : SOAK_KEYS / 16);
+      gint32 key = draw_key ();
 
       send_call (kinds[k].method, kinds[k].prefix, kinds[k].once,
                  kinds[k].keyed ? key : -1, -1);
--- /dev/null
+++ b/test/test_soak_audit.c
@@ -0,0 +1,145 @@
+/* The audit of the soak and of the demo must find what it is there to find:
+ * each case breaks one promise, or none. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "capercrank.h"
+#include "clock.h"
+#include "soak.h"
+
+#define HOLD (10 * CC_SECOND)
+
+static void
+run_once_only_twice (void)
+{
+  soak_audit_asked ("twice", TRUE);
+  soak_audit_started ("twice", "free", "s1");
+  soak_audit_started ("twice", "free", "s2");
+}
+
+static void
+repeat_idempotent (void)
+{
+  soak_audit_asked ("repeated", FALSE);
+  soak_audit_started ("repeated", "free", "s1");
+  soak_audit_started ("repeated", "free", "s2");
+  soak_audit_answered ("repeated", 200, "done repeated");
+}
+
+static void
+refuse_after_run (void)
+{
+  soak_audit_asked ("ran", TRUE);
+  soak_audit_started ("ran", "free", "s1");
+  soak_audit_answered ("ran", 503, "");
+}
+
+static void
+run_after_refusal (void)
+{
+  soak_audit_asked ("later", TRUE);
+  soak_audit_answered ("later", 503, "");
+  soak_audit_started ("later", "free", "s1");
+}
+
+static void
+answer_crosswise (void)
+{
+  soak_audit_asked ("mine", FALSE);
+  soak_audit_started ("mine", "free", "s1");
+  soak_audit_answered ("mine", 200, "done yours");
+}
+
+static void
+grant_held_key (void)
+{
+  gint64 until = cc_clock_now () + HOLD;
+
+  soak_audit_granted (0, 9, "s1.1", 1, until);
+  soak_audit_granted (9, 12, "s2.1", 2, until);
+}
+
+static void
+grant_released_key (void)
+{
+  gint64 until = cc_clock_now () + HOLD;
+
+  soak_audit_granted (20, 29, "s1.1", 1, until);
+  soak_audit_released (20, 29, "s1.1");
+  soak_audit_granted (20, 29, "s2.1", 2, until);
+}
+
+typedef struct
+{
+  const char *name;
+  void (*act) (void);
+  SoakAuditCounts found; /* more than before */
+} Case;
+
+static const Case cases[] = {
+  { "once-only work runs twice", run_once_only_twice, { .ran_twice = 1 } },
+  { "an idempotent request is repeated", repeat_idempotent, { 0 } },
+  { "it ran and is refused", refuse_after_run, { .refused_ran = 1 } },
+  { "it is refused and runs later", run_after_refusal, { .refused_ran = 1 } },
+  { "the answer is another's", answer_crosswise, { .wrong_answers = 1 } },
+  { "a key is granted that is held", grant_held_key, { .owner_faults = 1 } },
+  { "a key is granted that was released", grant_released_key, { 0 } },
+};
+
+static void
+the_audit_finds_what_is_broken (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const SoakAuditCounts *f = &cases[i].found;
+      guint expected =
+          f->ran_twice + f->refused_ran + f->wrong_answers + f->owner_faults;
+      guint faults = soak_audit_faults ();
+      SoakAuditCounts before, after;
+
+      soak_audit_count (&before);
+      cases[i].act ();
+      soak_audit_count (&after);
+      print_message ("%s\n", cases[i].name);
+      assert_int_equal (after.ran_twice - before.ran_twice, f->ran_twice);
+      assert_int_equal (after.refused_ran - before.refused_ran, f->refused_ran);
+      assert_int_equal (after.wrong_answers - before.wrong_answers,
+                        f->wrong_answers);
+      assert_int_equal (after.owner_faults - before.owner_faults,
+                        f->owner_faults);
+      assert_int_equal (soak_audit_faults () - faults, expected);
+    }
+}
+
+static void
+owners_are_counted (void **state)
+{
+  gint64 until = cc_clock_now () + HOLD;
+  guint before, owners;
+  guint held = soak_audit_held (&before);
+
+  (void) state;
+  soak_audit_granted (100, 109, "s8.1", 1, until);
+  soak_audit_granted (110, 114, "s9.1", 1, until);
+  assert_int_equal (soak_audit_held (&owners), held + 15);
+  assert_int_equal (owners, before + 2);
+  soak_audit_ended ("s9.1");
+  assert_int_equal (soak_audit_held (&owners), held + 10);
+  assert_int_equal (owners, before + 1);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (the_audit_finds_what_is_broken),
+    cmocka_unit_test (owners_are_counted),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
