Functions that nothing uses are gone, and a check keeps it so

Now static, since only their own file used them: cc_key_range_parse, cc_table_change_free, cc_transaction_take.

`make callers` prints every public function with the objects that use it, by the symbols of what was built, and fails if one is used by nobody; `make test` runs it. Before: 568 functions, these 8 without a user; after: 560, none. Left are some whose only users are tests: the clock's pause and advance, and the functions that free what a program keeps until its end.

Ruled out: finding them by text, which counts names in comments and in the file itself.

--- a/Makefile
+++ b/Makefile
@@ -72,7 +72,7 @@
 bench-path: build-all
 	@$(BUILD)/test/bench_path
 
-.PHONY: all gateway bench bench-assignment bench-path build-all prove soak soak-seeds modules deps demo demo-path check \
+.PHONY: all gateway bench bench-assignment bench-path build-all prove soak soak-seeds callers modules deps demo demo-path check \
   format lint test clean
 
 deps:
@@ -111,6 +111,10 @@
 bench-assignment: build-all
 	@$(BUILD)/test/bench_assignment $(SEED) $(MOVE_MS)
 
+# every public function and who uses it; fails if nobody does
+callers: build-all
+	@sh test/callers.sh $(BUILD)
+
 # the picture of which module uses which
 modules:
 	@sh test/modules.sh > docs/MODULES.md
--- a/callers.c
+++ b/callers.c
@@ -437,13 +437,6 @@
   c->stop_at = stop_at;
 }
 
-/* Closes the listening socket and what is idle. */
-void
-cc_callers_close (CcCallers *c)
-{
-  soup_server_disconnect (c->server);
-}
-
 /* Requests that were taken in and not answered. */
 guint
 cc_callers_pending (const CcCallers *c)
--- a/key_ranges.c
+++ b/key_ranges.c
@@ -99,8 +99,8 @@
 }
 
 /* The range in the row KEY, or NULL if VALUE is damaged. */
-CcKeyRange *
-cc_key_range_parse (const char *key, const char *value, guint64 version)
+static CcKeyRange *
+parse_range (const char *key, const char *value, guint64 version)
 {
   const char *slash = strrchr (key, '/');
   g_autoptr (JsonNode) root = json_from_string (value, NULL);
@@ -183,10 +183,9 @@
   guint from =
       slash != NULL ? (guint) g_ascii_strtoull (slash + 1, NULL, 10) : 0;
   guint place = place_of (r, from);
-  CcKeyRange *one =
-      row->value != NULL
-          ? cc_key_range_parse (row->key, row->value, row->version)
-          : NULL;
+  CcKeyRange *one = row->value != NULL
+                        ? parse_range (row->key, row->value, row->version)
+                        : NULL;
 
   if (place < r->list->len &&
       ((CcKeyRange *) r->list->pdata[place])->from == from)
--- a/metrics.c
+++ b/metrics.c
@@ -91,16 +91,6 @@
   return bucket_top (CC_HISTOGRAM_BUCKETS - 1);
 }
 
-/* Adds FROM's values to INTO. */
-void
-cc_histogram_merge (CcHistogram *into, const CcHistogram *from)
-{
-  for (guint i = 0; i < CC_HISTOGRAM_BUCKETS; i++)
-    into->counts[i] += from->counts[i];
-  into->total += from->total;
-  into->sum += from->sum;
-}
-
 static gint
 compare_names (gconstpointer a, gconstpointer b, gpointer unused)
 {
--- a/metrics.h
+++ b/metrics.h
@@ -19,7 +19,6 @@
 
 void cc_histogram_add (CcHistogram *h, gint64 value);
 gint64 cc_histogram_quantile (const CcHistogram *h, double share);
-void cc_histogram_merge (CcHistogram *into, const CcHistogram *from);
 
 CcCounter *cc_metrics_counter (const char *name, const char *labels);
 CcHistogram *cc_metrics_histogram (const char *name, const char *labels);
--- a/platform.c
+++ b/platform.c
@@ -52,16 +52,6 @@
   return p;
 }
 
-/* Drops all calls in progress; their callbacks still run, with a failure. */
-void
-cc_platform_free (CcPlatform *p)
-{
-  soup_session_abort (p->session);
-  g_object_unref (p->session);
-  g_free (p->base);
-  g_free (p);
-}
-
 /* An empty transaction, consumed by cc_platform_commit. */
 CcTransaction *
 cc_transaction_new (void)
@@ -108,8 +98,8 @@
 }
 
 /* The transaction as JSON, to be freed by the caller; consumes T. */
-char *
-cc_transaction_take (CcTransaction *t)
+static char *
+transaction_take (CcTransaction *t)
 {
   char *body = g_strdup_printf ("{\"checks\":[%s],\"writes\":[%s]}",
                                 t->checks->str, t->writes->str);
@@ -222,7 +212,7 @@
                     gpointer data)
 {
   Call *c = call_new (p, "POST", "/v1/transaction", data);
-  char *body = cc_transaction_take (t);
+  char *body = transaction_take (t);
   g_autoptr (GBytes) bytes = g_bytes_new_take (body, strlen (body));
 
   c->commit = done;
--- a/platform.h
+++ b/platform.h
@@ -36,11 +36,9 @@
 
 CcPlatform *cc_platform_new (const char *address, const char *source,
                              gint64 timeout);
-void cc_platform_free (CcPlatform *p);
 CcTransaction *cc_transaction_new (void);
 void cc_transaction_check (CcTransaction *t, const char *key, guint64 version);
 void cc_transaction_put (CcTransaction *t, const char *key, const char *value);
-char *cc_transaction_take (CcTransaction *t);
 void cc_platform_commit (CcPlatform *p, CcTransaction *t, CcCommitDone done,
                          gpointer data);
 void cc_platform_changes (CcPlatform *p, guint64 since, const char *skip,
--- a/table.h
+++ b/table.h
@@ -37,7 +37,6 @@
 typedef struct CcTableChange CcTableChange;
 
 CcTable *cc_table_new (CcHttp *http, const char *address);
-void cc_table_free (CcTable *t);
 void cc_table_read (CcTable *t, CcTableName name, const char *key,
                     CcTableRows done, gpointer data);
 void cc_table_read_span (CcTable *t, CcTableName name, const char *from,
@@ -45,12 +44,10 @@
 void cc_table_watch (CcTable *t, CcTableName name, guint64 after, gint64 wait,
                      CcTableRows done, gpointer data);
 CcTableChange *cc_table_change_new (void);
-void cc_table_change_free (CcTableChange *c);
 void cc_table_expect (CcTableChange *c, CcTableName name, const char *key,
                       guint64 version);
 void cc_table_put (CcTableChange *c, CcTableName name, const char *key,
                    const char *value);
-void cc_table_delete (CcTableChange *c, CcTableName name, const char *key);
 void cc_table_commit (CcTable *t, CcTableChange *c, CcTableChanged done,
                       gpointer data);
 
--- a/test/run_all.sh
+++ b/test/run_all.sh
@@ -38,6 +38,12 @@
   echo "not ok - demo" | tee -a "$out"
   cat "$out.one"
 fi
+if sh test/callers.sh "$bin" >"$out.one" 2>&1; then
+  echo "ok - no public function is unused" >>"$out"
+else
+  echo "not ok - no public function is unused" | tee -a "$out"
+  grep NOBODY "$out.one"
+fi
 rm -f "$out.one" "$out.log"
 passed=$(grep -c '^ok' "$out")
 failed=0
