--- a/callers.c
+++ b/callers.c
@@ -360,20 +360,26 @@
  * process ends.  Broken off then, nobody would know whether it ran; told now,
  * its caller is answered by another instance.
  *
- * While the balancer may still send callers here there is time for most; what a
- * request may take is known without the time for which it waits, so from then
- * on, when only callers with kept connections come, none is taken. */
+ * While the balancer may still send callers here there is time for most. */
 static gboolean
 comes_too_late (const CcCallers *c, const CcRoute *route, const char *pool,
                 const CcCallerInfo *info)
 {
-  gint64 now = cc_clock_now ();
   gint64 need =
       MIN (route->timeout, cc_forwarder_longest (c->forwarder, pool, route));
 
   if (info->left >= 0)
     need = MIN (need, info->left);
-  return c->stop_at != 0 && (now >= c->quiet_at || now + need > c->stop_at);
+  return c->stop_at != 0 && cc_clock_now () + need > c->stop_at;
+}
+
+/* Whether the process is so near its end that no request is taken.  What one
+ * may take is known without the time for which it waits, so when only callers
+ * with kept connections come, none is. */
+gboolean
+cc_callers_are_turned_away (const CcCallers *c)
+{
+  return c->stop_at != 0 && cc_clock_now () >= c->quiet_at;
 }
 
 static void
@@ -394,7 +400,9 @@
   if (c->routes != NULL && host != NULL)
     route = cc_routes_find (c->routes, host,
                             g_uri_get_path (soup_server_message_get_uri (m)));
-  if (headers_size (m) > headers_max (c))
+  if (cc_callers_are_turned_away (c))
+    refuse (c, m, &stopping, &info, route);
+  else if (headers_size (m) > headers_max (c))
     refuse (c, m, &large_headers, &info, route);
   else if (c->routes == NULL)
     refuse (c, m, &no_configuration, &info, NULL);
@@ -427,7 +435,7 @@
 gboolean
 cc_callers_listen (CcCallers *c, const char *address, char **message)
 {
-  c->server = soup_server_new (NULL, NULL);
+  c->server = cc_http_server_new ();
   soup_server_add_early_handler (c->server, NULL, on_headers, c, NULL);
   soup_server_add_handler (c->server, NULL, on_request, c, NULL);
   return cc_http_listen (c->server, address, message);
@@ -466,6 +474,13 @@
   c->stop_at = stop_at;
 }
 
+/* Closes the listening socket and what is idle. */
+void
+cc_callers_close (CcCallers *c)
+{
+  soup_server_disconnect (c->server);
+}
+
 /* Requests that were taken in and not answered. */
 guint
 cc_callers_pending (const CcCallers *c)
--- a/gateway.c
+++ b/gateway.c
@@ -28,7 +28,7 @@
 #define DRAIN_QUIET (2600 * CC_MS)
 /* Part of the time until the platform kills the process that is used. */
 #define DRAIN_RESERVE (400 * CC_MS)
-#define DRAIN_LOOK (50 * CC_MS)
+#define DRAIN_POLL (50 * CC_MS)
 #define RECHECK (250 * CC_MS) /* of upstreams that are missing */
 #define FLUSH (1 * CC_SECOND) /* of log lines that found no room */
 /* Part of the time for which an upstream that leaves still serves that is not
@@ -56,7 +56,7 @@
   CcMirror *mirror;
   CcTargets targets;
   gboolean targets_changed; /* since the granter was last told */
-  gboolean cut_off;         /* by the last look (isolation.h) */
+  gboolean cut_off;         /* by the last check (isolation.h) */
   CcForwarder *forwarder;
   CcCallers *callers;
   CcGranter *granter;
@@ -133,7 +133,10 @@
   char *why = NULL;
   CcRoutes *routes;
 
-  if (row == NULL || row->version <= g->routes_version)
+  /* Reading a large one takes a weak machine half a second, in which what is
+   * still running is not answered and the stop is late. */
+  if (row == NULL || row->version <= g->routes_version ||
+      cc_callers_are_turned_away (g->callers))
     return;
   g->routes_version = row->version;
   routes = cc_edge_read_routes (row->value, &why);
@@ -242,6 +245,7 @@
   if (role.distance == 0)
     cc_granter_named (g->granter);
   cc_forwarder_entries (g->forwarder, count);
+  cc_load_reporter_relay (g->reporter, cc_members_is_relay (g->members));
   bound_connections (g);
   cc_mirror_role (g->mirror, &role);
 }
@@ -260,44 +264,48 @@
   cc_granter_work (((Gateway *) data)->granter, target, work, answers);
 }
 
-/* What this entry saw each owner of keys work since the last report. */
-static GVariant *
-take_work (Gateway *g)
+/* Adds what this entry saw each owner of keys work to its next report. */
+static void
+report_work (Gateway *g)
 {
   const CcRoutes *routes = cc_callers_routes (g->callers);
-  GVariantBuilder b;
   GHashTableIter i;
   gpointer value;
 
-  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(sdu)"));
+  if (routes == NULL)
+    return;
   g_hash_table_iter_init (&i, g->targets.by_id);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       CcTarget *t = value;
-      const CcRoutePool *pool =
-          routes != NULL ? cc_routes_pool (routes, t->listing.pool) : NULL;
+      const CcRoutePool *pool;
 
-      if (pool == NULL || !pool->keyed || t->load.answers_unreported == 0)
+      if (t->load.answers_unreported == 0)
         continue;
-      g_variant_builder_add (&b, "(sdu)", t->listing.id,
+      pool = cc_routes_pool (routes, t->listing.pool);
+      if (pool == NULL || !pool->keyed)
+        continue;
+      cc_load_reporter_work (g->reporter, t->listing.id,
                              t->load.work_unreported,
                              t->load.answers_unreported);
       t->load.work_unreported = 0;
       t->load.answers_unreported = 0;
     }
-  return g_variant_builder_end (&b);
 }
 
 static void
 on_report_due (gpointer data)
 {
   Gateway *g = data;
-  const CcRow *row =
-      cc_view_get (cc_mirror_view (g->mirror, CC_TABLE_STATE), CC_GRANTER_KEY);
+  g_autofree char *address = cc_members_report_address (g->members);
+  gint64 period = cc_members_is_relay (g->members) ? CC_LOAD_RELAY_PERIOD
+                                                   : CC_LOAD_REPORT_PERIOD;
 
-  cc_timer_start (&g->report_due, CC_LOAD_REPORT_PERIOD, on_report_due, g);
-  if (row != NULL)
-    cc_load_reporter_send (g->reporter, row->value, take_work (g));
+  cc_timer_start (&g->report_due, period, on_report_due, g);
+  if (address == NULL)
+    return;
+  report_work (g);
+  cc_load_reporter_send (g->reporter, address);
 }
 
 /* ---- rows that changed ---- */
@@ -314,7 +322,7 @@
   gint64 seen_at;
   guint64 version = cc_mirror_lease (g->mirror, &seen_at);
 
-  cc_granter_lease_heard (g->granter, version, seen_at);
+  cc_granter_lease_received (g->granter, version, seen_at);
 }
 
 static void
@@ -348,9 +356,9 @@
 
 /* ---- the ports beside the callers' ---- */
 
-/* Looks whether this process is cut off, and tells callers so. */
+/* Checks whether this process is cut off, and tells callers so. */
 static void
-look_for_isolation (Gateway *g)
+check_isolation (Gateway *g)
 {
   gint64 now = cc_clock_now (), heard_at = cc_mirror_heard_at (g->mirror);
   gboolean cut_off =
@@ -372,7 +380,7 @@
 
   if (g->stop_at != 0)
     return "draining\n";
-  look_for_isolation (g);
+  check_isolation (g);
   if (g->cut_off)
     return "cut off\n";
   if (cc_callers_routes (g->callers) == NULL)
@@ -474,7 +482,7 @@
       (now >= g->quiet_at && cc_callers_pending (g->callers) == 0 &&
        cc_granter_has_resigned (g->granter)))
     leave (g);
-  cc_timer_start (&g->drain, DRAIN_LOOK, on_draining, g);
+  cc_timer_start (&g->drain, DRAIN_POLL, on_draining, g);
 }
 
 static gboolean
@@ -491,7 +499,7 @@
             cc_event_int (cc_callers_pending (g->callers)), NULL);
   cc_callers_drain (g->callers, g->quiet_at, g->stop_at);
   cc_granter_resign (g->granter);
-  cc_timer_start (&g->drain, DRAIN_LOOK, on_draining, g);
+  cc_timer_start (&g->drain, DRAIN_POLL, on_draining, g);
   return G_SOURCE_CONTINUE;
 }
 
--- a/mirror_peers.c
+++ b/mirror_peers.c
@@ -23,6 +23,7 @@
 #include "clock.h"
 #include "event_log.h"
 #include "mirror_state.h"
+#include "row_codec.h"
 
 #define PEER_PERIOD (400 * CC_MS) /* between questions to peers */
 #define PEER_WITHIN (300 * CC_MS) /* a peer in reach answers in 10 ms */
@@ -36,7 +37,10 @@
  * so that most are answered by that. */
 #define FOLLOW_WAIT (900 * CC_MS)
 #define FOLLOW_WITHIN (250 * CC_MS) /* beyond that; a peer answers in 10 ms */
-#define FOLLOW_STALL (500 * CC_MS)  /* in an answer that has begun */
+/* An answer that goes on arriving is waited for, but not for so long that a
+ * relay whose link is slow leaves its followers without news. */
+#define FOLLOW_STALL (500 * CC_MS)
+#define FOLLOW_EXTEND (700 * CC_MS)
 /* ... and less if this copy would be too old by then; at least this, or a peer
  * whose copy is old would be asked without a pause. */
 #define FOLLOW_WAIT_LEAST (200 * CC_MS)
@@ -54,8 +58,8 @@
  * version of the lease's row that it knows, and since how long; the newest mark
  * of its version clock, with its age; for each table, since and up to which
  * version, and the rows. */
-#define PEER_TYPE "(xxxtxtxa(tta(sts)))"
-#define PEER_TABLES "a(tta(sts))"
+#define PEER_TABLES "a(tt" CC_ROWS_TYPE ")"
+#define PEER_TYPE "(xxxtxtx" PEER_TABLES ")"
 
 /* The rows that were written after SINCE[table], for a peer whose question was
  * HELD for so long, us, as it reads them. */
@@ -71,11 +75,11 @@
   g_variant_builder_init (&b, G_VARIANT_TYPE (PEER_TABLES));
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
     {
-      const CcMirrorTable *t = &m->tables[i];
+      CcMirrorTable *t = &m->tables[i];
 
-      g_variant_builder_add (&b, "(tt@a(sts))", since[i],
+      g_variant_builder_add (&b, "(tt@" CC_ROWS_TYPE ")", since[i],
                              t->complete ? t->view.upto : 0,
-                             cc_view_since (&t->view, since[i]));
+                             cc_rows_encode (&t->view, since[i]));
     }
   all = g_variant_ref_sink (g_variant_new (
       "(xxxtxtx@" PEER_TABLES ")", held, now - m->fresh_at,
@@ -94,26 +98,66 @@
   return m->lease > since[CC_TABLE_LEASE];
 }
 
+/* One table of a peer's answer. */
+typedef struct
+{
+  guint64 since;
+  guint64 upto;
+  GVariant *rows; /* a(sts) */
+} PeerTable;
+
 static void
-take_peer_table (CcMirrorTable *t, guint64 since, guint64 upto, GVariant *rows)
+take_peer_table (CcMirrorTable *t, const PeerTable *p)
 {
-  gboolean changed = cc_mirror_put_rows (t, rows);
+  gboolean changed = cc_mirror_put_rows (t, p->rows);
 
   /* A peer that has read the table whole makes this copy whole as well. */
-  if (since == 0 && upto > 0 && !t->complete)
+  if (p->since == 0 && p->upto > 0 && !t->complete)
     {
       t->complete = TRUE;
       changed = TRUE;
     }
   if (t->complete)
-    cc_view_advance (&t->view, since, upto);
+    cc_view_advance (&t->view, p->since, p->upto);
   if (changed)
     cc_mirror_notify (t);
 }
 
-/* A peer's rows were fresh AGE us before its answer, which was WAY us on its
- * way at most, and it last had an outage of the service OUTAGE us ago, -1:
- * never.
+static void
+peer_tables_clear (PeerTable *all)
+{
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    g_clear_pointer (&all[i].rows, g_variant_unref);
+}
+
+/* Reads TABLES into ALL, which is empty.  FALSE, with nothing held, if any row
+ * of them is damaged. */
+static gboolean
+read_peer_tables (GVariant *tables, PeerTable *all)
+{
+  if (g_variant_n_children (tables) != CC_TABLE_FOLLOWED)
+    return FALSE;
+  for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
+    {
+      g_autoptr (GVariant) encoded = NULL;
+      GVariant *rows;
+
+      g_variant_get_child (tables, i, "(tt@" CC_ROWS_TYPE ")", &all[i].since,
+                           &all[i].upto, &encoded);
+      rows = cc_rows_decode (encoded);
+      if (rows == NULL)
+        {
+          peer_tables_clear (all);
+          return FALSE;
+        }
+      all[i].rows = g_variant_ref_sink (rows);
+    }
+  return TRUE;
+}
+
+/* A peer's rows were fresh AGE us before its answer, which came at NOW and was
+ * WAY us on its way at most, and it last had an outage of the service OUTAGE us
+ * ago, -1: never.
  *
  * Failure: this process alone loses its connection to the service, or hears
  * late that an outage is over.  Symptom: it takes upstreams that leave
@@ -121,10 +165,8 @@
  * have ended.  A peer that heard from the service after this process's own
  * outage knows when its last outage was. */
 static void
-note_peer (CcMirror *m, gint64 age, gint64 way, gint64 outage)
+note_peer (CcMirror *m, gint64 age, gint64 way, gint64 outage, gint64 now)
 {
-  gint64 now = cc_clock_now ();
-
   if (now - way - age <= m->others_fresh)
     return;
   m->others_fresh = now - way - age;
@@ -147,21 +189,23 @@
   return now - asked - CLAMP (held, 0, now - asked);
 }
 
-/* Takes the rows in R, the answer to a question that was ASKED then, us.
- * Returns how long ago, in us, they were fresh at most, or -1 if there is
- * nothing to take; and in *OUTAGE how long ago the peer had an outage of the
- * service, -1: never.
+/* Takes the rows in R, the answer to a question that was ASKED then, which came
+ * at NOW, us.  Returns how long before NOW, in us, they were fresh at most, or
+ * -1 if there is nothing to take; and in *OUTAGE how long before the peer had
+ * an outage of the service, -1: never.
  *
  * The times of the lease and of outages count from the answer's arrival: the
  * later a lease is taken to have been renewed, the later it is taken over, and
- * the later an outage, the longer deletions are doubted. */
+ * the later an outage, the longer deletions are doubted.  NOW is read before
+ * the rows are taken: what they change may occupy this process for a while, and
+ * the copy would pass for newer than it is. */
 static gint64
-take_peer_answer (CcMirror *m, const CcHttpResult *r, gint64 asked,
+take_peer_answer (CcMirror *m, const CcHttpResult *r, gint64 asked, gint64 now,
                   gint64 *outage)
 {
   g_autoptr (GVariant) all = NULL;
   g_autoptr (GVariant) tables = NULL;
-  gint64 now = cc_clock_now ();
+  PeerTable read[CC_TABLE_FOLLOWED] = { 0 };
   gint64 held, age, lease_age, mark_age, way;
   guint64 lease, mark;
 
@@ -171,8 +215,7 @@
       g_variant_new_from_bytes (G_VARIANT_TYPE (PEER_TYPE), r->body, FALSE));
   g_variant_get (all, "(xxxtxtx@" PEER_TABLES ")", &held, &age, outage, &lease,
                  &lease_age, &mark, &mark_age, &tables);
-  if (!g_variant_is_normal_form (all) ||
-      g_variant_n_children (tables) != CC_TABLE_FOLLOWED)
+  if (!g_variant_is_normal_form (all) || !read_peer_tables (tables, read))
     {
       cc_event (CC_EVENT_STATE, "peer-answer-damaged", NULL);
       return -1;
@@ -182,15 +225,10 @@
   if (mark > 0)
     cc_version_clock_note (&m->clock, mark, now - way - mark_age);
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
-    {
-      guint64 since, upto;
-      g_autoptr (GVariant) rows = NULL;
-
-      g_variant_get_child (tables, i, "(tt@a(sts))", &since, &upto, &rows);
-      take_peer_table (&m->tables[i], since, upto, rows);
-    }
+    take_peer_table (&m->tables[i], &read[i]);
+  peer_tables_clear (read);
   cc_mirror_lease_renewed (m, lease, now - MAX (lease_age, 0));
-  note_peer (m, age, way, *outage);
+  note_peer (m, age, way, *outage, now);
   return age + way;
 }
 
@@ -201,7 +239,7 @@
   gint64 outage;
 
   m->asking = FALSE;
-  take_peer_answer (m, r, m->asked_any, &outage);
+  take_peer_answer (m, r, m->asked_any, cc_clock_now (), &outage);
 }
 
 /* Asks the peer at ADDRESS for what is newer than this copy, for which it may
@@ -221,6 +259,7 @@
                     .answer_within =
                         wait + (wait > 0 ? FOLLOW_WITHIN : PEER_WITHIN),
                     .stall_within = FOLLOW_STALL,
+                    .extend_most = FOLLOW_EXTEND,
                     .idle_max = 2 * CC_SECOND };
 
   return cc_http_send (m->setup.http, &o, done, m) != NULL;
@@ -355,8 +394,8 @@
 {
   CcMirror *m = data;
   gint64 outage = -1;
-  gint64 age = take_peer_answer (m, r, m->asked_followed, &outage);
   gint64 now = cc_clock_now ();
+  gint64 age = take_peer_answer (m, r, m->asked_followed, now, &outage);
 
   m->following = FALSE;
   m->setup.peer_ended (m->followed, age >= 0, m->setup.data);
