--- a/test/soak.c
+++ b/test/soak.c
@@ -688,6 +688,7 @@
                         argv) != CC_START_RUN)
     return 2;
   signal (SIGPIPE, SIG_IGN);
+  soak_servers_tell (soak_probe_ran);
   seed = (guint) cc_setting_number (settings, "seed");
   soak.bin = cc_setting (settings, "bin");
   soak.net = free_net ();
--- a/test/soak.h
+++ b/test/soak.h
@@ -28,6 +28,18 @@
 void soak_audit_budget (double ratio, double slack, gint64 window);
 void soak_audit_summary (void);
 
+typedef struct
+{
+  guint asked, once, answered, refused;
+  guint ran_twice;     /* once-only requests that did */
+  guint refused_ran;   /* told that they had not run, and did */
+  guint wrong_answers; /* of another request */
+  guint owner_faults;  /* grants of a key that was another's */
+} SoakAuditCounts;
+
+void soak_audit_count (SoakAuditCounts *c);
+guint soak_audit_held (guint *owners);
+
 /* ---- the platform's store (soak_table.c) ---- */
 
 typedef enum
@@ -58,6 +70,9 @@
   SOAK_SERVER_LATE_GRANTS /* grants are carried out late, without answer */
 } SoakServerMode;
 
+/* RAN is called with each request that a server runs. */
+void soak_servers_tell (void (*ran) (const char *id, const char *pool,
+                                     const char *target));
 SoakServer *soak_server_new (const char *pool, gboolean keyed, const char *zone,
                              const char *real, const char *front, guint index);
 void soak_server_start (SoakServer *s, gboolean same_id);
--- a/test/soak_server.c
+++ b/test/soak_server.c
@@ -60,8 +60,17 @@
   guint64 fence[SOAK_KEYS]; /* the highest that it saw */
 };
 
+static void (*tell_ran) (const char *id, const char *pool, const char *target);
+
 static void serve_next (SoakServer *s);
 
+void
+soak_servers_tell (void (*ran) (const char *id, const char *pool,
+                                const char *target))
+{
+  tell_ran = ran;
+}
+
 /* A server of POOL that is down. */
 SoakServer *
 soak_server_new (const char *pool, gboolean keyed, const char *zone,
@@ -244,7 +253,8 @@
   g_autofree char *target = cc_http_target (j->message);
 
   soak_audit_started (j->id, s->pool, s->life);
-  soak_probe_ran (j->id, s->pool, target);
+  if (tell_ran != NULL)
+    tell_ran (j->id, s->pool, target);
   if (s->mode == SOAK_SERVER_SLOW)
     work *= SLOW_FACTOR;
   j->source = g_timeout_add (work, on_work_done, j);
