--- a/pick.c
+++ b/pick.c
@@ -1,12 +1,14 @@
-/* Load pattern: a dozen entries send to the same upstreams, and each sees only
+/* Load pattern: many entries send to the same upstreams, and each sees only
  * its own part.  Sent by turns, requests queue at the slow and the full ones
  * while others idle; sent by what each entry has in flight alone, all entries
  * find the same upstream free at the same time.
  *
  * So the number inside an upstream is this entry's own, which it knows exactly,
  * and an estimate of the others': what the upstream last said, which fades into
- * their mean as the report ages.  From it follows the time after which an
- * answer is to be expected, and the request goes where that is shortest.  Slow
+ * their mean as the report ages.  Whether there is room goes by what the pool's
+ * upstreams have inside instead of that mean (pool_load.h).  From the number
+ * follows the time after which an answer is to be expected, and the request
+ * goes where that is shortest.  Slow
  * upstreams are measured slow, failing ones count as slower by the attempts
  * that they waste, and both are forgotten with time, so that one that has
  * recovered is tried again. */
@@ -18,8 +20,8 @@
  * which a server of today ends one request of its four. */
 #define REPORT_TIME (150 * CC_MS)
 /* The belief in what an owner of keys has inside is worth half of itself after
- * the time in which as much is served, and not before this: an entry of a dozen
- * sends an owner about a request a second, and each brings a new report. */
+ * the time in which as much is served, and not before this: an owner of a busy
+ * key stays busy for longer than its queue takes to drain. */
 #define BELIEF_TIME_LEAST (1 * CC_SECOND)
 /* Weight of a new report in the others' mean. */
 #define USUAL_WEIGHT 0.2
@@ -107,9 +109,10 @@
  * have sent more than this entry knows, but not less than L once said to hold.
  */
 static void
-note_full (CcTargetLoad *l, double typical, gint64 now)
+note_full (CcTargetLoad *l, double work, gint64 now)
 {
-  double inside = cc_pick_owner_inside (l, typical, now);
+  CcTypicalWork alone = { .kind = work, .any = work };
+  double inside = cc_pick_owner_inside (l, &alone, now);
   double full_from = MAX (MAX (inside, l->held), l->slots);
 
   if (l->full_from > 0)
@@ -171,19 +174,37 @@
     }
 }
 
+/* What others have inside L by what its pool's upstreams have. */
+static double
+others_by_pool (const CcTargetLoad *l, const CcTypicalWork *typical)
+{
+  return MAX (typical->inside * l->slots - l->mine, 0.0);
+}
+
 /* How many requests are inside L at NOW, by estimate. */
 double
-cc_pick_inside (const CcTargetLoad *l, gint64 now)
+cc_pick_inside (const CcTargetLoad *l, const CcTypicalWork *typical, gint64 now)
 {
   double weight = faded (l->others_at, now, REPORT_TIME);
 
   if (l->others_at == 0)
-    return l->mine;
+    return l->mine + others_by_pool (l, typical);
   return l->mine + weight * l->others + (1.0 - weight) * l->others_typical;
 }
 
-/* The same for an L that is the only one to send a request to, as for its keys;
- * work takes ANY us there.
+/* The same if OTHERS were inside L when it last said so, a belief that is worth
+ * half of itself after HALF; for the rest L is like its pool's upstreams. */
+static double
+inside_by_pool (const CcTargetLoad *l, const CcTypicalWork *typical,
+                double others, gint64 half, gint64 now)
+{
+  double weight = l->others_at == 0 ? 0.0 : faded (l->others_at, now, half);
+
+  return l->mine + weight * others +
+         (1.0 - weight) * others_by_pool (l, typical);
+}
+
+/* The same for an L that is the only one to send a request to, as for its keys.
  *
  * Failure: its queue was long once, as after a restart of all entries, and this
  * entry, which sends nothing to an owner that seems full, hears no other word.
@@ -192,13 +213,14 @@
  * was inside is served after a while, so the belief fades with the time that
  * this takes; whoever then sends one request hears how things stand. */
 double
-cc_pick_owner_inside (const CcTargetLoad *l, double any, gint64 now)
+cc_pick_owner_inside (const CcTargetLoad *l, const CcTypicalWork *typical,
+                      gint64 now)
 {
-  double others = cc_pick_inside (l, now) - l->mine;
-  double drained = l->others_typical * any / MAX (l->slots, 1);
+  double others = cc_pick_inside (l, typical, now) - l->mine;
+  double drained = l->others_typical * typical->any / MAX (l->slots, 1);
 
-  return l->mine + others * faded (l->others_at, now,
-                                   MAX ((gint64) drained, BELIEF_TIME_LEAST));
+  return inside_by_pool (l, typical, others,
+                         MAX ((gint64) drained, BELIEF_TIME_LEAST), now);
 }
 
 /* How much longer L takes for the same work than a typical upstream; 1: as
@@ -242,13 +264,17 @@
   return l->full_from > 0 && inside + 1.0 > full_limit (l, now);
 }
 
-/* Whether one more request would be taken in at NOW and not only wait. */
+/* Whether one more request would be taken in at NOW and not only wait.  Of many
+ * upstreams there is always one whose last report was low; what the pool has
+ * inside tells whether that is still so. */
 gboolean
-cc_pick_has_room (const CcTargetLoad *l, gint64 now)
+cc_pick_has_room (const CcTargetLoad *l, const CcTypicalWork *typical,
+                  gint64 now)
 {
   if (now < l->avoid_until)
     return FALSE;
-  return cc_pick_inside (l, now) < l->slots * (1 + WAITING_A_SLOT);
+  return inside_by_pool (l, typical, l->others, REPORT_TIME, now) <
+         l->slots * (1 + WAITING_A_SLOT);
 }
 
 /* The time after which an answer from L, with INSIDE before it, is to be
@@ -272,7 +298,7 @@
 {
   double failures = l->failures * faded (l->failures_at, now, FAILURE_TIME);
 
-  return (cc_pick_time (l, typical, cc_pick_inside (l, now), now) +
+  return (cc_pick_time (l, typical, cc_pick_inside (l, typical, now), now) +
           cross_zone) *
          (1.0 + FAILURE_COST * failures * failures);
 }
--- a/pick.h
+++ b/pick.h
@@ -2,7 +2,7 @@
 #ifndef CC_PICK_H
 #define CC_PICK_H
 
-#include "capercrank.h"
+#include "pool_load.h"
 
 /* What this entry knows of one upstream's load. */
 typedef struct
@@ -21,12 +21,13 @@
   gint64 slowness_at;     /* when that was last added to, us */
   double work_unreported; /* of its answers since the last report, us */
   guint answers_unreported;
-  double failures;    /* share of attempts that failed lately, 0 to 1 */
-  gint64 failures_at; /* when an attempt last ended, us */
-  gint64 cold_until;  /* slow for having just started, us */
-  gint64 avoid_until; /* not reachable or shedding: not before, us */
-  gint64 avoid_span;  /* of the last such time, us */
-  gint64 reached_at;  /* it last answered, us; 0: never */
+  double failures;      /* share of attempts that failed lately, 0 to 1 */
+  gint64 failures_at;   /* when an attempt last ended, us */
+  gint64 cold_until;    /* slow for having just started, us */
+  gint64 avoid_until;   /* not reachable or shedding: not before, us */
+  gint64 avoid_span;    /* of the last such time, us */
+  gint64 reached_at;    /* it last answered, us; 0: never */
+  CcPoolReport in_pool; /* its part of its pool's load */
 } CcTargetLoad;
 
 /* How an attempt at it ended. */
@@ -48,11 +49,12 @@
   guint waiting;
 } CcLoadReport;
 
-/* How long work takes in the mean over a pool's upstreams, us. */
+/* What is usual at a pool's upstreams. */
 typedef struct
 {
-  double kind; /* work of the request's own kind */
-  double any;  /* work of any kind that the pool gets */
+  double kind;   /* time that work of the request's own kind takes, us */
+  double any;    /* ... and work of any kind that the pool gets, us */
+  double inside; /* requests inside one for each of its slots, lately */
 } CcTypicalWork;
 
 /* What an attempt showed. */
@@ -68,10 +70,13 @@
 double cc_pick_sent (CcTargetLoad *l, const CcTypicalWork *typical,
                      double inside);
 void cc_pick_ended (CcTargetLoad *l, const CcPickResult *r, gint64 now);
-double cc_pick_inside (const CcTargetLoad *l, gint64 now);
-double cc_pick_owner_inside (const CcTargetLoad *l, double any, gint64 now);
+double cc_pick_inside (const CcTargetLoad *l, const CcTypicalWork *typical,
+                       gint64 now);
+double cc_pick_owner_inside (const CcTargetLoad *l,
+                             const CcTypicalWork *typical, gint64 now);
 gboolean cc_pick_is_full (const CcTargetLoad *l, double inside, gint64 now);
-gboolean cc_pick_has_room (const CcTargetLoad *l, gint64 now);
+gboolean cc_pick_has_room (const CcTargetLoad *l, const CcTypicalWork *typical,
+                           gint64 now);
 double cc_pick_slowness (const CcTargetLoad *l, gint64 now);
 double cc_pick_time (const CcTargetLoad *l, const CcTypicalWork *typical,
                      double inside, gint64 now);
