--- a/members.c
+++ b/members.c
@@ -1,12 +1,11 @@
 /* A process writes one row, unless it is there, and reads those of the others.
- * Rows of processes that ended stay: who is asked and does not answer is passed
- * over, and the fleet's bounds are shared among more members than there are,
- * which only makes each share smaller.
+ * Rows of processes that ended stay.  A peer that does not answer is skipped
+ * for a while, and bounds of the fleet are divided among more members than
+ * there are, which only makes each share smaller.
  *
- * Whose copy of the rows a process follows (mirror.h): the granter's.  In a
- * large fleet that would be too many questions for one process, so there a few
- * of each zone follow the granter and the others of the zone follow them, which
- * also saves bytes between zones. */
+ * A process follows the granter's copy of the rows (mirror.h).  In a large
+ * fleet the relays of each zone do, and the rest of the zone follows them:
+ * fewer requests to one process, and fewer bytes between zones. */
 #include "members.h"
 
 #include <json-glib/json-glib.h>
@@ -18,15 +17,15 @@
 
 #define MEMBER_PREFIX "member/"
 #define REGISTER_RETRY (500 * CC_MS)
-/* Processes from which on a zone has relays.  An answer to a question costs the
- * granter 0.1 ms, and each process asks three times in two seconds. */
+/* Processes from which on a zone has relays.  An answer takes 0.1 ms, and each
+ * process makes three requests in two seconds. */
 #define LARGE_FLEET 24
 #define RELAYS 3          /* of each zone: two may be lost at once */
 #define RELAYS_LEAST 2    /* beside which weak processes are none */
 #define FOLLOWERS_MOST 40 /* of a relay, in the mean */
 #define WEAK_PART 0.5     /* of the cores of the one before: less is weak */
 #define FIRST_READERS 3   /* of the fleet */
-/* A relay that did not answer is passed over for so long, doubled each time. */
+/* A relay that did not answer is skipped for so long, doubled each time. */
 #define BACKOFF_MIN (1 * CC_SECOND)
 #define BACKOFF_MAX (30 * CC_SECOND)
 /* Rows drawn until one names another process. */
@@ -45,7 +44,7 @@
 /* One that did not answer. */
 typedef struct
 {
-  gint64 until; /* it is passed over, us */
+  gint64 until; /* it is skipped, us */
   gint64 span;  /* ... for so long, us */
 } Backoff;
 
