--- a/pool_load.c
+++ b/pool_load.c
@@ -1,6 +1,6 @@
 /* Load pattern: a fleet grows with its pools.  All entries together send an
  * upstream as much as before, but a single one hears of it only every few
- * seconds.  What it heard last is of no use then; taken for idle, upstreams get
+ * seconds.  Its last report is of no use then; taken for idle, upstreams get
  * more than they have room for, from entries of which none sees that.
  *
  * What one upstream says tells of the others as well: they get their load from
--- a/test/soak_watch.c
+++ b/test/soak_watch.c
@@ -29,13 +29,13 @@
 {
   guint now;         /* disturbances that go on */
   gint64 last_ended; /* us */
-} Trouble;
+} Faults;
 
 typedef struct
 {
   char *admin;
-  Trouble trouble;
-  Trouble callers; /* of its link to them */
+  Faults faults;
+  Faults callers; /* of its link to them */
   guint run;
   char *schedule;  /* file with the time that it waited for a processor */
   gint64 starved;  /* of that by the last look, us */
@@ -57,7 +57,7 @@
 
 static Watched watched[GATEWAYS_MOST];
 static guint count;
-static Trouble table;
+static Faults table;
 static guint starved;
 static CcHttp *http;
 static guint timer;
@@ -65,12 +65,12 @@
 static gint64
 calm_from (const Watched *w)
 {
-  if (w->trouble.now > 0 || table.now > 0)
+  if (w->faults.now > 0 || table.now > 0)
     return G_MAXINT64;
-  return MAX (w->trouble.last_ended, table.last_ended);
+  return MAX (w->faults.last_ended, table.last_ended);
 }
 
-/* Whether since AT GATEWAY has been in no trouble, and no caller's link to it
+/* Whether since AT GATEWAY had no fault, and no caller's link to it
  * was harmed. */
 gboolean
 soak_watch_calm_since (guint gateway, gint64 at)
@@ -143,18 +143,17 @@
 }
 
 static void
-note_trouble (Trouble *t, gboolean begins)
+note_fault (Faults *t, gboolean begins)
 {
   t->now = begins ? t->now + 1 : t->now - 1;
   t->last_ended = cc_clock_now ();
 }
 
-/* Trouble of GATEWAY, or of all if it is SOAK_ALL, begins or ends. */
+/* A fault of GATEWAY, or of all if it is SOAK_ALL, begins or ends. */
 void
 soak_watch_disturb (guint gateway, gboolean begins)
 {
-  note_trouble (gateway == SOAK_ALL ? &table : &watched[gateway].trouble,
-                begins);
+  note_fault (gateway == SOAK_ALL ? &table : &watched[gateway].faults, begins);
 }
 
 /* The same of the link to callers. */
@@ -163,10 +162,10 @@
 {
   for (guint i = 0; i < count; i++)
     if (gateway == SOAK_ALL || gateway == i)
-      note_trouble (&watched[i].callers, begins);
+      note_fault (&watched[i].callers, begins);
 }
 
-/* Trouble of GATEWAY that is over at once. */
+/* A fault of GATEWAY that is over at once. */
 void
 soak_watch_shake (guint gateway)
 {
@@ -186,7 +185,7 @@
   w->run++;
   w->seen = w->version = 0;
   w->told = NONE;
-  w->trouble.last_ended = cc_clock_now ();
+  w->faults.last_ended = cc_clock_now ();
 }
 
 /* W has VERSION for the first time. */
