--- a/callers.c
+++ b/callers.c
@@ -377,7 +377,7 @@
  * may take is known without the time for which it waits, so when only callers
  * with kept connections come, none is. */
 gboolean
-cc_callers_are_turned_away (const CcCallers *c)
+cc_callers_rejects_all (const CcCallers *c)
 {
   return c->stop_at != 0 && cc_clock_now () >= c->quiet_at;
 }
@@ -400,7 +400,7 @@
   if (c->routes != NULL && host != NULL)
     route = cc_routes_find (c->routes, host,
                             g_uri_get_path (soup_server_message_get_uri (m)));
-  if (cc_callers_are_turned_away (c))
+  if (cc_callers_rejects_all (c))
     refuse (c, m, &stopping, &info, route);
   else if (headers_size (m) > headers_max (c))
     refuse (c, m, &large_headers, &info, route);
--- a/callers.h
+++ b/callers.h
@@ -12,7 +12,7 @@
 const CcRoutes *cc_callers_routes (const CcCallers *c);
 void cc_callers_send_away (CcCallers *c, gboolean away);
 void cc_callers_drain (CcCallers *c, gint64 quiet_at, gint64 stop_at);
-gboolean cc_callers_are_turned_away (const CcCallers *c);
+gboolean cc_callers_rejects_all (const CcCallers *c);
 void cc_callers_close (CcCallers *c);
 guint cc_callers_pending (const CcCallers *c);
 
--- a/gateway.c
+++ b/gateway.c
@@ -136,7 +136,7 @@
   /* Reading a large one takes a weak machine half a second, in which what is
    * still running is not answered and the stop is late. */
   if (row == NULL || row->version <= g->routes_version ||
-      cc_callers_are_turned_away (g->callers))
+      cc_callers_rejects_all (g->callers))
     return;
   g->routes_version = row->version;
   routes = cc_edge_read_routes (row->value, &why);
