Mirror: who asks for more than a peer's history gets all rows

Cause: a peer that read the table whole after a row's deletion knows nothing of it, and its answers claimed completeness to copies from before. They kept the row for ever. Shown by a_copy_drops_what_its_new_peer_never_had, red always before, green with this change; its check is as it was.

Ruled out: a deletion lost between table and peer (the peer never had the row); the doubt about deletions after outages (the row was held, not doubted).

Change: a copy notes from which version on it knows deletions; who asks from before that gets all rows, and drops what they lack.

Kin looked for: follower.c is sound, its table keeps deleted rows.

--- a/mirror.c
+++ b/mirror.c
@@ -300,6 +300,51 @@
   return changed;
 }
 
+/* Rows that are held and that ROWS, all of the table at UPTO, do not have were
+ * deleted, unless they are newer. */
+static gboolean
+drop_missing (CcMirrorTable *t, GVariant *rows, guint64 upto)
+{
+  g_autoptr (GHashTable) present = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GPtrArray) held = cc_view_list (&t->view, "");
+  GVariantIter i;
+  const char *key, *value;
+  guint64 version;
+  gboolean changed = FALSE;
+
+  g_variant_iter_init (&i, rows);
+  while (g_variant_iter_next (&i, "(&st&s)", &key, &version, &value))
+    g_hash_table_add (present, (gpointer) key);
+  for (guint k = 0; k < held->len; k++)
+    {
+      const CcRow *row = held->pdata[k];
+
+      if (!g_hash_table_contains (present, row->key))
+        changed |= put_row (t, row->key, upto, NULL);
+    }
+  return changed;
+}
+
+/* Takes ROWS, all of T at UPTO.  Returns TRUE if T has changed. */
+gboolean
+cc_mirror_put_whole (CcMirrorTable *t, GVariant *rows, guint64 upto)
+{
+  gboolean changed = cc_mirror_put_rows (t, rows);
+
+  if (drop_missing (t, rows, upto))
+    {
+      /* These rows were deleted at some time before UPTO, which they now bear:
+       * nothing may be concluded from that. */
+      t->mirror->clock = (CcVersionClock){ 0 };
+      changed = TRUE;
+    }
+  changed |= !t->complete;
+  t->complete = TRUE;
+  t->history_from = MAX (t->history_from, upto);
+  cc_view_advance (&t->view, 0, upto);
+  return changed;
+}
+
 /* Load pattern: ranges move, and the process that grants them writes rows ten
  * to twenty times a second.  It knows these rows, and need not be told of each;
  * its watch is for the few that others write. */
@@ -355,37 +400,11 @@
   watch (t);
 }
 
-/* Rows that are held and that a whole reading at UPTO does not have were
- * deleted, unless they are newer. */
-static gboolean
-drop_missing (CcMirrorTable *t, GVariant *rows, guint64 upto)
-{
-  g_autoptr (GHashTable) present = g_hash_table_new (g_str_hash, g_str_equal);
-  g_autoptr (GPtrArray) held = cc_view_list (&t->view, "");
-  GVariantIter i;
-  const char *key, *value;
-  guint64 version;
-  gboolean changed = FALSE;
-
-  g_variant_iter_init (&i, rows);
-  while (g_variant_iter_next (&i, "(&st&s)", &key, &version, &value))
-    g_hash_table_add (present, (gpointer) key);
-  for (guint k = 0; k < held->len; k++)
-    {
-      const CcRow *row = held->pdata[k];
-
-      if (!g_hash_table_contains (present, row->key))
-        changed |= put_row (t, row->key, upto, NULL);
-    }
-  return changed;
-}
-
 static void
 on_read (CcStatus status, GVariant *rows, guint64 upto, const char *why,
          gpointer data)
 {
   CcMirrorTable *t = end_call (data, status, rows, upto);
-  gboolean changed;
 
   if (t == NULL)
     return;
@@ -395,20 +414,8 @@
       return;
     }
   note_answer (t);
-  changed = cc_mirror_put_rows (t, rows);
-  if (drop_missing (t, rows, upto))
-    {
-      /* These rows were deleted at some time before UPTO, which they now bear:
-       * nothing may be concluded from that. */
-      t->mirror->clock = (CcVersionClock){ 0 };
-      changed = TRUE;
-    }
-  cc_view_advance (&t->view, 0, upto);
-  if (changed || !t->complete)
-    {
-      t->complete = TRUE;
-      cc_mirror_notify (t);
-    }
+  if (cc_mirror_put_whole (t, rows, upto))
+    cc_mirror_notify (t);
   watch (t);
 }
 
--- a/mirror_peers.c
+++ b/mirror_peers.c
@@ -62,7 +62,13 @@
 #define PEER_TYPE "(xxxtxtx" PEER_TABLES ")"
 
 /* The rows that were written after SINCE[table], for a peer whose question was
- * HELD for so long, us, as it reads them. */
+ * HELD for so long, us, as it reads them.
+ *
+ * Failure: a row is deleted, this process reads the table whole after that, and
+ * a peer with an older copy begins to follow it.  Symptom: no row tells that
+ * peer of the deletion, and it sends requests to an upstream that is gone, for
+ * ever.  So who asks for more than this process knows the history of gets all
+ * rows, and drops what they lack. */
 GBytes *
 cc_mirror_rows_since (CcMirror *m, const guint64 *since, gint64 held)
 {
@@ -76,10 +82,11 @@
   for (guint i = 0; i < CC_TABLE_FOLLOWED; i++)
     {
       CcMirrorTable *t = &m->tables[i];
+      guint64 from = since[i] < t->history_from ? 0 : since[i];
 
-      g_variant_builder_add (&b, "(tt@" CC_ROWS_TYPE ")", since[i],
+      g_variant_builder_add (&b, "(tt@" CC_ROWS_TYPE ")", from,
                              t->complete ? t->view.upto : 0,
-                             cc_rows_encode (&t->view, since[i]));
+                             cc_rows_encode (&t->view, from));
     }
   all = g_variant_ref_sink (g_variant_new (
       "(xxxtxtx@" PEER_TABLES ")", held, now - m->fresh_at,
@@ -109,14 +116,10 @@
 static void
 take_peer_table (CcMirrorTable *t, const PeerTable *p)
 {
-  gboolean changed = cc_mirror_put_rows (t, p->rows);
+  gboolean is_whole = p->since == 0 && p->upto > 0;
+  gboolean changed = is_whole ? cc_mirror_put_whole (t, p->rows, p->upto)
+                              : cc_mirror_put_rows (t, p->rows);
 
-  /* A peer that has read the table whole makes this copy whole as well. */
-  if (p->since == 0 && p->upto > 0 && !t->complete)
-    {
-      t->complete = TRUE;
-      changed = TRUE;
-    }
   if (t->complete)
     cc_view_advance (&t->view, p->since, p->upto);
   if (changed)
--- a/mirror_state.h
+++ b/mirror_state.h
@@ -13,6 +13,7 @@
   CcView view;
   GPtrArray *changed;   /* of CcRow in VIEW, not told of yet */
   gboolean complete;    /* it was read whole once, here or by a peer */
+  guint64 history_from; /* deletions after this version are known */
   gboolean unavailable; /* the last call failed */
   gint64 outage_at;     /* the service was last silent then at the latest, us */
   gboolean relieved;    /* it has answered somebody since */
@@ -64,6 +65,7 @@
 /* What mirror_peers.c uses of mirror.c. */
 void cc_mirror_ask_service (CcMirrorTable *t);
 gboolean cc_mirror_put_rows (CcMirrorTable *t, GVariant *rows);
+gboolean cc_mirror_put_whole (CcMirrorTable *t, GVariant *rows, guint64 upto);
 void cc_mirror_notify (CcMirrorTable *t);
 void cc_mirror_service_well (CcMirror *m, gint64 earliest, gint64 latest);
 gboolean cc_mirror_is_cut_off (const CcMirror *m);
