Mirror: a complete copy takes no row from before its version

Cause: a process that was started again reads the table whole after a row's deletion. A peer with an older copy, asked in an outage or followed, answers with the row, and there is nothing in the new copy that speaks against it.

Change: a row from before the version up to which a copy is complete is either held or deleted, and is not taken.

--- a/mirror.c
+++ b/mirror.c
@@ -285,10 +285,17 @@
   g_ptr_array_set_size (t->changed, 0);
 }
 
-/* Takes ROWS of T.  Returns TRUE if any was news. */
+/* Takes ROWS of T.  Returns TRUE if any was news.
+ *
+ * Failure: this process was started again and read the table; a peer with an
+ * older copy gives it a row that was deleted before that.  Symptom: requests go
+ * to an upstream that is gone, for ever, since nothing tells of the deletion a
+ * second time.  So a row from before what this copy is complete up to is not
+ * taken: it is either held or deleted. */
 gboolean
 cc_mirror_put_rows (CcMirrorTable *t, GVariant *rows)
 {
+  guint64 known = t->complete ? t->view.upto : 0;
   GVariantIter i;
   const char *key, *value;
   guint64 version;
@@ -296,7 +303,8 @@
 
   g_variant_iter_init (&i, rows);
   while (g_variant_iter_next (&i, "(&st&s)", &key, &version, &value))
-    changed |= put_row (t, key, version, value);
+    if (version > known)
+      changed |= put_row (t, key, version, value);
   return changed;
 }
 
--- a/test/mirror_world.c
+++ b/test/mirror_world.c
@@ -184,7 +184,7 @@
     {
       g_variant_get (row, "(&st&s)", &key, &version, &value);
       if ((q->to != NULL && strcmp (key, q->to) >= 0) ||
-          (world.answers == FORGETS && value[0] == '\0'))
+          (world.answers >= FORGETS && value[0] == '\0'))
         continue;
       rows++;
       g_variant_builder_add_value (&b, row);
@@ -723,17 +723,19 @@
   g_free (n->cut);
 }
 
+static void
+question_free (Question *q)
+{
+  g_clear_pointer (&q->answer, g_bytes_unref);
+  g_clear_pointer (&q->told, g_variant_unref);
+  g_free (q);
+}
+
 static void
 drop_questions (void)
 {
   for (guint i = 0; i < world.questions->len; i++)
-    {
-      Question *q = world.questions->pdata[i];
-
-      g_clear_pointer (&q->answer, g_bytes_unref);
-      g_clear_pointer (&q->told, g_variant_unref);
-      g_free (q);
-    }
+    question_free (world.questions->pdata[i]);
   g_ptr_array_set_size (world.questions, 0);
 }
 
@@ -751,6 +753,29 @@
     }
 }
 
+/* Node I is killed and started again at NOW, us: it holds nothing, and who
+ * asked it gets no answer. */
+static void
+restart_node (guint i, gint64 now)
+{
+  Node *n = &world.nodes[i];
+
+  for (guint k = world.questions->len; k > 0; k--)
+    {
+      Question *q = world.questions->pdata[k - 1];
+
+      if (q->peer == n)
+        q->given_up = now;
+      if (q->by != n)
+        continue;
+      g_ptr_array_remove_index (world.questions, k - 1);
+      question_free (q);
+    }
+  end_node (n);
+  start_node (i);
+  n->well_since = n->free_since = now;
+}
+
 /* All members are killed and started again at one moment. */
 void
 world_restart (void)
@@ -781,7 +806,11 @@
       if (world.answers == FORGETS && chance (FORGETS_A_SECOND))
         world.forgotten = world.newest;
       for (guint k = 0; k < world.count; k++)
-        fail_node (&world.nodes[k], now);
+        {
+          fail_node (&world.nodes[k], now);
+          if (world.answers == RESTARTS && chance (RESTARTS_A_SECOND))
+            restart_node (k, now);
+        }
       step_lease (now);
       world_step_questions ();
       cc_timers_run ();
--- a/test/mirror_world.h
+++ b/test/mirror_world.h
@@ -42,6 +42,8 @@
 #define LATE_MOST 1.0
 /* How often the service forgets its history, in some worlds. */
 #define FORGETS_A_SECOND 0.5
+/* How often a node is killed and started again, in some worlds. */
+#define RESTARTS_A_SECOND 0.05
 #define LARGE 50 /* processes of such a fleet */
 /* One that the service turns away hears of it from its peers. */
 #define APPLIED_BY_PEERS (7 * CC_SECOND)
@@ -84,7 +86,8 @@
   IN_TIME,
   PEERS_LATE,
   ALL_LATE,
-  FORGETS /* in time; the service forgets its history now and then */
+  FORGETS, /* in time; the service forgets its history now and then */
+  RESTARTS /* in time; nodes are killed and started again */
 } Answers;
 
 typedef enum
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -83,6 +83,15 @@
   play_worlds (FORGETS);
 }
 
+/* Guards against a row that stays for ever: the peer that is followed was
+ * started again and read the table after the row's deletion. */
+static void
+a_restarted_peer_hides_no_deletion (void **state)
+{
+  (void) state;
+  play_worlds (RESTARTS);
+}
+
 /* Worlds beyond the first, in which a node was found to send too late. */
 static const struct
 {
@@ -501,6 +510,7 @@
     cmocka_unit_test (an_answer_that_was_late_is_no_younger_for_it),
     cmocka_unit_test (a_late_answer_of_the_service_is_no_younger_for_it),
     cmocka_unit_test (a_forgotten_history_hides_no_deletion),
+    cmocka_unit_test (a_restarted_peer_hides_no_deletion),
     cmocka_unit_test (worlds_that_once_failed),
     cmocka_unit_test (a_world_with_one_turned_away_and_late_answers),
     cmocka_unit_test (outages_of_one_that_is_cut_off_are_its_own),
