Mirror: a deletion found by a whole reading bears no version of that reading

Cause: node 0 reads the table whole at version 29 and does not find u2, which was deleted at 27; it notes the deletion at 29. It knows that this tells no time and drops its own clock of versions, but its followers take the row for one that was written after the newest version they knew, 28 at 4.46 s, and send to u2 for the time that one that leaves serves from then on.

Ruled out: late answers (none in these worlds), the doubt about deletions (the target was gone, not doubted, and there was no outage).

Change: the deletion bears the version next to the row's own, which is all that is known of its time and holds for everybody; the clock is kept. A deletion told in a whole answer is no row that is there.

--- a/mirror.c
+++ b/mirror.c
@@ -309,7 +309,13 @@
 }
 
 /* Rows that are held and that ROWS, all of the table at UPTO, do not have were
- * deleted, unless they are newer. */
+ * deleted, unless they are newer.
+ *
+ * Failure: a deletion that is found by a whole reading bears the version of
+ * that reading, and those who have it from here take it for no older.  Symptom:
+ * they send to an upstream for longer than it serves.  All that is known is
+ * that the row was deleted after it was written, so it bears the next version.
+ */
 static gboolean
 drop_missing (CcMirrorTable *t, GVariant *rows, guint64 upto)
 {
@@ -322,13 +328,14 @@
 
   g_variant_iter_init (&i, rows);
   while (g_variant_iter_next (&i, "(&st&s)", &key, &version, &value))
-    g_hash_table_add (present, (gpointer) key);
+    if (value[0] != '\0')
+      g_hash_table_add (present, (gpointer) key);
   for (guint k = 0; k < held->len; k++)
     {
       const CcRow *row = held->pdata[k];
 
-      if (!g_hash_table_contains (present, row->key))
-        changed |= put_row (t, row->key, upto, NULL);
+      if (row->version <= upto && !g_hash_table_contains (present, row->key))
+        changed |= put_row (t, row->key, row->version + 1, NULL);
     }
   return changed;
 }
@@ -339,13 +346,7 @@
 {
   gboolean changed = cc_mirror_put_rows (t, rows);
 
-  if (drop_missing (t, rows, upto))
-    {
-      /* These rows were deleted at some time before UPTO, which they now bear:
-       * nothing may be concluded from that. */
-      t->mirror->clock = (CcVersionClock){ 0 };
-      changed = TRUE;
-    }
+  changed |= drop_missing (t, rows, upto);
   changed |= !t->complete;
   t->complete = TRUE;
   t->history_from = MAX (t->history_from, upto);
