Targets: a pool's doubt holds for those that vanished lately

Cause: node 0 found u6 missing at 5.32 s, after an outage of its own, and doubted that for 1.75 s. At 6.80 s three others of the pool vanished together, which is taken for an outage of the list's keeper, and that doubt held for all that were missing, u6 among them, until 8.55 s.

Ruled out: that the whole reading told no time (vanished since 3.18 s at the earliest, as it should be); the doubt after its own outage (over at 7.07 s).

Change: the doubt of a pool holds for those that vanished within its time, just the ones that are counted for it. test_targets, a_later_outage_does_not_bring_one_back, red before.

--- a/targets.c
+++ b/targets.c
@@ -183,7 +183,13 @@
     u->changed (g_hash_table_lookup (u->all->by_id, row->key), u->data);
 }
 
-/* Whether so much of a pool vanished just now that the list's keeper is to be
+static gboolean
+vanished_lately (const CcTarget *t, gint64 now)
+{
+  return t->vanished && now - t->vanished_at < CC_VANISH_GRACE;
+}
+
+/* Whether so much of a pool vanished lately that the list's keeper is to be
  * doubted. */
 static gboolean
 looks_like_outage (const GPtrArray *pool, gint64 now)
@@ -197,7 +203,7 @@
       if (t->state == CC_TARGET_GONE)
         continue;
       listed++;
-      if (t->vanished && now - t->vanished_at < CC_VANISH_GRACE)
+      if (vanished_lately (t, now))
         vanished++;
     }
   return vanished >= OUTAGE_LEAST && vanished >= OUTAGE_SHARE * listed;
@@ -238,7 +244,8 @@
 
       if (!t->vanished || t->state == CC_TARGET_GONE)
         continue;
-      if (t->state == CC_TARGET_READY && (outage || may_have_lapsed (u, t)))
+      if (t->state == CC_TARGET_READY &&
+          ((outage && vanished_lately (t, u->now)) || may_have_lapsed (u, t)))
         {
           open = TRUE;
           continue;
--- a/test/test_targets.c
+++ b/test/test_targets.c
@@ -262,6 +262,34 @@
   cc_targets_clear (&t);
 }
 
+/* Guards against an upstream that is sent to for seconds after it vanished,
+ * since others of its pool vanish together later. */
+static void
+a_later_outage_does_not_bring_one_back (void **state)
+{
+  gint64 missed = 10 * CC_SECOND, later = missed + CC_SECOND;
+  CcTargets t;
+  CcView v;
+
+  (void) state;
+  cc_targets_init (&t);
+  cc_view_init (&v);
+  for (guint k = 0; k < UPSTREAMS; k++)
+    list (&v, k, "80 1 0");
+  update (&t, &v, 0, 5 * CC_SECOND);
+  list (&v, 0, NULL);
+  update (&t, &v, missed, missed);
+  assert_int_equal (usable (&t), UPSTREAMS);
+  for (guint k = 1; k <= UPSTREAMS / 2; k++)
+    list (&v, k, NULL);
+  update (&t, &v, missed, later);
+  update (&t, &v, missed, missed + CC_VANISH_GRACE);
+  assert_int_equal (cc_targets_find (&t, "u0")->state, CC_TARGET_GONE);
+  assert_int_equal (usable (&t), UPSTREAMS - 1);
+  cc_view_clear (&v);
+  cc_targets_clear (&t);
+}
+
 int
 main (void)
 {
@@ -270,6 +298,7 @@
     cmocka_unit_test (a_new_life_is_a_change),
     cmocka_unit_test (one_that_leaves_serves_its_keys_for_a_while),
     cmocka_unit_test (doubt_is_part_of_the_time_for_which_one_serves),
+    cmocka_unit_test (a_later_outage_does_not_bring_one_back),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
