Mirror: a peer's word ends an outage that was noticed after it

Cause: the granter's calls were swallowed at 6.69 s and given up at 8.19 s. A peer told at 8.20 s that the table had answered it at 7.72 s. That ended no outage, since it is older than the moment at which the loss was noticed, and deletions were doubted for 1.75 s from 8.29 s on.

Ruled out: the doubt of a pool (one was missing), the time of the deletion (vanished since 5.44 s at the earliest, as it should be).

Change: a call that was lost shows a silence of when it was made; an answer to anybody from after that ends the outage. So it was already if the answer was known before the call was given up.

--- a/mirror.c
+++ b/mirror.c
@@ -153,7 +153,7 @@
     {
       CcMirrorTable *t = &m->tables[i];
 
-      if (!t->unavailable || t->relieved || earliest <= t->outage_at)
+      if (!t->unavailable || t->relieved || earliest <= t->failed_asked)
         continue;
       t->outage_at = latest;
       t->relieved = TRUE;
@@ -251,6 +251,7 @@
 
   /* A call that was swallowed long ago is no sign of an outage after an answer
    * to a later one, whoever got that. */
+  t->failed_asked = t->asked;
   t->relieved = MAX (m->answered_at, m->others_fresh) > t->asked;
   t->outage_at = t->relieved ? MAX (t->asked, t->outage_at) : now;
   if (!t->unavailable)
--- a/mirror_state.h
+++ b/mirror_state.h
@@ -16,6 +16,7 @@
   guint64 history_from; /* deletions after this version are known */
   gboolean unavailable; /* the last call failed */
   gint64 outage_at;     /* the service was last silent then at the latest, us */
+  gint64 failed_asked;  /* when the call that failed last was made, us */
   gboolean relieved;    /* it has answered somebody since */
   gint64 outage_from;   /* when the present outage began, us */
   gint64 pause;         /* after the next failure, us */
--- a/test/test_mirror.c
+++ b/test/test_mirror.c
@@ -105,6 +105,15 @@
   { 3766, "the same" },
 };
 
+/* Worlds beyond the first, whose service forgets its history, likewise. */
+static const struct
+{
+  guint seed;
+  const char *cause;
+} once_failed_forgetful[] = {
+  { 1771, "a peer's word did not end an outage that was noticed late" },
+};
+
 /* A world in which a node that the service had turned away alone heard from it
  * again two seconds after it could, since a large fleet asks rarely in an
  * outage; it could not tell that the outage was its own, as all its peers'
@@ -136,6 +145,14 @@
                   world.failure);
       world_clear ();
     }
+  for (guint i = 0; i < G_N_ELEMENTS (once_failed_forgetful); i++)
+    {
+      world_play (once_failed_forgetful[i].seed, FORGETS);
+      if (world.failure[0] != '\0')
+        fail_msg ("seed %u (%s): %s", once_failed_forgetful[i].seed,
+                  once_failed_forgetful[i].cause, world.failure);
+      world_clear ();
+    }
   cc_clock_resume ();
 }
 
