Entry: once-only work refused without a memory is told unknown

Callers saw: told unknown ("link") and, on the repeat, "not-run" ("unreachable") of once-only work that ran 0.4 s later; who goes by that makes a new key and books twice.

Ruled out: a refusal by the dispatcher (reason "unreachable" with a link that is down is the entry's); a run after its deadline (0.41 s after it was sent).

Change: an entry that refuses without a memory of outcomes says unknown of once-only work, with the time to come back as before. The limit by age is gone. test_ask's case of a new key asked for "not-run"; that was the fault, and it now asks for unknown, with a case for work that may be repeated beside it. The audit prints the answers and runs of a request that was told what is not so.

--- a/ask.c
+++ b/ask.c
@@ -22,9 +22,6 @@
  * mailbox's RECONNECT_MAX_MS and a ping).  After that its servers are being
  * taken over, which takes seconds: the request is answered. */
 #define LINK_BACK_MAX (500 * CC_MS)
-/* A first attempt arrives a few ms after its key was made, a repeat after an
- * answer to the first.  A key older than this may be a repeat's, see refuse. */
-#define REPEAT_AGE (100 * CC_MS)
 #define PARK_RETRY_MS 10      /* parked asks look again this often */
 #define TAKEOVER_WAIT_MS 1000 /* a lost dispatcher is replaced in 2 to 3 s */
 #define MOVE_WAIT_MS 100      /* a move that took longer than PARK_MAX */
@@ -46,7 +43,6 @@
   guint64 incarnation; /* of that dispatcher */
   gint64 park_until;   /* us; 0: not parked before */
   gboolean once_only;
-  gboolean may_repeat;   /* its key is old: an earlier attempt may have run */
   gboolean may_have_run; /* it was sent over a link that was lost since */
   CcTimer timer;         /* fires at the deadline */
   char *class_name;
@@ -146,13 +142,14 @@
 }
 
 /* Refuses what did not reach a memory of outcomes.  "not-run" is about the
- * caller's booking, not about one attempt: if an earlier attempt with the same
- * key may have run, and was answered unknown, the caller would book again under
- * a new key.  So an old key's refusal says unknown, too. */
+ * caller's booking, not about one attempt: if another attempt with the same key
+ * may run, the caller would book again under a new key.  Such an attempt may be
+ * under way through another entry, however young the key is, so once-only work
+ * is told unknown here. */
 static void
 refuse (CcAsk *a, const char *reason, guint32 wait_ms)
 {
-  finish_with (a, a->may_repeat ? CC_OUTCOME_UNKNOWN : CC_OUTCOME_NOT_RUN,
+  finish_with (a, a->once_only ? CC_OUTCOME_UNKNOWN : CC_OUTCOME_NOT_RUN,
                reason, wait_ms);
 }
 
@@ -277,17 +274,6 @@
   return TRUE;
 }
 
-/* Whether a request with this Idempotency-Key may be a repeat: its key was made
- * longer ago than a first attempt is under way. */
-gboolean
-cc_may_be_repeat (const char *idempotency)
-{
-  gint64 made;
-
-  return cc_idempotency_time (idempotency, &made) &&
-         made < cc_clock_wall () - REPEAT_AGE;
-}
-
 /* Asks for W.  DONE is called once, maybe before this returns, in which case
  * NULL is returned. */
 CcAsk *
@@ -308,7 +294,6 @@
   a->body = g_bytes_ref (w->body);
   a->deadline = w->deadline;
   a->once_only = w->class->once_only;
-  a->may_repeat = a->once_only && cc_may_be_repeat (w->idempotency);
   a->done = done;
   a->data = data;
   cc_timer_start (&a->timer, left, on_deadline, a);
--- a/ask.h
+++ b/ask.h
@@ -27,7 +27,6 @@
 } CcWish;
 
 CcRouter *cc_router_new (CcFollower *f, CcMailbox *box);
-gboolean cc_may_be_repeat (const char *idempotency);
 CcAsk *cc_router_ask (CcRouter *r, const CcWish *w, CcAskDone done,
                       gpointer data);
 void cc_router_cancel (CcRouter *r, CcAsk *a);
--- a/entry.c
+++ b/entry.c
@@ -252,18 +252,18 @@
                      c);
 }
 
-/* Refuses M before it came to a router.  See ask.c for why an old key is not
- * told "not-run". */
+/* Refuses M before it came to a router.  See ask.c for why a request with a key
+ * is not told "not-run". */
 static void
 refuse_early (SoupServerMessage *m, guint status, const char *reason,
               const char *text, guint32 wait_ms)
 {
   const char *key = soup_message_headers_get_one (
       soup_server_message_get_request_headers (m), CC_HDR_IDEMPOTENCY);
-  gboolean repeat = key != NULL && cc_may_be_repeat (key);
 
-  answer_outcome (m, status, repeat ? CC_OUTCOME_UNKNOWN : CC_OUTCOME_NOT_RUN,
-                  reason, text, wait_ms);
+  answer_outcome (m, status,
+                  key != NULL ? CC_OUTCOME_UNKNOWN : CC_OUTCOME_NOT_RUN, reason,
+                  text, wait_ms);
 }
 
 static void
--- a/test/load.c
+++ b/test/load.c
@@ -101,6 +101,7 @@
   guint body_seed;
   guint tries;
   const char *entry; /* where it was sent last */
+  gint64 sent;       /* ... and when, wall clock, us */
   gboolean is_twin;
   TwinKind kind; /* if it is a twin */
 } Ask;
@@ -250,6 +251,22 @@
                                        : "");
 }
 
+/* For the audit, if what the caller was told is not so. */
+static void
+note_told (const Ask *a, const CcHttpResult *r, CcOutcome outcome)
+{
+  const char *reason = header_of (r, CC_HDR_REASON);
+  gint64 now = cc_clock_wall ();
+
+  g_string_append_printf (
+      a->told->answers, "%stry %u twin %d by %s from %.3f to %.3f: %s %s",
+      a->told->answers->len > 0 ? "; " : "", a->tries,
+      a->is_twin ? (int) a->kind : -1, a->entry,
+      (double) (a->sent % (86400 * CC_SECOND)) / 1e6,
+      (double) (now % (86400 * CC_SECOND)) / 1e6, cc_outcome_name (outcome),
+      reason != NULL ? reason : r->why);
+}
+
 static guint
 retry_after (const CcHttpResult *r)
 {
@@ -275,6 +292,7 @@
 
   a->told->told[outcome]++;
   a->told->last = outcome;
+  note_told (a, r, outcome);
   if (a->load->calm && outcome == CC_OUTCOME_UNKNOWN)
     print_unknown (a, r, now);
   if (outcome == CC_OUTCOME_RUN)
@@ -345,6 +363,7 @@
                     .idle_max = a->pattern->body > 0 ? 0 : KEEP };
 
   a->tries++;
+  a->sent = cc_clock_wall ();
   a->entry = balancer_pick (l->balancer, l->rand, a->entry);
   head = head_of (a);
   o.address = a->entry;
@@ -381,6 +400,7 @@
   a->told = g_new0 (Told, 1);
   a->told->marker = uuid_v7 (l->rand);
   a->told->once_only = p->class->once_only;
+  a->told->answers = g_string_new (NULL);
   g_ptr_array_add (l->told, a->told);
   a->tally->asked++;
   l->pending++;
--- a/test/records.c
+++ b/test/records.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #define DETAILS_MAX 20
+/* Of a wall clock's time, us. */
+#define DAY_SECONDS(wall) ((double) ((wall) % (86400 * CC_SECOND)) / 1e6)
 
 typedef struct
 {
@@ -114,6 +116,27 @@
     g_dir_close (dir);
 }
 
+/* The answers to T's caller and the runs at servers, in seconds of the wall
+ * clock's day. */
+static void
+tell_story (Books *b, const Told *t)
+{
+  GPtrArray *runs = g_hash_table_lookup (b->markers, t->marker);
+  GString *s = g_string_new (t->answers->str);
+
+  for (guint i = 0; runs != NULL && i < runs->len; i++)
+    {
+      const Run *r = runs->pdata[i];
+
+      g_string_append_printf (s, "; run %s at %s from %.3f to %.3f%s", r->id,
+                              r->server, DAY_SECONDS (r->begun),
+                              DAY_SECONDS (r->ended),
+                              r->refused ? " refused" : "");
+    }
+  detail (b, t->marker, s->str);
+  g_string_free (s, TRUE);
+}
+
 static void
 count_effects (const GPtrArray *runs, guint *certain, guint *possible)
 {
@@ -149,11 +172,13 @@
 
       a->lost++;
       detail (b, what, t->marker);
+      tell_story (b, t);
     }
   if (t->once_only && possible > 1)
     {
       a->doubled++;
       detail (b, "run twice", t->marker);
+      tell_story (b, t);
     }
   a->crossed += t->crossed ? 1 : 0;
 }
--- a/test/records.h
+++ b/test/records.h
@@ -11,6 +11,7 @@
   guint told[3];    /* answers by CcOutcome */
   CcOutcome last;   /* the last of them */
   gboolean crossed; /* an answer was somebody else's */
+  GString *answers; /* each with its entry, times and reason */
 } Told;
 
 typedef struct
--- a/test/test_ask.c
+++ b/test/test_ask.c
@@ -330,10 +330,8 @@
                           (guint) (ms >> 16), (guint) (ms & 0xffff));
 }
 
-/* No dispatcher can be reached, so nothing remembers this key.  An attempt with
- * a new key is the first, and truly not run.  An older key may be a repeat
- * whose first attempt ran: the caller was told unknown then, and "not-run" now
- * would make it book again under another key. */
+/* Guards against "not-run" for once-only work that another attempt with the
+ * same key, made a moment ago through another entry, runs. */
 static void
 repeat_is_not_denied_without_memory (void **state)
 {
@@ -341,7 +339,10 @@
   {
     gint64 age_ms;
     CcOutcome told;
-  } cases[] = { { 0, CC_OUTCOME_NOT_RUN }, { 2000, CC_OUTCOME_UNKNOWN } };
+    gboolean once_only;
+  } cases[] = { { 0, CC_OUTCOME_UNKNOWN, TRUE },
+                { 2000, CC_OUTCOME_UNKNOWN, TRUE },
+                { 0, CC_OUTCOME_NOT_RUN, FALSE } };
 
   (void) state;
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -349,7 +350,7 @@
       Answer a;
 
       asked_key = key_made (cases[i].age_ms);
-      ask (&a, TRUE, 2000);
+      ask (&a, cases[i].once_only, 2000);
       turn_for (50);
       assert_int_equal (a.calls, 1);
       assert_int_equal (a.outcome, cases[i].told);
