Dispatcher: work whose lost attempt may have run is not told not-run

Callers would see "not-run" of idempotent work that a server ran: its answer was lost, the job waited for its second attempt, and was refused then (shed, deadline, stalled, moved).

Cause: an idempotent job goes back into the queue after a lost attempt, and all ways out of the queue said "not-run", which is so of jobs that were never sent only.

Ruled out for once-only work: it is never tried again after a lost attempt.

Change: the job notes that it may have run, and its refusals say unknown; if it is to be asked for elsewhere, the entry keeps that in mind as well.

test_server, new: a raw upstream that runs an attempt and closes, then sheds the next: told not-run before (red), unknown after. Shed twice is not-run as before.

--- a/ask.c
+++ b/ask.c
@@ -335,11 +335,12 @@
       ++*r->crossed;
       return;
     }
-  if (m->u.reply.outcome != CC_OUTCOME_NOT_RUN || !m->u.reply.reroute)
+  if (!m->u.reply.reroute)
     {
       finish (a, &m->u.reply);
       return;
     }
+  a->may_have_run |= m->u.reply.outcome != CC_OUTCOME_NOT_RUN;
   ++*r->rerouted;
   g_hash_table_remove (r->asks, &a->id);
   if (a->park_until != 0 && cc_clock_now () >= a->park_until)
--- a/job.c
+++ b/job.c
@@ -81,15 +81,23 @@
   cc_mailbox_send (box, to, &m);
 }
 
-/* Sends R to all of J's waiters and ends the job. */
+/* Sends R to all of J's waiters and ends the job.
+ *
+ * Failure: an attempt of idempotent work is lost after the server ran it, the
+ * job waits for another and is refused.  Symptom: its caller is told "not-run"
+ * of work that ran. */
 void
 cc_job_answer (CcJob *j, CcMailbox *box, const CcMsgReply *r)
 {
+  CcMsgReply told = *r;
+
+  if (j->may_have_run && told.outcome == CC_OUTCOME_NOT_RUN)
+    told.outcome = CC_OUTCOME_UNKNOWN;
   for (guint i = 0; i < j->waiters->len; i++)
     {
       const CcWaiter *w = j->waiters->pdata[i];
 
-      cc_reply_send (box, w->reply_to, w->incarnation, w->id, r);
+      cc_reply_send (box, w->reply_to, w->incarnation, w->id, &told);
     }
   g_ptr_array_set_size (j->waiters, 0);
   j->state = CC_JOB_ENDED;
--- a/job.h
+++ b/job.h
@@ -29,6 +29,7 @@
   GPtrArray *waiters; /* of CcWaiter: the first, and repeats that joined it */
   char *class_name;
   gboolean once_only;
+  gboolean may_have_run; /* an attempt was lost, and the job waits again */
   char *tenant;
   char *idempotency; /* "" if none */
   char *method;
--- a/server.c
+++ b/server.c
@@ -260,6 +260,7 @@
     return FALSE;
   j->state = CC_JOB_QUEUED;
   j->attempt = NULL;
+  j->may_have_run |= failed == CC_FAIL_UNKNOWN;
   ++*s->shared->retried;
   return TRUE;
 }
--- /dev/null
+++ b/test/test_server.c
@@ -0,0 +1,245 @@
+/* A dispatcher's work on one held server: a raw upstream on loopback, whose
+ * answers the cases script, and an entry's mailbox. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <gio/gio.h>
+
+#include "clock.h"
+#include "free_net.h"
+#include "headers.h"
+#include "server.h"
+
+#define POOL "catalogue"
+#define ENTRY 11 /* incarnations */
+#define DISPATCHER 22
+#define HOLDER "d"
+#define PORT 7400
+#define ANSWERED_WITHIN_MS 2000 /* the request's deadline */
+
+/* What the upstream does with its first attempt and with later ones. */
+typedef enum
+{
+  RUNS_AND_CLOSES, /* no answer arrives */
+  SHEDS,           /* says that it was not run */
+  ANSWERS
+} Behaviour;
+
+typedef struct
+{
+  const char *name;
+  Behaviour first;
+  Behaviour later;
+  gboolean once_only;
+  CcOutcome told;
+} Case;
+
+static const Case cases[] = {
+  { "run and lost, then shed", RUNS_AND_CLOSES, SHEDS, FALSE,
+    CC_OUTCOME_UNKNOWN },
+  { "run and lost, then answered", RUNS_AND_CLOSES, ANSWERS, FALSE,
+    CC_OUTCOME_RUN },
+  { "shed twice", SHEDS, SHEDS, FALSE, CC_OUTCOME_NOT_RUN },
+  { "once-only work, lost", RUNS_AND_CLOSES, ANSWERS, TRUE,
+    CC_OUTCOME_UNKNOWN },
+};
+
+static struct
+{
+  const Case *playing;
+  guint attempts;
+  guint told; /* answers */
+  CcOutcome outcome;
+  CcMailbox *entry;
+  char *entry_address;
+  char *upstream_address;
+  CcServerShared shared;
+} rig;
+
+static void
+on_read (GObject *source, GAsyncResult *result, gpointer data)
+{
+  g_autoptr (GSocketConnection) c = data;
+  g_autoptr (GBytes) got =
+      g_input_stream_read_bytes_finish (G_INPUT_STREAM (source), result, NULL);
+  Behaviour b = rig.attempts++ == 0 ? rig.playing->first : rig.playing->later;
+  const char *text = b == SHEDS
+                         ? "HTTP/1.1 503 Busy\r\n" CC_HDR_OUTCOME
+                           ": not-run\r\nContent-Length: 0\r\n\r\n"
+                         : "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+  (void) got;
+  if (b != RUNS_AND_CLOSES)
+    g_output_stream_write_all (g_io_stream_get_output_stream (G_IO_STREAM (c)),
+                               text, strlen (text), NULL, NULL, NULL);
+  g_io_stream_close (G_IO_STREAM (c), NULL, NULL);
+}
+
+static gboolean
+on_connection (GSocketService *service, GSocketConnection *c, GObject *source,
+               gpointer data)
+{
+  GInputStream *in = g_io_stream_get_input_stream (G_IO_STREAM (c));
+
+  (void) service, (void) source, (void) data;
+  g_input_stream_read_bytes_async (in, 65536, G_PRIORITY_DEFAULT, NULL, on_read,
+                                   g_object_ref (c));
+  return TRUE;
+}
+
+static void
+on_message (const CcMessage *m, gpointer data)
+{
+  (void) data;
+  if (m->kind != CC_MSG_REPLY)
+    return;
+  rig.told++;
+  rig.outcome = m->u.reply.outcome;
+}
+
+static void
+on_link (const char *address, gboolean up, gpointer data)
+{
+  (void) address, (void) up, (void) data;
+}
+
+static CcMailbox *
+open_mailbox (guint net, guint last, guint64 incarnation, char **address)
+{
+  char *message = NULL;
+  CcMailbox *box;
+
+  *address = g_strdup_printf ("127.%u.0.%u:%u", net, last, PORT);
+  box = cc_mailbox_new (*address, *address, incarnation, on_message, on_link,
+                        NULL, &message);
+  assert_non_null (box);
+  return box;
+}
+
+static void
+open_upstream (guint net)
+{
+  g_autofree char *ip = g_strdup_printf ("127.%u.0.3", net);
+  g_autoptr (GSocketAddress) at =
+      g_inet_socket_address_new_from_string (ip, PORT);
+  GSocketService *service = g_socket_service_new ();
+
+  rig.upstream_address = g_strdup_printf ("%s:%u", ip, PORT);
+  assert_true (g_socket_listener_add_address (
+      G_SOCKET_LISTENER (service), at, G_SOCKET_TYPE_STREAM,
+      G_SOCKET_PROTOCOL_TCP, NULL, NULL, NULL));
+  g_signal_connect (service, "incoming", G_CALLBACK (on_connection), NULL);
+}
+
+static int
+start (void **state)
+{
+  guint net = free_net ();
+  char *mine = NULL;
+
+  (void) state;
+  rig.entry = open_mailbox (net, 1, ENTRY, &rig.entry_address);
+  rig.shared.mailbox = open_mailbox (net, 2, DISPATCHER, &mine);
+  rig.shared.upstream = cc_upstream_new (mine);
+  rig.shared.tenure = g_new0 (CcTenure, 1);
+  rig.shared.tenure->id = g_strdup (HOLDER);
+  rig.shared.outcomes = cc_outcomes_new ();
+  rig.shared.first_attempts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cc_server_shared_init (&rig.shared);
+  open_upstream (net);
+  g_free (mine);
+  return 0;
+}
+
+/* A server that this process holds, of the only slice. */
+static CcServer *
+server_new (void)
+{
+  CcSliceMap *m = cc_slicemap_new (POOL, 1);
+  CcHolding *h;
+
+  cc_slicemap_add (m, "catalogue-1", rig.upstream_address, "a");
+  m->version = 1;
+  g_free (cc_slicemap_server (m, 0)->dispatcher);
+  cc_slicemap_server (m, 0)->dispatcher = g_strdup (HOLDER);
+  cc_slicemap_at (m, 0)->server = 0;
+  cc_slicemap_at (m, 0)->from = -1;
+  h = cc_holding_new (POOL, cc_slicemap_server (m, 0), FALSE, cc_clock_now (),
+                      0);
+  cc_holding_update (h, m, 0, HOLDER);
+  h->keeps = TRUE;
+  cc_slicemap_free (m);
+  return cc_server_new (&rig.shared, h);
+}
+
+static CcJob *
+job_new (gboolean once_only)
+{
+  CcMessage m = { .kind = CC_MSG_REQUEST,
+                  .from = ENTRY,
+                  .id = 1,
+                  .reply_to = rig.entry_address };
+  g_autoptr (GVariant) headers = cc_headers_take (g_string_new (NULL));
+  g_autoptr (GBytes) body = g_bytes_new_static ("", 0);
+
+  m.u.request = (CcMsgRequest){ .class_name = "browse",
+                                .tenant = "t",
+                                .idempotency = "",
+                                .method = "GET",
+                                .path = "/",
+                                .headers = headers,
+                                .body = body,
+                                .deadline = cc_clock_wall () +
+                                            ANSWERED_WITHIN_MS * CC_MS };
+  return cc_job_new (&m, POOL, once_only, 0);
+}
+
+static void
+play (const Case *c)
+{
+  CcClass class = { .name = (char *) "browse",
+                    .pool = (char *) POOL,
+                    .once_only = c->once_only,
+                    .within = CC_SECOND };
+  gint64 end = cc_clock_now () + ANSWERED_WITHIN_MS * CC_MS;
+  CcServer *s = server_new ();
+
+  rig.playing = c;
+  rig.attempts = rig.told = 0;
+  cc_server_take (s, job_new (c->once_only), &class);
+  while (rig.told == 0 && cc_clock_now () < end)
+    {
+      cc_server_pump (s);
+      g_main_context_iteration (NULL, FALSE);
+      g_usleep (1000);
+    }
+  assert_int_equal (rig.told, 1);
+  if (rig.outcome != c->told)
+    fail_msg ("%s: told %s", c->name, cc_outcome_name (rig.outcome));
+  cc_server_free (s);
+}
+
+/* Guards against "not-run" for work whose first attempt ran and was lost, and
+ * whose second was refused. */
+static void
+a_lost_attempt_is_not_denied_by_the_next (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    play (&cases[i]);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_lost_attempt_is_not_denied_by_the_next),
+  };
+
+  return cmocka_run_group_tests (tests, start, NULL);
+}
