Entry: a dispatcher that is silent for a moment is waited for

Cause: a link without an answer to a ping for 500 ms was given up like one that had closed. Once-only work under way was told unknown at once; idempotent work was sent a second time, refused behind its own first copy, and told unknown; its first answer came and was dropped as late.

Ruled out: the load of the machine (fails on an idle one), the entries' standstills, the servers.

Change: the mailbox says whether a link closed or went silent. Over a silent one a request that was passed on waits for as long as a lease lasts, its first copy's answer counts, and it is asked for again 0.1 s after the link carries messages; the memory of outcomes joins the copies of once-only work. New once-only work for such a dispatcher, or for keys whose move it holds up, waits as long, since its refusal would be "unknown" too. What is refused by proof, and a link that closes, is as before.

test_entry, a_dispatcher_that_goes_on_is_waited_for, red before.

--- a/ask.c
+++ b/ask.c
@@ -1,18 +1,24 @@
 /* Finds the one dispatcher for a key, sends the request to it, and waits.
  *
- * An ask is sent again only after the dispatcher said that it was not run
- * because ownership moved; that is proof.  Anything else that goes wrong after
- * the message left is unknown, and said so at once if the class is once-only.
- * An idempotent request whose link was lost or went silent is sent again when
- * the link is back or ownership has moved, if that is within LINK_BACK_MAX;
- * since it may have run the first time, "not-run" is never said of it any more.
+ * An ask is sent again after the dispatcher said that it was not run because
+ * ownership moved; that is proof.  If the link was lost after the message left,
+ * it may have run, and "not-run" is never said of it any more.
+ *
+ * A link that closes belongs to a process that has ended: once-only work is
+ * told unknown at once, idempotent work is sent again if the link is back or
+ * ownership has moved within LINK_BACK_MAX.  A link that goes silent may belong
+ * to one that stands still for a moment and then goes on, with the request and
+ * the memory of outcomes that it had.  So for SILENT_MAX the answer is waited
+ * for, and the request is sent again when the link carries messages: the memory
+ * joins the two copies of once-only work.
  *
  * While a key's ownership moves, its asks are parked here for PARK_MAX at the
- * most, the usual time of a move several times over; then they are refused
- * with a time to come back.  A request that can't be served is not held. */
+ * most, the usual time of a move several times over, once-only ones for
+ * SILENT_MAX; then they are refused with a time to come back. */
 #include "ask.h"
 
 #include "clock.h"
+#include "lease.h"
 #include "log.h"
 #include "outcome.h"
 #include "timers.h"
@@ -22,6 +28,11 @@
  * mailbox's RECONNECT_MAX_MS and a ping).  After that its servers are being
  * taken over, which takes seconds: the request is answered. */
 #define LINK_BACK_MAX (500 * CC_MS)
+/* A dispatcher that stands still for longer than its lease lasts has lost its
+ * servers, and a move does not wait for it any more. */
+#define SILENT_MAX CC_LEASE_TERM
+/* One that goes on answers what it had received before it needs a copy. */
+#define COPY_PAUSE (100 * CC_MS)
 #define PARK_RETRY_MS 10      /* parked asks look again this often */
 #define TAKEOVER_WAIT_MS 1000 /* a lost dispatcher is replaced in 2 to 3 s */
 #define MOVE_WAIT_MS 100      /* a move that took longer than PARK_MAX */
@@ -34,17 +45,26 @@
   ASK_SENT    /* a dispatcher has it */
 } AskState;
 
+/* A message that asked for the work. */
+typedef struct
+{
+  guint64 id;          /* and the key in the table; 0: no answer is awaited */
+  char *address;       /* of the dispatcher it was sent to */
+  guint64 incarnation; /* of that dispatcher */
+} Copy;
+
 struct CcAsk
 {
   CcRouter *router;
   AskState state;
-  guint64 id;          /* of the message, and the key in the table */
-  char *address;       /* of the dispatcher it was sent to */
-  guint64 incarnation; /* of that dispatcher */
-  gint64 park_until;   /* us; 0: not parked before */
+  Copy copy;         /* the last, in state SENT */
+  Copy earlier;      /* sent over a link that went silent since */
+  gint64 copy_at;    /* when another may be sent beside EARLIER, us; 0: no link
+                        was up since */
+  gint64 park_until; /* us; 0: not parked before */
   gboolean once_only;
-  gboolean may_have_run; /* it was sent over a link that was lost since */
-  CcTimer timer;         /* fires at the deadline */
+  guint unanswered; /* copies that may have run and whose answer is lost */
+  CcTimer timer;    /* fires at the deadline */
   char *class_name;
   char *pool;
   char *tenant;
@@ -93,20 +113,39 @@
   return r;
 }
 
+/* No answer to C is awaited any more. */
+static void
+close_copy (CcAsk *a, Copy *c)
+{
+  if (c->id == 0)
+    return;
+  g_hash_table_remove (a->router->asks, &c->id);
+  g_clear_pointer (&c->address, g_free);
+  c->id = 0;
+}
+
+static void
+open_copy (CcAsk *a, Copy *c, guint64 id, const char *address,
+           guint64 incarnation)
+{
+  *c = (Copy){ .id = id,
+               .address = g_strdup (address),
+               .incarnation = incarnation };
+  g_hash_table_insert (a->router->asks, &c->id, a);
+}
+
 static void
 detach (CcAsk *a)
 {
-  if (a->state == ASK_SENT)
-    g_hash_table_remove (a->router->asks, &a->id);
-  else
-    g_hash_table_remove (a->router->parked, a);
+  close_copy (a, &a->copy);
+  close_copy (a, &a->earlier);
+  g_hash_table_remove (a->router->parked, a);
   cc_timer_stop (&a->timer);
 }
 
 static void
 ask_free (CcAsk *a)
 {
-  g_free (a->address);
   g_free (a->class_name);
   g_free (a->pool);
   g_free (a->tenant);
@@ -124,7 +163,7 @@
 {
   CcMsgReply r = *reply;
 
-  if (a->may_have_run && r.outcome == CC_OUTCOME_NOT_RUN)
+  if (a->unanswered > 0 && r.outcome == CC_OUTCOME_NOT_RUN)
     r.outcome = CC_OUTCOME_UNKNOWN;
   detach (a);
   a->done (&r, a->data);
@@ -158,7 +197,7 @@
 {
   CcAsk *a = data;
 
-  if (a->state == ASK_SENT)
+  if (a->state == ASK_SENT || a->earlier.id != 0)
     finish_with (a, CC_OUTCOME_UNKNOWN, "deadline", 0);
   else
     refuse (a, "deadline", MOVE_WAIT_MS);
@@ -174,6 +213,17 @@
   return G_SOURCE_REMOVE;
 }
 
+/* How long A may be parked, us.  Refused, once-only work would be told unknown,
+ * since nothing that remembers was asked; so it waits for a move that a
+ * dispatcher holds up which stands still. */
+static gint64
+park_max (const CcAsk *a)
+{
+  if (a->once_only)
+    return SILENT_MAX;
+  return a->unanswered > 0 ? LINK_BACK_MAX : PARK_MAX;
+}
+
 static void
 park (CcAsk *a)
 {
@@ -182,8 +232,7 @@
   a->state = ASK_PARKED;
   g_hash_table_add (r->parked, a);
   if (a->park_until == 0)
-    a->park_until =
-        cc_clock_now () + (a->may_have_run ? LINK_BACK_MAX : PARK_MAX);
+    a->park_until = cc_clock_now () + park_max (a);
   if (r->retry == 0)
     r->retry = g_timeout_add (PARK_RETRY_MS, on_retry, r);
 }
@@ -209,15 +258,15 @@
   return cc_follower_member (a->router->follower, owner->dispatcher);
 }
 
+/* Sends the message ID for A. */
 static CcStatus
-send_to (CcAsk *a, const CcMember *to, guint64 epoch)
+send_to (CcAsk *a, guint64 id, const CcMember *to, guint64 epoch)
 {
   CcMessage m = { .kind = CC_MSG_REQUEST };
   CcMsgRequest *r = &m.u.request;
 
-  a->id = cc_mailbox_next_id (a->router->mailbox);
   m.to = to->incarnation;
-  m.id = a->id;
+  m.id = id;
   m.expires = a->deadline;
   r->class_name = a->class_name;
   r->tenant = a->tenant;
@@ -232,16 +281,43 @@
   return cc_mailbox_send (a->router->mailbox, to->address, &m);
 }
 
+/* Whether TO went silent lately and may go on: then an ask that would be told
+ * unknown waits for it.  So a new ask does if it is once-only. */
+static gboolean
+awaits_silent (CcAsk *a, const CcMember *to, gint64 now)
+{
+  gint64 since = cc_mailbox_silent_since (a->router->mailbox, to->address);
+
+  if (since == 0 || !(a->once_only || a->unanswered > 0))
+    return FALSE;
+  a->park_until = MAX (a->park_until, since + SILENT_MAX);
+  return now < a->park_until;
+}
+
+/* Whether the answer to A's earlier copy is awaited for a moment yet, since the
+ * link to TO carries messages again. */
+static gboolean
+awaits_earlier (CcAsk *a, const CcMember *to, gint64 now)
+{
+  if (a->earlier.id == 0 || a->earlier.incarnation != to->incarnation ||
+      !cc_mailbox_is_up (a->router->mailbox, to->address))
+    return FALSE;
+  if (a->copy_at == 0)
+    a->copy_at = now + COPY_PAUSE;
+  return now < a->copy_at;
+}
+
 /* Sends A, parks it, or refuses it.  Returns FALSE if A is gone. */
 static gboolean
 route (CcAsk *a)
 {
-  guint64 epoch = 0;
+  gint64 now = cc_clock_now ();
+  guint64 epoch = 0, id = cc_mailbox_next_id (a->router->mailbox);
   const CcMember *to = find_dispatcher (a, &epoch);
 
   if (to == NULL)
     {
-      if (a->park_until != 0 && cc_clock_now () >= a->park_until)
+      if (a->park_until != 0 && now >= a->park_until)
         {
           refuse (a, "moving", MOVE_WAIT_MS);
           return FALSE;
@@ -249,7 +325,12 @@
       park (a);
       return TRUE;
     }
-  switch (send_to (a, to, epoch))
+  if (awaits_earlier (a, to, now))
+    {
+      park (a);
+      return TRUE;
+    }
+  switch (send_to (a, id, to, epoch))
     {
     case CC_OK:
       break;
@@ -257,7 +338,8 @@
       refuse (a, "busy", MOVE_WAIT_MS);
       return FALSE;
     default:
-      if (a->may_have_run && cc_clock_now () < a->park_until)
+      if (awaits_silent (a, to, now) ||
+          (a->unanswered > 0 && now < a->park_until))
         {
           park (a);
           return TRUE;
@@ -267,10 +349,7 @@
     }
   g_hash_table_remove (a->router->parked, a);
   a->state = ASK_SENT;
-  g_free (a->address);
-  a->address = g_strdup (to->address);
-  a->incarnation = to->incarnation;
-  g_hash_table_insert (a->router->asks, &a->id, a);
+  open_copy (a, &a->copy, id, to->address, to->incarnation);
   return TRUE;
 }
 
@@ -300,49 +379,72 @@
   return route (a) ? a : NULL;
 }
 
+static void
+cancel_copy (CcRouter *r, const Copy *c, gint64 deadline)
+{
+  CcMessage m = { .kind = CC_MSG_CANCEL };
+
+  if (c->id == 0)
+    return;
+  m.to = c->incarnation;
+  m.id = cc_mailbox_next_id (r->mailbox);
+  m.expires = deadline;
+  m.u.cancel.request = c->id;
+  cc_mailbox_send (r->mailbox, c->address, &m);
+}
+
 /* The caller went away: A's callback will not be called. */
 void
 cc_router_cancel (CcRouter *r, CcAsk *a)
 {
-  CcMessage m = { .kind = CC_MSG_CANCEL };
-
-  if (a->state == ASK_SENT)
-    {
-      m.to = a->incarnation;
-      m.id = cc_mailbox_next_id (r->mailbox);
-      m.expires = a->deadline;
-      m.u.cancel.request = a->id;
-      cc_mailbox_send (r->mailbox, a->address, &m);
-    }
+  cancel_copy (r, &a->copy, a->deadline);
+  cancel_copy (r, &a->earlier, a->deadline);
   detach (a);
   ask_free (a);
 }
 
+/* Copy C of A was answered with R.  Returns FALSE if A goes on to wait: a copy
+ * that was refused says nothing of the other, which may stand in the same
+ * queue, nor of one yet to be sent. */
+static gboolean
+settles (CcAsk *a, Copy *c, const CcMsgReply *r)
+{
+  if (r->outcome == CC_OUTCOME_RUN)
+    return TRUE;
+  if (c == &a->earlier && r->outcome == CC_OUTCOME_NOT_RUN)
+    a->unanswered--;
+  close_copy (a, c);
+  return a->state == ASK_SENT && a->copy.id == 0 && a->earlier.id == 0;
+}
+
 /* Handles a REPLY.  An answer is taken only for a request that waits, from the
  * incarnation it was sent to; others are counted and dropped. */
 void
 cc_router_reply (CcRouter *r, const CcMessage *m)
 {
   CcAsk *a = g_hash_table_lookup (r->asks, &m->id);
+  Copy *c;
 
   if (a == NULL)
     {
       ++*r->late;
       return;
     }
-  if (a->incarnation != m->from)
+  c = a->copy.id == m->id ? &a->copy : &a->earlier;
+  if (c->incarnation != m->from)
     {
       ++*r->crossed;
       return;
     }
+  if (!settles (a, c, &m->u.reply))
+    return;
   if (!m->u.reply.reroute)
     {
       finish (a, &m->u.reply);
       return;
     }
-  a->may_have_run |= m->u.reply.outcome != CC_OUTCOME_NOT_RUN;
+  a->unanswered += m->u.reply.outcome != CC_OUTCOME_NOT_RUN;
   ++*r->rerouted;
-  g_hash_table_remove (r->asks, &a->id);
   if (a->park_until != 0 && cc_clock_now () >= a->park_until)
     {
       park (a);
@@ -352,42 +454,76 @@
   park (a);
 }
 
+/* The asks that wait for an answer, each once. */
+static GList *
+waiting_asks (const CcRouter *r)
+{
+  g_autoptr (GHashTable) seen = g_hash_table_new (NULL, NULL);
+  GHashTableIter iter;
+  gpointer ask;
+
+  g_hash_table_iter_init (&iter, r->asks);
+  while (g_hash_table_iter_next (&iter, NULL, &ask))
+    g_hash_table_add (seen, ask);
+  return g_hash_table_get_keys (seen);
+}
+
+/* The link over which A's last copy was sent is lost, by silence since
+ * SILENT_SINCE, us, or closed: 0. */
 static void
-lose_link (CcAsk *a)
+lose_copy (CcAsk *a, gint64 silent_since)
 {
-  CcRouter *r = a->router;
+  Copy lost = a->copy;
 
-  if (a->once_only)
+  if (a->once_only && silent_since == 0)
     {
       finish_with (a, CC_OUTCOME_UNKNOWN, "link", 0);
       return;
     }
-  ++*r->resent;
-  a->may_have_run = TRUE;
-  a->park_until = 0;
-  g_hash_table_remove (r->asks, &a->id);
+  ++*a->router->resent;
+  a->unanswered++;
+  a->park_until = silent_since != 0 ? silent_since + SILENT_MAX : 0;
+  a->copy_at = 0;
+  g_hash_table_remove (a->router->asks, &a->copy.id);
+  a->copy.id = 0;
+  if (silent_since != 0 && a->earlier.id == 0)
+    open_copy (a, &a->earlier, lost.id, lost.address, lost.incarnation);
+  g_clear_pointer (&a->copy.address, g_free);
   park (a);
 }
 
+/* The link of A's earlier copy was closed. */
+static void
+lose_earlier (CcAsk *a)
+{
+  close_copy (a, &a->earlier);
+  if (a->state == ASK_SENT && a->copy.id == 0)
+    finish_with (a, CC_OUTCOME_UNKNOWN, "link", 0);
+}
+
 /* The link to ADDRESS came up, or was lost: closed by the peer, or silent.
  * What had been sent over a lost link may have run, and its answer may not
  * come. */
 void
 cc_router_link (CcRouter *r, const char *address, gboolean up)
 {
-  g_autoptr (GPtrArray) lost = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer ask;
+  gint64 silent_since = cc_mailbox_silent_since (r->mailbox, address);
+  g_autoptr (GList) asks = NULL;
 
   if (up)
     return;
   ++*r->links_lost;
-  g_hash_table_iter_init (&iter, r->asks);
-  while (g_hash_table_iter_next (&iter, NULL, &ask))
-    if (g_str_equal (((CcAsk *) ask)->address, address))
-      g_ptr_array_add (lost, ask);
-  for (guint i = 0; i < lost->len; i++)
-    lose_link (lost->pdata[i]);
+  asks = waiting_asks (r);
+  for (GList *l = asks; l != NULL; l = l->next)
+    {
+      CcAsk *a = l->data;
+
+      if (a->copy.id != 0 && g_str_equal (a->copy.address, address))
+        lose_copy (a, silent_since);
+      else if (a->earlier.id != 0 && silent_since == 0 &&
+               g_str_equal (a->earlier.address, address))
+        lose_earlier (a);
+    }
 }
 
 /* Ownership may have changed: looks at all parked asks again. */
@@ -403,7 +539,7 @@
     r->retry = g_timeout_add (PARK_RETRY_MS, on_retry, r);
 }
 
-/* How many asks wait for an answer. */
+/* How many asks wait for an answer; one that waits for two counts twice. */
 guint
 cc_router_pending (const CcRouter *r)
 {
--- a/mailbox.c
+++ b/mailbox.c
@@ -42,6 +42,8 @@
   gint pipe;     /* id of the connection, 0: none; set on nng's thread */
   gint reported; /* what the main loop was told last */
   CcLinkHealth health;
+  gint64 silent_since; /* it was given up for silence then, us; 0: it was not,
+                          or has proven itself since */
 } Link;
 
 struct CcMailbox
@@ -167,6 +169,7 @@
       ++*l->box->silent;
       cc_log (CC_LOG_WARNING, "link", "%s is silent", l->address);
       cc_link_lost (&l->health);
+      l->silent_since = now;
       l->reported = 0;
       nng_pipe_close ((nng_pipe){ .id = (uint32_t) id });
       l->box->link (l->address, FALSE, l->box->data);
@@ -187,6 +190,7 @@
   if (l->reported != 0)
     {
       cc_link_lost (&l->health);
+      l->silent_since = 0;
       l->box->link (l->address, FALSE, l->box->data);
     }
   l->reported = id;
@@ -381,6 +385,14 @@
   return find_link (box, address)->health.proven;
 }
 
+/* Since when the peer at ADDRESS has been silent without closing the link, us:
+ * it may stand still and go on.  0: it is not silent, or is gone. */
+gint64
+cc_mailbox_silent_since (CcMailbox *box, const char *address)
+{
+  return find_link (box, address)->silent_since;
+}
+
 /* Answers a ping, or takes the answer to one.  Answering opens a link to the
  * asker if there is none. */
 static void
@@ -392,6 +404,8 @@
   if (m->u.ping.answer)
     {
       cc_link_answered (&l->health, m->u.ping.sequence, cc_clock_now ());
+      if (l->health.proven)
+        l->silent_since = 0;
       return;
     }
   answer.to = m->from;
--- a/mailbox.h
+++ b/mailbox.h
@@ -16,6 +16,7 @@
                            CcMailboxLink link, gpointer data, char **message);
 void cc_mailbox_connect (CcMailbox *box, const char *address);
 gboolean cc_mailbox_is_up (CcMailbox *box, const char *address);
+gint64 cc_mailbox_silent_since (CcMailbox *box, const char *address);
 CcStatus cc_mailbox_send (CcMailbox *box, const char *address, CcMessage *m);
 guint64 cc_mailbox_next_id (CcMailbox *box);
 void cc_mailbox_free (CcMailbox *box);
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -127,6 +127,9 @@
       "\"availability\",\"checks_grants\":true,\"slices\":1}],\"classes\":[{"
       "\"name\":\"browse\",\"pool\":\"" POOL "\",\"once_only\":false,"
       "\"timeout_ms\":2000,\"target\":{\"within_ms\":100,\"share\":0.99,"
+      "\"reliability\":0.99}},{"
+      "\"name\":\"book\",\"pool\":\"" POOL "\",\"once_only\":true,"
+      "\"timeout_ms\":2000,\"target\":{\"within_ms\":100,\"share\":0.99,"
       "\"reliability\":0.99}}]}");
   rig.member =
       g_strdup_printf ("{\"instance\":\"i1\",\"zone\":\"a\",\"address\":\"%s\","
@@ -425,6 +428,55 @@
     }
 }
 
+typedef struct
+{
+  const char *name;
+  gboolean once_only;
+  guint before_ms; /* the dispatcher stands still so long before the request, */
+  guint after_ms;  /* and so long after it */
+} Pause;
+
+static const Pause pauses[] = {
+  { "once-only, passed on before", TRUE, 0, 900 },
+  { "once-only, during", TRUE, 700, 300 },
+  { "idempotent, passed on before", FALSE, 0, 900 },
+};
+
+/* A request of C's class; the caller frees it. */
+static char *
+request_of (const Pause *c)
+{
+  guint64 ms = (guint64) (cc_clock_wall () / CC_MS);
+
+  if (!c->once_only)
+    return g_strdup ("GET /a HTTP/1.1\r\n" HEAD "\r\n");
+  return g_strdup_printf (
+      "GET /a HTTP/1.1\r\nX-Class: book\r\nX-Key: k\r\nHost: entry\r\n"
+      "Idempotency-Key: %08x-%04x-7000-8000-000000000001\r\n\r\n",
+      (guint) (ms >> 16), (guint) (ms & 0xffff));
+}
+
+/* Guards against "unknown" for a request whose dispatcher stands still for a
+ * moment, and answers it in time. */
+static void
+a_dispatcher_that_goes_on_is_waited_for (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (pauses); i++)
+    {
+      const Pause *p = &pauses[i];
+      g_autofree char *request = request_of (p);
+      g_autoptr (GSocketConnection) c = NULL;
+
+      assert_true (others_are_served ());
+      g_usleep (p->before_ms * 1000);
+      c = call (request, strlen (request));
+      g_usleep (p->after_ms * 1000);
+      if (!hears (c, "answer", 2000))
+        fail_msg ("%s: no answer", p->name);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -433,6 +485,7 @@
     cmocka_unit_test (endless_body_is_refused),
     cmocka_unit_test (truncated_body_is_not_passed_on),
     cmocka_unit_test (bad_input_harms_nobody),
+    cmocka_unit_test (a_dispatcher_that_goes_on_is_waited_for),
   };
   g_autofree char *folder = g_path_get_dirname (argv[0]);
 
