Dispatcher: its own standstill does not make its servers lost

Callers saw "unknown" ("repeat") of once-only work that had run, 1.1 s after they asked.

Cause: a dispatcher that had stood still for a second or more judged its servers by when it last read an answer, found all of them lost on waking, and told the work at them unknown, with the answers in its sockets.

Change: a gap of 200 ms between two looks is counted out, of the judgement of servers and of the watch for stalled queues. Grants lapse by the clock, and a server counts as lively by its answers alone, as before.

--- a/holding.c
+++ b/holding.c
@@ -238,13 +238,26 @@
   if (now >= h->answered + CC_SERVER_SUSPECT)
     h->alive_since = now;
   h->answered = MAX (h->answered, now);
+  h->unseen = 0;
+}
+
+/* This process stood still for SPAN us.
+ *
+ * Failure: it judges servers by the answers that it did not read meanwhile.
+ * Symptom: all its servers are lost at once, and what they ran is told unknown,
+ * although the answers lie in its sockets.  Only the judgement waits: grants
+ * lapse by the clock, and a server counts as lively by its answers alone. */
+void
+cc_holding_stood_still (CcHolding *h, gint64 span)
+{
+  h->unseen += span;
 }
 
 /* Judges at NOW whether the server is lost.  Returns TRUE if that changed. */
 gboolean
 cc_holding_judge (CcHolding *h, gint64 now)
 {
-  gboolean lost = now >= h->answered + CC_SERVER_LOST_AFTER;
+  gboolean lost = now >= h->answered + h->unseen + CC_SERVER_LOST_AFTER;
 
   if (lost == h->lost)
     return FALSE;
--- a/load.c
+++ b/load.c
@@ -248,6 +248,13 @@
          cc_hedge_decide (&a);
 }
 
+/* This process stood still for SPAN us, and read no answers. */
+void
+cc_load_stood_still (CcLoad *l, gint64 span)
+{
+  l->progress += span;
+}
+
 /* Whether the server has work and has been silent far longer than that
  * takes. */
 gboolean
--- a/load.h
+++ b/load.h
@@ -47,6 +47,7 @@
 void cc_load_done (CcLoad *l, const CcWaiting *w, CcLoadEnd end, gint64 now);
 gboolean cc_load_retry (CcLoad *l, CcWaiting *w, CcFailure f, gint64 now);
 gboolean cc_load_hedge (const CcLoad *l, const CcWaiting *w, gint64 now);
+void cc_load_stood_still (CcLoad *l, gint64 span);
 gboolean cc_load_stalled (const CcLoad *l, gint64 now);
 guint32 cc_load_wait_ms (const CcLoad *l, gint64 now);
 
--- a/server.c
+++ b/server.c
@@ -21,6 +21,8 @@
  * work has not been measured yet. */
 #define QUEUE_MAX 2000
 #define MOVED_WAIT_MS 20 /* usual time of a move of ownership */
+/* A gap between two looks that is no tick of a busy process. */
+#define STANDSTILL_MIN (200 * CC_MS)
 
 static void on_attempt_done (const CcAttemptResult *result, gpointer data);
 
@@ -399,10 +401,24 @@
   g_list_free (jobs);
 }
 
+/* Counts out the time in which this process did not look. */
+static void
+skip_standstill (CcServer *s, gint64 now)
+{
+  gint64 gap = s->ticked != 0 ? now - s->ticked : 0;
+
+  s->ticked = now;
+  if (gap < STANDSTILL_MIN)
+    return;
+  cc_holding_stood_still (s->holding, gap);
+  cc_load_stood_still (&s->load, gap);
+}
+
 /* Looks at the server's health and grant at NOW.  Called every 20 ms or so. */
 void
 cc_server_tick (CcServer *s, gint64 now)
 {
+  skip_standstill (s, now);
   if (cc_holding_judge (s->holding, now))
     {
       cc_log (CC_LOG_WARNING, "server", "%s/%s is %s", s->holding->pool,
--- a/server.h
+++ b/server.h
@@ -41,6 +41,7 @@
   gboolean granting;  /* a grant or probe is in progress */
   gint64 grant_due;   /* when the next is to be sent, us */
   CcConnectionHealth connections;
+  gint64 ticked;     /* last look at it, us; 0: none */
   gboolean closed;   /* freed when the grant's callback has run */
   guint64 reported;  /* applied version last reported */
   gint64 report_due; /* when the next report is to be sent, us */
--- a/test/test_server.c
+++ b/test/test_server.c
@@ -234,11 +234,44 @@
     play (&cases[i]);
 }
 
+/* Guards against a server that is lost, and work that is told unknown, since
+ * the dispatcher itself stood still. */
+static void
+a_standstill_of_the_dispatcher_is_not_the_servers (void **state)
+{
+  static const Case answers = { "", ANSWERS, ANSWERS, TRUE, CC_OUTCOME_RUN };
+  CcClass class = { .name = (char *) "browse",
+                    .pool = (char *) POOL,
+                    .once_only = TRUE,
+                    .within = CC_SECOND };
+  gint64 now = cc_clock_now ();
+  CcServer *s = server_new ();
+
+  (void) state;
+  rig.playing = &answers;
+  rig.told = 0;
+  cc_holding_answered (s->holding, now);
+  cc_server_take (s, job_new (TRUE), &class);
+  cc_server_tick (s, now);
+  cc_server_tick (s, now + CC_SERVER_LOST_AFTER + 100 * CC_MS);
+  assert_false (s->holding->lost);
+  while (rig.told == 0 && cc_clock_now () < now + ANSWERED_WITHIN_MS * CC_MS)
+    g_main_context_iteration (NULL, TRUE);
+  assert_int_equal (rig.outcome, CC_OUTCOME_RUN);
+  /* Without an answer it is lost all the same, as long after that. */
+  now += CC_SERVER_LOST_AFTER + 100 * CC_MS;
+  for (guint i = 0; i < 60; i++)
+    cc_server_tick (s, now += 20 * CC_MS);
+  assert_true (s->holding->lost);
+  cc_server_free (s);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_lost_attempt_is_not_denied_by_the_next),
+    cmocka_unit_test (a_standstill_of_the_dispatcher_is_not_the_servers),
   };
 
   return cmocka_run_group_tests (tests, start, NULL);
