Callers: targets go on as they were written

Callers and servers saw: `/%7Ea/%61` reached a server as `/~a/a`, `/a/../b` as `/b`; a server that signs or compares a target's bytes sees another.

Cause: the HTTP library parses targets into a GUri, which normalizes, and hands out nothing else (the message's URI is normal before any code of ours runs).

Ruled out: routes and the exchange with servers, which pass on what they get; tried and left: a listener of our own, since the library ends connections of a server without one after each request (test_entry and a pipeline showed it).

Change: the bytes that the library reads from a caller pass http_parser, which notes each target. It is used for the message at the same place of the connection, if its normal form is that of the library's; else the normal form is passed on as before.

test_target, a_target_is_not_normalized, red always before, as it stands now green; a_target_stays_with_its_message, new: pipelined requests, bodies that look like requests, a refused one. What it costs is measured next.

--- a/admin.c
+++ b/admin.c
@@ -4,6 +4,7 @@
 
 #include <glib-unix.h>
 
+#include "caller_connection.h"
 #include "metrics.h"
 #include "settings.h"
 
@@ -28,12 +29,18 @@
                                     strlen (body));
 }
 
+/* Set on servers for callers. */
+#define FOR_CALLERS_KEY "capercrank-for-callers"
+
 /* A server for callers; it listens nowhere yet.  The library would decode
  * paths, and refuse those in which that makes a segment "..". */
 SoupServer *
 cc_http_server_new (void)
 {
-  return soup_server_new ("raw-paths", TRUE, NULL);
+  SoupServer *server = soup_server_new ("raw-paths", TRUE, NULL);
+
+  g_object_set_data (G_OBJECT (server), FOR_CALLERS_KEY, server);
+  return server;
 }
 
 /* The path of M's request with its query, as the caller sent it.  The caller
@@ -43,7 +50,10 @@
 {
   GUri *uri = soup_server_message_get_uri (m);
   const char *query = g_uri_get_query (uri);
+  const char *target = cc_caller_target (m);
 
+  if (target != NULL)
+    return g_strdup (target);
   if (query == NULL)
     return g_strdup (g_uri_get_path (uri));
   return g_strconcat (g_uri_get_path (uri), "?", query, NULL);
@@ -109,6 +119,8 @@
 
   cc_address_parse (address, &ip, &port);
   at = g_inet_socket_address_new_from_string (ip, port);
+  if (g_object_get_data (G_OBJECT (server), FOR_CALLERS_KEY) != NULL)
+    cc_caller_targets_keep (server, port);
   s = listen_socket (at, &error);
   if (s != NULL && soup_server_listen_socket (server, s, 0, &error))
     return TRUE;
--- /dev/null
+++ b/caller_connection.c
@@ -0,0 +1,357 @@
+/* The HTTP library hands out a request's target in its normal form only
+ * (RFC 3986, 6.2.2): a server would get `/~a` for `/%7Ea`.  So the bytes that
+ * it reads from a caller pass a second parser, which notes each target.
+ *
+ * The two parsers may disagree about what a request is.  A noted target is
+ * therefore used only for the message at the same place on its connection, and
+ * only if it has the normal form that the library found. */
+#include "caller_connection.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+#define TARGETS_KEY "capercrank-targets" /* of a connection's socket */
+#define TARGET_KEY "capercrank-target"   /* of a message */
+
+/* Notes the targets of one connection. */
+typedef struct
+{
+  http_parser parser;
+  gboolean broken; /* the parser has given up */
+  GString *target; /* of the message that is read */
+  GQueue targets;  /* of char *, of messages whose head was read */
+} Targets;
+
+/* The bytes of a connection, which its parser sees as well. */
+typedef struct
+{
+  GFilterInputStream parent;
+  Targets *targets;
+  GSocket *socket; /* owns TARGETS */
+} CcTargetStream;
+
+typedef struct
+{
+  GFilterInputStreamClass parent_class;
+} CcTargetStreamClass;
+
+/* A connection; one of a caller is read through a CcTargetStream. */
+typedef struct
+{
+  GTcpConnection parent;
+  GInputStream *input; /* NULL: the parent's */
+} CcTargetConnection;
+
+typedef struct
+{
+  GTcpConnectionClass parent_class;
+} CcTargetConnectionClass;
+
+static GType cc_target_stream_get_type (void);
+static GType cc_target_connection_get_type (void);
+static void cc_target_stream_pollable_init (gpointer iface, gpointer data);
+
+G_DEFINE_TYPE_WITH_CODE (
+    CcTargetStream, cc_target_stream, G_TYPE_FILTER_INPUT_STREAM,
+    G_IMPLEMENT_INTERFACE (G_TYPE_POLLABLE_INPUT_STREAM,
+                           (GInterfaceInitFunc) cc_target_stream_pollable_init))
+G_DEFINE_TYPE (CcTargetConnection, cc_target_connection, G_TYPE_TCP_CONNECTION)
+
+/* ---- targets ---- */
+
+static int
+on_url (http_parser *p, const char *at, size_t length)
+{
+  Targets *t = p->data;
+
+  g_string_append_len (t->target, at, (gssize) length);
+  return 0;
+}
+
+static int
+on_headers_complete (http_parser *p)
+{
+  Targets *t = p->data;
+
+  g_queue_push_tail (&t->targets, g_strdup (t->target->str));
+  g_string_truncate (t->target, 0);
+  return 0;
+}
+
+static const http_parser_settings settings = {
+  .on_url = on_url,
+  .on_headers_complete = on_headers_complete,
+};
+
+static Targets *
+targets_new (void)
+{
+  Targets *t = g_new0 (Targets, 1);
+
+  http_parser_init (&t->parser, HTTP_REQUEST);
+  t->parser.data = t;
+  t->target = g_string_new (NULL);
+  g_queue_init (&t->targets);
+  return t;
+}
+
+static void
+targets_free (gpointer data)
+{
+  Targets *t = data;
+
+  g_string_free (t->target, TRUE);
+  g_queue_clear_full (&t->targets, g_free);
+  g_free (t);
+}
+
+static void
+targets_read (Targets *t, const char *bytes, gssize count)
+{
+  if (t->broken || count <= 0)
+    return;
+  t->broken = http_parser_execute (&t->parser, &settings, bytes,
+                                   (size_t) count) != (size_t) count ||
+              t->parser.upgrade != 0;
+}
+
+/* ---- the stream ---- */
+
+static gssize
+stream_read (GInputStream *stream, void *buffer, gsize count,
+             GCancellable *cancellable, GError **error)
+{
+  CcTargetStream *s = (CcTargetStream *) stream;
+  gssize n =
+      g_input_stream_read (g_filter_input_stream_get_base_stream (&s->parent),
+                           buffer, count, cancellable, error);
+
+  targets_read (s->targets, buffer, n);
+  return n;
+}
+
+static GPollableInputStream *
+base_of (GPollableInputStream *stream)
+{
+  return G_POLLABLE_INPUT_STREAM (
+      g_filter_input_stream_get_base_stream (G_FILTER_INPUT_STREAM (stream)));
+}
+
+static gboolean
+stream_is_readable (GPollableInputStream *stream)
+{
+  return g_pollable_input_stream_is_readable (base_of (stream));
+}
+
+static GSource *
+stream_create_source (GPollableInputStream *stream, GCancellable *cancellable)
+{
+  g_autoptr (GSource) base =
+      g_pollable_input_stream_create_source (base_of (stream), NULL);
+
+  return g_pollable_source_new_full (stream, base, cancellable);
+}
+
+static gssize
+stream_read_nonblocking (GPollableInputStream *stream, void *buffer,
+                         gsize count, GError **error)
+{
+  CcTargetStream *s = (CcTargetStream *) stream;
+  gssize n = g_pollable_input_stream_read_nonblocking (base_of (stream), buffer,
+                                                       count, NULL, error);
+
+  targets_read (s->targets, buffer, n);
+  return n;
+}
+
+static void
+cc_target_stream_pollable_init (gpointer iface, gpointer data)
+{
+  GPollableInputStreamInterface *i = iface;
+
+  (void) data;
+  i->is_readable = stream_is_readable;
+  i->create_source = stream_create_source;
+  i->read_nonblocking = stream_read_nonblocking;
+}
+
+static void
+stream_finalize (GObject *object)
+{
+  g_clear_object (&((CcTargetStream *) object)->socket);
+  G_OBJECT_CLASS (cc_target_stream_parent_class)->finalize (object);
+}
+
+static void
+cc_target_stream_class_init (CcTargetStreamClass *class)
+{
+  G_INPUT_STREAM_CLASS (class)->read_fn = stream_read;
+  G_OBJECT_CLASS (class)->finalize = stream_finalize;
+}
+
+static void
+cc_target_stream_init (CcTargetStream *s)
+{
+  (void) s;
+}
+
+/* ---- the connection ---- */
+
+static GHashTable *listening; /* set of ports at which callers connect */
+
+static gboolean
+is_callers (GSocket *socket)
+{
+  g_autoptr (GSocketAddress) at = g_socket_get_local_address (socket, NULL);
+
+  return G_IS_INET_SOCKET_ADDRESS (at) &&
+         g_hash_table_contains (
+             listening, GUINT_TO_POINTER (g_inet_socket_address_get_port (
+                            G_INET_SOCKET_ADDRESS (at))));
+}
+
+static void
+connection_constructed (GObject *object)
+{
+  CcTargetConnection *c = (CcTargetConnection *) object;
+  GSocket *socket = g_socket_connection_get_socket (&c->parent.parent_instance);
+  CcTargetStream *s;
+
+  G_OBJECT_CLASS (cc_target_connection_parent_class)->constructed (object);
+  if (!is_callers (socket))
+    return;
+  s = g_object_new (cc_target_stream_get_type (), "base-stream",
+                    G_IO_STREAM_CLASS (cc_target_connection_parent_class)
+                        ->get_input_stream (G_IO_STREAM (c)),
+                    "close-base-stream", FALSE, NULL);
+  s->targets = targets_new ();
+  s->socket = g_object_ref (socket);
+  g_object_set_data_full (G_OBJECT (socket), TARGETS_KEY, s->targets,
+                          targets_free);
+  c->input = G_INPUT_STREAM (s);
+}
+
+static GInputStream *
+connection_input (GIOStream *stream)
+{
+  CcTargetConnection *c = (CcTargetConnection *) stream;
+
+  return c->input != NULL
+             ? c->input
+             : G_IO_STREAM_CLASS (cc_target_connection_parent_class)
+                   ->get_input_stream (stream);
+}
+
+static void
+connection_finalize (GObject *object)
+{
+  g_clear_object (&((CcTargetConnection *) object)->input);
+  G_OBJECT_CLASS (cc_target_connection_parent_class)->finalize (object);
+}
+
+static void
+cc_target_connection_class_init (CcTargetConnectionClass *class)
+{
+  G_OBJECT_CLASS (class)->constructed = connection_constructed;
+  G_OBJECT_CLASS (class)->finalize = connection_finalize;
+  G_IO_STREAM_CLASS (class)->get_input_stream = connection_input;
+}
+
+static void
+cc_target_connection_init (CcTargetConnection *c)
+{
+  (void) c;
+}
+
+/* ---- the server ---- */
+
+static void
+on_got_headers (SoupServerMessage *m, gpointer data)
+{
+  GSocket *socket = soup_server_message_get_socket (m);
+  Targets *t = socket != NULL
+                   ? g_object_get_data (G_OBJECT (socket), TARGETS_KEY)
+                   : NULL;
+
+  (void) data;
+  if (t != NULL)
+    g_object_set_data_full (G_OBJECT (m), TARGET_KEY,
+                            g_queue_pop_head (&t->targets), g_free);
+}
+
+static void
+on_request_started (SoupServer *server, SoupServerMessage *m, gpointer data)
+{
+  (void) server, (void) data;
+  g_signal_connect (m, "got-headers", G_CALLBACK (on_got_headers), NULL);
+}
+
+/* Has SERVER keep the targets of requests that come to PORT as they were
+ * written.  From then on all TCP connections of this process are of a type that
+ * can do so; one that did not come to PORT is no other than before. */
+void
+cc_caller_targets_keep (SoupServer *server, guint port)
+{
+  if (listening == NULL)
+    {
+      listening = g_hash_table_new (NULL, NULL);
+      g_socket_connection_factory_register_type (
+          cc_target_connection_get_type (), G_SOCKET_FAMILY_IPV4,
+          G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_DEFAULT);
+      g_socket_connection_factory_register_type (
+          cc_target_connection_get_type (), G_SOCKET_FAMILY_IPV4,
+          G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP);
+    }
+  g_hash_table_add (listening, GUINT_TO_POINTER (port));
+  g_signal_connect (server, "request-started", G_CALLBACK (on_request_started),
+                    NULL);
+}
+
+/* Whether TEXT is a path with or without a query, and nothing else. */
+static gboolean
+is_origin_form (const char *text)
+{
+  if (text[0] != '/')
+    return FALSE;
+  for (const char *c = text; *c != '\0'; c++)
+    if (*c <= ' ' || *c >= 0x7f || *c == '#')
+      return FALSE;
+  return TRUE;
+}
+
+/* TARGET from its path on; NULL: it has none. */
+static const char *
+path_of (const char *target)
+{
+  const char *authority = strstr (target, "://");
+
+  if (target[0] == '/')
+    return target;
+  return authority != NULL ? strchr (authority + strlen ("://"), '/') : NULL;
+}
+
+/* Whether the normal form of TARGET is that of URI. */
+static gboolean
+means_the_same (const char *target, GUri *uri)
+{
+  g_autofree char *text = g_strconcat ("http://a", target, NULL);
+  g_autoptr (GUri) own = g_uri_parse (text, SOUP_HTTP_URI_FLAGS, NULL);
+
+  return own != NULL &&
+         g_strcmp0 (g_uri_get_path (own), g_uri_get_path (uri)) == 0 &&
+         g_strcmp0 (g_uri_get_query (own), g_uri_get_query (uri)) == 0;
+}
+
+/* The path of M's request with its query, as the caller wrote it; NULL if that
+ * is not known.  The result lasts as long as M. */
+const char *
+cc_caller_target (SoupServerMessage *m)
+{
+  const char *target = g_object_get_data (G_OBJECT (m), TARGET_KEY);
+  const char *path = target != NULL ? path_of (target) : NULL;
+
+  if (path == NULL || !is_origin_form (path) ||
+      !means_the_same (path, soup_server_message_get_uri (m)))
+    return NULL;
+  return path;
+}
--- /dev/null
+++ b/caller_connection.h
@@ -0,0 +1,10 @@
+/* The targets of callers' requests, as they were written. */
+#ifndef CC_CALLER_CONNECTION_H
+#define CC_CALLER_CONNECTION_H
+
+#include <libsoup/soup.h>
+
+void cc_caller_targets_keep (SoupServer *server, guint port);
+const char *cc_caller_target (SoupServerMessage *m);
+
+#endif
--- a/test/test_target.c
+++ b/test/test_target.c
@@ -128,12 +128,88 @@
   send_all (forms, G_N_ELEMENTS (forms), 1);
 }
 
+/* Requests of one connection, sent at once: bodies that look like requests, a
+ * target that the server refuses, equal targets in two forms. */
+static const char stream[] =
+    "POST /%7Ea HTTP/1.1\r\nHost: a\r\nContent-Length: 21\r\n\r\n"
+    "GET /%62 HTTP/1.1\r\n\r\n"
+    "POST /%7Ec HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "15\r\nGET /%64 HTTP/1.1\r\n\r\n\r\n0\r\n\r\n"
+    "GET /refused HTTP/1.1\r\nHost: a\r\n\r\n"
+    "GET /%7Ee HTTP/1.1\r\nHost: a\r\n\r\n"
+    "GET /~e HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+static const char *const answers[] = { "/%7Ea", "/%7Ec", "/%7Ee", "/~e" };
+
+static void
+on_refused (SoupServer *server, SoupServerMessage *m, const char *path,
+            GHashTable *query, gpointer data)
+{
+  (void) server, (void) path, (void) query, (void) data;
+  cc_http_answer (m, 404, "text/plain", "refused");
+}
+
+static gpointer
+read_stream (gpointer data)
+{
+  GString *got = g_string_new (NULL);
+  char buffer[4096];
+  gssize n;
+
+  g_output_stream_write_all (g_io_stream_get_output_stream (data), stream,
+                             strlen (stream), NULL, NULL, NULL);
+  while ((n = g_input_stream_read (g_io_stream_get_input_stream (data), buffer,
+                                   sizeof buffer, NULL, NULL)) > 0)
+    g_string_append_len (got, buffer, n);
+  g_main_loop_quit (loop);
+  return got;
+}
+
+/* Guards against a target that is taken for another message's. */
+static void
+a_target_stays_with_its_message (void **state)
+{
+  g_autofree char *at =
+      g_strdup_printf ("127.78.2.1:%u", 20000 + (guint) getpid () % 20000);
+  g_autoptr (SoupServer) server = cc_http_server_new ();
+  g_autoptr (GSocketClient) client = g_socket_client_new ();
+  g_autoptr (GSocketConnection) c = NULL;
+  GString *got;
+  const char *from;
+  GThread *thread;
+  char *message = NULL;
+
+  (void) state;
+  loop = g_main_loop_new (NULL, FALSE);
+  soup_server_add_handler (server, NULL, on_request, NULL, NULL);
+  soup_server_add_handler (server, "/refused", on_refused, NULL, NULL);
+  assert_true (cc_http_listen (server, at, &message));
+  c = g_socket_client_connect_to_host (client, at, 80, NULL, NULL);
+  assert_non_null (c);
+  thread = g_thread_new ("reader", read_stream, c);
+  g_main_loop_run (loop);
+  got = g_thread_join (thread);
+  from = got->str;
+  for (guint i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      g_autofree char *body = g_strconcat ("\r\n\r\n", answers[i], NULL);
+
+      from = strstr (from, body);
+      if (from == NULL)
+        fail_msg ("%s is missing in\n%s", answers[i], got->str);
+      from += strlen (body);
+    }
+  g_string_free (got, TRUE);
+  soup_server_disconnect (server);
+  g_main_loop_unref (loop);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_target_is_not_changed),
     cmocka_unit_test (a_target_is_not_normalized),
+    cmocka_unit_test (a_target_stays_with_its_message),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
