--- a/caller_connection.c
+++ b/caller_connection.c
@@ -330,13 +330,30 @@
   return authority != NULL ? strchr (authority + strlen ("://"), '/') : NULL;
 }
 
-/* Whether the normal form of TARGET is that of URI. */
+/* Whether TARGET is PATH, with QUERY if that is not NULL. */
+static gboolean
+is_written_so (const char *target, const char *path, const char *query)
+{
+  gsize length = strlen (path);
+
+  if (strncmp (target, path, length) != 0)
+    return FALSE;
+  return query != NULL
+             ? target[length] == '?' && g_str_equal (target + length + 1, query)
+             : target[length] == '\0';
+}
+
+/* Whether the normal form of TARGET is that of URI.  Most are written so. */
 static gboolean
 means_the_same (const char *target, GUri *uri)
 {
-  g_autofree char *text = g_strconcat ("http://a", target, NULL);
-  g_autoptr (GUri) own = g_uri_parse (text, SOUP_HTTP_URI_FLAGS, NULL);
+  g_autofree char *text = NULL;
+  g_autoptr (GUri) own = NULL;
 
+  if (is_written_so (target, g_uri_get_path (uri), g_uri_get_query (uri)))
+    return TRUE;
+  text = g_strconcat ("http://a", target, NULL);
+  own = g_uri_parse (text, SOUP_HTTP_URI_FLAGS, NULL);
   return own != NULL &&
          g_strcmp0 (g_uri_get_path (own), g_uri_get_path (uri)) == 0 &&
          g_strcmp0 (g_uri_get_query (own), g_uri_get_query (uri)) == 0;
