Callers: a connection's stream has no more sources than before

Suspected: GLib's source of a socket stream holds the socket's, and the new stream's held both, one more to visit in each iteration of the main loop for each connection. It now waits for the socket itself.

--- a/caller_connection.c
+++ b/caller_connection.c
@@ -143,11 +143,13 @@
   return g_pollable_input_stream_is_readable (base_of (stream));
 }
 
+/* Of the socket itself: the base stream's source would be one more to visit in
+ * each iteration of the main loop, for each connection. */
 static GSource *
 stream_create_source (GPollableInputStream *stream, GCancellable *cancellable)
 {
-  g_autoptr (GSource) base =
-      g_pollable_input_stream_create_source (base_of (stream), NULL);
+  CcTargetStream *s = (CcTargetStream *) stream;
+  g_autoptr (GSource) base = g_socket_create_source (s->socket, G_IO_IN, NULL);
 
   return g_pollable_source_new_full (stream, base, cancellable);
 }
