test_ask: waits for the request to arrive, not for 100 ms

Cause: the test gave the request 100 ms to reach its dispatcher. With the messaging library's threads short of processor it takes longer; the stranger then answers a request that does not exist, which is counted as late. Shown with those threads on one core beside 60 busy loops: 1 of 6 runs fails, and prints that the request had not arrived, late 1, crossed 0.

Ruled out: a slow connection of the stranger and standstills of the process (100 runs with pauses, 15 with one at each of the two moments, all passed).

Change: the test waits for the request, the counts and the answer, each within the 2 s that its caller allows; what it asserts is unchanged, and without the check of the sender in ask.c it fails. 8 of 8 runs passed under the same starvation.

--- a/test/test_ask.c
+++ b/test/test_ask.c
@@ -122,6 +122,35 @@
   return *cc_metrics_counter (name, "");
 }
 
+/* The deadline of callers whose answer must come. */
+#define ALLOWED_MS 2000
+
+/* Until the dispatcher has received a request after BEFORE.  Messages pass
+ * through threads of the library, which may wait for a processor. */
+static void
+await_request (guint64 before)
+{
+  for (guint i = 0; i < ALLOWED_MS && dispatcher.last == before; i++)
+    turn_for (1);
+  assert_int_not_equal (dispatcher.last, before);
+}
+
+/* Until the counter NAME has VALUE. */
+static void
+await_count (const char *name, guint64 value)
+{
+  for (guint i = 0; i < ALLOWED_MS && counter (name) != value; i++)
+    turn_for (1);
+  assert_int_equal (counter (name), value);
+}
+
+static void
+await_answer (const Answer *a)
+{
+  for (guint i = 0; i < ALLOWED_MS && a->calls == 0; i++)
+    turn_for (1);
+}
+
 static CcFollower *
 knowing_follower (void)
 {
@@ -155,7 +184,9 @@
   open_peer (&stranger, STRANGER);
   entry.router = cc_router_new (knowing_follower (), entry.box);
   cc_mailbox_connect (entry.box, dispatcher.address);
-  turn_for (300);
+  for (guint i = 0;
+       i < ALLOWED_MS && !cc_mailbox_is_up (entry.box, dispatcher.address); i++)
+    turn_for (1);
   return cc_mailbox_is_up (entry.box, dispatcher.address) ? 0 : -1;
 }
 
@@ -217,17 +248,17 @@
 crossed_answer_is_dropped (void **state)
 {
   guint64 before = counter ("capercrank_answers_crossed");
+  guint64 last = dispatcher.last;
   Answer a;
 
   (void) state;
-  ask (&a, TRUE, 2000);
-  turn_for (100);
+  ask (&a, TRUE, 2 * ALLOWED_MS);
+  await_request (last);
   reply (&stranger, dispatcher.last, "stranger's");
-  turn_for (200);
+  await_count ("capercrank_answers_crossed", before + 1);
   assert_int_equal (a.calls, 0);
-  assert_int_equal (counter ("capercrank_answers_crossed"), before + 1);
   reply (&dispatcher, dispatcher.last, "own");
-  turn_for (200);
+  await_answer (&a);
   assert_int_equal (a.calls, 1);
   assert_string_equal (a.body, "own");
 }
@@ -237,17 +268,18 @@
 late_answer_is_dropped (void **state)
 {
   guint64 before = counter ("capercrank_answers_late");
+  guint64 last = dispatcher.last;
   Answer a;
 
   (void) state;
-  ask (&a, TRUE, 100);
-  turn_for (250);
+  ask (&a, TRUE, ALLOWED_MS / 2);
+  await_request (last);
+  await_answer (&a);
   assert_int_equal (a.calls, 1);
   assert_int_equal (a.outcome, CC_OUTCOME_UNKNOWN);
   reply (&dispatcher, dispatcher.last, "late");
-  turn_for (200);
+  await_count ("capercrank_answers_late", before + 1);
   assert_int_equal (a.calls, 1);
-  assert_int_equal (counter ("capercrank_answers_late"), before + 1);
 }
 
 /* nng keeps a message while its receiver is absent and hands it to the next
