Callers: the input of their connections is replaced at its class

Seen: the soak crashed at its start (segmentation fault in g_socket_client_connect, after "G_TYPE_IS_OBJECT failed").

Cause: the change for targets as written put a type of connection into GLib's table for TCP. For a triple of family, type and protocol that is there, the table keeps its old key and frees the new entry, which it goes on to use. The gateway's tests passed by what the allocator left there.

Ruled out: a listener of our own (keep-alive ends after one request), a protocol of our own for the listening socket (GLib reads TCP from the descriptor), a library's listener where nothing arrives (it takes listening sockets only).

Change: the method of GLib's TCP connections that returns their input is replaced; for those that did not come to a callers' port it calls the old one.

--- a/caller_connection.c
+++ b/caller_connection.c
@@ -10,8 +10,9 @@
 #include <http_parser.h>
 #include <string.h>
 
-#define TARGETS_KEY "capercrank-targets" /* of a connection's socket */
-#define TARGET_KEY "capercrank-target"   /* of a message */
+#define STREAM_KEY "capercrank-stream"   /* of a connection */
+#define TARGETS_KEY "capercrank-targets" /* ... of its socket */
+#define TARGET_KEY "capercrank-target"   /* ... of a message of it */
 
 /* Notes the targets of one connection. */
 typedef struct
@@ -35,27 +36,13 @@
   GFilterInputStreamClass parent_class;
 } CcTargetStreamClass;
 
-/* A connection; one of a caller is read through a CcTargetStream. */
-typedef struct
-{
-  GTcpConnection parent;
-  GInputStream *input; /* NULL: the parent's */
-} CcTargetConnection;
-
-typedef struct
-{
-  GTcpConnectionClass parent_class;
-} CcTargetConnectionClass;
-
 static GType cc_target_stream_get_type (void);
-static GType cc_target_connection_get_type (void);
 static void cc_target_stream_pollable_init (gpointer iface, gpointer data);
 
 G_DEFINE_TYPE_WITH_CODE (
     CcTargetStream, cc_target_stream, G_TYPE_FILTER_INPUT_STREAM,
     G_IMPLEMENT_INTERFACE (G_TYPE_POLLABLE_INPUT_STREAM,
                            (GInterfaceInitFunc) cc_target_stream_pollable_init))
-G_DEFINE_TYPE (CcTargetConnection, cc_target_connection, G_TYPE_TCP_CONNECTION)
 
 /* ---- targets ---- */
 
@@ -212,57 +199,42 @@
                             G_INET_SOCKET_ADDRESS (at))));
 }
 
-static void
-connection_constructed (GObject *object)
+/* GLib's own, of TCP connections. */
+static GInputStream *(*plain_input) (GIOStream *stream);
+
+/* In place of it: the input of a caller's connection is a CcTargetStream. */
+static GInputStream *
+connection_input (GIOStream *stream)
 {
-  CcTargetConnection *c = (CcTargetConnection *) object;
-  GSocket *socket = g_socket_connection_get_socket (&c->parent.parent_instance);
-  CcTargetStream *s;
+  GSocket *socket =
+      g_socket_connection_get_socket (G_SOCKET_CONNECTION (stream));
+  CcTargetStream *s = g_object_get_data (G_OBJECT (stream), STREAM_KEY);
 
-  G_OBJECT_CLASS (cc_target_connection_parent_class)->constructed (object);
+  if (s != NULL)
+    return G_INPUT_STREAM (s);
   if (!is_callers (socket))
-    return;
+    return plain_input (stream);
   s = g_object_new (cc_target_stream_get_type (), "base-stream",
-                    G_IO_STREAM_CLASS (cc_target_connection_parent_class)
-                        ->get_input_stream (G_IO_STREAM (c)),
-                    "close-base-stream", FALSE, NULL);
+                    plain_input (stream), "close-base-stream", FALSE, NULL);
   s->targets = targets_new ();
   s->socket = g_object_ref (socket);
   g_object_set_data_full (G_OBJECT (socket), TARGETS_KEY, s->targets,
                           targets_free);
-  c->input = G_INPUT_STREAM (s);
-}
-
-static GInputStream *
-connection_input (GIOStream *stream)
-{
-  CcTargetConnection *c = (CcTargetConnection *) stream;
-
-  return c->input != NULL
-             ? c->input
-             : G_IO_STREAM_CLASS (cc_target_connection_parent_class)
-                   ->get_input_stream (stream);
-}
-
-static void
-connection_finalize (GObject *object)
-{
-  g_clear_object (&((CcTargetConnection *) object)->input);
-  G_OBJECT_CLASS (cc_target_connection_parent_class)->finalize (object);
+  g_object_set_data_full (G_OBJECT (stream), STREAM_KEY, s, g_object_unref);
+  return G_INPUT_STREAM (s);
 }
 
+/* The library makes its connections itself and lets nobody choose their type;
+ * GLib's table of types has one for TCP and takes no second.  A listener of our
+ * own is no way either: the library ends the connections of a server without
+ * one after each request.  So the type's method is replaced. */
 static void
-cc_target_connection_class_init (CcTargetConnectionClass *class)
+replace_input (void)
 {
-  G_OBJECT_CLASS (class)->constructed = connection_constructed;
-  G_OBJECT_CLASS (class)->finalize = connection_finalize;
-  G_IO_STREAM_CLASS (class)->get_input_stream = connection_input;
-}
+  GIOStreamClass *class = g_type_class_ref (G_TYPE_TCP_CONNECTION);
 
-static void
-cc_target_connection_init (CcTargetConnection *c)
-{
-  (void) c;
+  plain_input = class->get_input_stream;
+  class->get_input_stream = connection_input;
 }
 
 /* ---- the server ---- */
@@ -289,20 +261,14 @@
 }
 
 /* Has SERVER keep the targets of requests that come to PORT as they were
- * written.  From then on all TCP connections of this process are of a type that
- * can do so; one that did not come to PORT is no other than before. */
+ * written.  Other connections of this process are read as before. */
 void
 cc_caller_targets_keep (SoupServer *server, guint port)
 {
   if (listening == NULL)
     {
       listening = g_hash_table_new (NULL, NULL);
-      g_socket_connection_factory_register_type (
-          cc_target_connection_get_type (), G_SOCKET_FAMILY_IPV4,
-          G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_DEFAULT);
-      g_socket_connection_factory_register_type (
-          cc_target_connection_get_type (), G_SOCKET_FAMILY_IPV4,
-          G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP);
+      replace_input ();
     }
   g_hash_table_add (listening, GUINT_TO_POINTER (port));
   g_signal_connect (server, "request-started", G_CALLBACK (on_request_started),
