Load program: attempts without a key are judged one by one

Seen: prove repeats-after-kill, "told not-run, but recorded (may be repeated)".

The audit held the last answer against the runs of all attempts. Only a key ties attempts together, and these have none.

Change: each attempt without a key has a marker of its own and is judged by itself, also where a later one ran; what is replaced did not see those. Work with a key is judged as before.

--- a/test/load.c
+++ b/test/load.c
@@ -350,6 +350,19 @@
   return G_SOURCE_REMOVE;
 }
 
+/* What is told of one request that L sends. */
+static Told *
+told_new (Load *l, const CcClass *class)
+{
+  Told *t = g_new0 (Told, 1);
+
+  t->marker = uuid_v7 (l->rand);
+  t->once_only = class->once_only;
+  t->answers = g_string_new (NULL);
+  g_ptr_array_add (l->told, t);
+  return t;
+}
+
 static void
 send_ask (Ask *a)
 {
@@ -362,6 +375,10 @@
                     .idle_max = a->pattern->body > 0 ? 0 : KEEP,
                     .closes = a->pattern->body > 0 };
 
+  /* Nothing ties a repeat without a key to the attempt before it: each is told
+   * of itself. */
+  if (a->tries > 0 && !a->told->once_only)
+    a->told = told_new (l, a->pattern->class);
   a->tries++;
   a->sent = cc_clock_wall ();
   a->entry = balancer_pick (l->balancer, l->rand, a->entry);
@@ -397,11 +414,7 @@
   a->url_path = g_strjoinv (digits, path);
   a->asked = cc_clock_now ();
   a->body_seed = g_rand_int (l->rand);
-  a->told = g_new0 (Told, 1);
-  a->told->marker = uuid_v7 (l->rand);
-  a->told->once_only = p->class->once_only;
-  a->told->answers = g_string_new (NULL);
-  g_ptr_array_add (l->told, a->told);
+  a->told = told_new (l, p->class);
   a->tally->asked++;
   l->pending++;
   send_ask (a);
