run_all.sh: a known failure is matched by its whole name

An entry was matched by the prefix of its line, so that "soak 12" passed over any failure of "soak", and a test over all whose names begin with its own. Names are compared to the colon now.

--- a/test/run_all.sh
+++ b/test/run_all.sh
@@ -51,8 +51,8 @@
 while read -r line; do
   [ -n "$line" ] || continue
   name=${line##* - }
-  if [ -f KNOWN-RED.txt ] && grep -q "^$name" KNOWN-RED.txt; then
-    echo "known red: $(grep "^$name" KNOWN-RED.txt)"
+  if [ -f KNOWN-RED.txt ] && grep -q "^$name:" KNOWN-RED.txt; then
+    echo "known red: $(grep "^$name:" KNOWN-RED.txt)"
     known=$((known + 1))
   else
     failed=$((failed + 1))
