Logs: renewals and moves that take long are told

Beside load callers were told unknown ("moving"), and it was not known whether a lease had been lost and which step of a move took how long. A renewal that takes longer than its period tells when it was sent, how it ended and how long the lease then lasts; so does a promise; the assigner tells of moves that leave a unit without an owner for longer than half a second.

--- a/assignment.c
+++ b/assignment.c
@@ -20,6 +20,7 @@
 #include "assignment.h"
 
 #include "balance.h"
+#include "log.h"
 #include "standing.h"
 
 typedef struct
@@ -60,6 +61,7 @@
 #define MOVING_LEAST 8
 #define MOVING_PART 32
 
+#define MOVE_SLOW (500 * CC_MS) /* worth a line in the log */
 #define HOUR (3600 * CC_SECOND)
 
 /* A planner that knows nothing yet. */
@@ -109,6 +111,10 @@
         *began = now;
       if (moves || *began == 0)
         continue;
+      if (now - *began > MOVE_SLOW)
+        cc_log (CC_LOG_WARNING, "move",
+                "%s/%u was without an owner for %" G_GINT64_FORMAT " ms",
+                m->pool, i, (now - *began) / CC_MS);
       p->move_time += now - *began;
       p->ended++;
       *began = 0;
--- a/tenure.c
+++ b/tenure.c
@@ -110,10 +110,27 @@
   t->changed (t, FALSE, t->data);
 }
 
+/* Tells of a renewal, sent at SENT, that took longer than a renewal's period:
+ * whether it counted, and how long the lease then lasts. */
+static void
+note_slow_renewal (const CcTenure *t, gint64 sent, const char *end)
+{
+  gint64 now = cc_clock_now ();
+
+  if (sent == 0 || now - sent <= CC_LEASE_PERIOD)
+    return;
+  cc_log (CC_LOG_WARNING, "renewal",
+          "%s %s %" G_GINT64_FORMAT
+          " ms after it was sent, the lease lasts %" G_GINT64_FORMAT " ms",
+          t->id, end, (now - sent) / CC_MS,
+          (t->lease.valid_until - now) / CC_MS);
+}
+
 static void
 on_written (CcStatus status, guint64 version, gpointer data)
 {
   CcTenure *t = data;
+  gint64 sent = t->lease.sent_at;
 
   t->calling = FALSE;
   if (status == CC_OK)
@@ -125,6 +142,7 @@
     cc_lease_failed (&t->lease);
   if (status == CC_OK && t->draining)
     t->drain_written = TRUE;
+  note_slow_renewal (t, sent, status == CC_OK ? "was written" : "has failed");
   tell (t);
 }
 
--- a/voting.c
+++ b/voting.c
@@ -141,6 +141,11 @@
       !cc_ballot_count (&v->asking, m->u.vote.ballot, m->reply_to))
     return;
   cc_lease_extend (l, v->asking.asked_at, cc_clock_now ());
+  cc_log (CC_LOG_INFO, "renewal",
+          "%s is promised a term, asked %" G_GINT64_FORMAT
+          " ms ago, the lease lasts %" G_GINT64_FORMAT " ms",
+          v->tenure->id, (cc_clock_now () - v->asking.asked_at) / CC_MS,
+          (l->valid_until - cc_clock_now ()) / CC_MS);
   ++*v->extended;
   cc_ballot_clear (&v->asking);
 }
