Platform client: the timeout of calls follows the times of answers

Callers of once-only work were told unknown ("moving") beside load, keys were without an owner for up to 5.8 s. Each call to the platform was given up after 700 ms and made again from nothing; once all answers took longer, none counted, the assigner lost its lease three times in a row and moves stood still. Ruled out: dispatchers standing still or losing leases (one of twelve), moves that wait for a changing map version (0.13 of 0.8 s).

call_timeout.c follows the answers as TCP's retransmission timer does, from 700 ms to a lease's term.

--- a/platform.c
+++ b/platform.c
@@ -1,8 +1,9 @@
 /* HTTP with JSON to the platform, asynchronous, every call bounded by a
- * timeout.  A write whose answer is lost is reported as CC_UNKNOWN and never
- * sent again from here: who asked reads the row and sees whether it holds what
- * they wrote.  Each call opens a connection of its own, so that a connection
- * gone silent costs one call and not all later ones. */
+ * timeout that follows the times of its answers.  A write whose answer is lost
+ * is reported as CC_UNKNOWN and never sent again from here: who asked reads the
+ * row and sees whether it holds what they wrote.  Each call opens a connection
+ * of its own, so that a connection gone silent costs one call and not all later
+ * ones. */
 #include "platform.h"
 
 #include <string.h>
@@ -11,13 +12,19 @@
 #include <libsoup/soup.h>
 
 #include "admin.h"
+#include "call_timeout.h"
 #include "clock.h"
+#include "lease.h"
+#include "log.h"
 #include "metrics.h"
 
+/* An answer that comes later renews no lease. */
+#define TIMEOUT_MOST CC_LEASE_TERM
+
 struct CcPlatform
 {
-  char *base;     /* http://IP:PORT */
-  gint64 timeout; /* of one call, us */
+  char *base; /* http://IP:PORT */
+  CcCallTimeout timeout;
   SoupSession *session;
   CcCounter *calls;
   CcCounter *failures;
@@ -29,6 +36,8 @@
   SoupMessage *message;
   GCancellable *cancel;
   guint timer;
+  gint64 began;     /* us */
+  gint64 allowed;   /* its timeout, us */
   gboolean started; /* bytes may have left the process */
   guint64 since;
   CcCommitDone commit;
@@ -38,14 +47,15 @@
 } Call;
 
 /* A client of the platform at ADDRESS (IP:PORT) whose connections come from
- * the IP of SOURCE (IP:PORT); TIMEOUT in us per call. */
+ * the IP of SOURCE (IP:PORT); a call has TIMEOUT us, more while answers are
+ * slow. */
 CcPlatform *
 cc_platform_new (const char *address, const char *source, gint64 timeout)
 {
   CcPlatform *p = g_new0 (CcPlatform, 1);
 
   p->base = g_strconcat ("http://", address, NULL);
-  p->timeout = timeout;
+  cc_call_timeout_init (&p->timeout, timeout, MAX (timeout, TIMEOUT_MOST));
   p->session = cc_http_client (source, 64);
   p->calls = cc_metrics_counter ("capercrank_platform_calls", "");
   p->failures = cc_metrics_counter ("capercrank_platform_failures", "");
@@ -116,6 +126,12 @@
   Call *c = data;
 
   c->timer = 0;
+  cc_call_timeout_expired (&c->platform->timeout, c->allowed);
+  cc_log (CC_LOG_DEBUG, "platform",
+          "a %s was given up after %" G_GINT64_FORMAT
+          " ms, the next has %" G_GINT64_FORMAT " ms",
+          soup_message_get_method (c->message), c->allowed / CC_MS,
+          c->platform->timeout.current / CC_MS);
   g_cancellable_cancel (c->cancel);
   return G_SOURCE_REMOVE;
 }
@@ -140,7 +156,9 @@
   c->message = soup_message_new (method, url);
   cc_http_once (c->message);
   c->cancel = g_cancellable_new ();
-  c->timer = g_timeout_add ((guint) (p->timeout / CC_MS), on_timeout, c);
+  c->began = cc_clock_now ();
+  c->allowed = p->timeout.current;
+  c->timer = g_timeout_add ((guint) (c->allowed / CC_MS), on_timeout, c);
   g_signal_connect (c->message, "starting", G_CALLBACK (on_starting), c);
   ++*p->calls;
   return c;
@@ -170,6 +188,9 @@
   bytes =
       soup_session_send_and_read_finish (c->platform->session, result, NULL);
   code = soup_message_get_status (c->message);
+  if (bytes != NULL)
+    cc_call_timeout_answered (&c->platform->timeout,
+                              cc_clock_now () - c->began);
   *status = c->started ? CC_UNKNOWN : CC_UNREACHABLE;
   if (bytes != NULL && code == SOUP_STATUS_CONFLICT)
     *status = CC_CONFLICT;
