Assigner: a move is settled in a written map before the next one begins

A step that ended a unit's move could begin its next one at once, a split of a hot key mostly. No map then names the holder in between as the owner, so it never holds the unit and does not pass the memory of outcomes on; the same if the unit's server changed dispatchers. Units on their way in the map as read stay fixed for that step.

--- a/assignment.c
+++ b/assignment.c
@@ -208,9 +208,29 @@
                             server->state == CC_SERVER_LEAVING);
 }
 
+/* Which units of M, as it was read, are on their way, alone or with their
+ * server: they may not begin another move in the step that ends this one.  The
+ * next holder has to see itself as the owner in a map that was written, or it
+ * does not pass the memory of outcomes on. */
+static GByteArray *
+units_on_their_way (const CcSliceMap *m)
+{
+  GByteArray *on_way = g_byte_array_new ();
+
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
+    {
+      const CcMapSlice *s = cc_slicemap_at (m, i);
+      const CcMapServer *owner = cc_slicemap_server (m, s->server);
+      guint8 moves = s->from >= 0 || (owner != NULL && owner->from[0] != '\0');
+
+      g_byte_array_append (on_way, &moves, 1);
+    }
+  return on_way;
+}
+
 static void
-add_units (CcBalance *b, CcPlanner *p, const CcSliceMap *m, const Policy *y,
-           gint64 now)
+add_units (CcBalance *b, CcPlanner *p, const CcSliceMap *m,
+           const GByteArray *on_way, const Policy *y, gint64 now)
 {
   for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
@@ -220,7 +240,7 @@
       gboolean is_unit = h == NULL || h->state == CC_HOT_SPLIT;
       CcBalanceUnit u = { .load = cc_unit_loads_of (p->loads, i),
                           .server = s->server,
-                          .fixed = s->from >= 0 || !is_unit,
+                          .fixed = s->from >= 0 || !is_unit || on_way->data[i],
                           .rests = moved > 0 && now - moved < y->rest,
                           .urgent = is_unit && !is_served (m, s) };
 
@@ -229,12 +249,12 @@
 }
 
 static guint
-count_moving (const CcSliceMap *m)
+count_moving (const CcSliceMap *m, const GByteArray *on_way)
 {
   guint n = 0;
 
   for (guint i = 0; i < cc_slicemap_units (m); i++)
-    n += cc_slicemap_at (m, i)->from >= 0;
+    n += cc_slicemap_at (m, i)->from >= 0 || on_way->data[i];
   return n;
 }
 
@@ -366,11 +386,10 @@
  * when none moves, or each split would hold up a server that leaves.  Returns
  * how many changes were made to M itself. */
 static guint
-choose_moves (CcBalance *b, CcPlanner *p, CcSliceMap *m, const Policy *y,
-              gboolean idle, gint64 now)
+choose_moves (CcBalance *b, CcPlanner *p, CcSliceMap *m, guint moving,
+              const Policy *y, gboolean idle, gint64 now)
 {
   guint most = MAX (MOVING_LEAST, cc_slicemap_units (m) / MOVING_PART);
-  guint moving = count_moving (m);
   guint placed = place_homeless (b, p, most, moving, now);
   guint limit = most - MIN (most, moving + placed);
 
@@ -395,16 +414,17 @@
                  const CcRoster *roster, GHashTable *reports, gint64 now)
 {
   const Policy *y = &policies[pool->prefer];
+  g_autoptr (GByteArray) on_way = units_on_their_way (m);
   guint changes = cc_moves_update (m, roster, reports);
   gboolean idle = total_load (p, m) <= 0;
   CcBalance *b = cc_balance_new ();
 
   note_standings (p, m, now);
   add_servers (b, p, m, idle, now);
-  add_units (b, p, m, y, now);
+  add_units (b, p, m, on_way, y, now);
   cc_balance_prepare (b);
   p->imbalance = idle ? 0 : cc_balance_imbalance (b);
-  changes += choose_moves (b, p, m, y, idle, now);
+  changes += choose_moves (b, p, m, count_moving (m, on_way), y, idle, now);
   changes += apply_moves (p, m, b, now);
   time_moves (p, m, now);
   cc_balance_free (b);
--- a/test/test_hotkeys.c
+++ b/test/test_hotkeys.c
@@ -244,6 +244,35 @@
     }
 }
 
+/* Guards against a memory of outcomes that is lost: a unit whose next holder
+ * never was its owner in any map, since it moved on in the step that ended the
+ * move before. */
+static void
+a_move_is_settled_before_the_next (void **state)
+{
+  (void) state;
+  for (guint32 seed = 1; seed <= 10; seed++)
+    {
+      World *w = world_new (256, 6, CC_PREFER_AVAILABILITY, seed);
+
+      world_spread (w, 12);
+      for (guint k = 0; k < 20; k++)
+        {
+          g_autofree char *name =
+              g_strdup_printf ("s%d", g_rand_int_range (w->rand, 0, 6));
+
+          heat (w, k % 4, ((guint64) g_rand_int (w->rand) << 32) | 1, 2);
+          w->lag = g_rand_int_range (w->rand, 0, 3) * WORLD_TICK;
+          world_find (w, name)->leaving = !world_find (w, name)->leaving;
+          world_run (w, (guint) g_rand_int_range (w->rand, 1, 6));
+        }
+      if (w->unsettled > 0)
+        fail_msg ("seed %u: %u moves began before the last was settled", seed,
+                  w->unsettled);
+      world_free (w);
+    }
+}
+
 int
 main (void)
 {
@@ -253,6 +282,7 @@
     cmocka_unit_test (test_two_hot_keys),
     cmocka_unit_test (test_keys_that_change),
     cmocka_unit_test (a_leaving_server_is_emptied_in_time),
+    cmocka_unit_test (a_move_is_settled_before_the_next),
   };
 
   return cmocka_run_group_tests_name ("hotkeys", tests, NULL, NULL);
--- a/test/world.c
+++ b/test/world.c
@@ -228,6 +228,33 @@
     }
 }
 
+/* Epochs of the units that move, 0 of the others. */
+static GArray *
+moving_epochs (const CcSliceMap *m)
+{
+  GArray *all = g_array_new (FALSE, TRUE, sizeof (guint64));
+
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
+    {
+      const CcMapSlice *s = cc_slicemap_at (m, i);
+      guint64 epoch = s->from >= 0 ? s->epoch : 0;
+
+      g_array_append_val (all, epoch);
+    }
+  return all;
+}
+
+static void
+count_unsettled (World *w, const GArray *before)
+{
+  for (guint i = 0; i < MIN (before->len, cc_slicemap_units (w->map)); i++)
+    {
+      guint64 epoch = g_array_index (before, guint64, i);
+
+      w->unsettled += epoch != 0 && cc_slicemap_at (w->map, i)->epoch != epoch;
+    }
+}
+
 /* Lets one period pass: reports come in, the assigner takes a step. */
 void
 world_tick (World *w)
@@ -235,6 +262,7 @@
   g_autoptr (GHashTable) reports =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, report_free);
   g_autoptr (GPtrArray) before = owners_of (w->map);
+  g_autoptr (GArray) moving = moving_epochs (w->map);
   CcRoster *roster = roster_of (w);
 
   w->now += WORLD_TICK;
@@ -245,6 +273,7 @@
       0)
     w->map->version++;
   count_moves (w, before);
+  count_unsettled (w, moving);
   cc_roster_free (roster);
 }
 
--- a/test/world.h
+++ b/test/world.h
@@ -35,6 +35,7 @@
   GArray *written; /* of gint64 by version: when, us */
   gint64 now;
   guint moves;        /* units that changed servers */
+  guint unsettled;    /* moves begun of units whose last move no map settled */
   gint64 unavailable; /* unit-microseconds without an owner */
 } World;
 
