Assigner: a move ends when the map in which it began has been applied

Keys were without an owner for several times as long as their move needs, and their once-only work was told unknown ("moving"). A move ended when its dispatcher had applied the newest version of the map; while other moves begin and end that version keeps changing, and the report is of the one before. Shown by a log of each unit: reported as applied in the version in which its move began in 534 of 1264 looks at units that had not ended.

move_stamps.c keeps that version for each unit and each handover. Also, a step counts the moves that it has just ended: else the first batch of a leaving server's units was followed by a step that moved none.

--- a/assignment.c
+++ b/assignment.c
@@ -19,6 +19,8 @@
  */
 #include "assignment.h"
 
+#include <string.h>
+
 #include "balance.h"
 #include "log.h"
 #include "standing.h"
@@ -76,6 +78,7 @@
   p->loads = cc_unit_loads_new ();
   p->hot = cc_hot_units_new ();
   p->standings = cc_standings_new ();
+  p->stamps = cc_move_stamps_new ();
   p->moved_at = g_array_new (FALSE, TRUE, sizeof (gint64));
   p->began = g_array_new (FALSE, TRUE, sizeof (gint64));
   return p;
@@ -88,6 +91,7 @@
   cc_unit_loads_free (p->loads);
   cc_hot_units_free (p->hot);
   cc_standings_free (p->standings);
+  cc_move_stamps_free (p->stamps);
   g_array_unref (p->moved_at);
   g_array_unref (p->began);
   g_free (p);
@@ -249,12 +253,12 @@
 }
 
 static guint
-count_moving (const CcSliceMap *m, const GByteArray *on_way)
+count_moving (const CcSliceMap *m)
 {
   guint n = 0;
 
   for (guint i = 0; i < cc_slicemap_units (m); i++)
-    n += cc_slicemap_at (m, i)->from >= 0 || on_way->data[i];
+    n += cc_slicemap_at (m, i)->from >= 0;
   return n;
 }
 
@@ -383,13 +387,15 @@
 }
 
 /* Chooses what moves.  Units without a home go first: a hot key is split only
- * when none moves, or each split would hold up a server that leaves.  Returns
- * how many changes were made to M itself. */
+ * in a CALM map, in which no unit was on its way when it was read, or each
+ * split would hold up a server that leaves.  Returns how many changes were made
+ * to M itself. */
 static guint
-choose_moves (CcBalance *b, CcPlanner *p, CcSliceMap *m, guint moving,
+choose_moves (CcBalance *b, CcPlanner *p, CcSliceMap *m, gboolean calm,
               const Policy *y, gboolean idle, gint64 now)
 {
   guint most = MAX (MOVING_LEAST, cc_slicemap_units (m) / MOVING_PART);
+  guint moving = count_moving (m);
   guint placed = place_homeless (b, p, most, moving, now);
   guint limit = most - MIN (most, moving + placed);
 
@@ -400,7 +406,7 @@
       cc_balance_even (b, 1, limit);
       return 0;
     }
-  if (placed == 0 && moving == 0 && plan_hot (p, m, b, y, now) > 0)
+  if (calm && placed == 0 && plan_hot (p, m, b, y, now) > 0)
     return 1;
   even_loads (b, p, m, y, limit, now);
   return 0;
@@ -415,16 +421,20 @@
 {
   const Policy *y = &policies[pool->prefer];
   g_autoptr (GByteArray) on_way = units_on_their_way (m);
-  guint changes = cc_moves_update (m, roster, reports);
+  gboolean calm = memchr (on_way->data, TRUE, on_way->len) == NULL;
   gboolean idle = total_load (p, m) <= 0;
   CcBalance *b = cc_balance_new ();
+  guint changes;
 
+  cc_move_stamps_note (p->stamps, m);
+  changes = cc_moves_update (m, roster, reports, p->stamps);
+  time_moves (p, m, now);
   note_standings (p, m, now);
   add_servers (b, p, m, idle, now);
   add_units (b, p, m, on_way, y, now);
   cc_balance_prepare (b);
   p->imbalance = idle ? 0 : cc_balance_imbalance (b);
-  changes += choose_moves (b, p, m, count_moving (m, on_way), y, idle, now);
+  changes += choose_moves (b, p, m, calm, y, idle, now);
   changes += apply_moves (p, m, b, now);
   time_moves (p, m, now);
   cc_balance_free (b);
--- a/test/world.c
+++ b/test/world.c
@@ -19,6 +19,7 @@
   w->base = g_new0 (double, slices);
   w->keys = g_array_new (FALSE, TRUE, sizeof (WorldKey));
   w->written = g_array_new (FALSE, TRUE, sizeof (gint64));
+  w->out = g_array_new (FALSE, TRUE, sizeof (gint64));
   w->rand = g_rand_new_with_seed (seed);
   w->now = CC_SECOND;
   for (guint i = 0; i < servers; i++)
@@ -45,6 +46,7 @@
   g_ptr_array_unref (w->servers);
   g_array_unref (w->keys);
   g_array_unref (w->written);
+  g_array_unref (w->out);
   g_rand_free (w->rand);
   cc_planner_free (w->planner);
   cc_slicemap_free (w->map);
@@ -213,6 +215,18 @@
   return all;
 }
 
+static void
+count_out (World *w, guint unit, gboolean moves)
+{
+  gint64 *out;
+
+  if (w->out->len <= unit)
+    g_array_set_size (w->out, unit + 1);
+  out = &g_array_index (w->out, gint64, unit);
+  *out = moves ? *out + WORLD_TICK : 0;
+  w->longest = MAX (w->longest, *out);
+}
+
 static void
 count_moves (World *w, const GPtrArray *before)
 {
@@ -223,6 +237,7 @@
       const char *then = i < before->len ? before->pdata[i] : "";
 
       w->moves += now[0] != '\0' && then[0] != '\0' && !g_str_equal (now, then);
+      count_out (w, i, s->from >= 0);
       if (s->from >= 0)
         w->unavailable += WORLD_TICK;
     }
--- a/test/world.h
+++ b/test/world.h
@@ -37,6 +37,8 @@
   guint moves;        /* units that changed servers */
   guint unsettled;    /* moves begun of units whose last move no map settled */
   gint64 unavailable; /* unit-microseconds without an owner */
+  GArray *out;        /* of gint64: for how long each unit has had none, us */
+  gint64 longest;     /* that any was, us */
 } World;
 
 World *world_new (guint slices, guint servers, CcPreference prefer,
