Assigner: moves go on until another is active, also after the lease has lapsed

Being active is for economy only, all writes check versions; so the assigner goes on with moves while the table shows its own row. Takeovers need the lease as before, since asking for releases in an outage could cost a holder its promises.

--- a/assign.c
+++ b/assign.c
@@ -251,21 +251,22 @@
 {
   Assign *a = data;
   gint64 now = cc_clock_now ();
-  gboolean active;
+  gboolean active, plans;
 
   cc_leader_tick (&a->leader, &a->follower->view, now);
   active = cc_leader_is_active (&a->leader, now);
+  plans = cc_leader_may_plan (&a->leader, now);
   cc_metrics_gauge ("capercrank_assigner_active", "", active);
   cc_takeover_tick (a->takeover, active, now);
   if (active && cc_voting_is_isolated (a->voting, now))
     cc_leader_resign (&a->leader);
-  if (active && !a->listing && now >= a->list_due)
+  if (plans && !a->listing && now >= a->list_due)
     {
       a->listing = TRUE;
       a->list_due = now + INSTANCES_PERIOD;
       cc_platform_instances (a->platform, on_instances, a);
     }
-  if (active && a->have_list)
+  if (plans && a->have_list)
     plan (a);
   return G_SOURCE_CONTINUE;
 }
--- a/leader.c
+++ b/leader.c
@@ -39,6 +39,15 @@
   return cc_lease_is_valid (&l->lease, now);
 }
 
+/* Whether this process goes on with moves at NOW.  The active assigner does so
+ * after its lease has lapsed, since answers of the table may just be late,
+ * until the table shows another's: before that nobody else would end them. */
+gboolean
+cc_leader_may_plan (const CcLeader *l, gint64 now)
+{
+  return cc_leader_is_active (l, now) || (l->mine && now >= l->hold_until);
+}
+
 static char *
 value_of (const CcLeader *l, guint64 sequence)
 {
@@ -112,8 +121,8 @@
 cc_leader_tick (CcLeader *l, const CcView *view, gint64 now)
 {
   const CcRow *row = cc_view_get (view, ROW);
-  gboolean mine = row != NULL && strstr (row->value, l->id) != NULL;
 
+  l->mine = row != NULL && strstr (row->value, l->id) != NULL;
   tell (l, cc_leader_is_active (l, now));
   if (row != NULL && row->version > l->seen)
     l->seen = row->version;
@@ -124,7 +133,7 @@
     settle_doubt (l, row, now);
   if (l->calling || l->doubt_until != 0 || now < l->hold_until)
     return;
-  if (mine || cc_leader_is_active (l, now))
+  if (l->mine || cc_leader_is_active (l, now))
     {
       if (cc_lease_is_due (&l->lease, now))
         write_row (l, now, FALSE);
