Entry: the word of the dispatcher that took over ends the wait for the one before

Callers of once-only work were held for up to 5.2 s, their deadline, while a dispatcher stood still, and then told unknown. Their request had been sent again to the dispatcher that took over and answered "forgotten" after 2 s; the entry went on waiting for the first, which had lost its lease. Found by reading settles(); shown by a test with the real entry.

--- a/ask.c
+++ b/ask.c
@@ -405,11 +405,14 @@
 
 /* Copy C of A was answered with R.  Returns FALSE if A goes on to wait: a copy
  * that was refused says nothing of the other, which may stand in the same
- * queue, nor of one yet to be sent. */
+ * queue, nor of one yet to be sent.  That the last copy's outcome is unknown is
+ * final: who holds the key now does not know what became of it, and the one
+ * before has lost its lease. */
 static gboolean
 settles (CcAsk *a, Copy *c, const CcMsgReply *r)
 {
-  if (r->outcome == CC_OUTCOME_RUN)
+  if (r->outcome == CC_OUTCOME_RUN ||
+      (r->outcome == CC_OUTCOME_UNKNOWN && c == &a->copy))
     return TRUE;
   if (c == &a->earlier && r->outcome == CC_OUTCOME_NOT_RUN)
     a->unanswered--;
--- a/test/test_entry.c
+++ b/test/test_entry.c
@@ -17,6 +17,7 @@
 
 #define POOL "catalogue"
 #define DISPATCHER 22
+#define HEIR 23
 #define HEAD                                                                   \
   "X-Class: browse\r\nX-Key: k\r\nHost: entry\r\nX-Request-Timeout: 1500\r\n"
 
@@ -29,6 +30,8 @@
   char *admin;
   char *mailbox;
   CcMailbox *box;
+  char *heir;          /* address of the dispatcher that takes over */
+  CcMailbox *heir_box; /* NULL: none has */
   char *document;
   char *map;
   char *member;
@@ -39,6 +42,50 @@
 
 static Rig rig;
 
+/* The map in which DISPATCHER's server owns all keys. */
+static char *
+map_of (const char *dispatcher)
+{
+  CcSliceMap *m = cc_slicemap_new (POOL, 1);
+  CcMapServer *s;
+  char *text;
+
+  cc_slicemap_add (m, "catalogue-1", "127.0.0.1:1", "a");
+  s = cc_slicemap_server (m, 0);
+  g_free (s->dispatcher);
+  s->dispatcher = g_strdup (dispatcher);
+  cc_slicemap_at (m, 0)->server = 0;
+  cc_slicemap_at (m, 0)->from = -1;
+  text = cc_slicemap_print (m);
+  cc_slicemap_free (m);
+  return text;
+}
+
+static char *
+member_of (const char *address, int incarnation)
+{
+  return g_strdup_printf (
+      "{\"instance\":\"i1\",\"zone\":\"a\",\"address\":\"%s\","
+      "\"incarnation\":%d,\"draining\":false}",
+      address, incarnation);
+}
+
+static void
+make_rows (void)
+{
+  rig.map = map_of ("d");
+  rig.member = member_of (rig.mailbox, DISPATCHER);
+  rig.document = g_strdup (
+      "{\"description\":\"\",\"pools\":[{\"name\":\"" POOL "\",\"prefer\":"
+      "\"availability\",\"checks_grants\":true,\"slices\":1}],\"classes\":[{"
+      "\"name\":\"browse\",\"pool\":\"" POOL "\",\"once_only\":false,"
+      "\"timeout_ms\":2000,\"target\":{\"within_ms\":100,\"share\":0.99,"
+      "\"reliability\":0.99}},{"
+      "\"name\":\"book\",\"pool\":\"" POOL "\",\"once_only\":true,"
+      "\"timeout_ms\":2000,\"target\":{\"within_ms\":100,\"share\":0.99,"
+      "\"reliability\":0.99}}]}");
+}
+
 static void
 send_rows (const CcMessage *asked)
 {
@@ -56,6 +103,25 @@
   g_variant_unref (m.u.rows.rows);
 }
 
+/* The rows after the heir has taken over. */
+static void
+send_heirs_rows (const CcMessage *asked)
+{
+  CcMessage m = { .kind = CC_MSG_ROWS, .to = asked->from };
+  g_autofree char *map = map_of ("e");
+  g_autofree char *member = member_of (rig.heir, HEIR);
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a(sts)"));
+  g_variant_builder_add (&b, "(sts)", "map/" POOL, (guint64) 4, map);
+  g_variant_builder_add (&b, "(sts)", "member/e", (guint64) 5, member);
+  m.u.rows.since = 3;
+  m.u.rows.upto = 5;
+  m.u.rows.rows = g_variant_ref_sink (g_variant_builder_end (&b));
+  cc_mailbox_send (rig.box, asked->reply_to, &m);
+  g_variant_unref (m.u.rows.rows);
+}
+
 static void
 answer (const CcMessage *asked)
 {
@@ -74,6 +140,8 @@
   (void) data;
   if (m->kind == CC_MSG_SYNC && m->u.sync.upto < 3)
     send_rows (m);
+  else if (m->kind == CC_MSG_SYNC && m->u.sync.upto < 5 && rig.heir_box != NULL)
+    send_heirs_rows (m);
   else if (m->kind == CC_MSG_CANCEL)
     rig.cancels++;
   else if (m->kind == CC_MSG_REQUEST)
@@ -84,6 +152,20 @@
     }
 }
 
+/* The heir does not know what became of any request. */
+static void
+on_heirs_message (const CcMessage *asked, gpointer data)
+{
+  CcMessage m = { .kind = CC_MSG_REPLY, .to = asked->from, .id = asked->id };
+
+  (void) data;
+  if (asked->kind != CC_MSG_REQUEST)
+    return;
+  m.u.reply.outcome = CC_OUTCOME_UNKNOWN;
+  m.u.reply.reason = "forgotten";
+  cc_mailbox_send (rig.heir_box, asked->reply_to, &m);
+}
+
 static void
 on_link (const char *address, gboolean up, gpointer data)
 {
@@ -108,35 +190,6 @@
   g_usleep (1000);
 }
 
-static void
-make_rows (void)
-{
-  CcSliceMap *m = cc_slicemap_new (POOL, 1);
-  CcMapServer *s;
-
-  cc_slicemap_add (m, "catalogue-1", "127.0.0.1:1", "a");
-  s = cc_slicemap_server (m, 0);
-  g_free (s->dispatcher);
-  s->dispatcher = g_strdup ("d");
-  cc_slicemap_at (m, 0)->server = 0;
-  cc_slicemap_at (m, 0)->from = -1;
-  rig.map = cc_slicemap_print (m);
-  cc_slicemap_free (m);
-  rig.document = g_strdup (
-      "{\"description\":\"\",\"pools\":[{\"name\":\"" POOL "\",\"prefer\":"
-      "\"availability\",\"checks_grants\":true,\"slices\":1}],\"classes\":[{"
-      "\"name\":\"browse\",\"pool\":\"" POOL "\",\"once_only\":false,"
-      "\"timeout_ms\":2000,\"target\":{\"within_ms\":100,\"share\":0.99,"
-      "\"reliability\":0.99}},{"
-      "\"name\":\"book\",\"pool\":\"" POOL "\",\"once_only\":true,"
-      "\"timeout_ms\":2000,\"target\":{\"within_ms\":100,\"share\":0.99,"
-      "\"reliability\":0.99}}]}");
-  rig.member =
-      g_strdup_printf ("{\"instance\":\"i1\",\"zone\":\"a\",\"address\":\"%s\","
-                       "\"incarnation\":%d,\"draining\":false}",
-                       rig.mailbox, DISPATCHER);
-}
-
 static void
 spawn_entry (void)
 {
@@ -210,6 +263,20 @@
   return c != NULL && hears (c, "answer", 2000);
 }
 
+/* Waits until the entry's link to its dispatcher carries requests. */
+static gboolean
+becomes_served (void)
+{
+  for (guint i = 0; i < 50; i++)
+    {
+      for (guint k = 0; k < 100; k++)
+        turn ();
+      if (others_are_served ())
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static int
 start (void **state)
 {
@@ -224,14 +291,7 @@
   rig.box = cc_mailbox_new (rig.mailbox, rig.mailbox, DISPATCHER, on_message,
                             on_link, NULL, &message);
   spawn_entry ();
-  for (guint i = 0; i < 50; i++)
-    {
-      for (guint k = 0; k < 100; k++)
-        turn ();
-      if (others_are_served ())
-        return 0;
-    }
-  return -1;
+  return becomes_served () ? 0 : -1;
 }
 
 static int
@@ -428,6 +488,8 @@
     }
 }
 
+#define SILENCE_MS 800 /* a link is given up for silence by then */
+
 typedef struct
 {
   const char *name;
@@ -477,6 +539,32 @@
     }
 }
 
+/* Guards against a caller that is held to its deadline by a dispatcher which
+ * stands still, though the one that took over has said that nobody knows. */
+static void
+the_heirs_word_is_passed_on (void **state)
+{
+  const Pause p = { .once_only = TRUE };
+  g_autofree char *request = request_of (&p);
+  g_autoptr (GSocketConnection) c = NULL;
+  char *message = NULL;
+  guint before;
+
+  (void) state;
+  assert_true (becomes_served ());
+  rig.answers = FALSE;
+  before = rig.requests;
+  c = call (request, strlen (request));
+  for (guint i = 0; i < 500 && rig.requests == before; i++)
+    turn ();
+  g_usleep (SILENCE_MS * 1000);
+  rig.heir = free_address ();
+  rig.heir_box = cc_mailbox_new (rig.heir, rig.heir, HEIR, on_heirs_message,
+                                 on_link, NULL, &message);
+  assert_non_null (rig.heir_box);
+  assert_true (hears (c, "forgotten", 2000));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -486,6 +574,7 @@
     cmocka_unit_test (truncated_body_is_not_passed_on),
     cmocka_unit_test (bad_input_harms_nobody),
     cmocka_unit_test (a_dispatcher_that_goes_on_is_waited_for),
+    cmocka_unit_test (the_heirs_word_is_passed_on),
   };
   g_autofree char *folder = g_path_get_dirname (argv[0]);
 
