test_causes: a stopping process is timed from its own word, not from the signal

With the gateway paused up to 0.9 s now and then 3 of 4 runs failed; the log shows the second request taken and ended by its deadline, since the gateway handled SIGTERM more than 50 ms late: it takes requests for 2.6 s from then, and the test asked 2.65 s after it had sent the signal.

--- a/test/test_causes.c
+++ b/test/test_causes.c
@@ -381,6 +381,50 @@
             reason != NULL ? reason : "any reason");
 }
 
+/* When the gateway noted EVENT, after SINCE; wall clock, us. */
+static gint64
+time_of (const char *event, gint64 since)
+{
+  for (guint i = 0; i < 100; i++)
+    {
+      g_autofree char *text = NULL;
+      g_auto (GStrv) lines = NULL;
+
+      if (g_file_get_contents (w.log, &text, NULL, NULL))
+        lines = g_strsplit (text, "\n", -1);
+      for (guint k = 0; lines != NULL && lines[k] != NULL; k++)
+        {
+          g_autoptr (JsonNode) n = json_from_string (lines[k], NULL);
+          JsonObject *o = n != NULL && JSON_NODE_HOLDS_OBJECT (n)
+                              ? json_node_get_object (n)
+                              : NULL;
+          gint64 at;
+
+          if (o == NULL ||
+              g_strcmp0 (
+                  json_object_get_string_member_with_default (o, "event", NULL),
+                  event) != 0)
+            continue;
+          at = (gint64) (1e6 * json_object_get_double_member_with_default (
+                                   o, "time", 0));
+          if (at > since)
+            return at;
+        }
+      turn (TURN_MS);
+    }
+  fail_msg ("no line %s", event);
+  return 0;
+}
+
+static void
+turn_until (gint64 wall)
+{
+  gint64 now = cc_clock_wall ();
+
+  if (wall > now)
+    turn ((guint) ((wall - now) / CC_MS) + 1);
+}
+
 /* ---- tests ---- */
 
 static int
@@ -506,13 +550,17 @@
 static void
 a_process_that_nobody_is_sent_to (void **state)
 {
+  gint64 sent, stopping;
+
   (void) state;
   start_gateway (LONG_GRACE_MS);
   turn (3000);
+  sent = cc_clock_wall ();
   g_subprocess_send_signal (w.gateway, SIGTERM);
-  turn (1600);
+  stopping = time_of ("stopping", sent);
+  turn_until (stopping + 1600 * CC_MS);
   ask ("/silent/", "taken", -1, 1500);
-  turn (1050);
+  turn_until (stopping + 2650 * CC_MS);
   ask ("/silent/", "untaken", -1, 100);
   wait_for_answers ();
   expect_line ("taken", "request-ended", "deadline");
