--- a/dispatch.c
+++ b/dispatch.c
@@ -19,9 +19,6 @@
 #define TICK_MS 20
 #define PLATFORM_TIMEOUT (700 * CC_MS) /* three tries within a lease term */
 #define DRAIN_LIMIT (20 * CC_SECOND)   /* SIGTERM: then leave all the same */
-/* Requests by old maps are answered "moved" until none has come for so long:
- * what is unread when a process ends is unknown to its caller. */
-#define DRAIN_QUIET CC_LEASE_TERM
 
 static void
 on_message (const CcMessage *m, gpointer data)
@@ -35,7 +32,6 @@
       cc_follower_receive (d->follower, m);
       break;
     case CC_MSG_REQUEST:
-      d->asked_at = cc_clock_now ();
       cc_intake_request (d, m);
       break;
     case CC_MSG_CANCEL:
@@ -195,12 +191,9 @@
 {
   if (d->stop_at == 0)
     return;
-  if (!d->tenure->closed)
-    d->quiet_at = now;
-  d->quiet_at = MAX (d->quiet_at, d->asked_at + DRAIN_QUIET);
   if (g_hash_table_size (d->servers) == 0 && !d->tenure->closing)
     cc_tenure_close (d->tenure);
-  if (now < d->stop_at && (!d->tenure->closed || now < d->quiet_at))
+  if (!d->tenure->closed && now < d->stop_at)
     return;
   cc_log (CC_LOG_INFO, "stopped", "%u servers still held",
           g_hash_table_size (d->servers));
--- a/dispatcher.h
+++ b/dispatcher.h
@@ -19,8 +19,6 @@
   CcTransfer *transfer; /* memory of outcomes, between dispatchers */
   GHashTable *servers;  /* "pool/server" to CcServer */
   gint64 stop_at;       /* while stopping: when to leave at the latest, us */
-  gint64 quiet_at;      /* and when at the earliest */
-  gint64 asked_at;      /* a request last came then, us; 0: none has */
   CcCounter *refused;   /* requests for what is not held here */
   CcCounter *repeats;   /* once-only requests answered from memory */
   CcCounter *cancelled;
