Entry: once-only work waits for a slow move as long as a move may take

Callers of once-only work were told unknown ("moving") after 1.6 s, though their request had been sent to nobody and they had seconds left: an ask whose key is on its way was held for the term of a lease, and with a platform that answers after 0.9 s a move takes 2 s.

They wait for 4 s, the time by which a key has an owner again, or for their deadline.

--- a/ask.c
+++ b/ask.c
@@ -13,8 +13,9 @@
  * joins the two copies of once-only work.
  *
  * While a key's ownership moves, its asks are parked here for PARK_MAX at the
- * most, the usual time of a move several times over, once-only ones for
- * SILENT_MAX; then they are refused with a time to come back. */
+ * most, the usual time of a move several times over; then they are refused with
+ * a time to come back.  A refused once-only ask is told unknown, which no
+ * caller can act on, so it waits for MOVE_MAX. */
 #include "ask.h"
 
 #include "clock.h"
@@ -31,6 +32,9 @@
 /* A dispatcher that stands still for longer than its lease lasts has lost its
  * servers, and a move does not wait for it any more. */
 #define SILENT_MAX CC_LEASE_TERM
+/* A key has an owner again by then, also if a dispatcher or the platform is
+ * slow; see lease.h. */
+#define MOVE_MAX (4 * CC_SECOND)
 /* One that goes on answers what it had received before it needs a copy. */
 #define COPY_PAUSE (100 * CC_MS)
 #define PARK_RETRY_MS 10      /* parked asks look again this often */
@@ -213,14 +217,12 @@
   return G_SOURCE_REMOVE;
 }
 
-/* How long A may be parked, us.  Refused, once-only work would be told unknown,
- * since nothing that remembers was asked; so it waits for a move that a
- * dispatcher holds up which stands still. */
+/* How long A may be parked, us. */
 static gint64
 park_max (const CcAsk *a)
 {
   if (a->once_only)
-    return SILENT_MAX;
+    return MOVE_MAX;
   return a->unanswered > 0 ? LINK_BACK_MAX : PARK_MAX;
 }
 
@@ -284,14 +286,12 @@
 /* Whether TO went silent lately and may go on: then an ask that would be told
  * unknown waits for it.  So a new ask does if it is once-only. */
 static gboolean
-awaits_silent (CcAsk *a, const CcMember *to, gint64 now)
+awaits_silent (const CcAsk *a, const CcMember *to, gint64 now)
 {
   gint64 since = cc_mailbox_silent_since (a->router->mailbox, to->address);
 
-  if (since == 0 || !(a->once_only || a->unanswered > 0))
-    return FALSE;
-  a->park_until = MAX (a->park_until, since + SILENT_MAX);
-  return now < a->park_until;
+  return since != 0 && (a->once_only || a->unanswered > 0) &&
+         now < since + SILENT_MAX;
 }
 
 /* Whether the answer to A's earlier copy is awaited for a moment yet, since the
--- a/test/scenarios_outcome.c
+++ b/test/scenarios_outcome.c
@@ -197,6 +197,23 @@
   return left;
 }
 
+/* Slower than usual for the whole time of the move. */
+#define LATE_MS 900
+
+/* The moves of leaving servers end although each answer is late. */
+static guint
+server_leaves_platform_late (Cluster *c, GRand *rand)
+{
+  guint left;
+
+  (void) rand;
+  cluster_platform (c, "slow", LATE_MS);
+  pause_ms (2000);
+  left = leave (c, NULL);
+  cluster_platform (c, "up", 0);
+  return left;
+}
+
 const Scenario outcome_scenarios[] = {
   { "silent-links",
     "Open connections swallow everything for good while new ones work.", 10, 3,
@@ -223,11 +240,18 @@
   { "server-leaves",
     "A server is listed as leaving; nothing is cut off, no new work after 3 s.",
     10, 1, server_leaves, TRUE },
+  { "server-leaves-platform-late",
+    "As server-leaves, while each answer of the platform takes 0.9 s.", 12, 1,
+    server_leaves_platform_late, FALSE },
   { "server-leaves-entry-lost",
     "As server-leaves, and an entry is killed at that moment.", 10, 1,
     server_leaves_entry_lost, FALSE },
   { NULL, NULL, 0, 0, NULL, FALSE }
 };
 
-const char *const calm_scenarios[] = { "repeats", "drain-dispatcher",
-                                       "drain-entry", "server-leaves", NULL };
+const char *const calm_scenarios[] = { "repeats",
+                                       "drain-dispatcher",
+                                       "drain-entry",
+                                       "server-leaves",
+                                       "server-leaves-platform-late",
+                                       NULL };
--- a/test/test_ask.c
+++ b/test/test_ask.c
@@ -44,6 +44,7 @@
 } Answer;
 
 static Peer entry, dispatcher, stranger;
+static CcFollower *view; /* the entry's */
 
 static void
 on_message (const CcMessage *m, gpointer data)
@@ -214,7 +215,8 @@
   open_peer (&entry, ENTRY);
   open_peer (&dispatcher, DISPATCHER);
   open_peer (&stranger, STRANGER);
-  entry.router = cc_router_new (knowing_follower (), entry.box);
+  view = knowing_follower ();
+  entry.router = cc_router_new (view, entry.box);
   cc_mailbox_connect (entry.box, dispatcher.address);
   for (guint i = 0;
        i < HANGS_AFTER_MS && !cc_mailbox_is_up (entry.box, dispatcher.address);
@@ -319,6 +321,41 @@
   resume_clock ();
 }
 
+static void
+set_handed_over_from (const char *from)
+{
+  CcMapServer *s = cc_slicemap_server (cc_follower_map (view, POOL), 0);
+
+  g_free (s->from);
+  s->from = g_strdup (from);
+}
+
+/* Guards against "unknown" for once-only work that was sent to nobody, while
+ * the platform is slow and its key is on its way for longer than usual. */
+static void
+a_slow_move_is_waited_for (void **state)
+{
+  guint received = dispatcher.received;
+  Answer once, again;
+
+  (void) state;
+  pause_clock ();
+  set_handed_over_from ("before");
+  ask (&once, TRUE, 5000);
+  ask (&again, FALSE, 5000);
+  advance (2000);
+  assert_int_equal (once.calls, 0);
+  assert_int_equal (again.calls, 1);
+  assert_int_equal (again.outcome, CC_OUTCOME_NOT_RUN);
+  set_handed_over_from ("");
+  cc_router_view_changed (entry.router);
+  await_requests (received, 1);
+  reply (&dispatcher, dispatcher.last, "own");
+  await_answer (&once);
+  assert_string_equal (once.body, "own");
+  resume_clock ();
+}
+
 /* nng keeps a message while its receiver is absent and hands it to the next
  * process at that address.  Two of three must be dropped there: one for the
  * process that is no more, one that has expired. */
@@ -437,6 +474,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (crossed_answer_is_dropped),
     cmocka_unit_test (late_answer_is_dropped),
+    cmocka_unit_test (a_slow_move_is_waited_for),
     cmocka_unit_test (kept_messages_are_dropped),
     cmocka_unit_test (request_to_absent_is_refused),
     cmocka_unit_test (lost_link_tells_the_truth),
