--- a/test/scenarios_lease.c
+++ b/test/scenarios_lease.c
@@ -200,7 +200,7 @@
 platform_slow (Cluster *c, GRand *rand)
 {
   (void) rand;
-  return platform_fault (c, "slow", 900);
+  return platform_fault (c, "slow", 1800);
 }
 
 /* Every write takes effect and no answer comes, while a server leaves and a
