--- a/call_timeout.c
+++ b/call_timeout.c
@@ -6,9 +6,9 @@
  * The timeout follows the answers as TCP's retransmission timer does (RFC
  * 6298): smoothed time and four mean deviations, doubled when a call expires.
  * Only answers slower than expected count as deviations, or the timeout would
- * first grow when a slow service recovers.
- * One lost call among quick answers thus costs little more than the lower
- * bound, and the first answer after it restores the estimate. */
+ * grow when a slow service recovers.  One lost call among quick answers costs
+ * little more than the lower bound, and the first answer after it restores the
+ * estimate. */
 #include "call_timeout.h"
 
 #define DEVIATIONS 4
