Proof harness: the network of a run is held, not looked at

Two proofs started together failed with 1,053 and 281 requests lost: their logs say "can't listen ... Address in use" of all processes. Both had found the same part of 127/8 free, by a socket that they closed before the processes opened theirs. It looked like the product's fault beside load.

The harness takes free_net(), which other tests use and which holds a socket until the process ends. Three proofs started together: three networks, all pass.

--- a/test/harness.c
+++ b/test/harness.c
@@ -16,35 +16,12 @@
 #include <json-glib/json-glib.h>
 #include <libsoup/soup.h>
 
+#include "free_net.h"
+
 #define PLATFORM_PORT 7900
 #define SERVER_PORT 9000
 #define RELAY_PORT 7901
 
-static gboolean
-net_is_free (guint net)
-{
-  g_autofree char *ip = g_strdup_printf ("127.%u.0.2", net);
-  g_autoptr (GSocketAddress) address =
-      g_inet_socket_address_new_from_string (ip, PLATFORM_PORT);
-  g_autoptr (GSocket) s = g_socket_new (
-      G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-
-  return g_socket_bind (s, address, FALSE, NULL);
-}
-
-static guint
-choose_net (void)
-{
-  for (guint i = 0; i < 200; i++)
-    {
-      guint net = 20 + ((guint) getpid () + i * 7) % 200;
-
-      if (net_is_free (net))
-        return net;
-    }
-  g_error ("no free loopback network");
-}
-
 static void
 child_setup (int parent, int log)
 {
@@ -373,7 +350,7 @@
   c->states = g_hash_table_new (g_str_hash, g_str_equal);
   c->document =
       json_to_string (json_object_get_member (root, "document"), TRUE);
-  c->net = choose_net ();
+  c->net = free_net ();
   c->instances = (guint) json_object_get_int_member (root, "instances");
   /* Counted: a network is free again a minute after a run; the next run in it
    * would append to the first one's records, and the audit find epochs that go
