Dispatcher: a lease that lapsed does not make its servers lost

Its log: the dispatcher had no lease for 0.93 s; 0.2 s after it had one again two servers were lost, and back 40 ms later. Without a lease nothing is sent to a server, so it has nothing to answer, but it was judged by its silence all the same. Ruled out: the servers, which had answered within 40 ms of being asked.

That time counts like the process's own standstill. test_server a_lease_that_lapses_is_not_the_servers was red: lost after 1 s without a lease; still lost by a second without answers once the lease stands.

--- a/server.c
+++ b/server.c
@@ -401,17 +401,20 @@
   g_list_free (jobs);
 }
 
-/* Counts out the time in which this process did not look. */
+/* Counts out the time in which this process did not look, or had no lease and
+ * so sent neither grants nor probes that the server could answer. */
 static void
 skip_standstill (CcServer *s, gint64 now)
 {
   gint64 gap = s->ticked != 0 ? now - s->ticked : 0;
+  gboolean asked = s->asked;
 
   s->ticked = now;
-  if (gap < STANDSTILL_MIN)
-    return;
-  cc_holding_stood_still (s->holding, gap);
-  cc_load_stood_still (&s->load, gap);
+  s->asked = cc_server_may_serve (s, now);
+  if (gap >= STANDSTILL_MIN || !asked)
+    cc_holding_stood_still (s->holding, gap);
+  if (gap >= STANDSTILL_MIN)
+    cc_load_stood_still (&s->load, gap);
 }
 
 /* Looks at the server's health and grant at NOW.  Called every 20 ms or so. */
--- a/server.h
+++ b/server.h
@@ -42,6 +42,7 @@
   gint64 grant_due;   /* when the next is to be sent, us */
   CcConnectionHealth connections;
   gint64 ticked;     /* last look at it, us; 0: none */
+  gboolean asked;    /* the lease stood then, so the server is asked */
   gboolean closed;   /* freed when the grant's callback has run */
   guint64 reported;  /* applied version last reported */
   gint64 report_due; /* when the next report is to be sent, us */
--- a/test/test_server.c
+++ b/test/test_server.c
@@ -266,12 +266,42 @@
   cc_server_free (s);
 }
 
+/* Guards against "lost" servers, and unknown outcomes, after a moment without a
+ * lease, in which nothing was asked of them. */
+static void
+a_lease_that_lapses_is_not_the_servers (void **state)
+{
+  CcServer *s = server_new ();
+  CcLease *lease = &rig.shared.tenure->lease;
+  gint64 before = lease->valid_until;
+  gint64 now = cc_clock_now ();
+
+  (void) state;
+  s->holding->keeps = FALSE;
+  s->granting = TRUE; /* no grant is sent here */
+  lease->valid_until = now;
+  cc_holding_answered (s->holding, now);
+  for (guint i = 0; i < 60; i++)
+    cc_server_tick (s, now += 20 * CC_MS);
+  assert_false (s->holding->lost);
+  lease->valid_until = now + 60 * CC_SECOND;
+  cc_server_tick (s, now += 20 * CC_MS);
+  assert_false (s->holding->lost);
+  for (guint i = 0; i < 60; i++)
+    cc_server_tick (s, now += 20 * CC_MS);
+  assert_true (s->holding->lost);
+  lease->valid_until = before;
+  s->granting = FALSE;
+  cc_server_free (s);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_lost_attempt_is_not_denied_by_the_next),
     cmocka_unit_test (a_standstill_of_the_dispatcher_is_not_the_servers),
+    cmocka_unit_test (a_lease_that_lapses_is_not_the_servers),
   };
 
   return cmocka_run_group_tests (tests, start, NULL);
