--- a/ownership_moves.h
+++ b/ownership_moves.h
@@ -3,7 +3,6 @@
 #ifndef CC_OWNERSHIP_MOVES_H
 #define CC_OWNERSHIP_MOVES_H
 
-#include "move_stamps.h"
 #include "roster.h"
 #include "slicemap.h"
 
@@ -16,7 +15,7 @@
 } CcServerReport;
 
 guint cc_moves_update (CcSliceMap *m, const CcRoster *roster,
-                       GHashTable *reports, const CcMoveStamps *stamps);
+                       GHashTable *reports);
 gboolean cc_moves_can_own (const CcSliceMap *m, gint32 server);
 void cc_moves_start (CcSliceMap *m, guint unit, gint32 to);
 gint32 cc_moves_split (CcSliceMap *m, guint64 hash, gint32 to);
