Granter: the log tells what the hypotheses of OWNER differ in

What callers saw: two upstreams with the same keys, no logs. Ruled out: nothing yet. Change, no decision of the granter: lease-taken tells whether the lease was vacant and how long granters before may still renew; ranges-read what the rows said; lease-unconfirmed and lease-confirmed frame the time in which a granter renews without the table.

--- a/granter.c
+++ b/granter.c
@@ -78,6 +78,7 @@
   guint rank;               /* in the order of watching */
   guint fleet;              /* processes that registered */
   gboolean named;           /* the rows named this process as the granter */
+  gboolean blind;           /* holds a lease by which it may only renew */
   gint64 predecessor_until; /* it may renew what it granted, us */
   gint64 predecessor_seen;  /* its last renewal was known, us */
   gint64 targets_changed;   /* us */
@@ -270,6 +271,13 @@
   g->loaded = FALSE;
 }
 
+/* How much longer granters before this one may renew at NOW, ms. */
+static gint64
+predecessors_ms (const CcGranter *g, gint64 now)
+{
+  return MAX (g->predecessor_until - now, 0) / CC_MS;
+}
+
 static void
 lose_lease (CcGranter *g, const char *why)
 {
@@ -326,7 +334,9 @@
   g->claiming = FALSE;
   cc_event (CC_EVENT_STATE, "lease-taken", "version",
             cc_event_int ((gint64) version), "before",
-            cc_event_int ((gint64) g->shared.lease.version), NULL);
+            cc_event_int ((gint64) g->shared.lease.version), "vacant",
+            g->shared.lease.vacant ? "yes" : "no", "predecessors_ms",
+            cc_event_int (predecessors_ms (g, cc_clock_now ())), NULL);
   confirm_lease (g, version);
   g->loaded = FALSE;
   g->next_poll = 0;
@@ -413,6 +423,21 @@
   cc_table_read (g->setup.table, CC_TABLE_LEASE, LEASE_KEY, on_lease_read, g);
 }
 
+/* Logs what the rows said of POOL. */
+static void
+log_ranges (const CcGranter *g, const CcGrantedPool *p, gint64 now)
+{
+  guint moving = 0;
+
+  for (guint i = 0; i < p->ranges.list->len; i++)
+    moving += ((CcKeyRange *) p->ranges.list->pdata[i])->previous != NULL;
+  cc_event (CC_EVENT_STATE, "ranges-read", "pool", p->name, "ranges",
+            cc_event_int (p->ranges.list->len), "moving", cc_event_int (moving),
+            "fence",
+            cc_event_int ((gint64) cc_key_ranges_top_fence (&p->ranges)),
+            "predecessors_ms", cc_event_int (predecessors_ms (g, now)), NULL);
+}
+
 static void
 on_state_read (CcStatus status, GVariant *rows, guint64 upto, const char *why,
                gpointer data)
@@ -433,7 +458,10 @@
   forget_ranges (g);
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    cc_granted_pool_load (value, rows, &before);
+    {
+      cc_granted_pool_load (value, rows, &before);
+      log_ranges (g, value, now);
+    }
   g->loaded = TRUE;
   g->loaded_at = now;
   g->shared.replan = TRUE;
@@ -613,6 +641,24 @@
     write_lease (g);
 }
 
+/* Logs when the lease that this process holds allows renewals only, and when it
+ * allows changes again. */
+static void
+note_blind (CcGranter *g, gint64 now)
+{
+  const CcGranterLease *l = &g->shared.lease;
+  gboolean blind = l->held && !cc_granter_lease_may_change (l, now);
+
+  if (blind == g->blind)
+    return;
+  g->blind = blind;
+  if (!l->held)
+    return;
+  cc_event (CC_EVENT_STATE, blind ? "lease-unconfirmed" : "lease-confirmed",
+            "version", cc_event_int ((gint64) l->version), "age_ms",
+            cc_event_int ((now - l->confirmed) / CC_MS), NULL);
+}
+
 /* Does what is due.  Called by a timer of its own; tests call it. */
 void
 cc_granter_tick (CcGranter *g)
@@ -621,6 +667,7 @@
 
   if (g_hash_table_size (g->pools) == 0 && !g->resigning)
     return;
+  note_blind (g, now);
   if (g->shared.lease.held && g->loaded && !g->resigning &&
       now >= g->plan_after &&
       cc_granter_lease_may_change (&g->shared.lease, now) &&
