HTTP client: a call may ask for a connection that was open at a given time

For the granter, whose renewals without the table rely on the fences that an upstream remembers: a process that was started again has forgotten them. A connection that lives on proves that its peer is the process that it was, so an order may ask for one (connected_by), and a result tells when its own was opened (connected_at). Nothing uses it yet.

--- a/http_link.c
+++ b/http_link.c
@@ -71,9 +71,11 @@
 finish (CcHttpCall *call, CcHttpEnd end, const char *why)
 {
   CcHttpConnection *c = call->connection;
-  CcHttpResult r = {
-    .end = end, .why = why, .reused = c->used, .received = call->received
-  };
+  CcHttpResult r = { .end = end,
+                     .why = why,
+                     .reused = c->used,
+                     .connected_at = c->opened_at,
+                     .received = call->received };
   g_autoptr (GVariant) headers = NULL;
   g_autoptr (GBytes) body = NULL;
 
@@ -374,6 +376,7 @@
   CcHttpCall *call = c->call;
 
   c->connected = TRUE;
+  c->opened_at = cc_clock_now ();
   cc_timer_start (&call->timer, call->answer_by - cc_clock_now (), on_time,
                   call);
   return write_some (c);
@@ -450,9 +453,26 @@
   return call;
 }
 
+/* The connection to P for O, or NULL. */
+static CcHttpConnection *
+take_connection (CcHttp *h, CcHttpPeer *p, const CcHttpOrder *o)
+{
+  CcHttpConnection *c;
+
+  if (o->connected_by > 0)
+    return cc_http_connection_take_older (p, o->idle_max, o->connected_by);
+  c = cc_http_connection_take_idle (p, o->idle_max);
+  if (c != NULL)
+    return c;
+  if (o->connections_max > 0 && p->open >= o->connections_max &&
+      p->idle->len == 0)
+    return NULL;
+  return cc_http_connection_open (h, p, on_socket);
+}
+
 /* Sends O.  DONE is called once, from the main loop, unless the call is
- * cancelled before.  Returns NULL, and DONE is not called, if no connection
- * can be opened: nothing was sent then. */
+ * cancelled before.  Returns NULL, and DONE is not called, if there is no such
+ * connection as O asks for: nothing was sent then. */
 CcHttpCall *
 cc_http_send (CcHttp *h, const CcHttpOrder *o, CcHttpDone done, gpointer data)
 {
@@ -462,11 +482,8 @@
 
   if (p == NULL)
     return NULL;
-  c = cc_http_connection_take_idle (p, o->idle_max);
-  if (c == NULL && o->connections_max > 0 && p->open >= o->connections_max &&
-      p->idle->len == 0)
-    return NULL;
-  if (c == NULL && (c = cc_http_connection_open (h, p, on_socket)) == NULL)
+  c = take_connection (h, p, o);
+  if (c == NULL)
     return NULL;
   call = call_new (o, done, data);
   call->connection = c;
--- a/http_link.h
+++ b/http_link.h
@@ -36,18 +36,22 @@
                             than this, us; 0: no exception */
   gint64 extend_most;    /* ... and for so much longer in all, us */
   gint64 idle_max;       /* reuse a connection idle no longer, us; 0: new one */
-  gboolean closes;       /* the peer is told that nothing follows on it */
+  gint64 connected_by; /* use only a kept one that was open at this time, us, so
+                          that the peer is the process that it was then; 0: any
+                        */
+  gboolean closes;     /* the peer is told that nothing follows on it */
   guint connections_max; /* open connections to this address; 0: no bound */
 } CcHttpOrder;
 
 typedef struct
 {
   CcHttpEnd end;
-  const char *why;   /* of an end without answer, one word */
-  gboolean reused;   /* it went out on a kept connection */
-  gsize received;    /* bytes that came, of an incomplete answer too */
-  guint status;      /* of an answer */
-  GVariant *headers; /* packed, see headers.h */
+  const char *why;     /* of an end without answer, one word */
+  gboolean reused;     /* it went out on a kept connection */
+  gint64 connected_at; /* when its connection was opened, us; 0: it was not */
+  gsize received;      /* bytes that came, of an incomplete answer too */
+  guint status;        /* of an answer */
+  GVariant *headers;   /* packed, see headers.h */
   GBytes *body;
 } CcHttpResult;
 
--- a/http_pool.c
+++ b/http_pool.c
@@ -179,6 +179,27 @@
   return NULL;
 }
 
+/* An idle connection that was open at OPENED_BY and was used not longer than
+ * IDLE_MAX ago, or NULL.  The peer's own limit is not observed: who asks for an
+ * old one can do without an answer. */
+CcHttpConnection *
+cc_http_connection_take_older (CcHttpPeer *p, gint64 idle_max, gint64 opened_by)
+{
+  gint64 now = cc_clock_now ();
+
+  for (guint i = p->idle->len; i > 0; i--)
+    {
+      CcHttpConnection *c = p->idle->pdata[i - 1];
+
+      if (c->opened_at > opened_by || now - c->idle_since > idle_max ||
+          !is_quiet (c))
+        continue;
+      g_ptr_array_remove_index (p->idle, i - 1);
+      return c;
+    }
+  return NULL;
+}
+
 /* A new connection to P, which is being opened; NULL: none can be.  READY is
  * called from then on. */
 CcHttpConnection *
--- a/http_state.h
+++ b/http_state.h
@@ -33,6 +33,7 @@
   CcFdWatch watch;  /* of SOCKET */
   CcHttpCall *call; /* in progress; NULL: idle */
   http_parser parser;
+  gint64 opened_at;  /* us; 0: not yet */
   gint64 idle_since; /* us */
   gint64 idle_limit; /* us that the peer keeps it idle; 0: not said */
   gboolean connected;
@@ -47,6 +48,8 @@
 
 CcHttpPeer *cc_http_peer (CcHttp *h, const char *address);
 CcHttpConnection *cc_http_connection_take_idle (CcHttpPeer *p, gint64 idle_max);
+CcHttpConnection *cc_http_connection_take_older (CcHttpPeer *p, gint64 idle_max,
+                                                 gint64 opened_by);
 CcHttpConnection *cc_http_connection_open (CcHttp *h, CcHttpPeer *p,
                                            CcHttpReady ready);
 void cc_http_connection_keep (CcHttpConnection *c);
--- a/test/test_http_link.c
+++ b/test/test_http_link.c
@@ -203,6 +203,7 @@
   CcHttpEnd end;
   guint status;
   char body[64];
+  gint64 connected_at; /* us */
 } Outcome;
 
 static void
@@ -216,6 +217,7 @@
   o->ended = TRUE;
   o->end = r->end;
   o->status = r->status;
+  o->connected_at = r->connected_at;
   if (size > 0)
     memcpy (o->body, bytes, MIN (size, sizeof o->body - 1));
 }
@@ -462,6 +464,51 @@
     }
 }
 
+/* Guards against a call that is meant for the process which answered before and
+ * reaches its successor at the same address. */
+static void
+a_call_may_ask_for_a_connection_that_was_open (void **state)
+{
+  static const Case keeps = { .name = "keeps",
+                              .bytes = OK "Content-Length: 0\r\n\r\n" };
+  static const Case closes = { .name = "closes",
+                               .bytes = OK "Content-Length: 0\r\n\r\n",
+                               .then = THEN_CLOSE };
+  static const struct
+  {
+    const Case *first;
+    gint64 after; /* the time asked for, after the first was opened, us */
+    gboolean sent;
+  } orders[] = { { &keeps, 0, TRUE },
+                 { &keeps, -1, FALSE },
+                 { &closes, 0, FALSE } };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (orders); i++)
+    {
+      CcHttp *h = cc_http_new ("127.0.0.1");
+      CcHttpOrder o = order_to (server.address);
+      Outcome first, second = { 0 };
+      guint accepted;
+
+      server.playing = orders[i].first;
+      first = call (h, &o);
+      assert_int_equal (first.end, CC_HTTP_ANSWERED);
+      turn (20);
+      accepted = server.accepted;
+      server.playing = &keeps;
+      o.connected_by = first.connected_at + orders[i].after;
+      if ((cc_http_send (h, &o, on_done, &second) != NULL) != orders[i].sent)
+        fail_msg ("order %u", i);
+      while (orders[i].sent && !second.ended)
+        g_main_context_iteration (NULL, TRUE);
+      assert_int_equal (server.accepted, accepted);
+      assert_int_equal (second.connected_at,
+                        orders[i].sent ? first.connected_at : 0);
+      cc_http_free (h);
+    }
+}
+
 int
 main (void)
 {
@@ -472,6 +519,7 @@
     cmocka_unit_test (a_call_that_is_given_up_resets_its_connection),
     cmocka_unit_test (an_answer_that_goes_on_is_waited_for),
     cmocka_unit_test (an_answer_that_is_there_is_read),
+    cmocka_unit_test (a_call_may_ask_for_a_connection_that_was_open),
   };
 
   return cmocka_run_group_tests (tests, start_server, NULL);
