Model of the granter: its world in a file of its own

The servers, the table service and the processes of test_granter move to test/granter_world.c, as mirror_world's did, so that other tests can use them.

--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,10 @@
 TEST_BIN = $(TEST_SRC:test/%.c=$(BUILD)/test/%)
 STAND_INS = platform upstream relay load demo demo_path prove bench bench_path \
   bare_relay bench_assignment soak direct_stand
+# They stand in for functions of the library, so only their tests link them.
+WORLDS = mirror_world granter_world
 # The rest of test/ is shared by them and by the tests.
-TEST_LIB = $(filter-out test_% mirror_world $(STAND_INS),$(patsubst test/%.c,%,$(wildcard test/*.c)))
+TEST_LIB = $(filter-out test_% $(WORLDS) $(STAND_INS),$(patsubst test/%.c,%,$(wildcard test/*.c)))
 SCENARIO ?= check
 SEED ?= 1
 STAND_BIN = $(STAND_INS:%=$(BUILD)/test/%)
@@ -53,12 +55,17 @@
 $(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/test/libtest.a $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcmocka
 
-# mirror_world stands in for functions of the library, so only these link it.
 MIRROR_BIN = $(BUILD)/test/test_mirror $(BUILD)/test/test_control_path
 $(MIRROR_BIN): $(BUILD)/test/%: $(BUILD)/test/%.o $(BUILD)/test/mirror_world.o \
   $(BUILD)/test/libtest.a $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcmocka
 
+GRANTER_BIN = $(BUILD)/test/test_granter
+$(GRANTER_BIN): $(BUILD)/test/%: $(BUILD)/test/%.o \
+  $(BUILD)/test/granter_world.o $(BUILD)/test/libtest.a \
+  $(BUILD)/libcapercrank.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcmocka
+
 $(BUILD)/examples/%: $(BUILD)/examples/%.o $(BUILD)/libcapercrank.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
