Model of the granter: connections, slow writes, news, a later pool, lives

For tests of two holders.

Calls go over connections to one life of a server, which end with that life and with a call that is not answered; an order may ask for one that stood at a time. Writes to the table can be carried out late, if their condition still holds. Fences are compared at each boundary and by lives of servers.

Found on the way: of the three processes only the first ever read the list of servers again, since the steps of the others never fell on that of the list; and the granter's own chances were not seeded, so a seed that fails need not fail again. Both are so in the worlds of before, and mended in the new kind.

--- a/test/granter_world.c
+++ b/test/granter_world.c
@@ -8,6 +8,7 @@
 #include <setjmp.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -29,6 +30,31 @@
   return g_rand_double (world.rand) < share;
 }
 
+/* The first failure counts. */
+void
+world_fail (const char *format, ...)
+{
+  va_list args;
+
+  if (world.failure[0] != '\0')
+    return;
+  va_start (args, format);
+  g_vsnprintf (world.failure, sizeof world.failure, format, args);
+  va_end (args);
+}
+
+static guint
+pool_of (guint server)
+{
+  return server >= world.count - world.kind.later ? 1 : 0;
+}
+
+static const char *
+pool_name (guint pool)
+{
+  return pool == 0 ? POOL : LATER_POOL;
+}
+
 /* ---- servers ---- */
 
 static gboolean
@@ -46,9 +72,83 @@
   guint server;
 } Fence;
 
+/* Keys that were last had with FENCE, the highest that any had. */
+typedef struct
+{
+  guint from, to;
+  guint64 fence;
+  guint server;
+  guint64 born;
+} FencePart;
+
+/* No part of PARTS goes beyond KEY from below it. */
+static void
+split_parts (GArray *parts, guint key)
+{
+  for (guint i = 0; i < parts->len; i++)
+    {
+      FencePart *p = &g_array_index (parts, FencePart, i);
+      FencePart high = *p;
+
+      if (p->from >= key || p->to < key)
+        continue;
+      p->to = key - 1;
+      high.from = key;
+      g_array_insert_val (parts, i + 1, high);
+      return;
+    }
+}
+
+static void
+check_part (guint server, const Held *h, FencePart *p)
+{
+  guint64 born = world.servers[server].born;
+
+  if (p->fence != 0 && p->server != server && p->fence >= h->fence)
+    world_fail ("key %u went to %u with fence %u, %u had it with %u", p->from,
+                server, (guint) h->fence, p->server, (guint) p->fence);
+  if (p->fence != 0 && p->server == server && p->born != born)
+    {
+      if (p->fence > h->fence)
+        world_fail ("key %u went to life %u of %u with fence %u, life %u had "
+                    "it with %u",
+                    p->from, (guint) born, server, (guint) h->fence,
+                    (guint) p->born, (guint) p->fence);
+      world.same_fences += p->fence == h->fence;
+    }
+  if (h->fence > p->fence)
+    {
+      p->fence = h->fence;
+      p->server = server;
+      p->born = born;
+    }
+}
+
+/* Each key that SERVER takes with H. */
+static void
+check_fence_strictly (guint server, const Held *h)
+{
+  GArray *parts = world.parts[pool_of (server)];
+
+  split_parts (parts, h->from);
+  split_parts (parts, h->to + 1);
+  for (guint i = 0; i < parts->len; i++)
+    {
+      FencePart *p = &g_array_index (parts, FencePart, i);
+
+      if (p->from >= h->from && p->to <= h->to)
+        check_part (server, h, p);
+    }
+}
+
 static void
 check_fence (guint server, const Held *h)
 {
+  if (world.kind.many)
+    {
+      check_fence_strictly (server, h);
+      return;
+    }
   for (guint k = h->from / STRIDE + 1; k * STRIDE <= h->to; k++)
     {
       Fence *f = g_hash_table_lookup (world.fences, GUINT_TO_POINTER (k));
@@ -58,10 +158,8 @@
           f = g_new0 (Fence, 1);
           g_hash_table_insert (world.fences, GUINT_TO_POINTER (k), f);
         }
-      if (f->fence >= h->fence && f->server != server &&
-          world.failure[0] == '\0')
-        g_snprintf (world.failure, sizeof world.failure,
-                    "key %u went to %u with fence %u, %u had it with %u",
+      if (f->fence >= h->fence && f->server != server)
+        world_fail ("key %u went to %u with fence %u, %u had it with %u",
                     k * STRIDE, server, (guint) h->fence, f->server,
                     (guint) f->fence);
       if (h->fence > f->fence)
@@ -121,25 +219,61 @@
     }
 }
 
+typedef struct
+{
+  guint server;
+  const Held *held;
+} Holding;
+
+static gint
+by_from (gconstpointer a, gconstpointer b)
+{
+  const Holding *x = a, *y = b;
+
+  return x->held->from < y->held->from   ? -1
+         : x->held->from > y->held->from ? 1
+                                         : (gint) x->server - (gint) y->server;
+}
+
+/* What all servers hold at NOW, by the first key. */
+static GArray *
+list_holdings (gint64 now)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (Holding));
+
+  for (guint a = 0; a < world.count; a++)
+    for (guint i = 0; i < world.servers[a].held->len; i++)
+      {
+        Holding h = { a, &g_array_index (world.servers[a].held, Held, i) };
+
+        if (h.held->until > now)
+          g_array_append_val (list, h);
+      }
+  g_array_sort (list, by_from);
+  return list;
+}
+
 static void
 check_owners (gint64 now)
 {
-  for (guint a = 0; a < SERVERS; a++)
-    for (guint b = a + 1; b < SERVERS; b++)
-      for (guint i = 0; i < world.servers[a].held->len; i++)
-        for (guint k = 0; k < world.servers[b].held->len; k++)
-          {
-            const Held *x = &g_array_index (world.servers[a].held, Held, i);
-            const Held *y = &g_array_index (world.servers[b].held, Held, k);
+  g_autoptr (GArray) list = list_holdings (now);
 
-            if (x->until > now && y->until > now && overlaps (x, y) &&
-                world.failure[0] == '\0')
-              g_snprintf (world.failure, sizeof world.failure,
-                          "%u holds %u to %u (fence %u), %u holds %u to %u "
-                          "(fence %u)",
-                          a, x->from, x->to, (guint) x->fence, b, y->from,
-                          y->to, (guint) y->fence);
-          }
+  for (guint i = 0; i < list->len; i++)
+    for (guint k = i + 1; k < list->len; k++)
+      {
+        const Holding *x = &g_array_index (list, Holding, i);
+        const Holding *y = &g_array_index (list, Holding, k);
+
+        if (y->held->from > x->held->to)
+          break;
+        if (x->server != y->server &&
+            pool_of (x->server) == pool_of (y->server))
+          world_fail ("%u holds %u to %u (fence %u), %u holds %u to %u "
+                      "(fence %u)",
+                      x->server, x->held->from, x->held->to,
+                      (guint) x->held->fence, y->server, y->held->from,
+                      y->held->to, (guint) y->held->fence);
+      }
 }
 
 /* ---- calls to servers, in place of http_link.c ---- */
@@ -150,6 +284,73 @@
   g_ptr_array_add (world.events, g_memdup2 (e, sizeof *e));
 }
 
+/* How long an idle connection is kept at most. */
+#define IDLE_MOST (10 * CC_SECOND)
+
+/* Drops connections of P that have been idle for long, and those to a life that
+ * has ended: who is on such a one learns that by a reset. */
+static void
+drop_connections (Process *p, gint64 now)
+{
+  for (guint i = 0; i < p->connections->len; i++)
+    {
+      const Connection *c = &g_array_index (p->connections, Connection, i);
+      const Server *s = &world.servers[c->server];
+
+      if (!s->up || s->born != c->born ||
+          (!c->busy && now - c->idle_since > IDLE_MOST))
+        g_array_remove_index (p->connections, i--);
+    }
+}
+
+/* The connection of P to SERVER for O, which is busy from now on; NULL: there
+ * is none that stood as early as O asks for. */
+static Connection *
+take_connection (Process *p, guint server, const CcHttpOrder *o)
+{
+  gint64 now = cc_clock_now ();
+  Connection new = { .serial = ++world.serial,
+                     .server = server,
+                     .born = world.servers[server].born,
+                     .connected_at = now,
+                     .busy = TRUE };
+
+  drop_connections (p, now);
+  for (guint i = p->connections->len; i > 0; i--)
+    {
+      Connection *c = &g_array_index (p->connections, Connection, i - 1);
+
+      if (c->server != server || c->busy || now - c->idle_since > o->idle_max ||
+          (o->connected_by > 0 && c->connected_at > o->connected_by))
+        continue;
+      c->busy = TRUE;
+      return c;
+    }
+  if (o->connected_by > 0)
+    return NULL;
+  g_array_append_val (p->connections, new);
+  return &g_array_index (p->connections, Connection, p->connections->len - 1);
+}
+
+/* The call on the connection SERIAL of P has ended.  A connection without an
+ * answer is not used again. */
+static void
+return_connection (Process *p, guint serial, gboolean answered)
+{
+  for (guint i = 0; i < p->connections->len; i++)
+    {
+      Connection *c = &g_array_index (p->connections, Connection, i);
+
+      if (c->serial != serial)
+        continue;
+      c->busy = FALSE;
+      c->idle_since = cc_clock_now ();
+      if (!answered)
+        g_array_remove_index (p->connections, i);
+      return;
+    }
+}
+
 CcHttpCall *
 cc_http_send (CcHttp *h, const CcHttpOrder *o, CcHttpDone done, gpointer data)
 {
@@ -159,9 +360,13 @@
     .process = world.running, .by = p->granter, .done = done, .data = data
   };
   const char *body = g_bytes_get_data (o->body, NULL);
+  guint server = (guint) atoi (o->address + strlen ("10.0.0."));
+  const Connection *connection = take_connection (p, server, o);
   guint64 hold = 0;
 
   (void) h;
+  if (connection == NULL)
+    return NULL;
   e.is_release = strstr (o->head, "/release") != NULL;
   if (e.is_release)
     assert_int_equal (sscanf (body, "{\"from\":%u,\"target\":%u,\"fence\":%lu",
@@ -173,8 +378,20 @@
                 &e.what.from, &e.what.to, &e.what.fence, &hold),
         4);
   e.what.until = (gint64) hold;
-  e.server = (guint) (o->address[strlen ("10.0.0.")] - '0');
+  e.server = server;
+  e.connection = connection->serial;
+  e.connected_at = connection->connected_at;
+  e.same_life = o->connected_by > 0;
   e.settled = g_new0 (gboolean, 1);
+  if (world.kind.many && connection->connected_at == now &&
+      (p->cut_from[server] || !world.servers[server].up))
+    {
+      /* Nobody answers there, or nobody listens. */
+      e.kind = EVENT_UNSENT;
+      e.at = now + (p->cut_from[server] ? o->connect_within : ms (1, 4));
+      push_event (&e);
+      return (CcHttpCall *) done;
+    }
   e.at = now + o->answer_within;
   e.kind = EVENT_LATE;
   push_event (&e);
@@ -208,7 +425,7 @@
   const Server *s = &world.servers[e->server];
   Event next = *e;
 
-  if (!s->up)
+  if (!s->up || (e->same_life && s->born != e->born))
     return;
   next.kind = EVENT_ANSWERED;
   next.arrived = now;
@@ -243,11 +460,15 @@
 static void
 settle (Event *e, CcHttpEnd how)
 {
-  CcHttpResult r = { .end = how, .why = "", .status = e->status };
+  CcHttpResult r = {
+    .end = how, .why = "", .status = e->status, .connected_at = e->connected_at
+  };
 
   if (*e->settled || !is_running (e->process, e->by))
     return;
   *e->settled = TRUE;
+  return_connection (&world.processes[e->process], e->connection,
+                     how == CC_HTTP_ANSWERED);
   world.running = e->process;
   e->done (&r, e->data);
 }
@@ -256,7 +477,7 @@
 static gboolean
 play (Event *e, gint64 now)
 {
-  gboolean at_process = e->kind == EVENT_ANSWERED || e->kind == EVENT_LATE;
+  gboolean at_process = e->kind != EVENT_ARRIVES && e->kind != EVENT_CARRIED;
 
   if (at_process && world.processes[e->process].frozen_until > now)
     return FALSE;
@@ -271,6 +492,9 @@
     case EVENT_ANSWERED:
       settle (e, CC_HTTP_ANSWERED);
       break;
+    case EVENT_UNSENT:
+      settle (e, CC_HTTP_UNSENT);
+      break;
     case EVENT_LATE:
       settle (e, CC_HTTP_LATE);
       break;
@@ -352,13 +576,66 @@
   return CC_OK;
 }
 
+static void
+change_free (CcTableChange *c)
+{
+  g_ptr_array_unref (c->expect);
+  g_ptr_array_unref (c->puts);
+  g_array_unref (c->versions);
+  g_free (c);
+}
+
+/* How long a write of the running process is on its way, us; 0: not at all. */
+static gint64
+write_takes (void)
+{
+  gint64 takes = world.processes[world.running].write_takes;
+
+  if (takes != 0)
+    return takes;
+  if (world.kind.table_takes == 0)
+    return 0;
+  /* Some are carried out long after they were given up. */
+  if (chance (world.faults / 4))
+    return ms (500, 5000);
+  return ms (4, (gint) (world.kind.table_takes / CC_MS));
+}
+
+/* C is carried out TAKES later. */
+static void
+commit_later (CcTableChange *c, CcTableChanged done, gpointer data,
+              gint64 takes)
+{
+  gint64 now = cc_clock_now ();
+  StoreAnswer a = { .is_write = TRUE,
+                    .changed_done = done,
+                    .data = data,
+                    .change = c,
+                    .carried_at = now + takes,
+                    .at = now + takes + ms (2, 6) };
+
+  if (takes >= TABLE_WITHIN || chance (world.faults / 2))
+    {
+      a.status = CC_UNKNOWN;
+      a.at = now + TABLE_WITHIN;
+    }
+  answer_later (a);
+}
+
 void
 cc_table_commit (CcTable *t, CcTableChange *c, CcTableChanged done,
                  gpointer data)
 {
   StoreAnswer a = { .is_write = TRUE, .changed_done = done, .data = data };
 
+  gint64 takes = write_takes ();
+
   (void) t;
+  if (takes > 0 && !world.processes[world.running].cut_from_table)
+    {
+      commit_later (c, done, data, takes);
+      return;
+    }
   a.at = cc_clock_now () + ms (4, 12);
   if (world.processes[world.running].cut_from_table)
     a.status = CC_UNKNOWN;
@@ -370,11 +647,8 @@
         a.status = CC_UNKNOWN;
     }
   if (a.status == CC_UNKNOWN)
-    a.at += 700 * CC_MS;
-  g_ptr_array_unref (c->expect);
-  g_ptr_array_unref (c->puts);
-  g_array_unref (c->versions);
-  g_free (c);
+    a.at += TABLE_WITHIN;
+  change_free (c);
   answer_later (a);
 }
 
@@ -398,6 +672,8 @@
                              ((StoreRow *) v)->value);
   a.rows = g_variant_ref_sink (g_variant_builder_end (&b));
   a.at = cc_clock_now () + ms (4, 12);
+  if (world.kind.table_takes > 0)
+    a.at += ms (0, (gint) (world.kind.table_takes / CC_MS));
   if (world.processes[world.running].cut_from_table)
     a.status = CC_UNREACHABLE;
   answer_later (a);
@@ -421,6 +697,26 @@
   return TRUE;
 }
 
+/* Returns TRUE when A has done all that it does. */
+static gboolean
+step_answer (StoreAnswer *a, gint64 now)
+{
+  if (a->change != NULL && a->carried_at <= now)
+    {
+      CcStatus status = apply_change (a->change);
+
+      g_clear_pointer (&a->change, change_free);
+      if (a->status != CC_UNKNOWN)
+        {
+          a->status = status;
+          a->version = world.version;
+        }
+    }
+  if (!a->told && a->at <= now)
+    a->told = play_answer (a, now);
+  return a->told && a->change == NULL;
+}
+
 /* ---- processes ---- */
 
 static gboolean
@@ -432,7 +728,7 @@
   if (sscanf (value, "%u %lu %u", &server, &born, &leaving) != 3)
     return FALSE;
   *l = (CcListing){ .id = g_strdup (key),
-                    .pool = g_strdup (POOL),
+                    .pool = g_strdup (pool_name (pool_of (server))),
                     .address = g_strdup (world.servers[server].address),
                     .zone = g_strdup ("a"),
                     .slots = 4,
@@ -458,19 +754,79 @@
 
   if (p->cut_from_table)
     return;
-  for (guint i = 0; i < SERVERS; i++)
+  for (guint i = 0; i < world.count; i++)
     {
       const Server *s = &world.servers[i];
       g_autofree char *value =
           g_strdup_printf ("%u %lu %d", i, s->born, s->leaving);
 
-      cc_view_put (&p->view, s->id, ++world.version, s->up ? value : NULL);
+      cc_view_put (&p->view, s->id, ++world.version,
+                   s->up && !p->unlisted[i] ? value : NULL);
     }
   cc_targets_update (&p->targets, &listed, decode, now, note_change, &changed);
   if (changed)
     cc_granter_targets_changed (p->granter, 0);
 }
 
+/* P's configuration has the first POOLS pools. */
+static void
+configure (Process *p, guint pools)
+{
+  CcRoutes *routes = cc_routes_new (1);
+
+  for (guint i = 0; i < pools; i++)
+    {
+      CcRoutePool pool = { .name = (char *) pool_name (i), .keyed = TRUE };
+
+      cc_routes_add_pool (routes, &pool);
+    }
+  cc_granter_configure (p->granter, routes);
+  cc_routes_free (routes);
+}
+
+/* The configuration of process INDEX gets LATER_POOL. */
+void
+world_add_pool (guint index)
+{
+  configure (&world.processes[index], 2);
+}
+
+/* The others hear of a renewal a moment later, some of them much later. */
+static void
+tell_renewed (guint64 version, gint64 sent, GVariant *rows, gpointer data)
+{
+  gint64 now = cc_clock_now ();
+
+  (void) rows;
+  for (guint i = 0; i < GRANTERS; i++)
+    {
+      News n = { .process = i, .version = version };
+
+      if (i == GPOINTER_TO_UINT (data) || chance (world.faults))
+        continue;
+      n.at = now + (chance (world.faults) ? ms (300, 4000) : ms (1, 60));
+      n.seen_at = sent + ms (0, (gint) ((n.at - sent) / CC_MS) + 1);
+      g_ptr_array_add (world.news, g_memdup2 (&n, sizeof n));
+    }
+}
+
+static void
+play_news (gint64 now)
+{
+  for (guint i = 0; i < world.news->len; i++)
+    {
+      News *n = world.news->pdata[i];
+      const Process *p = &world.processes[n->process];
+
+      if (n->at > now || p->frozen_until > now)
+        continue;
+      world.running = n->process;
+      cc_granter_lease_received (p->granter, n->version, n->seen_at);
+      g_ptr_array_remove_index (world.news, i--);
+      g_free (n);
+    }
+}
+
 /* Starts process INDEX, or starts it again. */
 void
 world_start_process (guint index, gint64 now)
@@ -481,23 +837,34 @@
                                        : index == 1 ? "b"
                                                     : "c",
                            .address = "10.9.9.9:1" };
-  CcRoutePool pool = { .name = (char *) POOL, .keyed = TRUE };
-  CcRoutes *routes = cc_routes_new (1);
 
-  cc_routes_add_pool (routes, &pool);
+  if (world.kind.news)
+    {
+      setup.renewed = tell_renewed;
+      setup.data = GUINT_TO_POINTER (index);
+    }
+  g_clear_pointer (&p->connections, g_array_unref);
   memset (p, 0, sizeof *p);
+  p->connections = g_array_new (FALSE, FALSE, sizeof (Connection));
   p->alive = TRUE;
   cc_view_init (&p->view);
   cc_targets_init (&p->targets);
   world.running = index;
   p->granter = cc_granter_new (&setup);
-  cc_granter_configure (p->granter, routes);
+  configure (p, 1);
+  if (world.added_at != 0 && now >= world.added_at)
+    configure (p, 2);
   cc_granter_rank (p->granter, world.weak ? 50 + index : 0,
                    world.weak ? 90 : GRANTERS);
-  cc_routes_free (routes);
   world_list_servers (p, now);
 }
 
+static guint
+random_server (void)
+{
+  return (guint) g_rand_int_range (world.rand, 0, (gint32) world.count);
+}
+
 static void
 disturb_server (Server *s)
 {
@@ -536,7 +903,7 @@
       p->cut_from_table = !p->cut_from_table;
       break;
     case 3:
-      p->cut_from[g_rand_int_range (world.rand, 0, SERVERS)] ^= TRUE;
+      p->cut_from[random_server ()] ^= TRUE;
       break;
     case 4:
       cc_granter_add_load (
@@ -567,7 +934,7 @@
     {
       StoreAnswer *a = world.answers->pdata[i];
 
-      if (a->at <= now && play_answer (a, now))
+      if (step_answer (a, now))
         {
           g_ptr_array_remove_index (world.answers, i--);
           g_free (a);
@@ -582,8 +949,10 @@
   gint64 now = cc_clock_now ();
 
   play_due (now);
+  if (world.kind.news)
+    play_news (now);
   if (chance (0.01 * world.faults * 4))
-    disturb_server (&world.servers[g_rand_int_range (world.rand, 0, SERVERS)]);
+    disturb_server (&world.servers[random_server ()]);
   if (chance (0.01 * world.faults * 4))
     disturb_process ((guint) g_rand_int_range (world.rand, 0, GRANTERS), now);
   for (guint i = 0; i < GRANTERS; i++)
@@ -592,7 +961,8 @@
 
       if (p->frozen_until > now || (number + i) % 5 != 0)
         continue;
-      if (number % 20 == 0)
+      /* The seeds of before were played with one that learns all alone. */
+      if ((number + (world.kind.many ? i : 0)) % 20 == 0)
         world_list_servers (p, now);
       world.running = i;
       cc_granter_tick (p->granter);
@@ -606,15 +976,34 @@
 void
 world_begin (guint seed, double faults)
 {
+  world_begin_kind (&(WorldKind){ .seed = seed, .faults = faults });
+}
+
+/* A world of KIND. */
+void
+world_begin_kind (const WorldKind *kind)
+{
+  FencePart all = { .to = CC_KEYS - 1 };
+
   memset (&world, 0, sizeof world);
-  world.rand = g_rand_new_with_seed (seed);
-  world.faults = faults;
+  world.kind = *kind;
+  world.rand = g_rand_new_with_seed (kind->seed);
+  if (kind->many)
+    g_random_set_seed (kind->seed); /* for the granter's own chances */
+  world.faults = kind->faults;
+  world.count = kind->servers != 0 ? kind->servers : SERVERS;
+  world.news = g_ptr_array_new ();
+  for (guint i = 0; i < G_N_ELEMENTS (world.parts); i++)
+    {
+      world.parts[i] = g_array_new (FALSE, FALSE, sizeof (FencePart));
+      g_array_append_val (world.parts[i], all);
+    }
   world.events = g_ptr_array_new ();
   world.answers = g_ptr_array_new ();
   world.store = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   world.fences = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   cc_clock_pause (1000 * CC_SECOND, 1000 * CC_SECOND);
-  for (guint i = 0; i < SERVERS; i++)
+  for (guint i = 0; i < world.count; i++)
     {
       Server *s = &world.servers[i];
 
@@ -631,8 +1020,13 @@
 void
 world_clear (void)
 {
-  for (guint i = 0; i < SERVERS; i++)
+  for (guint i = 0; i < world.count; i++)
     g_array_unref (world.servers[i].held);
+  for (guint i = 0; i < GRANTERS; i++)
+    g_array_unref (world.processes[i].connections);
+  for (guint i = 0; i < G_N_ELEMENTS (world.parts); i++)
+    g_array_unref (world.parts[i]);
+  g_ptr_array_unref (world.news);
   g_ptr_array_unref (world.events);
   g_ptr_array_unref (world.answers);
   g_hash_table_unref (world.store);
@@ -648,7 +1042,7 @@
   gint64 now = cc_clock_now ();
   guint sum = 0;
 
-  for (guint a = 0; a < SERVERS; a++)
+  for (guint a = 0; a < world.count; a++)
     for (guint i = 0; i < world.servers[a].held->len; i++)
       {
         const Held *x = &g_array_index (world.servers[a].held, Held, i);
--- a/test/granter_world.h
+++ b/test/granter_world.h
@@ -10,8 +10,12 @@
 #define STEP (10 * CC_MS)
 #define STEPS 2500 /* 25 s */
 #define SERVERS 5
+#define SERVERS_MOST 220
 #define GRANTERS 3
 #define POOL "slots"
+#define LATER_POOL "rooms"
+/* A call of the table service is given up after this. */
+#define TABLE_WITHIN (700 * CC_MS)
 
 typedef struct
 {
@@ -38,15 +42,31 @@
   gboolean alive;
   gint64 frozen_until;
   gboolean cut_from_table;
-  gboolean cut_from[SERVERS];
+  gint64 write_takes; /* until a write is carried out, us; 0: as the world is */
+  gboolean resigning;
+  gboolean cut_from[SERVERS_MOST];
+  gboolean unlisted[SERVERS_MOST]; /* in its copy of the list */
+  GArray *connections;             /* of Connection */
 } Process;
 
+/* A connection of a process to one life of a server. */
+typedef struct
+{
+  guint serial;
+  guint server;
+  guint64 born;
+  gint64 connected_at;
+  gint64 idle_since;
+  gboolean busy;
+} Connection;
+
 typedef enum
 {
   EVENT_ARRIVES, /* at the server */
   EVENT_CARRIED, /* a grant is carried out late */
   EVENT_ANSWERED,
-  EVENT_LATE /* the caller's own time-out */
+  EVENT_UNSENT, /* no connection could be opened */
+  EVENT_LATE    /* the caller's own time-out */
 } EventKind;
 
 typedef struct
@@ -57,6 +77,9 @@
   CcGranter *by; /* the granter that sent it; another may run there now */
   guint server;
   guint64 born;
+  guint connection;    /* its serial */
+  gint64 connected_at; /* us */
+  gboolean same_life;  /* it reaches the life BORN only */
   gboolean is_release;
   Held what;
   gint64 arrived;
@@ -72,6 +95,15 @@
   char *value;
 } StoreRow;
 
+/* The process is told VERSION of the lease's row. */
+typedef struct
+{
+  gint64 at;
+  guint process;
+  guint64 version;
+  gint64 seen_at;
+} News;
+
 typedef struct
 {
   gint64 at;
@@ -84,12 +116,28 @@
   CcStatus status;
   guint64 version;
   GVariant *rows;
+  CcTableChange *change; /* not carried out yet */
+  gint64 carried_at;     /* ... when it is */
+  gboolean told;
 } StoreAnswer;
 
 typedef struct
 {
+  guint seed;
+  double faults;      /* how likely a call goes wrong */
+  guint servers;      /* 0: SERVERS */
+  guint later;        /* ... those at the end are of LATER_POOL */
+  gboolean many;      /* kinds of faults, and strict checks of the fence */
+  gboolean news;      /* processes are told of renewals */
+  gint64 table_takes; /* a write at most, us; 0: none is on its way */
+} WorldKind;
+
+typedef struct
+{
+  WorldKind kind;
   GRand *rand;
-  Server servers[SERVERS];
+  Server servers[SERVERS_MOST];
+  guint count; /* of SERVERS */
   Process processes[GRANTERS];
   GPtrArray *events;
   GPtrArray *answers;
@@ -98,6 +146,11 @@
   guint running;      /* index of the process that is running */
   gboolean weak;      /* processes that start seldom poll the lease */
   GHashTable *fences; /* bucket of keys to highest fence and its server */
+  GArray *parts[2];   /* of FencePart, of each pool, without gaps */
+  guint same_fences;  /* taken by another life of the same server */
+  GPtrArray *news;    /* of News */
+  guint serial;       /* of the last connection */
+  gint64 added_at;    /* LATER_POOL was configured, us */
   char failure[200];
   double faults; /* how likely a call goes wrong */
 } World;
@@ -105,11 +158,14 @@
 extern World world;
 
 void world_begin (guint seed, double faults);
+void world_begin_kind (const WorldKind *kind);
 void world_clear (void);
 void world_start_process (guint index, gint64 now);
+void world_add_pool (guint index);
 void world_list_servers (Process *p, gint64 now);
 void world_step (guint number);
 double world_share_held (void);
 void world_run (double faults, guint first, guint count);
+void world_fail (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
 #endif
