Granter: without the table it renews only lives that remember higher fences

What callers saw: two upstreams held the same keys; one took a key with a fence below that with which the other had it.

Cause: a granter that is cut off from the table, or stands still, renews what it granted for up to nine seconds. Whoever takes over stops waiting for it as soon as an owner has taken a higher fence, since that owner refuses it from then on. An owner that is started again under its id has forgotten the fence: it takes the old granter's renewal, while its keys have gone to another.

Change: such renewals go out only on a connection that was open when the owner took its last grant. It leads to that life, or to nobody. Grants have connections of their own, so that the failure of a request does not end them. Ruled out: to wait for the old granter whenever an owner is lost after a takeover costs its keys 13 s in place of 4, and a release answered by the old life proves nothing about the next one. Price: a range is not renewed without the table once its connection has ended.

--- a/gateway.c
+++ b/gateway.c
@@ -52,6 +52,8 @@
   char *address;        /* for peers */
   gboolean first_start; /* of the whole fleet */
   CcHttp *http;
+  CcHttp *grants_http; /* its connections last as long as their peers do,
+                          whatever becomes of requests */
   CcTable *table;
   CcMirror *mirror;
   CcTargets targets;
@@ -432,9 +434,10 @@
   cc_metrics_gauge ("capercrank_requests_pending", "",
                     cc_callers_pending (g->callers));
   cc_metrics_gauge ("capercrank_upstream_connections", "",
-                    cc_http_open (g->http));
-  cc_metrics_gauge ("capercrank_upstream_connections_opened", "",
-                    (double) cc_http_opened (g->http));
+                    cc_http_open (g->http) + cc_http_open (g->grants_http));
+  cc_metrics_gauge (
+      "capercrank_upstream_connections_opened", "",
+      (double) (cc_http_opened (g->http) + cc_http_opened (g->grants_http)));
   cc_metrics_gauge ("capercrank_table_age_seconds", "",
                     (double) cc_mirror_age (g->mirror, now) / 1e6);
   cc_metrics_gauge ("capercrank_members", "", cc_members_count (g->members));
@@ -572,6 +575,7 @@
 
   cc_address_parse (g->address, &ip, NULL);
   g->http = cc_http_new (ip);
+  g->grants_http = cc_http_new (ip);
   g->table = cc_table_new (g->http, cc_setting (g->settings, "table"));
   cc_targets_init (&g->targets);
   g->targets.leaving_serves =
@@ -584,7 +588,7 @@
     return FALSE;
   forwarding.reporter = g->reporter;
   forwarding.http = g->http;
-  granting.http = g->http;
+  granting.http = g->grants_http;
   granting.table = g->table;
   g->forwarder = cc_forwarder_new (&forwarding);
   g->callers = cc_callers_new (g->forwarder);
--- a/range_grant.c
+++ b/range_grant.c
@@ -132,18 +132,12 @@
 }
 
 static gboolean
-call_upstream (CcRangeGrant *x, const char *address, const char *head,
-               GBytes *body, gint64 within, CcHttpDone done)
+call_upstream (CcRangeGrant *x, CcHttpOrder *o, CcHttpDone done)
 {
-  CcHttpOrder o = { .address = address,
-                    .head = head,
-                    .body = body,
-                    .connect_within = CALL_CONNECT,
-                    .answer_within = within,
-                    .idle_max = CALL_IDLE };
-
+  o->connect_within = CALL_CONNECT;
+  o->idle_max = CALL_IDLE;
   x->call_began = cc_clock_now ();
-  x->calling = cc_http_send (x->shared->http, &o, done, x) != NULL;
+  x->calling = cc_http_send (x->shared->http, o, done, x) != NULL;
   if (!x->calling)
     x->not_before = x->call_began + CALL_RETRY;
   return x->calling;
@@ -177,7 +171,7 @@
 }
 
 static void
-granted (CcRangeGrant *x, gint64 now)
+granted (CcRangeGrant *x, const CcHttpResult *r, gint64 now)
 {
   if (!x->held)
     cc_event (CC_EVENT_STATE, "keys-granted", "pool", x->pool, "from",
@@ -192,6 +186,8 @@
   x->raised = FALSE;
   x->held = TRUE;
   x->answered = now;
+  x->life_seen = MAX (x->call_began, r->connected_at);
+  x->withheld = FALSE;
   x->not_before = x->call_began + CC_GRANT_RENEW;
   if (x->range->previous != NULL)
     finish_move (x);
@@ -251,7 +247,7 @@
   x->owner_until = MAX (x->owner_until, cc_grant_ends (now));
   if (r->end == CC_HTTP_ANSWERED && r->status == 200)
     {
-      granted (x, now);
+      granted (x, r, now);
       return;
     }
   if (r->end == CC_HTTP_ANSWERED && r->status == 409)
@@ -268,11 +264,24 @@
 }
 
 static void
-send_grant (CcRangeGrant *x)
+note_withheld (CcRangeGrant *x)
+{
+  if (!x->withheld)
+    cc_event (CC_EVENT_STATE, "renewal-withheld", "pool", x->pool, "owner",
+              x->range->owner, "from", cc_event_int (x->range->from), NULL);
+  x->withheld = TRUE;
+}
+
+/* Sends X's grant to its owner, on a connection that was open at CONNECTED_BY,
+ * us; 0: on any. */
+static void
+send_grant (CcRangeGrant *x, gint64 connected_by)
 {
   const CcTarget *t = cc_targets_find (x->shared->targets, x->range->owner);
   CcKeyGrant what = { x->range->owner, x->range->from, x->range->to,
                       x->range->fence, CC_GRANT_HOLD,  x->handoff };
+  CcHttpOrder o = { .answer_within = CALL_WITHIN,
+                    .connected_by = connected_by };
   g_autoptr (GBytes) body = NULL;
   g_autofree char *head = NULL;
   g_autofree char *whole = NULL;
@@ -289,7 +298,14 @@
   x->until_before = x->owner_until;
   x->owner_until =
       MAX (x->owner_until, cc_grant_ends (cc_clock_now () + CALL_WITHIN));
-  call_upstream (x, t->listing.address, whole, body, CALL_WITHIN, on_granted);
+  o.address = t->listing.address;
+  o.head = whole;
+  o.body = body;
+  if (call_upstream (x, &o, on_granted))
+    return;
+  x->owner_until = x->until_before;
+  if (connected_by > 0)
+    note_withheld (x);
 }
 
 static void
@@ -336,9 +352,12 @@
   g_autoptr (GBytes) body = NULL;
   g_autofree char *head = cc_edge_release_head (&what, &body);
   g_autofree char *whole = with_host (head, t->listing.address);
+  CcHttpOrder o = { .address = t->listing.address,
+                    .head = whole,
+                    .body = body,
+                    .answer_within = RELEASE_WITHIN };
 
-  call_upstream (x, t->listing.address, whole, body, RELEASE_WITHIN,
-                 on_released);
+  call_upstream (x, &o, on_released);
 }
 
 /* Whether the previous owner of X's range has stopped for sure. */
@@ -359,7 +378,7 @@
 
   if (previous_stopped (x, now))
     {
-      send_grant (x);
+      send_grant (x, 0);
       return;
     }
   t = cc_targets_find (x->shared->targets, x->range->previous);
@@ -407,11 +426,16 @@
   if (!cc_granter_lease_may_renew (&x->shared->lease, now))
     return;
   /* Who takes over goes by the rows: a move that is finished here and not yet
-   * there is none. */
+   * there is none.
+   *
+   * Failure: the owner took the higher fence of who has taken over, was started
+   * again under its id and has forgotten it.  Symptom: it takes a renewal while
+   * its keys are another's.  A connection that was open when it took the last
+   * grant leads to the life that remembers. */
   if (!cc_granter_lease_may_change (&x->shared->lease, now))
     {
       if (x->held && x->written && x->range->previous == NULL)
-        send_grant (x);
+        send_grant (x, x->life_seen);
       return;
     }
   if (!x->written && (!x->held || x->range->previous != NULL))
@@ -419,5 +443,5 @@
   if (x->range->previous != NULL)
     step_move (x, now);
   else
-    send_grant (x);
+    send_grant (x, 0);
 }
--- a/range_grant.h
+++ b/range_grant.h
@@ -39,6 +39,9 @@
   gint64 previous_doubt;
   gint64 not_before; /* of the next call, us */
   gint64 answered;   /* the owner last answered, us */
+  gint64 life_seen;  /* a connection to the owner's address that was open then
+                        leads to the process that took the last grant, us */
+  gboolean withheld; /* a renewal was, for want of such a connection */
   gint64 call_began;
   gint64 moved_at; /* when its owner last changed, us; 0: not seen */
 } CcRangeGrant;
