Granter: the lease's row tells how long granters before its holder may renew

What callers saw: two upstreams held the same keys for over four seconds (in the model).

Cause: the row names the last holder only. A granter that is cut off may renew for nine seconds. If its successor resigns, is started again at its address, or finds its own claim carried out late, the row counts as vacant, and whoever follows waits for nobody.

Change: others_ms in the row, counted from its writing; a claim waits for the latest of all that came before. A row without it, of an older version, counts as nine seconds. A holder that has been in office for longer writes 0, so a takeover from it costs nothing more than before.

--- a/granter.c
+++ b/granter.c
@@ -69,20 +69,20 @@
   gboolean doubtful; /* a write's answer was lost: read first */
   gboolean resigning;
   gboolean resigned;
-  gint64 started;           /* us */
-  gboolean may_claim;       /* by the row as it was last read */
-  gboolean claiming;        /* a claim may still take effect */
-  gint64 stand_back;        /* claims nothing before, us */
-  gint64 next_poll;         /* of the row, while watching, us */
-  gint64 sent;              /* the write in progress, us */
-  guint rank;               /* in the order of watching */
-  guint fleet;              /* processes that registered */
-  gboolean named;           /* the rows named this process as the granter */
-  gboolean blind;           /* holds a lease by which it may only renew */
-  gint64 predecessor_until; /* it may renew what it granted, us */
-  gint64 predecessor_seen;  /* its last renewal was known, us */
-  gint64 targets_changed;   /* us */
-  gint64 loaded_at;         /* when the rows were read, us */
+  gint64 started;            /* us */
+  gboolean may_claim;        /* by the row as it was last read */
+  gboolean claiming;         /* a claim may still take effect */
+  gint64 stand_back;         /* claims nothing before, us */
+  gint64 next_poll;          /* of the row, while watching, us */
+  gint64 sent;               /* the write in progress, us */
+  guint rank;                /* in the order of watching */
+  guint fleet;               /* processes that registered */
+  gboolean named;            /* the rows named this process as the granter */
+  gboolean blind;            /* holds a lease by which it may only renew */
+  gint64 predecessors_until; /* they may renew what they granted, us */
+  gint64 predecessor_seen;   /* its last renewal was known, us */
+  gint64 targets_changed;    /* us */
+  gint64 loaded_at;          /* when the rows were read, us */
   gint64 plan_after; /* until then upstreams may be missing by mistake, us */
   gboolean announce; /* the row that says where reports go is to be written */
   gint64 balance_at; /* when load is levelled next, us */
@@ -192,13 +192,15 @@
 void
 cc_granter_lease_received (CcGranter *g, guint64 version, gint64 seen_at)
 {
+  /* Who claims the lease has read the row before. */
+  CcGranterRow row = { .version = version, .others = CC_GRANTER_BLIND };
   gint64 quiet = RENEWAL_QUIET;
 
   if (g->shared.lease.held || version <= g->shared.lease.version)
     return;
   if (g->rank >= WATCH_RANKS)
     quiet += (gint64) (g_random_double () * (double) poll_period (g));
-  cc_granter_lease_seen (&g->shared.lease, version, FALSE, seen_at);
+  cc_granter_lease_seen (&g->shared.lease, &row, seen_at);
   g->may_claim = FALSE;
   g->next_poll = seen_at + quiet;
 }
@@ -271,11 +273,11 @@
   g->loaded = FALSE;
 }
 
-/* How much longer granters before this one may renew at NOW, ms. */
+/* How much longer granters before this one may renew at NOW, ms, rounded up. */
 static gint64
 predecessors_ms (const CcGranter *g, gint64 now)
 {
-  return MAX (g->predecessor_until - now, 0) / CC_MS;
+  return (MAX (g->predecessors_until - now, 0) + CC_MS - 1) / CC_MS;
 }
 
 static void
@@ -288,21 +290,37 @@
   g->doubtful = FALSE;
 }
 
-/* Whose word the lease's row VALUE is; *SEQUENCE of its write. */
-static char *
-read_holder (const char *value, guint64 *sequence)
+/* The value of the lease's row. */
+typedef struct
+{
+  char *holder;     /* id of a run; empty: it resigned */
+  guint64 sequence; /* of its write */
+  gint64 others; /* granters before it may renew for so long from then on, us */
+} LeaseValue;
+
+/* Decodes VALUE.  Who wrote no time for others may have kept none. */
+static LeaseValue
+read_lease_value (const char *value)
 {
   g_autoptr (JsonNode) root = json_from_string (value, NULL);
+  LeaseValue v = { .others = CC_GRANTER_BLIND };
   JsonObject *o;
 
-  *sequence = 0;
   if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    return g_strdup ("");
+    {
+      v.holder = g_strdup ("");
+      return v;
+    }
   o = json_node_get_object (root);
-  *sequence =
+  v.holder =
+      g_strdup (json_object_get_string_member_with_default (o, "holder", ""));
+  v.sequence =
       (guint64) json_object_get_int_member_with_default (o, "sequence", 0);
-  return g_strdup (
-      json_object_get_string_member_with_default (o, "holder", ""));
+  v.others = CLAMP (json_object_get_int_member_with_default (
+                        o, "others_ms", CC_GRANTER_BLIND / CC_MS),
+                    0, CC_GRANTER_BLIND / CC_MS) *
+             CC_MS;
+  return v;
 }
 
 /* The rows of the last write, which took effect as VERSION. */
@@ -376,31 +394,33 @@
 {
   CcGranter *g = data;
   gint64 now = cc_clock_now ();
-  g_autofree char *holder = g_strdup ("");
-  guint64 version = 0, sequence = 0;
+  const char *key, *value = "";
+  guint64 version = 0;
+  g_autofree char *holder = NULL;
+  LeaseValue v;
 
   (void) upto, (void) why;
   g->calling = FALSE;
   if (status != CC_OK)
     return;
   if (g_variant_n_children (rows) > 0)
-    {
-      const char *key, *value;
-
-      g_variant_get_child (rows, 0, "(&st&s)", &key, &version, &value);
-      g_free (holder);
-      holder = read_holder (value, &sequence);
-    }
+    g_variant_get_child (rows, 0, "(&st&s)", &key, &version, &value);
+  v = read_lease_value (value);
+  holder = v.holder;
   if (!g->shared.lease.held)
     {
       /* A claim whose answer was lost.  The lease that this run gave up is
        * none: it has forgotten what it granted, and goes by the row like any
        * other. */
-      if (g->claiming && g_str_equal (holder, g->id) && sequence == g->sequence)
+      CcGranterRow row = { .version = version,
+                           .vacant = is_free (g, holder),
+                           .others = v.others };
+
+      if (g->claiming && g_str_equal (holder, g->id) &&
+          v.sequence == g->sequence)
         take_lease (g, version);
       else
-        cc_granter_lease_seen (&g->shared.lease, version, is_free (g, holder),
-                               now);
+        cc_granter_lease_seen (&g->shared.lease, &row, now);
       /* Only what was read just now says that the holder is silent. */
       g->may_claim = cc_granter_lease_may_claim (&g->shared.lease, now) &&
                      (version != 0 || now >= g->started + g->setup.patience);
@@ -410,7 +430,7 @@
   g->doubtful = FALSE;
   if (!g_str_equal (holder, g->id))
     lose_lease (g, "taken-over");
-  else if (version != g->shared.lease.version && sequence == g->sequence)
+  else if (version != g->shared.lease.version && v.sequence == g->sequence)
     confirm_lease (g, version);
   else
     g->shared.lease.version = version;
@@ -447,7 +467,7 @@
   CcPredecessor before = { .seen = g->predecessor_seen,
                            .changes_until =
                                g->predecessor_seen + CC_GRANTER_TERM,
-                           .renews_until = MAX (g->predecessor_until, now) };
+                           .renews_until = MAX (g->predecessors_until, now) };
   GHashTableIter i;
   gpointer value;
 
@@ -576,29 +596,38 @@
     }
 }
 
+/* The value of the lease's row that is written at NOW. */
+static char *
+lease_value (CcGranter *g, gint64 now)
+{
+  return g_strdup_printf ("{\"holder\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT
+                          ",\"others_ms\":%" G_GINT64_FORMAT "}",
+                          g->resigning ? "" : g->id, ++g->sequence,
+                          predecessors_ms (g, now));
+}
+
 /* Claims or renews the lease, with the rows of ranges that have changed. */
 static void
 write_lease (CcGranter *g)
 {
   CcTableChange *c = cc_table_change_new ();
-  g_autofree char *value =
-      g_strdup_printf ("{\"holder\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT "}",
-                       g->resigning ? "" : g->id, ++g->sequence);
+  g_autofree char *value = NULL;
 
   g->may_claim = FALSE;
+  g->sent = cc_clock_now ();
   if (!g->shared.lease.held)
     {
-      g->predecessor_until =
-          cc_granter_lease_predecessor_until (&g->shared.lease);
+      g->predecessors_until =
+          cc_granter_lease_predecessors_until (&g->shared.lease);
       g->predecessor_seen = g->shared.lease.seen_at;
       g->claiming = TRUE;
     }
+  value = lease_value (g, g->sent);
   g_ptr_array_set_size (g->rows, 0);
   cc_table_expect (c, CC_TABLE_LEASE, LEASE_KEY, g->shared.lease.version);
   cc_table_put (c, CC_TABLE_LEASE, LEASE_KEY, value);
   if (g->shared.lease.held && !g->resigning)
     put_dirty (g, c);
-  g->sent = cc_clock_now ();
   g->calling = TRUE;
   cc_table_commit (g->setup.table, c, on_written, g);
 }
--- a/granter_lease.c
+++ b/granter_lease.c
@@ -3,15 +3,15 @@
  * two machines. */
 #include "granter_lease.h"
 
-/* The row was read: it has VERSION, and its holder has resigned if VACANT. */
+/* The lease's row was known at NOW to be ROW. */
 void
-cc_granter_lease_seen (CcGranterLease *d, guint64 version, gboolean vacant,
-                       gint64 now)
+cc_granter_lease_seen (CcGranterLease *d, const CcGranterRow *row, gint64 now)
 {
-  if (d->seen_at == 0 || d->version != version)
+  if (d->seen_at == 0 || d->version != row->version)
     d->seen_at = now;
-  d->version = version;
-  d->vacant = vacant;
+  d->version = row->version;
+  d->vacant = row->vacant;
+  d->others_until = d->seen_at + row->others;
 }
 
 /* Whether a watcher may claim the lease at NOW. */
@@ -56,14 +56,20 @@
   return d->held && now < d->confirmed + CC_GRANTER_BLIND;
 }
 
-/* To be asked just before a claim: until when the holder of before may send
- * grants, us. */
+/* To be asked just before a claim: until when any holder of before may send
+ * grants, us.
+ *
+ * Failure: a holder that is cut off renews, its successor resigns or is started
+ * again, and the next one takes the vacancy for the end of both.  Symptom: two
+ * upstreams hold the same keys. */
 gint64
-cc_granter_lease_predecessor_until (const CcGranterLease *d)
+cc_granter_lease_predecessors_until (const CcGranterLease *d)
 {
+  gint64 last = d->vacant ? d->seen_at : d->seen_at + CC_GRANTER_BLIND;
+
   if (d->version == 0)
     return 0;
-  return d->vacant ? d->seen_at : d->seen_at + CC_GRANTER_BLIND;
+  return MAX (last, d->others_until);
 }
 
 /* When a grant that arrived at ARRIVED has surely ended, us. */
--- a/granter_lease.h
+++ b/granter_lease.h
@@ -31,14 +31,24 @@
 
 typedef struct
 {
-  gboolean held;    /* as far as is known */
-  guint64 version;  /* of the lease's row; 0: there is none */
-  gboolean vacant;  /* its holder resigned */
-  gint64 seen_at;   /* when VERSION was first seen, us; 0: never read */
-  gint64 confirmed; /* when the last renewal that took effect was sent, us */
+  gboolean held;       /* as far as is known */
+  guint64 version;     /* of the lease's row; 0: there is none */
+  gboolean vacant;     /* its holder resigned */
+  gint64 seen_at;      /* when VERSION was first seen, us; 0: never read */
+  gint64 others_until; /* granters before the row's holder may renew, us */
+  gint64 confirmed;    /* when the last renewal that took effect was sent, us */
 } CcGranterLease;
 
-void cc_granter_lease_seen (CcGranterLease *d, guint64 version, gboolean vacant,
+/* What is known of the lease's row. */
+typedef struct
+{
+  guint64 version; /* 0: there is none */
+  gboolean vacant; /* its holder resigned, or has ended */
+  gint64 others;   /* granters before its holder may renew for so long after it
+                      was written, us */
+} CcGranterRow;
+
+void cc_granter_lease_seen (CcGranterLease *d, const CcGranterRow *row,
                             gint64 now);
 gboolean cc_granter_lease_may_claim (const CcGranterLease *d, gint64 now);
 void cc_granter_lease_confirmed (CcGranterLease *d, guint64 version,
@@ -46,7 +56,7 @@
 void cc_granter_lease_lost (CcGranterLease *d);
 gboolean cc_granter_lease_may_change (const CcGranterLease *d, gint64 now);
 gboolean cc_granter_lease_may_renew (const CcGranterLease *d, gint64 now);
-gint64 cc_granter_lease_predecessor_until (const CcGranterLease *d);
+gint64 cc_granter_lease_predecessors_until (const CcGranterLease *d);
 gint64 cc_grant_ends (gint64 arrived);
 
 #endif
