Granter: a pool that is added leaves the grants of the others as they are

What callers saw: two upstreams held the same keys (in the model) when a configuration brought another pool with keys in the middle of a move.

Cause: the holder read all rows again, as if from the granter before it, with the times at which it had taken the lease itself. The previous owner of a range in a move counted as long stopped, and the new one was granted at once.

Evidence: test_two_holders, a_pool_that_is_added_ends_no_move_early: "0 holds 0 to 10921 (fence 1), 3 holds 0 to 6553 (fence 7)" before, green after.

Change: only pools whose rows were not read under this lease are read. The others are renewed and planned meanwhile, which they were not.

--- a/granted_pool.c
+++ b/granted_pool.c
@@ -47,6 +47,7 @@
 {
   g_ptr_array_set_size (p->grants, 0);
   g_ptr_array_set_size (p->ranges.list, 0);
+  p->loaded = FALSE;
 }
 
 static CcRangeGrant *
@@ -92,6 +93,7 @@
 
       cc_range_grant_load (x, &fence, before);
     }
+  p->loaded = TRUE;
 }
 
 /* Requests a second that T can serve. */
--- a/granted_pool.h
+++ b/granted_pool.h
@@ -12,6 +12,7 @@
   CcGrantShared *shared; /* of all pools */
   CcKeyRanges ranges;
   GPtrArray *grants; /* of CcRangeGrant, one for each range */
+  gboolean loaded;   /* the rows of the ranges were read under this lease */
   CcKeyLoad load;
 } CcGrantedPool;
 
--- a/granter.c
+++ b/granter.c
@@ -64,7 +64,7 @@
   char *id;    /* of this run of the process */
   CcGrantShared shared;
   guint64 sequence;  /* of the last write to the lease's row */
-  gboolean loaded;   /* the rows of the ranges were read under this lease */
+  gboolean loaded;   /* all pools are */
   gboolean calling;  /* the table service */
   gboolean doubtful; /* a write's answer was lost: read first */
   gboolean resigning;
@@ -234,10 +234,16 @@
   g->shared.replan = FALSE;
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    if (must_settle (g, value, now))
-      g->shared.replan = TRUE;
-    else
-      *g->moves += cc_granted_pool_plan (value, &how);
+    {
+      CcGrantedPool *p = value;
+
+      if (!p->loaded)
+        continue;
+      if (must_settle (g, p, now))
+        g->shared.replan = TRUE;
+      else
+        *g->moves += cc_granted_pool_plan (p, &how);
+    }
 }
 
 /* Whether most owners have been silent for so long that it is this process that
@@ -475,12 +481,17 @@
   g->calling = FALSE;
   if (status != CC_OK || !g->shared.lease.held)
     return;
-  forget_ranges (g);
   g_hash_table_iter_init (&i, g->pools);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
-      cc_granted_pool_load (value, rows, &before);
-      log_ranges (g, value, now);
+      CcGrantedPool *p = value;
+
+      /* What this process has granted since it took the lease is known better
+       * than the rows and the times of the granter before tell. */
+      if (p->loaded)
+        continue;
+      cc_granted_pool_load (p, rows, &before);
+      log_ranges (g, p, now);
     }
   g->loaded = TRUE;
   g->loaded_at = now;
@@ -666,7 +677,7 @@
       g->calling = TRUE;
       cc_table_read (g->setup.table, CC_TABLE_STATE, NULL, on_state_read, g);
     }
-  else if (now >= g->sent + CC_GRANTER_RENEW || (g->loaded && has_dirty (g)))
+  else if (now >= g->sent + CC_GRANTER_RENEW || has_dirty (g))
     write_lease (g);
 }
 
@@ -697,8 +708,7 @@
   if (g_hash_table_size (g->pools) == 0 && !g->resigning)
     return;
   note_blind (g, now);
-  if (g->shared.lease.held && g->loaded && !g->resigning &&
-      now >= g->plan_after &&
+  if (g->shared.lease.held && !g->resigning && now >= g->plan_after &&
       cc_granter_lease_may_change (&g->shared.lease, now) &&
       (g->shared.replan || now >= g->balance_at))
     {
@@ -708,8 +718,7 @@
         g->balance_at = now + BALANCE_PERIOD;
       plan_all (g, level, now);
     }
-  if (g->shared.lease.held && g->loaded && !g->resigning &&
-      step_grants (g, now))
+  if (g->shared.lease.held && !g->resigning && step_grants (g, now))
     {
       g->stand_back = now + STAND_BACK;
       lose_lease (g, "cut-off-from-upstreams");
