Granter: a part of a range is granted when its own row is written

What callers saw: two upstreams held the same key (in the model).

The part that stays with its owner was renewed before its row was written. If the granter is lost between the two rows, the rows give the whole range to the new owner, and whoever takes over counts on the old one having got its last grant before the move was written.

Evidence: test_two_holders, the_part_of_a_cut_that_stays_is_waited_for: "106 holds 0 to 296 (fence 221), 0 holds 296 to 296 (fence 1)" before, green after.

Change: a new range begins as not held, so the rule that holds for all others holds for it: first the row, then the grant.

--- a/range_grant.c
+++ b/range_grant.c
@@ -87,7 +87,11 @@
 }
 
 /* X's range was cut from SOURCE's at NOW: what may be held of the one may be
- * held of the other. */
+ * held of the other.  Nothing is granted before its own row is written.
+ *
+ * Failure: the rest of a range is renewed for its owner while the rows give all
+ * of it to another, and the granter is lost.  Symptom: whoever takes over goes
+ * by the rows, and two upstreams hold the rest. */
 void
 cc_range_grant_inherit (CcRangeGrant *x, const CcRangeGrant *source, gint64 now)
 {
@@ -95,7 +99,6 @@
   x->previous_doubt = MAX (source->owner_doubt, source->previous_doubt);
   x->owner_until = source->owner_until;
   x->owner_doubt = source->owner_doubt;
-  x->held = source->held && x->range->previous == NULL;
   x->moved_at = now;
 }
 
