Test of two holders: a renewal taken by a life that was not listed yet

An upstream starts again and takes a renewal, with the fence of before, while the granter's list still names the old life. Then the list is read, the keys are to go back to the new life, and its row is on its way (600 ms); it vanishes from the list. The keys go to another at once, no release is sent and nothing is waited for: 0 holds 0 to 6553 (fence 1), 3 holds 0 to 6553 (fence 8).

Cause, by the trace: taking a range back for a new life of its owner sets owner_until to 0 without a previous owner, so what that life was granted under the old fence is forgotten at the next change of owner.

--- a/test/granter_world.c
+++ b/test/granter_world.c
@@ -788,6 +788,7 @@
 void
 world_add_pool (guint index)
 {
+  world.processes[index].has_later = TRUE;
   configure (&world.processes[index], 2);
 }
 
@@ -853,12 +854,26 @@
   p->granter = cc_granter_new (&setup);
   configure (p, 1);
   if (world.added_at != 0 && now >= world.added_at)
-    configure (p, 2);
+    world_add_pool (index);
   cc_granter_rank (p->granter, world.weak ? 50 + index : 0,
                    world.weak ? 90 : GRANTERS);
   world_list_servers (p, now);
 }
 
+/* Ends process INDEX and starts it again; it reaches no more than before. */
+void
+world_start_again (guint index)
+{
+  Process *p = &world.processes[index];
+  Process before = *p;
+
+  world_start_process (index, cc_clock_now ());
+  p->cut_from_table = before.cut_from_table;
+  p->healed_at = before.healed_at;
+  memcpy (p->cut_from, before.cut_from, sizeof before.cut_from);
+  memcpy (p->unlisted, before.unlisted, sizeof before.unlisted);
+}
+
 static guint
 random_server (void)
 {
@@ -917,6 +932,187 @@
     }
 }
 
+/* ---- many kinds of faults ---- */
+
+/* P is cut off from what it is cut off from for up to MOST ms. */
+static void
+heal_later (Process *p, gint most)
+{
+  p->healed_at = MAX (p->healed_at, cc_clock_now () + ms (300, most));
+}
+
+static void
+end_server (Server *s)
+{
+  s->up = FALSE;
+  s->leaving = FALSE;
+  s->born++;
+  s->back_at = cc_clock_now () + ms (20, 5000);
+  g_array_set_size (s->held, 0);
+}
+
+/* The holder of the lease loses the table.  About a half of the servers is
+ * reached by it alone, some of them are listed nowhere else, and one of them
+ * may start again meanwhile. */
+static void
+isolate_holder (void)
+{
+  double half = g_rand_double_range (world.rand, 0.2, 0.7);
+
+  for (guint i = 0; i < GRANTERS; i++)
+    if (cc_granter_holds_lease (world.processes[i].granter))
+      {
+        world.processes[i].cut_from_table = TRUE;
+        heal_later (&world.processes[i], 14000);
+      }
+  for (guint s = 0; s < world.count; s++)
+    {
+      gboolean hidden = chance (half);
+      gboolean unlisted = hidden && chance (0.3);
+
+      if (unlisted && chance (0.3))
+        end_server (&world.servers[s]);
+      for (guint i = 0; i < GRANTERS && hidden; i++)
+        if (!world.processes[i].cut_from_table)
+          {
+            world.processes[i].cut_from[s] = TRUE;
+            world.processes[i].unlisted[s] = unlisted;
+            heal_later (&world.processes[i], 14000);
+          }
+    }
+}
+
+static void
+add_load (void)
+{
+  guint key = (guint) g_rand_int_range (world.rand, 0, CC_LOAD_KEYS - 8);
+  const char *pool = pool_name (world.kind.later > 0 && chance (0.5));
+
+  for (guint i = 0; i < 8; i++)
+    for (guint k = 0; k < GRANTERS; k++)
+      cc_granter_add_load (world.processes[k].granter, pool, key + i,
+                           (guint) g_rand_int_range (world.rand, 0, 60));
+}
+
+static void
+disturb_servers (void)
+{
+  guint many = chance (0.2) ? world.count / 2 : 1;
+
+  for (guint i = 0; i < many; i++)
+    {
+      Server *s = &world.servers[random_server ()];
+
+      if (s->up && chance (0.7))
+        end_server (s);
+      else
+        s->leaving = !s->leaving;
+    }
+}
+
+static void
+disturb_link (Process *p)
+{
+  guint s = random_server ();
+
+  if (chance (0.3))
+    p->cut_from_table = TRUE;
+  else
+    p->cut_from[s] = TRUE;
+  p->unlisted[s] = chance (0.5);
+  heal_later (p, 9000);
+}
+
+static void
+disturb_many (gint64 now)
+{
+  guint index = (guint) g_rand_int_range (world.rand, 0, GRANTERS);
+  Process *p = &world.processes[index];
+
+  switch (g_rand_int_range (world.rand, 0, 9))
+    {
+    case 0:
+      world_start_again (index);
+      if (chance (0.7))
+        p->frozen_until = now + ms (0, 2500);
+      break;
+    case 1:
+      cc_granter_resign (p->granter);
+      p->resigning = TRUE;
+      break;
+    case 2:
+      p->frozen_until = now + ms (200, 9500);
+      break;
+    case 3:
+      isolate_holder ();
+      break;
+    case 4:
+    case 5:
+      disturb_link (p);
+      break;
+    case 6:
+      add_load ();
+      break;
+    default:
+      disturb_servers ();
+      break;
+    }
+}
+
+/* What was to happen at a time. */
+static void
+play_planned (gint64 now)
+{
+  for (guint i = 0; i < world.count; i++)
+    {
+      Server *s = &world.servers[i];
+
+      if (s->back_at == 0 || now < s->back_at)
+        continue;
+      s->up = TRUE;
+      s->back_at = 0;
+    }
+  for (guint i = 0; i < GRANTERS; i++)
+    {
+      Process *p = &world.processes[i];
+
+      if (p->healed_at != 0 && now >= p->healed_at)
+        {
+          p->healed_at = 0;
+          p->cut_from_table = FALSE;
+          memset (p->cut_from, 0, sizeof p->cut_from);
+          memset (p->unlisted, 0, sizeof p->unlisted);
+        }
+      if (p->resigning && cc_granter_has_resigned (p->granter))
+        {
+          world_start_again (i);
+          p->frozen_until = now + ms (0, 3000);
+        }
+      /* The configuration comes to one after the other. */
+      if (world.added_at != 0 && !p->has_later &&
+          now >= world.added_at + i * 700 * CC_MS)
+        world_add_pool (i);
+    }
+}
+
+static void
+disturb (gint64 now)
+{
+  double often = 0.01 * world.faults * 4;
+
+  if (world.kind.many)
+    {
+      play_planned (now);
+      if (chance (world.kind.often * STEP / CC_SECOND))
+        disturb_many (now);
+      return;
+    }
+  if (chance (often))
+    disturb_server (&world.servers[random_server ()]);
+  if (chance (often))
+    disturb_process ((guint) g_rand_int_range (world.rand, 0, GRANTERS), now);
+}
+
 static void
 play_due (gint64 now)
 {
@@ -951,10 +1147,7 @@
   play_due (now);
   if (world.kind.news)
     play_news (now);
-  if (chance (0.01 * world.faults * 4))
-    disturb_server (&world.servers[random_server ()]);
-  if (chance (0.01 * world.faults * 4))
-    disturb_process ((guint) g_rand_int_range (world.rand, 0, GRANTERS), now);
+  disturb (now);
   for (guint i = 0; i < GRANTERS; i++)
     {
       Process *p = &world.processes[i];
@@ -1012,6 +1205,8 @@
       s->up = TRUE;
       s->held = g_array_new (FALSE, FALSE, sizeof (Held));
     }
+  if (kind->later > 0)
+    world.added_at = cc_clock_now () + ms (0, 20000);
   for (guint i = 0; i < GRANTERS; i++)
     world_start_process (i, cc_clock_now ());
 }
@@ -1069,3 +1264,12 @@
       world_clear ();
     }
 }
+
+/* Plays a world of KIND and fails with what was found there. */
+void
+world_play (const WorldKind *kind)
+{
+  world_begin_kind (kind);
+  for (guint i = 0; i < STEPS_MANY && world.failure[0] == '\0'; i++)
+    world_step (i);
+}
--- a/test/granter_world.h
+++ b/test/granter_world.h
@@ -8,7 +8,8 @@
 #include "view.h"
 
 #define STEP (10 * CC_MS)
-#define STEPS 2500 /* 25 s */
+#define STEPS 2500      /* 25 s */
+#define STEPS_MANY 4000 /* 40 s, in worlds of many kinds of faults */
 #define SERVERS 5
 #define SERVERS_MOST 220
 #define GRANTERS 3
@@ -31,7 +32,8 @@
   guint64 born;
   gboolean up;
   gboolean leaving;
-  GArray *held; /* of Held: of this life, all that was ever granted */
+  gint64 back_at; /* it starts again, us; 0: it is not to */
+  GArray *held;   /* of Held: of this life, all that was ever granted */
 } Server;
 
 typedef struct
@@ -44,6 +46,8 @@
   gboolean cut_from_table;
   gint64 write_takes; /* until a write is carried out, us; 0: as the world is */
   gboolean resigning;
+  gboolean has_later; /* its configuration has LATER_POOL */
+  gint64 healed_at;   /* all that it is cut off from is back, us; 0: never */
   gboolean cut_from[SERVERS_MOST];
   gboolean unlisted[SERVERS_MOST]; /* in its copy of the list */
   GArray *connections;             /* of Connection */
@@ -128,6 +132,7 @@
   guint servers;      /* 0: SERVERS */
   guint later;        /* ... those at the end are of LATER_POOL */
   gboolean many;      /* kinds of faults, and strict checks of the fence */
+  double often;       /* ... that begin in a second */
   gboolean news;      /* processes are told of renewals */
   gint64 table_takes; /* a write at most, us; 0: none is on its way */
 } WorldKind;
@@ -161,11 +166,13 @@
 void world_begin_kind (const WorldKind *kind);
 void world_clear (void);
 void world_start_process (guint index, gint64 now);
+void world_start_again (guint index);
 void world_add_pool (guint index);
 void world_list_servers (Process *p, gint64 now);
 void world_step (guint number);
 double world_share_held (void);
 void world_run (double faults, guint first, guint count);
+void world_play (const WorldKind *kind);
 void world_fail (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
 #endif
--- a/test/test_two_holders.c
+++ b/test/test_two_holders.c
@@ -21,6 +21,13 @@
     world_step ((guint) (cc_clock_now () / STEP));
 }
 
+/* Changes of ranges that were planned so far. */
+static guint64
+moves (void)
+{
+  return *cc_metrics_counter ("capercrank_key_ranges_moved", "");
+}
+
 static guint
 holder_but (guint other)
 {
@@ -67,20 +74,6 @@
       }
 }
 
-/* Starts process INDEX again; it reaches no more than before. */
-static void
-start_again (guint index)
-{
-  Process before = world.processes[index];
-
-  before.alive = FALSE;
-  world_start_process (index, cc_clock_now ());
-  memcpy (world.processes[index].cut_from, before.cut_from,
-          sizeof before.cut_from);
-  memcpy (world.processes[index].unlisted, before.unlisted,
-          sizeof before.unlisted);
-}
-
 /* ---- a granter before the last one ---- */
 
 /* The first granter is cut off from the table together with half of the
@@ -112,7 +105,7 @@
   guint first = begin_chain ();
 
   (void) state;
-  start_again (run_until_held_by_another (first));
+  world_start_again (run_until_held_by_another (first));
   end_chain ();
 }
 
@@ -238,6 +231,32 @@
   start_again_below_a_fence (6, 0, TRUE);
 }
 
+/* Guards against two upstreams that hold the same keys: one starts again and
+ * takes a renewal before its new life is listed; it is to get its keys back,
+ * but goes before that, and the renewal's end is not waited for. */
+static void
+one_renewed_before_its_new_life_was_known_is_waited_for (void **state)
+{
+  guint first = begin (6);
+  Process *p = &world.processes[first];
+  Server *s = &world.servers[0];
+
+  (void) state;
+  p->cut_from_table = TRUE;
+  s->born++;
+  g_array_set_size (s->held, 0);
+  run_for (1300 * CC_MS);
+  assert_int_equal (s->held->len, 1);
+  p->cut_from_table = FALSE;
+  p->write_takes = 600 * CC_MS;
+  for (guint64 before = moves (); moves () == before;)
+    run_for (STEP);
+  p->unlisted[0] = TRUE;
+  run_for (8 * CC_SECOND);
+  assert_string_equal (world.failure, "");
+  world_clear ();
+}
+
 /* ---- a configuration with another pool ---- */
 
 /* Guards against two upstreams that hold the same keys: another keyed pool is
@@ -280,8 +299,6 @@
 static guint
 cut_as_others_start_again (Process *p)
 {
-  const CcCounter *moves =
-      cc_metrics_counter ("capercrank_key_ranges_moved", "");
   guint64 before;
   guint hot = g_array_index (world.servers[0].held, Held, 0).to;
 
@@ -296,9 +313,9 @@
       while (!a_write_is_on_its_way ())
         run_for (STEP);
     }
-  before = *moves;
+  before = moves ();
   cc_granter_add_load (p->granter, POOL, hot, 20000);
-  while (*moves == before)
+  while (moves () == before)
     run_for (STEP);
   for (guint i = 1; i <= STARTED_AGAIN; i++)
     {
@@ -349,6 +366,7 @@
         one_started_again_of_many_takes_no_renewal_by_the_granter_before),
     cmocka_unit_test (
         one_started_again_takes_no_renewal_by_a_granter_that_wakes),
+    cmocka_unit_test (one_renewed_before_its_new_life_was_known_is_waited_for),
     cmocka_unit_test (a_pool_that_is_added_ends_no_move_early),
     cmocka_unit_test (the_part_of_a_cut_that_stays_is_waited_for),
   };
