Granter: what the old life of an owner may hold is waited for when its keys move on

What callers saw: two upstreams held the same keys (in the model).

Cause: an upstream is started again under its id and takes a renewal with the old fence before its new life is listed. Its keys are planned back to the new life, which replaces the times of the old grants by none; when it is lost then, its keys go to another at once.

Evidence: test_two_holders, one_renewed_before_its_new_life_was_known_is_waited_for: "0 holds 0 to 6553 (fence 1), 3 holds 0 to 6553 (fence 8)" before, green after; a random world found it, one of 3,200.

Change: a change of owner never lowers the time for which its range's previous owner is waited for.

--- a/range_grant.c
+++ b/range_grant.c
@@ -74,8 +74,10 @@
     }
   else
     {
-      x->previous_until = x->owner_until;
-      x->previous_doubt = x->owner_doubt;
+      /* An owner that was started again is its own previous one, so what may be
+       * held from before stays. */
+      x->previous_until = MAX (x->previous_until, x->owner_until);
+      x->previous_doubt = MAX (x->previous_doubt, x->owner_doubt);
       x->released = FALSE;
     }
   g_clear_pointer (&x->handoff, g_free);
