Granter: an owner that a move had for a moment is waited for on its own

The end of 0072's grant had been written down as part of the previous owner's, and that one's address was another upstream's by then: the proof that it had ended put an end to both.

Evidence: test_two_holders, an_owner_of_a_moment_is_waited_for: "key 0 went to 3 with fence 7, 2 had it with 9" before, green after. The granter was one that had just taken over, but nothing in the cause needs that.

Change: the time for those in between stands apart (between_until), and neither a release nor the end of the previous owner shortens it.

--- a/granted_pool.c
+++ b/granted_pool.c
@@ -156,7 +156,6 @@
   CcRangeGrant *grant;
   char *owner;
   guint64 born;
-  gboolean was_moving;
 } Before;
 
 static void
@@ -174,8 +173,7 @@
   for (guint i = 0; i < p->grants->len; i++)
     {
       CcRangeGrant *x = p->grants->pdata[i];
-      Before b = { x, g_strdup (x->range->owner), x->range->born,
-                   x->range->previous != NULL };
+      Before b = { x, g_strdup (x->range->owner), x->range->born };
 
       g_array_append_val (list, b);
     }
@@ -222,8 +220,9 @@
       const Before *b = &g_array_index (before, Before, i);
 
       if (b->grant == x && !is_for (x, b->owner, b->born))
-        cc_range_grant_owner_changed (x, b->was_moving, cc_clock_now ());
+        cc_range_grant_owner_changed (x, cc_clock_now ());
     }
+  x->moving = r->previous != NULL;
   x->dirty = TRUE;
   x->written = FALSE;
   log_move (p, r);
--- a/range_grant.c
+++ b/range_grant.c
@@ -60,18 +60,19 @@
   return x->raised && now < x->owner_until;
 }
 
-/* X's range went to another owner at NOW.  WAS_MOVING: it was in the middle of
- * a move then. */
+/* X's range went to another owner at NOW.
+ *
+ * Failure: the owner that a move had for a moment was sent a grant that is
+ * carried out late; then the previous owner proves to have ended, and that is
+ * taken for both.  Symptom: the next one is granted the keys at once, and the
+ * late grant has a fence below its own.  Nobody keeps the name of the one in
+ * between, so the end of its grants is waited for whatever becomes of the
+ * previous one. */
 void
-cc_range_grant_owner_changed (CcRangeGrant *x, gboolean was_moving, gint64 now)
+cc_range_grant_owner_changed (CcRangeGrant *x, gint64 now)
 {
-  if (was_moving)
-    {
-      /* The owner of a moment may have been granted the keys already; nobody
-       * keeps its name, so its grant's end is waited for. */
-      x->previous_until = MAX (x->previous_until, x->owner_until);
-      x->previous_doubt = MAX (x->previous_doubt, x->owner_until);
-    }
+  if (x->moving)
+    x->between_until = MAX (x->between_until, x->owner_until);
   else
     {
       /* An owner that was started again is its own previous one, so what may be
@@ -99,8 +100,12 @@
 {
   x->previous_until = MAX (source->owner_until, source->previous_until);
   x->previous_doubt = MAX (source->owner_doubt, source->previous_doubt);
+  x->between_until = source->moving
+                         ? MAX (source->between_until, source->owner_until)
+                         : source->between_until;
   x->owner_until = source->owner_until;
   x->owner_doubt = source->owner_doubt;
+  x->moving = source->moving;
   x->moved_at = now;
 }
 
@@ -114,7 +119,8 @@
 cc_range_grant_load (CcRangeGrant *x, guint64 *fence,
                      const CcPredecessor *before)
 {
-  if (x->range->previous != NULL)
+  x->moving = x->range->previous != NULL;
+  if (x->moving)
     {
       x->previous_until = cc_grant_ends (before->seen + CALL_WITHIN);
       x->previous_doubt = x->previous_until;
@@ -171,6 +177,7 @@
             x->handoff != NULL ? "yes" : "no", NULL);
   g_clear_pointer (&r->previous, g_free);
   g_clear_pointer (&x->handoff, g_free);
+  x->moving = FALSE;
   x->dirty = TRUE;
   x->written = FALSE;
 }
@@ -365,14 +372,16 @@
   call_upstream (x, &o, on_released);
 }
 
-/* Whether the previous owner of X's range has stopped for sure. */
+/* Whether all owners of X's range before the present one have stopped for
+ * sure. */
 static gboolean
 previous_stopped (const CcRangeGrant *x, gint64 now)
 {
   /* That it has started again since is no proof: a grant may have reached the
    * new life before its entry told of that.  It answers a release at once. */
-  return now >= MAX (x->previous_until, x->previous_doubt) ||
-         (x->released && now >= x->previous_doubt);
+  return now >= x->between_until &&
+         (now >= MAX (x->previous_until, x->previous_doubt) ||
+          (x->released && now >= x->previous_doubt));
 }
 
 /* A move waits for the previous owner, then for the new one. */
--- a/range_grant.h
+++ b/range_grant.h
@@ -27,18 +27,21 @@
   gboolean raised;   /* its fence is new, so what others granted ends with the
                         owner's first answer */
   gboolean calling;
-  gboolean dead;         /* forgotten while a call was in progress */
-  gboolean held;         /* the owner answered a grant of this process */
-  gboolean released;     /* the previous owner answered a release */
-  char *handoff;         /* it left this for the owner */
-  gint64 owner_until;    /* the owner's grants have ended by then, us */
-  gint64 owner_doubt;    /* ... those that got no answer */
-  gint64 unanswered;     /* ... those of them that this process sent */
+  gboolean dead;      /* forgotten while a call was in progress */
+  gboolean moving;    /* RANGE has a previous owner, or had before the plan that
+                         is being made */
+  gboolean held;      /* the owner answered a grant of this process */
+  gboolean released;  /* the previous owner answered a release */
+  char *handoff;      /* it left this for the owner */
+  gint64 owner_until; /* the owner's grants have ended by then, us */
+  gint64 owner_doubt; /* ... those that got no answer */
+  gint64 unanswered;  /* ... those of them that this process sent */
   gint64 until_before;   /* OWNER_UNTIL without the call in progress */
   gint64 previous_until; /* the same of the previous owner */
   gint64 previous_doubt;
-  gint64 not_before; /* of the next call, us */
-  gint64 answered;   /* the owner last answered, us */
+  gint64 between_until; /* the same of owners that a move had for a moment */
+  gint64 not_before;    /* of the next call, us */
+  gint64 answered;      /* the owner last answered, us */
   gint64 life_seen;  /* a connection to the owner's address that was open then
                         leads to the process that took the last grant, us */
   gboolean withheld; /* a renewal was, for want of such a connection */
@@ -59,8 +62,7 @@
 void cc_range_grant_free (gpointer grant);
 void cc_range_grant_step (CcRangeGrant *x, gint64 now);
 gboolean cc_range_grant_is_unsettled (const CcRangeGrant *x, gint64 now);
-void cc_range_grant_owner_changed (CcRangeGrant *x, gboolean was_moving,
-                                   gint64 now);
+void cc_range_grant_owner_changed (CcRangeGrant *x, gint64 now);
 void cc_range_grant_inherit (CcRangeGrant *x, const CcRangeGrant *source,
                              gint64 now);
 void cc_range_grant_load (CcRangeGrant *x, guint64 *fence,
--- a/test/granter_world.c
+++ b/test/granter_world.c
@@ -437,6 +437,11 @@
       take_release (e->server, &e->what);
       next.at += ms (0, 400);
     }
+  else if (s->carries_after > 0)
+    {
+      next.kind = EVENT_CARRIED;
+      next.at = now + s->carries_after;
+    }
   else if (chance (world.faults / 2))
     {
       /* No answer, and carried out late. */
--- a/test/granter_world.h
+++ b/test/granter_world.h
@@ -32,8 +32,10 @@
   guint64 born;
   gboolean up;
   gboolean leaving;
-  gint64 back_at; /* it starts again, us; 0: it is not to */
-  GArray *held;   /* of Held: of this life, all that was ever granted */
+  gint64 back_at;       /* it starts again, us; 0: it is not to */
+  gint64 carries_after; /* grants are not answered, and carried out so much
+                           later, us; 0: at once */
+  GArray *held;         /* of Held: of this life, all that was ever granted */
 } Server;
 
 typedef struct
--- a/test/test_two_holders.c
+++ b/test/test_two_holders.c
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <setjmp.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -257,6 +258,67 @@
   world_clear ();
 }
 
+/* ---- an owner of a moment ---- */
+
+/* The server that the row of the keys from 0 on names as owner. */
+static guint
+owner_of_first_keys (void)
+{
+  g_autofree char *key =
+      g_strdup_printf ("%d/range/%s/00000", CC_TABLE_STATE, POOL);
+  const StoreRow *row = g_hash_table_lookup (world.store, key);
+  guint server = 0;
+
+  assert_non_null (row);
+  assert_non_null (strstr (row->value, "\"owner\":\"s"));
+  assert_int_equal (
+      sscanf (strstr (row->value, "\"owner\""), "\"owner\":\"s%u", &server), 1);
+  return server;
+}
+
+/* Whether a grant of the keys from 0 on is to be carried out late. */
+static gboolean
+a_grant_is_to_be_carried_out (void)
+{
+  for (guint i = 0; i < world.events->len; i++)
+    {
+      const Event *e = world.events->pdata[i];
+
+      if (e->kind == EVENT_CARRIED && e->what.from == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Guards against two upstreams that hold the same keys: a range moves from an
+ * owner that is lost to one that does not answer its grant, and on to a third;
+ * that the first has ended is taken for the end of what the second may hold. */
+static void
+an_owner_of_a_moment_is_waited_for (void **state)
+{
+  guint first = begin (6);
+  Process *p = &world.processes[first];
+  guint second;
+
+  (void) state;
+  world.servers[0].up = FALSE;
+  g_array_set_size (world.servers[0].held, 0);
+  while (owner_of_first_keys () == 0)
+    run_for (STEP);
+  second = owner_of_first_keys ();
+  world.servers[second].carries_after = 3 * CC_SECOND;
+  for (guint i = 0; i < 800 && !a_grant_is_to_be_carried_out (); i++)
+    run_for (STEP);
+  assert_true (a_grant_is_to_be_carried_out ());
+  p->unlisted[second] = TRUE;
+  while (owner_of_first_keys () == second)
+    run_for (STEP);
+  cc_view_put (&p->view, "another", ++world.version, "0 1 1");
+  run_for (8 * CC_SECOND);
+  assert_string_equal (world.failure, "");
+  world_clear ();
+}
+
 /* ---- a configuration with another pool ---- */
 
 /* Guards against two upstreams that hold the same keys: another keyed pool is
@@ -367,6 +429,7 @@
     cmocka_unit_test (
         one_started_again_takes_no_renewal_by_a_granter_that_wakes),
     cmocka_unit_test (one_renewed_before_its_new_life_was_known_is_waited_for),
+    cmocka_unit_test (an_owner_of_a_moment_is_waited_for),
     cmocka_unit_test (a_pool_that_is_added_ends_no_move_early),
     cmocka_unit_test (the_part_of_a_cut_that_stays_is_waited_for),
   };
