Calls: nothing is written after a call's time is over

What callers saw: nothing is shown to have come of it; found by reading, after the report of a key that was granted below a higher fence. A slowed process handles a connection that has become writable before the call's timer, which is due, and writes the request then. A granter's successor counts on a grant being out within the call's time (0.8 s) of the last look at the lease, so such a grant may reach an upstream when the keys are another's.

Cause: begin_request() and the first write on a kept connection looked at the socket only. The timer ends a call in the next turn of the main loop.

Ruled out: the order of timers and sockets in one turn. It doesn't help where another connection of the same batch takes long.

Change: before it writes, a call looks at the clock. If its time is over it ends as its timer would end it: unsent without a byte written, late after some. An answer that lies there unread still counts.

Evidence: test_http_link nothing_is_sent_after_its_time holds the main loop up for 350 ms of 300 in the same turn. Before: "new: end 3, 28 bytes sent", and with the cases turned round "kept: end 3, 28 bytes sent".

--- a/http_link.c
+++ b/http_link.c
@@ -134,6 +134,15 @@
          g_socket_condition_check (call->connection->socket, G_IO_IN) != 0;
 }
 
+static void
+give_up (CcHttpCall *call)
+{
+  if (call->written > 0)
+    finish (call, CC_HTTP_LATE, "late");
+  else
+    finish (call, CC_HTTP_UNSENT, "connect-timeout");
+}
+
 static void
 on_time (gpointer data)
 {
@@ -141,10 +150,20 @@
 
   if (has_unread_answer (call))
     extend_time (call);
-  else if (call->written > 0)
-    finish (call, CC_HTTP_LATE, "late");
   else
-    finish (call, CC_HTTP_UNSENT, "connect-timeout");
+    give_up (call);
+}
+
+/* Whether nothing of CALL may leave any more.
+ *
+ * Failure: this process is slow, and handles a connection before the timer that
+ * is due.  Symptom: a request leaves after its time, and takes effect when
+ * others count on its end: keys are granted that another holds by then. */
+static gboolean
+is_over (const CcHttpCall *call)
+{
+  return call->received == 0 && cc_clock_now () >= call->answer_by &&
+         !has_unread_answer (call);
 }
 
 static gint64
@@ -345,6 +364,11 @@
 {
   CcHttpCall *call = c->call;
 
+  if (call->written < call->out->len && is_over (call))
+    {
+      give_up (call);
+      return FALSE;
+    }
   while (call->written < call->out->len)
     {
       g_autoptr (GError) error = NULL;
--- a/test/test_http_link.c
+++ b/test/test_http_link.c
@@ -7,10 +7,12 @@
 #include <stdint.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 #include <gio/gio.h>
 
+#include "fd_watch.h"
 #include "http_link.h"
 #include "timers.h"
 
@@ -84,6 +86,7 @@
   const Case *playing;
   GPtrArray *streams; /* open connections */
   guint accepted;
+  gsize received;      /* bytes of all requests */
   gssize read_end;     /* of a connection that was watched to its end */
   gboolean reset;      /* it ended by a reset */
   guint byte_every_ms; /* answers are sent byte by byte; 0: at once */
@@ -128,6 +131,7 @@
       server.read_end = n;
       return G_SOURCE_REMOVE;
     }
+  server.received += (gsize) n;
   buffer[n] = '\0';
   if (strstr (buffer, "\r\n\r\n") == NULL)
     return G_SOURCE_CONTINUE;
@@ -509,6 +513,58 @@
     }
 }
 
+/* Holds the main loop up once. */
+static void
+on_stall (GIOCondition seen, gpointer data)
+{
+  (void) seen;
+  cc_fd_watch_stop (data);
+  g_usleep (WITHIN + 50 * CC_MS);
+}
+
+/* Guards against a request that is written after its time, by a process that
+ * was slow: whoever counts on its end by then meets its effects later. */
+static void
+nothing_is_sent_after_its_time (void **state)
+{
+  static const Case good = { "good",    OK "Content-Length: 0\r\n\r\n",
+                             THEN_KEEP, CC_HTTP_ANSWERED,
+                             200,       "",
+                             TRUE };
+  static const gboolean kept[] = { FALSE, TRUE };
+
+  (void) state;
+  server.playing = &good;
+  for (guint i = 0; i < G_N_ELEMENTS (kept); i++)
+    {
+      CcHttp *h = cc_http_new ("127.0.0.1");
+      CcHttpOrder o = order_to (server.address);
+      CcFdWatch stall;
+      int ends[2];
+      Outcome out = { 0 };
+      gsize received;
+
+      if (kept[i])
+        assert_int_equal (call (h, &o).end, CC_HTTP_ANSWERED);
+      turn (20);
+      received = server.received;
+      assert_int_equal (pipe (ends), 0);
+      assert_int_equal (write (ends[1], "x", 1), 1);
+      /* It is ready before the connection, and seen in the same turn. */
+      cc_fd_watch_start (&stall, ends[0], G_IO_IN, on_stall, &stall);
+      assert_non_null (cc_http_send (h, &o, on_done, &out));
+      while (!out.ended)
+        g_main_context_iteration (NULL, TRUE);
+      turn (20);
+      if (out.end != CC_HTTP_UNSENT || server.received != received)
+        fail_msg ("%s: end %d, %d bytes sent", kept[i] ? "kept" : "new",
+                  out.end, (int) (server.received - received));
+      close (ends[0]);
+      close (ends[1]);
+      cc_http_free (h);
+    }
+}
+
 int
 main (void)
 {
@@ -520,6 +576,7 @@
     cmocka_unit_test (an_answer_that_goes_on_is_waited_for),
     cmocka_unit_test (an_answer_that_is_there_is_read),
     cmocka_unit_test (a_call_may_ask_for_a_connection_that_was_open),
+    cmocka_unit_test (nothing_is_sent_after_its_time),
   };
 
   return cmocka_run_group_tests (tests, start_server, NULL);
