Tenure: a renewal sent before the drain does not pass for its word

A dispatcher that was told to drain while a renewal of its lease was on its way took the renewal's answer for the answer to the write that says that it drains, and never wrote that. Nobody took its servers over: it served on for 20 s and then left with them, its memory of outcomes lost.

The note of what was written is taken when it is sent now.

test_tenure, drain_is_told_though_a_renewal_is_under_way: failed before, passes.

--- a/tenure.c
+++ b/tenure.c
@@ -140,7 +140,7 @@
         TRUE; /* the row tells: ours, an earlier write of ours, gone */
   else
     cc_lease_failed (&t->lease);
-  if (status == CC_OK && t->draining)
+  if (status == CC_OK && t->drain_sent)
     t->drain_written = TRUE;
   note_slow_renewal (t, sent, status == CC_OK ? "was written" : "has failed");
   tell (t);
@@ -172,6 +172,7 @@
 
       cc_transaction_put (x, member, text);
     }
+  t->drain_sent = t->draining;
   t->calling = TRUE;
   cc_platform_commit (t->platform, x, on_written, t);
 }
--- a/tenure.h
+++ b/tenure.h
@@ -23,6 +23,7 @@
   gboolean calling;    /* a call to the platform is in progress */
   gboolean doubtful;   /* a write's answer was lost: read before the next */
   gboolean draining;   /* hand everything over */
+  gboolean drain_sent; /* the write in progress, or the last, says so */
   gboolean drain_written;
   gboolean closing; /* the rows are to be deleted */
   gboolean closed;  /* they are, or could not be */
