Transfer: a split key's memory is copied when its own server has stopped

Callers that repeated a once-only request were told unknown ("repeat") although its first attempt had been answered. A hot key that is split out of its slice takes the slice's memory along. A dispatcher that holds two servers of the pool, as after the drain of another, copied it when either of them had stopped: attempts at the slice's own server were still under way then, and what is under way counts as unknown.

Nothing could run twice by it: a slice that is being split takes no new attempts.

test_outcome_transfer, a_split_key_takes_ended_attempts_along: failed before, passes.

--- a/outcome_transfer.c
+++ b/outcome_transfer.c
@@ -314,11 +314,13 @@
 /* A hot key that leaves its slice takes the slice's whole memory along, which
  * holds all of its own.  It is written down as if the key's unit had been held
  * here all along under the epoch before, from where it is passed on like that
- * of any unit that moves.  Only the holder of the slice until now may: a unit's
- * number was another key's before, whose memory says nothing about this key,
- * and believed in would let a repeat run twice. */
+ * of any unit that moves.  SERVER has stopped: memory taken while the slice's
+ * attempts were under way would call them unknown.  Only the holder of the
+ * slice until now may: a unit's number was another key's before, whose memory
+ * says nothing about this key, and believed in would let a repeat run twice. */
 static void
-inherit (CcTransfer *t, const CcSliceMap *m, guint unit, const char *me)
+inherit (CcTransfer *t, const CcSliceMap *m, guint unit, const char *server,
+         const char *me)
 {
   const CcMapHot *hot = cc_slicemap_hot (m, unit);
   guint slice = cc_slicemap_slice (m, hot->hash);
@@ -328,7 +330,8 @@
   const Hold *old = g_hash_table_lookup (t->holds, to);
   Hold *held;
 
-  if (hold == NULL || !was_last (m, slice, hold, me) ||
+  if (hold == NULL || !g_str_equal (hold->server, server) ||
+      !was_last (m, slice, hold, me) ||
       (old != NULL && old->epoch >= hot->unit.epoch - 1))
     {
       g_free (to);
@@ -357,7 +360,7 @@
     return TRUE;
   for (guint i = m->slices->len; i < cc_slicemap_units (m); i++)
     if (cc_slicemap_hot (m, i)->state == CC_HOT_SPLITTING)
-      inherit (t, m, i, me);
+      inherit (t, m, i, server, me);
   for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
       g_autofree char *name = g_strdup_printf ("%s/%u", m->pool, i);
--- a/test/test_outcome_transfer.c
+++ b/test/test_outcome_transfer.c
@@ -551,12 +551,49 @@
   run_seeds (FALSE, SEEDS_ORDERLY);
 }
 
+/* Guards against "unknown" for a repeat whose first attempt had been answered:
+ * the dispatcher held two servers of the pool, and the key's unit was given the
+ * memory of its slice when the other one had stopped, with the attempt still
+ * under way. */
+static void
+a_split_key_takes_ended_attempts_along (void **state)
+{
+  World w = { .seed = 1 };
+  Process *p = &w.p[0];
+  CcRemembered r = { .outcome = CC_OUTCOME_RUN, .status = 200 };
+  const CcRemembered *kept = NULL;
+  gint32 unit;
+  Key *k;
+
+  (void) state;
+  world_init (&w);
+  set_text (&cc_slicemap_server (w.map, 1)->dispatcher, p->id);
+  read_map (&w, p);
+  k = new_key (&w);
+  k->hash = 0;
+  cc_outcomes_start (p->outcomes, POOL, 0, k->id, w.now);
+  unit = cc_moves_split (w.map, k->hash, 0);
+  assert_true (unit > 0);
+  w.map->version++;
+  assert_true (
+      cc_transfer_stopped (p->transfer, w.map, "server-1", p->id, post, p));
+  cc_outcomes_finish (p->outcomes, POOL, 0, k->id, &r);
+  assert_true (
+      cc_transfer_stopped (p->transfer, w.map, "server-0", p->id, post, p));
+  assert_int_equal (
+      cc_outcomes_ask (p->outcomes, POOL, (guint) unit, k->id, w.now, &kept),
+      CC_REPEAT_DONE);
+  assert_int_equal (kept->outcome, CC_OUTCOME_RUN);
+  world_clear (&w);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (transfer_lossy),
     cmocka_unit_test (transfer_orderly),
+    cmocka_unit_test (a_split_key_takes_ended_attempts_along),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
