Entry: requests of a drained dispatcher wait for its heir

Once-only work was told unknown ("unreachable", "link") just as a drained dispatcher ended, by one entry at a time: the one whose own dispatcher, from which it learns the maps, stood still. It sent by a map that was some 0.1 to 0.9 s old, to a process that was gone. The memory joins the copies, as it does for a link that went silent.

A dispatcher that ends without a drain is treated as before: test_ask, lost_link_tells_the_truth and repeat_is_not_denied_without_memory, unchanged.

test_ask, asks_of_a_drained_dispatcher_go_to_its_heir: failed before, passes.

--- a/ask.c
+++ b/ask.c
@@ -6,11 +6,13 @@
  *
  * A link that closes belongs to a process that has ended: once-only work is
  * told unknown at once, idempotent work is sent again if the link is back or
- * ownership has moved within LINK_BACK_MAX.  A link that goes silent may belong
- * to one that stands still for a moment and then goes on, with the request and
- * the memory of outcomes that it had.  So for SILENT_MAX the answer is waited
- * for, and the request is sent again when the link carries messages: the memory
- * joins the two copies of once-only work.
+ * ownership has moved within LINK_BACK_MAX.  One that was drained has handed
+ * its servers and its memory of outcomes over before it ended, so asks wait for
+ * the map that names its heirs.  A link that goes silent may belong to one that
+ * stands still for a moment and then goes on, with the request and the memory
+ * of outcomes that it had.  So for SILENT_MAX the answer is waited for, and the
+ * request is sent again when the link carries messages: the memory joins the
+ * two copies of once-only work.
  *
  * While a key's ownership moves, its asks are parked here for PARK_MAX at the
  * most, the usual time of a move several times over; then they are refused with
@@ -294,6 +296,14 @@
          now < since + SILENT_MAX;
 }
 
+/* Whether A waits for the map that names the heir of TO, which is drained and
+ * has ended. */
+static gboolean
+awaits_heir (const CcAsk *a, const CcMember *to, gint64 now)
+{
+  return to->draining && (a->park_until == 0 || now < a->park_until);
+}
+
 /* Whether the answer to A's earlier copy is awaited for a moment yet, since the
  * link to TO carries messages again. */
 static gboolean
@@ -338,7 +348,7 @@
       refuse (a, "busy", MOVE_WAIT_MS);
       return FALSE;
     default:
-      if (awaits_silent (a, to, now) ||
+      if (awaits_silent (a, to, now) || awaits_heir (a, to, now) ||
           (a->unanswered > 0 && now < a->park_until))
         {
           park (a);
@@ -471,6 +481,26 @@
   return g_hash_table_get_keys (seen);
 }
 
+/* Whether the dispatcher that C was sent to was being drained, as far as is
+ * known: it takes its row away before it ends. */
+static gboolean
+was_draining (const CcAsk *a, const Copy *c)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, a->router->follower->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const CcMember *m = value;
+
+      if (m->incarnation == c->incarnation &&
+          g_str_equal (m->address, c->address))
+        return m->draining;
+    }
+  return TRUE;
+}
+
 /* The link over which A's last copy was sent is lost, by silence since
  * SILENT_SINCE, us, or closed: 0. */
 static void
@@ -478,7 +508,7 @@
 {
   Copy lost = a->copy;
 
-  if (a->once_only && silent_since == 0)
+  if (a->once_only && silent_since == 0 && !was_draining (a, &lost))
     {
       finish_with (a, CC_OUTCOME_UNKNOWN, "link", 0);
       return;
--- a/test/test_ask.c
+++ b/test/test_ask.c
@@ -31,6 +31,7 @@
   CcMailbox *box;
   guint received; /* messages handed over by the mailbox */
   guint64 last;   /* id of the last request */
+  guint64 former; /* and of the one before */
   CcRouter *router;
 } Peer;
 
@@ -53,7 +54,10 @@
 
   p->received++;
   if (m->kind == CC_MSG_REQUEST)
-    p->last = m->id;
+    {
+      p->former = p->last;
+      p->last = m->id;
+    }
   if (m->kind == CC_MSG_REPLY && p->router != NULL)
     cc_router_reply (p->router, m);
 }
@@ -468,6 +472,70 @@
     }
 }
 
+static void
+await_link (const char *address)
+{
+  cc_mailbox_connect (entry.box, address);
+  for (guint i = 0;
+       i < HANGS_AFTER_MS && !cc_mailbox_is_up (entry.box, address); i++)
+    turn_for (1);
+  assert_true (cc_mailbox_is_up (entry.box, address));
+}
+
+/* The stranger has taken the dispatcher's server over. */
+static void
+set_owner_stranger (void)
+{
+  CcMapServer *s = cc_slicemap_server (cc_follower_map (view, POOL), 0);
+  CcMember *d = g_new0 (CcMember, 1);
+
+  d->id = g_strdup ("s");
+  d->address = g_strdup (stranger.address);
+  d->incarnation = STRANGER;
+  g_hash_table_insert (view->members, d->id, d);
+  g_free (s->dispatcher);
+  s->dispatcher = g_strdup ("s");
+}
+
+/* Guards against "unknown" for once-only work as a drained dispatcher ends,
+ * while the entry is yet to read the map that names its heir: one request was
+ * under way to it, one comes after. */
+static void
+asks_of_a_drained_dispatcher_go_to_its_heir (void **state)
+{
+  guint64 lost = counter ("capercrank_links_lost");
+  guint received = dispatcher.received, inherited = stranger.received;
+  Answer sent, later;
+
+  (void) state;
+  open_peer (&dispatcher, DISPATCHER);
+  await_link (dispatcher.address);
+  await_link (stranger.address);
+  ((CcMember *) cc_follower_member (view, "d"))->draining = TRUE;
+  pause_clock ();
+  ask (&sent, TRUE, 5000);
+  await_requests (received, 1);
+  close_peer (&dispatcher);
+  await_count ("capercrank_links_lost", lost + 1);
+  ask (&later, TRUE, 5000);
+  advance (1000);
+  assert_int_equal (sent.calls, 0);
+  assert_int_equal (later.calls, 0);
+  set_owner_stranger ();
+  cc_router_view_changed (entry.router);
+  for (guint i = 0; i < HANGS_AFTER_MS && stranger.received < inherited + 2;
+       i++)
+    turn_for (1);
+  assert_int_equal (stranger.received, inherited + 2);
+  reply (&stranger, stranger.former, "heir's");
+  reply (&stranger, stranger.last, "heir's");
+  await_answer (&sent);
+  await_answer (&later);
+  assert_string_equal (sent.body, "heir's");
+  assert_string_equal (later.body, "heir's");
+  resume_clock ();
+}
+
 int
 main (void)
 {
@@ -479,6 +547,7 @@
     cmocka_unit_test (request_to_absent_is_refused),
     cmocka_unit_test (lost_link_tells_the_truth),
     cmocka_unit_test (repeat_is_not_denied_without_memory),
+    cmocka_unit_test (asks_of_a_drained_dispatcher_go_to_its_heir),
   };
 
   return cmocka_run_group_tests (tests, start, NULL);
