Mailbox: a request is not sent to the successor of the process it is for

A dispatcher that starts anew at its address, as after a drain, is another process: it drops requests that name the former one. An entry that had not read of that yet sent them all the same, since the link was up, and their callers waited until the deadline and were told unknown. The answer to a link's first ping says which process it leads to; a request for another is refused as unreachable, with nothing sent, and held like one to a link that is down.

--- a/mailbox.c
+++ b/mailbox.c
@@ -42,6 +42,7 @@
   gint pipe;     /* id of the connection, 0: none; set on nng's thread */
   gint reported; /* what the main loop was told last */
   CcLinkHealth health;
+  guint64 peer; /* incarnation of the process that the link is to, if proven */
   gint64 silent_since; /* it was given up for silence then, us; 0: it was not,
                           or has proven itself since */
 } Link;
@@ -403,7 +404,11 @@
 
   if (m->u.ping.answer)
     {
+      gboolean proven = l->health.proven;
+
       cc_link_answered (&l->health, m->u.ping.sequence, cc_clock_now ());
+      if (!proven && l->health.proven)
+        l->peer = m->from;
       if (l->health.proven)
         l->silent_since = 0;
       return;
@@ -439,6 +444,14 @@
   return CC_FULL;
 }
 
+/* Whether L leads to the process that M is for.  Another that started at its
+ * address drops what was meant for the former. */
+static gboolean
+leads_to (const Link *l, const CcMessage *m)
+{
+  return l->health.proven && (m->to == 0 || m->to == l->peer);
+}
+
 /* Sends M, filling in its envelope except for `to`, `id` and `expires`.
  * CC_UNREACHABLE and CC_FULL both mean that nothing left the process.  Only a
  * request needs a link that is up: the others may wait for it a while. */
@@ -447,7 +460,7 @@
 {
   Link *l = find_link (box, address);
 
-  if (!waits_for_link (m->kind) && !l->health.proven)
+  if (!waits_for_link (m->kind) && !leads_to (l, m))
     {
       ++*box->refused;
       return CC_UNREACHABLE;
--- a/test/test_ask.c
+++ b/test/test_ask.c
@@ -536,6 +536,40 @@
   resume_clock ();
 }
 
+/* Guards against once-only work told unknown at its deadline, since its request
+ * went to a process that had started anew at the address of the one that it was
+ * for, which drops it: nothing is sent, and the map that names an owner is
+ * waited for. */
+static void
+ask_for_a_former_process_is_not_sent (void **state)
+{
+  guint64 stale = counter ("capercrank_messages_stale");
+  guint received = dispatcher.received;
+  CcMember *d = (CcMember *) cc_follower_member (view, "d");
+  CcMapServer *s = cc_slicemap_server (cc_follower_map (view, POOL), 0);
+  Answer a;
+
+  (void) state;
+  g_free (s->dispatcher);
+  s->dispatcher = g_strdup ("d");
+  d->draining = TRUE;
+  open_peer (&dispatcher, DISPATCHER + 1);
+  await_link (dispatcher.address);
+  pause_clock ();
+  ask (&a, TRUE, 5000);
+  advance (1000);
+  assert_int_equal (counter ("capercrank_messages_stale"), stale);
+  assert_int_equal (dispatcher.received, received);
+  assert_int_equal (a.calls, 0);
+  d->incarnation = DISPATCHER + 1;
+  cc_router_view_changed (entry.router);
+  await_requests (received, 1);
+  reply (&dispatcher, dispatcher.last, "new");
+  await_answer (&a);
+  assert_string_equal (a.body, "new");
+  resume_clock ();
+}
+
 int
 main (void)
 {
@@ -548,6 +582,7 @@
     cmocka_unit_test (lost_link_tells_the_truth),
     cmocka_unit_test (repeat_is_not_denied_without_memory),
     cmocka_unit_test (asks_of_a_drained_dispatcher_go_to_its_heir),
+    cmocka_unit_test (ask_for_a_former_process_is_not_sent),
   };
 
   return cmocka_run_group_tests (tests, start, NULL);
