Transfer: a hold that its holder never read of passes the memory on

Callers were told unknown ("forgotten") of once-only work that had been answered, when the key's unit moved twice within one poll of the table: the holder between the two moves first read a map in which the second had begun, did not know that it had held the unit, and passed nothing on. It served nothing of that hold, so what came to it for the hold is the whole memory; it passes that on now, if it has come whole.

test_outcome_transfer, an_unread_hold_passes_the_memory_on: failed before, passes.

--- a/outcome_transfer.c
+++ b/outcome_transfer.c
@@ -20,6 +20,9 @@
 
 #include <string.h>
 
+/* Later than any clock, and far from the end of its range. */
+#define HORIZON_MOST (G_MAXINT64 / 2)
+
 typedef struct
 {
   char *server;
@@ -311,6 +314,57 @@
   return TRUE;
 }
 
+/* A holder between two moves, one soon after the other, may read only a map in
+ * which the second has begun.  It served nothing of its hold, so the memory
+ * that came for that hold is all there is; it is passed on like that of a hold
+ * that was read of.  A unit that is being split has none from before (inherit).
+ * Returns the hold, or NULL if there is none. */
+static Hold *
+hold_unread (CcTransfer *t, const CcSliceMap *m, guint unit, const char *server,
+             const char *me)
+{
+  const CcMapSlice *s = cc_slicemap_at (m, unit);
+  const CcMapServer *mine =
+      cc_slicemap_server (m, cc_slicemap_find (m, server));
+  const CcMapHot *hot = cc_slicemap_hot (m, unit);
+  g_autofree char *key = g_strdup_printf ("%s/%u", m->pool, unit);
+  const Arrival *a = g_hash_table_lookup (t->arrivals, key);
+  Hold candidate = { .server = (char *) server };
+  Hold *held;
+
+  if (mine == NULL || a == NULL || !a->complete || a->horizon > HORIZON_MOST ||
+      (hot != NULL && hot->state == CC_HOT_SPLITTING))
+    return NULL;
+  candidate.epoch =
+      cc_slicemap_server (m, s->from) == mine ? s->epoch - 1 : s->epoch;
+  candidate.term = g_str_equal (mine->from, me) ? mine->term - 1 : mine->term;
+  if (a->epoch != candidate.epoch || a->term != candidate.term ||
+      !was_last (m, unit, &candidate, me))
+    return NULL;
+  cc_outcomes_taken (t->outcomes, m->pool, unit, a->horizon, FALSE);
+  lower_if_complete (t, m->pool, unit, &candidate, a);
+  held = g_new0 (Hold, 1);
+  *held = candidate;
+  held->server = g_strdup (server);
+  g_hash_table_insert (t->holds, g_steal_pointer (&key), held);
+  return held;
+}
+
+/* SERVER's hold of UNIT by ME, if it lasted until the move that M tells of, or
+ * NULL. */
+static Hold *
+last_hold (CcTransfer *t, const CcSliceMap *m, guint unit, const char *server,
+           const char *me)
+{
+  g_autofree char *key = g_strdup_printf ("%s/%u", m->pool, unit);
+  Hold *hold = g_hash_table_lookup (t->holds, key);
+
+  if (hold != NULL && g_str_equal (hold->server, server) &&
+      was_last (m, unit, hold, me))
+    return hold;
+  return hold_unread (t, m, unit, server, me);
+}
+
 /* A hot key that leaves its slice takes the slice's whole memory along, which
  * holds all of its own.  It is written down as if the key's unit had been held
  * here all along under the epoch before, from where it is passed on like that
@@ -324,15 +378,12 @@
 {
   const CcMapHot *hot = cc_slicemap_hot (m, unit);
   guint slice = cc_slicemap_slice (m, hot->hash);
-  g_autofree char *from = g_strdup_printf ("%s/%u", m->pool, slice);
   char *to = g_strdup_printf ("%s/%u", m->pool, unit);
-  const Hold *hold = g_hash_table_lookup (t->holds, from);
+  const Hold *hold = last_hold (t, m, slice, server, me);
   const Hold *old = g_hash_table_lookup (t->holds, to);
   Hold *held;
 
-  if (hold == NULL || !g_str_equal (hold->server, server) ||
-      !was_last (m, slice, hold, me) ||
-      (old != NULL && old->epoch >= hot->unit.epoch - 1))
+  if (hold == NULL || (old != NULL && old->epoch >= hot->unit.epoch - 1))
     {
       g_free (to);
       return;
@@ -363,11 +414,9 @@
       inherit (t, m, i, server, me);
   for (guint i = 0; i < cc_slicemap_units (m); i++)
     {
-      g_autofree char *name = g_strdup_printf ("%s/%u", m->pool, i);
-      Hold *hold = g_hash_table_lookup (t->holds, name);
+      Hold *hold = last_hold (t, m, i, server, me);
 
-      if (hold != NULL && g_str_equal (hold->server, server) &&
-          was_last (m, i, hold, me))
+      if (hold != NULL)
         all = pass_slice (t, m, i, hold, me, send, data) && all;
     }
   if (all)
--- a/test/test_outcome_transfer.c
+++ b/test/test_outcome_transfer.c
@@ -551,6 +551,66 @@
   run_seeds (FALSE, SEEDS_ORDERLY);
 }
 
+static void
+deliver_all (World *w)
+{
+  while (!g_queue_is_empty (&w->mail))
+    deliver_one (w);
+}
+
+/* The holder of server 0 passes on what it has to, though a link is full at
+ * times. */
+static void
+stop_at (World *w, Process *p)
+{
+  while (w->applied[0] != w->map->version)
+    read_map (w, p);
+}
+
+/* Guards against outcomes forgotten by two moves, one soon after the other: the
+ * holder between them never read a map that says that it is one. */
+static void
+an_unread_hold_passes_the_memory_on (void **state)
+{
+  World w = { .seed = 1 };
+  const CcRemembered *kept;
+  CcMapServer *s;
+  Key *k;
+
+  (void) state;
+  world_init (&w);
+  for (guint i = 0; i < PROCESSES; i++)
+    read_map (&w, &w.p[i]);
+  k = new_key (&w);
+  k->hash = 0;
+  run (&w, &w.p[0], k, 0);
+  w.now += CC_SECOND;
+  s = cc_slicemap_server (w.map, 0);
+  set_text (&s->from, s->dispatcher);
+  set_text (&s->dispatcher, w.p[1].id);
+  s->term++;
+  w.map->version++;
+  stop_at (&w, &w.p[0]);
+  deliver_all (&w);
+  settle (&w);
+  cc_moves_start (w.map, 0, 2);
+  w.map->version++;
+  stop_at (&w, &w.p[1]);
+  deliver_all (&w);
+  settle (&w);
+  read_map (&w, &w.p[2]);
+  assert_true (holds (&w.p[2], 0));
+  assert_int_equal (
+      cc_outcomes_ask (w.p[2].outcomes, POOL, 0, k->id, w.now, &kept),
+      CC_REPEAT_DONE);
+  k = new_key (&w);
+  w.now += CC_SECOND;
+  assert_int_equal (
+      cc_outcomes_ask (w.p[2].outcomes, POOL, 0, k->id, w.now, &kept),
+      CC_REPEAT_NEW);
+  world_clear (&w);
+}
+
 /* Guards against "unknown" for a repeat whose first attempt had been answered:
  * the dispatcher held two servers of the pool, and the key's unit was given the
  * memory of its slice when the other one had stopped, with the attempt still
@@ -593,6 +653,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (transfer_lossy),
     cmocka_unit_test (transfer_orderly),
+    cmocka_unit_test (an_unread_hold_passes_the_memory_on),
     cmocka_unit_test (a_split_key_takes_ended_attempts_along),
   };
 
