Transfer: a split beside a handover takes the memory along

Callers were told unknown ("forgotten") of once-only work that had been answered, for up to as long as its keys are old: the assigner split their key out of its slice in the step in which it gave the slice's server to another dispatcher, as at a drain. The old holder did not count as the last one then and passed nothing on. While the server is being handed over from it nobody else can have held the slice, so it is.

--- a/outcome_transfer.c
+++ b/outcome_transfer.c
@@ -290,7 +290,7 @@
                         g_str_equal (mine->dispatcher, me)))
     return FALSE;
   if (mine == owner && cc_slicemap_server (m, s->from) == mine)
-    return !handed_over && s->epoch == hold->epoch + 1; /* a split */
+    return s->epoch == hold->epoch + 1; /* a split */
   if (mine == owner)
     return handed_over && s->epoch == hold->epoch;
   return s->epoch == hold->epoch + 1 && cc_slicemap_server (m, s->from) == mine;
--- a/test/test_outcome_transfer.c
+++ b/test/test_outcome_transfer.c
@@ -647,6 +647,46 @@
   world_clear (&w);
 }
 
+/* Guards against outcomes forgotten by a hot key that is split out of its slice
+ * in the step in which the slice's server goes to another dispatcher. */
+static void
+a_split_beside_a_handover_takes_the_memory_along (void **state)
+{
+  World w = { .seed = 1 };
+  const CcRemembered *kept;
+  CcMapServer *s;
+  guint unit;
+  Key *k;
+
+  (void) state;
+  world_init (&w);
+  for (guint i = 0; i < PROCESSES; i++)
+    read_map (&w, &w.p[i]);
+  k = new_key (&w);
+  k->hash = 0;
+  run (&w, &w.p[0], k, 0);
+  w.now += CC_SECOND;
+  s = cc_slicemap_server (w.map, 0);
+  set_text (&s->from, s->dispatcher);
+  set_text (&s->dispatcher, w.p[1].id);
+  s->term++;
+  assert_true (cc_moves_split (w.map, k->hash, 0) > 0);
+  w.map->version++;
+  stop_at (&w, &w.p[0]);
+  deliver_all (&w);
+  settle (&w);
+  stop_at (&w, &w.p[1]);
+  settle (&w);
+  read_map (&w, &w.p[1]);
+  unit = cc_slicemap_unit (w.map, k->hash);
+  assert_true (unit >= SLICES);
+  assert_true (holds (&w.p[1], unit));
+  assert_int_equal (
+      cc_outcomes_ask (w.p[1].outcomes, POOL, unit, k->id, w.now, &kept),
+      CC_REPEAT_DONE);
+  world_clear (&w);
+}
+
 int
 main (void)
 {
@@ -655,6 +695,7 @@
     cmocka_unit_test (transfer_orderly),
     cmocka_unit_test (an_unread_hold_passes_the_memory_on),
     cmocka_unit_test (a_split_key_takes_ended_attempts_along),
+    cmocka_unit_test (a_split_beside_a_handover_takes_the_memory_along),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
