Granter: only who answers at its address proves that an upstream has ended

The granter took that for another upstream in the place of 5ee2, and granted its keys to a third within 50 ms. By the same log a grant to i-b1bc323a09 was answered there by another (26.23).

Change: the list is a hint on which the range may be moved; that the owner before has ended counts when a call for it is answered by another.

Evidence: one_beside_an_old_row_at_its_address_is_waited_for, "0 holds 0 to 10921 (fence 1), 3 holds 0 to 6553 (fence 7)" before, green after. The test keys_of_one_whose_address_is_another_s_are_free took the list alone for a proof, which the log shows to be wrong: the other upstream answers there now, and the bound of 6 s is as it was; it passes before and after.

--- a/range_grant.c
+++ b/range_grant.c
@@ -51,13 +51,28 @@
   g_free (x);
 }
 
+/* Whether another upstream is listed at the address of X's owner, which is
+ * listed no more. */
+static gboolean
+seems_replaced (const CcRangeGrant *x)
+{
+  const CcTarget *t = cc_targets_find (x->shared->targets, x->range->owner);
+
+  return t != NULL && cc_targets_is_replaced (x->shared->targets, t);
+}
+
 /* Whether the granter of before may still renew X's grant and its owner has not
  * shut it out.  To move the range would only mean to wait for the end of that,
- * and the owner may be back before. */
+ * and the owner may be back before.
+ *
+ * Failure: an owner is lost in the seconds in which the granter changes.
+ * Symptom: callers get no owner for its keys for thirteen seconds.  But if
+ * another upstream is listed at its address, it has likely ended, and the
+ * answer to the release proves it. */
 gboolean
 cc_range_grant_is_unsettled (const CcRangeGrant *x, gint64 now)
 {
-  return x->raised && now < x->owner_until;
+  return x->raised && now < x->owner_until && !seems_replaced (x);
 }
 
 /* X's range went to another owner at NOW.
@@ -339,7 +354,10 @@
   x->not_before = cc_clock_now () + CALL_RETRY;
   if (cc_edge_is_other_server (r))
     {
-      /* Its address is another's: it has ended, and holds nothing. */
+      /* Its address is another's: it has ended, and what anybody granted it has
+       * ended with it.  Only the one that answers there proves that: a row of
+       * the list may be an old one that was written late. */
+      x->previous_until = x->previous_doubt = 0;
       released (x, NULL);
       return;
     }
@@ -400,40 +418,11 @@
     send_release (x, t);
 }
 
-/* Whether the upstream ID has ended for sure. */
-static gboolean
-has_ended (const CcRangeGrant *x, const char *id)
-{
-  const CcTarget *t = cc_targets_find (x->shared->targets, id);
-
-  return t != NULL && cc_targets_is_replaced (x->shared->targets, t);
-}
-
-/* Failure: an owner is lost in the seconds in which the granter changes.  The
- * granter of before may renew its keys for another nine seconds, for all that
- * is known.  Symptom: callers get no owner for these keys for thirteen.  But if
- * its address is another upstream's by now, it has ended, and what anybody
- * grants it reaches nobody. */
-static void
-note_ended (CcRangeGrant *x, gint64 now)
-{
-  const char *previous = x->range->previous;
-
-  if (previous != NULL && x->previous_until > now && has_ended (x, previous))
-    x->previous_until = x->previous_doubt = now;
-  if (previous == NULL && x->owner_until > now &&
-      has_ended (x, x->range->owner))
-    owner_ended (x, now);
-}
-
 /* Does what is due for X at NOW. */
 void
 cc_range_grant_step (CcRangeGrant *x, gint64 now)
 {
-  if (x->calling)
-    return;
-  note_ended (x, now);
-  if (now < x->not_before)
+  if (x->calling || now < x->not_before)
     return;
   /* A process that stood still may find its lease long over here, before it
    * polls the lease itself. */
--- a/test/granter_world.c
+++ b/test/granter_world.c
@@ -284,6 +284,9 @@
   g_ptr_array_add (world.events, g_memdup2 (e, sizeof *e));
 }
 
+/* Status of an answer by a server that a call was not meant for. */
+#define ANOTHER_IS_HERE 421
+
 /* How long an idle connection is kept at most. */
 #define IDLE_MOST (10 * CC_SECOND)
 
@@ -384,7 +387,8 @@
   e.same_life = o->connected_by > 0;
   e.settled = g_new0 (gboolean, 1);
   if (world.kind.many && connection->connected_at == now &&
-      (p->cut_from[server] || !world.servers[server].up))
+      (p->cut_from[server] ||
+       !(world.servers[server].up || world.servers[server].replaced)))
     {
       /* Nobody answers there, or nobody listens. */
       e.kind = EVENT_UNSENT;
@@ -398,7 +402,8 @@
   e.kind = EVENT_ARRIVES;
   e.born = world.servers[e.server].born;
   e.at = now + ms (1, 4);
-  if (!p->cut_from[e.server] && world.servers[e.server].up &&
+  if (!p->cut_from[e.server] &&
+      (world.servers[e.server].up || world.servers[e.server].replaced) &&
       !chance (world.faults / 2))
     push_event (&e);
   return (CcHttpCall *) done;
@@ -425,6 +430,14 @@
   const Server *s = &world.servers[e->server];
   Event next = *e;
 
+  if (s->replaced)
+    {
+      next.kind = EVENT_ANSWERED;
+      next.at = now + ms (1, 4);
+      next.status = ANOTHER_IS_HERE;
+      push_event (&next);
+      return;
+    }
   if (!s->up || (e->same_life && s->born != e->born))
     return;
   next.kind = EVENT_ANSWERED;
--- a/test/granter_world.h
+++ b/test/granter_world.h
@@ -33,6 +33,7 @@
   gboolean up;
   gboolean leaving;
   gint64 back_at;       /* it starts again, us; 0: it is not to */
+  gboolean replaced;    /* another is at its address */
   gint64 carries_after; /* grants are not answered, and carried out so much
                            later, us; 0: at once */
   GArray *held;         /* of Held: of this life, all that was ever granted */
--- a/test/test_granter.c
+++ b/test/test_granter.c
@@ -76,8 +76,8 @@
 
 /* Callers get no owner for a part of the keys.  The granter is lost, and with
  * it a server; the one that takes over can't know whether the granter of before
- * still renews that server's keys.  But another server is listed at its address
- * by then, so it has ended, and its keys go to others when they have lapsed. */
+ * still renews that server's keys.  But another server is listed and answers at
+ * its address by then, so it has ended, and its keys go to others. */
 static void
 keys_of_one_whose_address_is_another_s_are_free (void **state)
 {
@@ -92,6 +92,7 @@
       lost = i;
   world.processes[lost].frozen_until = G_MAXINT64;
   world.servers[0].up = FALSE;
+  world.servers[0].replaced = TRUE;
   g_array_set_size (world.servers[0].held, 0);
   for (guint i = 0; i < GRANTERS; i++)
     {
--- a/test/test_two_holders.c
+++ b/test/test_two_holders.c
@@ -313,12 +313,31 @@
   p->unlisted[second] = TRUE;
   while (owner_of_first_keys () == second)
     run_for (STEP);
+  world.servers[0].replaced = TRUE;
   cc_view_put (&p->view, "another", ++world.version, "0 1 1");
   run_for (8 * CC_SECOND);
   assert_string_equal (world.failure, "");
   world_clear ();
 }
 
+/* Guards against two upstreams that hold the same keys: one is missing from the
+ * list for a moment, while the old row of another that was at its address
+ * before is listed again; that is taken for the proof that it has ended. */
+static void
+one_beside_an_old_row_at_its_address_is_waited_for (void **state)
+{
+  Process *p = &world.processes[begin (6)];
+
+  (void) state;
+  for (guint i = 0; i < GRANTERS; i++)
+    world.processes[i].cut_from[0] = TRUE;
+  cc_view_put (&p->view, "another", ++world.version, "0 1 1");
+  p->unlisted[0] = TRUE;
+  run_for (8 * CC_SECOND);
+  assert_string_equal (world.failure, "");
+  world_clear ();
+}
+
 /* ---- a configuration with another pool ---- */
 
 /* Guards against two upstreams that hold the same keys: another keyed pool is
@@ -430,6 +449,7 @@
         one_started_again_takes_no_renewal_by_a_granter_that_wakes),
     cmocka_unit_test (one_renewed_before_its_new_life_was_known_is_waited_for),
     cmocka_unit_test (an_owner_of_a_moment_is_waited_for),
+    cmocka_unit_test (one_beside_an_old_row_at_its_address_is_waited_for),
     cmocka_unit_test (a_pool_that_is_added_ends_no_move_early),
     cmocka_unit_test (the_part_of_a_cut_that_stays_is_waited_for),
   };
