Granter: a new one waits for owners that a move had before its row was read

What callers saw: two upstreams held the same keys (in the model).

Cause: a range in a move may have had another new owner before the one in its row. A new granter knows nothing of that one, and when the previous owner proves to have ended, nothing is waited for.

Evidence: an_owner_of_a_moment_is_waited_for_by_the_next_granter, "2 holds 0 to 6553 (fence 9), 3 holds 0 to 6553 (fence 7)" before, green after. Found by review.

Change: the time for owners in between begins as that of the previous one, which had its last grant before the row was written as well.

--- a/range_grant.c
+++ b/range_grant.c
@@ -139,6 +139,8 @@
     {
       x->previous_until = cc_grant_ends (before->seen + CALL_WITHIN);
       x->previous_doubt = x->previous_until;
+      /* The row may have named another new owner before. */
+      x->between_until = x->previous_until;
       x->owner_until = cc_grant_ends (before->changes_until + CALL_WITHIN);
       x->owner_doubt = x->owner_until;
       x->written = TRUE;
--- a/test/test_two_holders.c
+++ b/test/test_two_holders.c
@@ -290,17 +290,15 @@
   return FALSE;
 }
 
-/* Guards against two upstreams that hold the same keys: a range moves from an
- * owner that is lost to one that does not answer its grant, and on to a third;
- * that the first has ended is taken for the end of what the second may hold. */
+/* A range moves from an owner that is lost to one that does not answer its
+ * grant, and on to a third; another upstream answers in the place of the first.
+ * If RESIGNS, the granter resigns once the row names the third. */
 static void
-an_owner_of_a_moment_is_waited_for (void **state)
+move_by_an_owner_of_a_moment (gboolean resigns)
 {
   guint first = begin (6);
-  Process *p = &world.processes[first];
   guint second;
 
-  (void) state;
   world.servers[0].up = FALSE;
   g_array_set_size (world.servers[0].held, 0);
   while (owner_of_first_keys () == 0)
@@ -310,16 +308,38 @@
   for (guint i = 0; i < 800 && !a_grant_is_to_be_carried_out (); i++)
     run_for (STEP);
   assert_true (a_grant_is_to_be_carried_out ());
-  p->unlisted[second] = TRUE;
+  for (guint i = 0; i < GRANTERS; i++)
+    world.processes[i].unlisted[second] = TRUE;
   while (owner_of_first_keys () == second)
     run_for (STEP);
   world.servers[0].replaced = TRUE;
-  cc_view_put (&p->view, "another", ++world.version, "0 1 1");
+  for (guint i = 0; i < GRANTERS; i++)
+    cc_view_put (&world.processes[i].view, "another", ++world.version, "0 1 1");
+  if (resigns)
+    cc_granter_resign (world.processes[first].granter);
   run_for (8 * CC_SECOND);
   assert_string_equal (world.failure, "");
   world_clear ();
 }
 
+/* Guards against two upstreams that hold the same keys: that the first owner
+ * has ended is taken for the end of what the one in between may hold. */
+static void
+an_owner_of_a_moment_is_waited_for (void **state)
+{
+  (void) state;
+  move_by_an_owner_of_a_moment (FALSE);
+}
+
+/* Guards against the same by the next granter, whose rows name the one in
+ * between no more. */
+static void
+an_owner_of_a_moment_is_waited_for_by_the_next_granter (void **state)
+{
+  (void) state;
+  move_by_an_owner_of_a_moment (TRUE);
+}
+
 /* Guards against two upstreams that hold the same keys: one is missing from the
  * list for a moment, while the old row of another that was at its address
  * before is listed again; that is taken for the proof that it has ended. */
@@ -449,6 +469,7 @@
         one_started_again_takes_no_renewal_by_a_granter_that_wakes),
     cmocka_unit_test (one_renewed_before_its_new_life_was_known_is_waited_for),
     cmocka_unit_test (an_owner_of_a_moment_is_waited_for),
+    cmocka_unit_test (an_owner_of_a_moment_is_waited_for_by_the_next_granter),
     cmocka_unit_test (one_beside_an_old_row_at_its_address_is_waited_for),
     cmocka_unit_test (a_pool_that_is_added_ends_no_move_early),
     cmocka_unit_test (the_part_of_a_cut_that_stays_is_waited_for),
