Known red: keep is taken back by removing the pool

A pool's "cut_off": "keep" can't be changed to release, since a zone that is cut off goes by the old document. But the comparison is with the last document only: removed in one and back with release in the next, the pool is accepted, the assigner takes the lapsed dispatcher for stopped, and its servers go to another while it serves on. Not mended: to refuse the removal changes what operators may do. That keep can't be changed directly had no test; it has one, which passes.

--- a/test/test_document.c
+++ b/test/test_document.c
@@ -151,6 +151,56 @@
     }
 }
 
+static guint
+count_findings (const char *before, const char *after)
+{
+  CcFindings f;
+  CcDocument *a, *b;
+  guint count;
+
+  cc_findings_init (&f);
+  a = cc_document_parse (before, -1, &f);
+  b = cc_document_parse (after, -1, &f);
+  assert_true (a != NULL && b != NULL);
+  cc_document_compare (a, b, &f);
+  count = cc_findings_count (&f);
+  cc_document_free (a);
+  cc_document_free (b);
+  cc_findings_clear (&f);
+  return count;
+}
+
+#define POOL_KEEPS                                                             \
+  "{\"name\":\"gate\",\"checks_grants\":true,\"cut_off\":\"keep\"}"
+#define OTHER "{\"name\":\"other\",\"checks_grants\":true}"
+#define OTHER_CLASS                                                            \
+  "{\"name\":\"look\",\"pool\":\"other\",\"once_only\":true,"                  \
+  "\"timeout_ms\":3000," TARGET "}"
+
+static void
+keep_is_not_taken_back (void **state)
+{
+  (void) state;
+  assert_int_equal (
+      count_findings (DOCUMENT (POOL_KEEPS, CLASS), DOCUMENT (POOL, CLASS)), 1);
+  assert_int_equal (
+      count_findings (DOCUMENT (POOL, CLASS), DOCUMENT (POOL_KEEPS, CLASS)), 0);
+}
+
+/* Guards against "keep" that is taken back in two steps: a zone that is cut off
+ * misses both, and serves on while its servers are taken over. */
+static void
+keep_is_not_taken_back_by_removal (void **state)
+{
+  guint findings = count_findings (DOCUMENT (POOL_KEEPS, CLASS),
+                                   DOCUMENT (OTHER, OTHER_CLASS));
+
+  (void) state;
+  findings +=
+      count_findings (DOCUMENT (OTHER, OTHER_CLASS), DOCUMENT (POOL, CLASS));
+  assert_true (findings > 0);
+}
+
 static void
 test_diff (void **state)
 {
