Granter: each grant goes by the time at which it is sent

Cause: a tick looks at the clock once, plans, and sends all grants that are due by that look. On a slowed process a grant leaves after the lease has ended, when whoever took over counts on none.

Evidence: test_grant_time each_grant_looks_at_the_clock, "3 grants leave, 1 should" before, green after.

Change: each grant looks at the clock itself.

--- a/granted_pool.c
+++ b/granted_pool.c
@@ -274,7 +274,7 @@
     {
       CcRangeGrant *x = p->grants->pdata[i];
 
-      cc_range_grant_step (x, now);
+      cc_range_grant_step (x);
       silent +=
           x->answered != 0 && !x->withheld && now - x->answered > SILENT_AFTER;
     }
--- a/range_grant.c
+++ b/range_grant.c
@@ -421,10 +421,16 @@
     send_release (x, t);
 }
 
-/* Does what is due for X at NOW. */
+/* Does what is due for X.
+ *
+ * Failure: a slowed process plans for long, or sends many grants, and goes by
+ * the time at which it began.  Symptom: a grant leaves after the lease has
+ * ended, when whoever took over counts on none. */
 void
-cc_range_grant_step (CcRangeGrant *x, gint64 now)
+cc_range_grant_step (CcRangeGrant *x)
 {
+  gint64 now = cc_clock_now ();
+
   if (x->calling || now < x->not_before)
     return;
   /* A process that stood still may find its lease long over here, before it
