Assigner: nothing is taken from a server whose dispatcher is in doubt

Callers of a hot key were told unknown ("deadline") for three seconds and more after another dispatcher had taken their server over, as at a drain: the key was split out of its slice at once. In a pool whose servers don't check grants the new dispatcher can't say, for as long as a request may last, whether what was sent before has stopped, and until it does nobody owns what moves. Splits, folds and moves that even out wait until it can; servers that leave or are lost are emptied as before.

--- a/assignment.c
+++ b/assignment.c
@@ -230,6 +230,21 @@
   return on_way;
 }
 
+static void
+note_doubt (CcBalance *b, const CcSliceMap *m, GHashTable *reports)
+{
+  for (guint i = 0; i < m->servers->len; i++)
+    g_array_index (b->servers, CcBalanceServer, i).in_doubt =
+        cc_moves_in_doubt (m, (gint32) i, reports);
+}
+
+static gboolean
+is_in_doubt (const CcBalance *b, gint32 server)
+{
+  return server >= 0 &&
+         g_array_index (b->servers, CcBalanceServer, server).in_doubt;
+}
+
 static void
 add_units (CcBalance *b, CcPlanner *p, const CcSliceMap *m,
            const GByteArray *on_way, const Policy *y, gint64 now)
@@ -242,7 +257,9 @@
       gboolean is_unit = h == NULL || h->state == CC_HOT_SPLIT;
       CcBalanceUnit u = { .load = cc_unit_loads_of (p->loads, i),
                           .server = s->server,
-                          .fixed = s->from >= 0 || !is_unit || on_way->data[i],
+                          .fixed = s->from >= 0 || !is_unit ||
+                                   on_way->data[i] ||
+                                   is_in_doubt (b, s->server),
                           .rests = moved > 0 && now - moved < y->rest,
                           .urgent = is_unit && !is_served (m, s) };
 
@@ -428,6 +445,7 @@
   time_moves (p, m, now);
   note_standings (p, m, now);
   add_servers (b, p, m, idle, now);
+  note_doubt (b, m, reports);
   add_units (b, p, m, on_way, y, now);
   cc_balance_prepare (b);
   p->imbalance = idle ? 0 : cc_balance_imbalance (b);
--- a/balance.c
+++ b/balance.c
@@ -70,7 +70,7 @@
 void
 cc_balance_add_server (CcBalance *b, gboolean fit, double share)
 {
-  CcBalanceServer s = { fit, fit ? share : 0, 0 };
+  CcBalanceServer s = { .fit = fit, .share = fit ? share : 0 };
 
   b->shares += s.share;
   g_array_append_val (b->servers, s);
--- a/balance.h
+++ b/balance.h
@@ -6,9 +6,10 @@
 
 typedef struct
 {
-  gboolean fit; /* may own units */
-  double share; /* of a warm server's load that it is to have, 0 to 1 */
-  double held;  /* weight of its units; kept by this module */
+  gboolean fit;      /* may own units */
+  gboolean in_doubt; /* what it gives up would have no owner for long */
+  double share;      /* of a warm server's load that it is to have, 0 to 1 */
+  double held;       /* weight of its units; kept by this module */
 } CcBalanceServer;
 
 typedef struct
--- a/ownership_moves.c
+++ b/ownership_moves.c
@@ -254,6 +254,21 @@
   return s != NULL && s->state == CC_SERVER_LIVE && s->dispatcher[0] != '\0';
 }
 
+/* Whether SERVER is live and its dispatcher can't say at present that anything
+ * has stopped (holding.h): what is taken from it would have no owner until it
+ * can, for as long as a request may last. */
+gboolean
+cc_moves_in_doubt (const CcSliceMap *m, gint32 server, GHashTable *reports)
+{
+  const CcMapServer *s = cc_slicemap_server (m, server);
+  const CcServerReport *r;
+
+  if (s == NULL || s->state != CC_SERVER_LIVE)
+    return FALSE;
+  r = report_of (reports, s, s->dispatcher);
+  return r == NULL || r->applied == 0;
+}
+
 /* The first half of a move of UNIT, which must be settled, to server TO. */
 void
 cc_moves_start (CcSliceMap *m, guint unit, gint32 to)
--- a/test/test_hotkeys.c
+++ b/test/test_hotkeys.c
@@ -273,6 +273,31 @@
     }
 }
 
+/* Guards against a hot key that nobody serves for seconds: it is split out just
+ * after its server came to another dispatcher, which can't say for as long as a
+ * request may last whether what was sent before has stopped. */
+static void
+a_hot_key_stays_while_its_server_is_in_doubt (void **state)
+{
+  World *w = world_new (256, 10, CC_PREFER_AVAILABILITY, 1);
+  guint64 hash = (guint64) 7 << 60 | 1;
+  WorldServer *s;
+
+  (void) state;
+  world_spread (w, 20);
+  world_run (w, 60);
+  w->longest = 0;
+  s = world_find (
+      w, cc_slicemap_owner (w->map, cc_slicemap_unit (w->map, hash))->name);
+  s->doubt_until = w->now + 10 * CC_SECOND;
+  heat (w, 0, hash, 1.7);
+  world_run (w, 60);
+  assert_true (w->planner->splits > 0);
+  if (w->longest > CC_SECOND)
+    fail_msg ("without an owner for %d ms", (gint) (w->longest / CC_MS));
+  world_free (w);
+}
+
 int
 main (void)
 {
@@ -283,6 +308,7 @@
     cmocka_unit_test (test_keys_that_change),
     cmocka_unit_test (a_leaving_server_is_emptied_in_time),
     cmocka_unit_test (a_move_is_settled_before_the_next),
+    cmocka_unit_test (a_hot_key_stays_while_its_server_is_in_doubt),
   };
 
   return cmocka_run_group_tests_name ("hotkeys", tests, NULL, NULL);
--- a/test/world.c
+++ b/test/world.c
@@ -181,7 +181,7 @@
       const CcMapServer *s = cc_slicemap_server (w->map, i);
       CcServerReport *r = g_new0 (CcServerReport, 1);
 
-      r->applied = applied;
+      r->applied = w->now < world_find (w, s->name)->doubt_until ? 0 : applied;
       r->lost = world_find (w, s->name)->silent;
       r->dispatcher = g_strdup ("d");
       g_hash_table_insert (reports, g_strdup (s->name), r);
--- a/test/world.h
+++ b/test/world.h
@@ -12,7 +12,9 @@
   char *name;
   gboolean listed;
   gboolean leaving;
-  gboolean silent; /* answers nothing */
+  gboolean silent;    /* answers nothing */
+  gint64 doubt_until; /* its holder can't tell before whether what it gave up
+                         has stopped, us */
 } WorldServer;
 
 typedef struct
