--- a/assignment.c
+++ b/assignment.c
@@ -238,13 +238,6 @@
         cc_moves_in_doubt (m, (gint32) i, reports);
 }
 
-static gboolean
-is_in_doubt (const CcBalance *b, gint32 server)
-{
-  return server >= 0 &&
-         g_array_index (b->servers, CcBalanceServer, server).in_doubt;
-}
-
 static void
 add_units (CcBalance *b, CcPlanner *p, const CcSliceMap *m,
            const GByteArray *on_way, const Policy *y, gint64 now)
@@ -259,7 +252,7 @@
                           .server = s->server,
                           .fixed = s->from >= 0 || !is_unit ||
                                    on_way->data[i] ||
-                                   is_in_doubt (b, s->server),
+                                   cc_balance_in_doubt (b, s->server),
                           .rests = moved > 0 && now - moved < y->rest,
                           .urgent = is_unit && !is_served (m, s) };
 
--- a/balance.c
+++ b/balance.c
@@ -66,6 +66,15 @@
          server_at (b, server)->share > 0;
 }
 
+/* Whether SERVER's dispatcher can't say yet that what it takes from it stops;
+ * -1: there is no server. */
+gboolean
+cc_balance_in_doubt (const CcBalance *b, gint32 server)
+{
+  return server >= 0 &&
+         g_array_index (b->servers, CcBalanceServer, server).in_doubt;
+}
+
 /* Adds the server with the next index. */
 void
 cc_balance_add_server (CcBalance *b, gboolean fit, double share)
--- a/balance.h
+++ b/balance.h
@@ -40,6 +40,7 @@
 
 CcBalance *cc_balance_new (void);
 void cc_balance_free (CcBalance *b);
+gboolean cc_balance_in_doubt (const CcBalance *b, gint32 server);
 void cc_balance_add_server (CcBalance *b, gboolean fit, double share);
 void cc_balance_add_unit (CcBalance *b, const CcBalanceUnit *unit);
 void cc_balance_prepare (CcBalance *b);
--- a/hot_units.c
+++ b/hot_units.c
@@ -117,13 +117,6 @@
              : 0;
 }
 
-static gboolean
-is_in_doubt (const CcBalance *b, gint32 server)
-{
-  return server >= 0 &&
-         g_array_index (b->servers, CcBalanceServer, server).in_doubt;
-}
-
 /* Whether C is worth a unit of its own: hot for long enough, in a slice that
  * is settled, at a server with too much that can give it up soon. */
 static gboolean
@@ -134,7 +127,8 @@
   const CcMapSlice *s = cc_slicemap_at (m, unit);
 
   return unit < m->slices->len && s->from < 0 && s->server >= 0 &&
-         cc_moves_can_own (m, s->server) && !is_in_doubt (b, s->server) &&
+         cc_moves_can_own (m, s->server) &&
+         !cc_balance_in_doubt (b, s->server) &&
          c->load >= HOT_PART * mean_target (b) &&
          now - c->since >= y->patience &&
          server_load (b, s->server) > y->trigger;
@@ -222,8 +216,8 @@
       guint slice = cc_slicemap_slice (m, cc_slicemap_hot (m, i)->hash);
 
       if (!has_cooled (h, m, i, load, b, y, now) ||
-          is_in_doubt (b, cc_slicemap_at (m, i)->server) ||
-          is_in_doubt (b, cc_slicemap_at (m, slice)->server) ||
+          cc_balance_in_doubt (b, cc_slicemap_at (m, i)->server) ||
+          cc_balance_in_doubt (b, cc_slicemap_at (m, slice)->server) ||
           !cc_moves_fold (m, i))
         continue;
       cc_unit_loads_set (loads, i, 0);
