--- a/test/test_document.c
+++ b/test/test_document.c
@@ -241,8 +241,12 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_cases), cmocka_unit_test (test_all_findings),
-    cmocka_unit_test (test_slices_are_for_life), cmocka_unit_test (test_diff)
+    cmocka_unit_test (test_cases),
+    cmocka_unit_test (test_all_findings),
+    cmocka_unit_test (test_slices_are_for_life),
+    cmocka_unit_test (keep_is_not_taken_back),
+    cmocka_unit_test (keep_is_not_taken_back_by_removal),
+    cmocka_unit_test (test_diff)
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
