Test of two holders: waits that end

A test that has failed steps no further, so a wait for a plan, a write or a row after that never ended. All waits are bounded now and say so if nothing came.

--- a/test/test_two_holders.c
+++ b/test/test_two_holders.c
@@ -29,6 +29,17 @@
   return *cc_metrics_counter ("capercrank_key_ranges_moved", "");
 }
 
+/* Runs until a change of ranges was planned. */
+static void
+run_until_planned (void)
+{
+  guint64 before = moves ();
+
+  for (guint i = 0; i < 5 * CC_SECOND / STEP && moves () == before; i++)
+    run_for (STEP);
+  assert_int_not_equal (moves (), before);
+}
+
 static guint
 holder_but (guint other)
 {
@@ -250,8 +261,7 @@
   assert_int_equal (s->held->len, 1);
   p->cut_from_table = FALSE;
   p->write_takes = 600 * CC_MS;
-  for (guint64 before = moves (); moves () == before;)
-    run_for (STEP);
+  run_until_planned ();
   p->unlisted[0] = TRUE;
   run_for (8 * CC_SECOND);
   assert_string_equal (world.failure, "");
@@ -276,6 +286,16 @@
   return server;
 }
 
+/* Runs until that row names another than SERVER. */
+static void
+run_while_owned_by (guint server)
+{
+  for (guint i = 0;
+       i < 8 * CC_SECOND / STEP && owner_of_first_keys () == server; i++)
+    run_for (STEP);
+  assert_int_not_equal (owner_of_first_keys (), server);
+}
+
 /* Whether a grant of the keys from 0 on is to be carried out late. */
 static gboolean
 a_grant_is_to_be_carried_out (void)
@@ -301,8 +321,7 @@
 
   world.servers[0].up = FALSE;
   g_array_set_size (world.servers[0].held, 0);
-  while (owner_of_first_keys () == 0)
-    run_for (STEP);
+  run_while_owned_by (0);
   second = owner_of_first_keys ();
   world.servers[second].carries_after = 3 * CC_SECOND;
   for (guint i = 0; i < 800 && !a_grant_is_to_be_carried_out (); i++)
@@ -310,8 +329,7 @@
   assert_true (a_grant_is_to_be_carried_out ());
   for (guint i = 0; i < GRANTERS; i++)
     world.processes[i].unlisted[second] = TRUE;
-  while (owner_of_first_keys () == second)
-    run_for (STEP);
+  run_while_owned_by (second);
   world.servers[0].replaced = TRUE;
   for (guint i = 0; i < GRANTERS; i++)
     cc_view_put (&world.processes[i].view, "another", ++world.version, "0 1 1");
@@ -394,13 +412,22 @@
   return row != NULL && strstr (row->value, part) != NULL;
 }
 
+/* Runs as long as a write is on its way, or none is. */
+static void
+run_while_writing (gboolean writing)
+{
+  for (guint i = 0;
+       i < 2 * CC_SECOND / STEP && a_write_is_on_its_way () == writing; i++)
+    run_for (STEP);
+  assert_int_not_equal (a_write_is_on_its_way (), writing);
+}
+
 /* All but the hot key at its end goes from server 0 to another, while a write
  * is on its way; the rows of servers that start again come in between.  Returns
  * the hot key. */
 static guint
 cut_as_others_start_again (Process *p)
 {
-  guint64 before;
   guint hot = g_array_index (world.servers[0].held, Held, 0).to;
 
   p->write_takes = 600 * CC_MS;
@@ -409,15 +436,11 @@
    * more renewals of what stays before the granter's term is over. */
   for (guint i = 0; i < 2; i++)
     {
-      while (a_write_is_on_its_way ())
-        run_for (STEP);
-      while (!a_write_is_on_its_way ())
-        run_for (STEP);
+      run_while_writing (TRUE);
+      run_while_writing (FALSE);
     }
-  before = moves ();
   cc_granter_add_load (p->granter, POOL, hot, 20000);
-  while (moves () == before)
-    run_for (STEP);
+  run_until_planned ();
   for (guint i = 1; i <= STARTED_AGAIN; i++)
     {
       world.servers[i].born++;
