Test of two holders: a move that was planned while another granter renews

An owner is reached by the first granter alone, which is cut off from the table; the second one misses it in the list and finds an old row at its address, so it plans to move the keys at once, and is started again when the row is written. Its next run reads a range on the move and waits as if nobody renewed the previous owner after the row was written, while the first granter does: 0 holds 0 to 10921 (fence 1), 3 holds 0 to 6553 (fence 13).

--- a/test/test_two_holders.c
+++ b/test/test_two_holders.c
@@ -376,6 +376,24 @@
   world_clear ();
 }
 
+/* Guards against two upstreams that hold the same keys: while the first granter
+ * may still renew an owner, the second one plans to move its keys, since an old
+ * row at its address is listed; the next granter takes a range on the move for
+ * one that the first granter renews no more. */
+static void
+one_that_moves_beside_an_old_row_is_waited_for (void **state)
+{
+  guint first = begin_chain ();
+
+  (void) state;
+  for (guint i = 0; i < GRANTERS; i++)
+    cc_view_put (&world.processes[i].view, "another", ++world.version, "0 1 1");
+  run_until_held_by_another (first);
+  run_while_owned_by (0);
+  world_start_again (holder_but (first));
+  end_chain ();
+}
+
 /* ---- a configuration with another pool ---- */
 
 /* Guards against two upstreams that hold the same keys: another keyed pool is
@@ -494,6 +512,7 @@
     cmocka_unit_test (an_owner_of_a_moment_is_waited_for),
     cmocka_unit_test (an_owner_of_a_moment_is_waited_for_by_the_next_granter),
     cmocka_unit_test (one_beside_an_old_row_at_its_address_is_waited_for),
+    cmocka_unit_test (one_that_moves_beside_an_old_row_is_waited_for),
     cmocka_unit_test (a_pool_that_is_added_ends_no_move_early),
     cmocka_unit_test (the_part_of_a_cut_that_stays_is_waited_for),
   };
