Model of the granter: servers whose addresses go to others for a while

A seventh kind of random world: when a server ends, another may come to its address, and its row may stay in a process's list when the first is back. The draws of the other kinds are as before.

--- a/test/granter_world.c
+++ b/test/granter_world.c
@@ -959,6 +959,34 @@
   p->healed_at = MAX (p->healed_at, cc_clock_now () + ms (300, most));
 }
 
+/* Another is at the address of S, and most processes see it listed. */
+static void
+replace_server (Server *s)
+{
+  g_autofree char *id = g_strdup_printf ("x%s", s->id);
+  g_autofree char *value =
+      g_strdup_printf ("%u 1 1", (guint) (s - world.servers));
+
+  s->replaced = chance (0.4);
+  if (!s->replaced || !chance (0.8))
+    return;
+  for (guint i = 0; i < GRANTERS; i++)
+    if (!chance (0.2))
+      cc_view_put (&world.processes[i].view, id, ++world.version, value);
+}
+
+/* The other is gone; some processes see its row for long after. */
+static void
+give_address_back (Server *s)
+{
+  g_autofree char *id = g_strdup_printf ("x%s", s->id);
+
+  s->replaced = FALSE;
+  for (guint i = 0; i < GRANTERS; i++)
+    if (!chance (0.4))
+      cc_view_put (&world.processes[i].view, id, ++world.version, NULL);
+}
+
 static void
 end_server (Server *s)
 {
@@ -966,6 +994,8 @@
   s->leaving = FALSE;
   s->born++;
   s->back_at = cc_clock_now () + ms (20, 5000);
+  if (world.kind.replaces)
+    replace_server (s);
   g_array_set_size (s->held, 0);
 }
 
@@ -1089,6 +1119,8 @@
         continue;
       s->up = TRUE;
       s->back_at = 0;
+      if (s->replaced)
+        give_address_back (s);
     }
   for (guint i = 0; i < GRANTERS; i++)
     {
--- a/test/granter_world.h
+++ b/test/granter_world.h
@@ -137,6 +137,7 @@
   gboolean many;      /* kinds of faults, and strict checks of the fence */
   double often;       /* ... that begin in a second */
   gboolean news;      /* processes are told of renewals */
+  gboolean replaces;  /* others are at the addresses of servers that ended */
   gint64 table_takes; /* a write at most, us; 0: none is on its way */
 } WorldKind;
 
--- a/test/test_granter_worlds.c
+++ b/test/test_granter_worlds.c
@@ -135,6 +135,34 @@
   play_all (&kind, SEEDS_LARGE, found);
 }
 
+/* Guards against the same as others come to the addresses of servers that have
+ * ended, and their rows stay when those are back. */
+static void
+one_owner_beside_rows_of_others_at_an_address (void **state)
+{
+  const WorldKind kind = { .faults = 0.1,
+                           .servers = 11,
+                           .later = 5,
+                           .many = TRUE,
+                           .often = 0.5,
+                           .news = TRUE,
+                           .replaces = TRUE,
+                           .table_takes = 60 * CC_MS };
+  const WorldKind large = { .faults = 0.05,
+                            .servers = 110,
+                            .many = TRUE,
+                            .often = 0.4,
+                            .news = TRUE,
+                            .replaces = TRUE,
+                            .table_takes = 600 * CC_MS };
+  const guint found[] = { 80130, 0 };
+  const guint found_large[] = { 80012, 0 };
+
+  (void) state;
+  play_all (&large, 3, found_large);
+  play_all (&kind, SEEDS, found);
+}
+
 int
 main (void)
 {
@@ -145,6 +173,7 @@
     cmocka_unit_test (one_owner_as_a_pool_is_added),
     cmocka_unit_test (one_owner_with_a_slow_table),
     cmocka_unit_test (one_owner_in_a_large_pool),
+    cmocka_unit_test (one_owner_beside_rows_of_others_at_an_address),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
