Granter: a move that is read waits for granters before the last as well

What callers saw: two upstreams held the same keys (in the model).

Cause: of a range in a move a new granter counts on the previous owner having got its last grant before the move was written. A granter before the one that wrote it, cut off from the table, may know nothing of the move and renew. Since a list that names another upstream at the owner's address lets the range be moved at once, such a row can be there while it still does.

Change: the previous owner's end counts from the later of the row's time and the time until which granters before the last may renew, by the lease's row.

--- a/granter.c
+++ b/granter.c
@@ -473,7 +473,8 @@
   CcPredecessor before = { .seen = g->predecessor_seen,
                            .changes_until =
                                g->predecessor_seen + CC_GRANTER_TERM,
-                           .renews_until = MAX (g->predecessors_until, now) };
+                           .renews_until = MAX (g->predecessors_until, now),
+                           .others_until = g->shared.lease.others_until };
   GHashTableIter i;
   gpointer value;
 
--- a/range_grant.c
+++ b/range_grant.c
@@ -128,8 +128,9 @@
  * *FENCE; BEFORE is what the granter before may still do.
  *
  * That one renews without the table only what its rows say as well.  So of a
- * range in the middle of a move, the previous owner got its last grant before
- * the move was written, and the new one before the granter's term was over. */
+ * range in the middle of a move, the previous owner got its last grant of it
+ * before the move was written, and the new one before the granter's term was
+ * over.  Granters before that one may know nothing of the move. */
 void
 cc_range_grant_load (CcRangeGrant *x, guint64 *fence,
                      const CcPredecessor *before)
@@ -137,7 +138,8 @@
   x->moving = x->range->previous != NULL;
   if (x->moving)
     {
-      x->previous_until = cc_grant_ends (before->seen + CALL_WITHIN);
+      x->previous_until = cc_grant_ends (
+          MAX (before->seen, before->others_until) + CALL_WITHIN);
       x->previous_doubt = x->previous_until;
       /* The row may have named another new owner before. */
       x->between_until = x->previous_until;
