--- a/granter.c
+++ b/granter.c
@@ -64,7 +64,7 @@
   char *id;    /* of this run of the process */
   CcGrantShared shared;
   guint64 sequence;  /* of the last write to the lease's row */
-  gboolean loaded;   /* all pools are */
+  gboolean loaded;   /* the rows of all pools were read under this lease */
   gboolean calling;  /* the table service */
   gboolean doubtful; /* a write's answer was lost: read first */
   gboolean resigning;
--- a/targets.c
+++ b/targets.c
@@ -307,8 +307,9 @@
   return t->since == CC_LONG_AGO ? -1 : now - t->since;
 }
 
-/* Whether T, one of ALL, has ended for sure: it is listed no more, and another
- * upstream is listed at its address. */
+/* Whether T, one of ALL, is listed no more and another upstream is listed at
+ * its address.  So T has likely ended; but the other's row may be of one that
+ * was there before T, written late. */
 gboolean
 cc_targets_is_replaced (const CcTargets *all, const CcTarget *t)
 {
