--- a/test/granter_world.c
+++ b/test/granter_world.c
@@ -819,29 +819,29 @@
   (void) rows;
   for (guint i = 0; i < GRANTERS; i++)
     {
-      News n = { .process = i, .version = version };
+      Renewal n = { .process = i, .version = version };
 
       if (i == GPOINTER_TO_UINT (data) || chance (world.faults))
         continue;
       n.at = now + (chance (world.faults) ? ms (300, 4000) : ms (1, 60));
       n.seen_at = sent + ms (0, (gint) ((n.at - sent) / CC_MS) + 1);
-      g_ptr_array_add (world.news, g_memdup2 (&n, sizeof n));
+      g_ptr_array_add (world.renewals, g_memdup2 (&n, sizeof n));
     }
 }
 
 static void
-play_news (gint64 now)
+deliver_renewals (gint64 now)
 {
-  for (guint i = 0; i < world.news->len; i++)
+  for (guint i = 0; i < world.renewals->len; i++)
     {
-      News *n = world.news->pdata[i];
+      Renewal *n = world.renewals->pdata[i];
       const Process *p = &world.processes[n->process];
 
       if (n->at > now || p->frozen_until > now)
         continue;
       world.running = n->process;
       cc_granter_lease_received (p->granter, n->version, n->seen_at);
-      g_ptr_array_remove_index (world.news, i--);
+      g_ptr_array_remove_index (world.renewals, i--);
       g_free (n);
     }
 }
@@ -857,7 +857,7 @@
                                                     : "c",
                            .address = "10.9.9.9:1" };
 
-  if (world.kind.news)
+  if (world.kind.notifies)
     {
       setup.renewed = tell_renewed;
       setup.data = GUINT_TO_POINTER (index);
@@ -1195,8 +1195,8 @@
   gint64 now = cc_clock_now ();
 
   play_due (now);
-  if (world.kind.news)
-    play_news (now);
+  if (world.kind.notifies)
+    deliver_renewals (now);
   disturb (now);
   for (guint i = 0; i < GRANTERS; i++)
     {
@@ -1235,7 +1235,7 @@
     g_random_set_seed (kind->seed); /* for the granter's own chances */
   world.faults = kind->faults;
   world.count = kind->servers != 0 ? kind->servers : SERVERS;
-  world.news = g_ptr_array_new ();
+  world.renewals = g_ptr_array_new ();
   for (guint i = 0; i < G_N_ELEMENTS (world.parts); i++)
     {
       world.parts[i] = g_array_new (FALSE, FALSE, sizeof (FencePart));
@@ -1271,7 +1271,7 @@
     g_array_unref (world.processes[i].connections);
   for (guint i = 0; i < G_N_ELEMENTS (world.parts); i++)
     g_array_unref (world.parts[i]);
-  g_ptr_array_unref (world.news);
+  g_ptr_array_unref (world.renewals);
   g_ptr_array_unref (world.events);
   g_ptr_array_unref (world.answers);
   g_hash_table_unref (world.store);
--- a/test/granter_world.h
+++ b/test/granter_world.h
@@ -109,7 +109,7 @@
   guint process;
   guint64 version;
   gint64 seen_at;
-} News;
+} Renewal;
 
 typedef struct
 {
@@ -136,7 +136,7 @@
   guint later;        /* ... those at the end are of LATER_POOL */
   gboolean many;      /* kinds of faults, and strict checks of the fence */
   double often;       /* ... that begin in a second */
-  gboolean news;      /* processes are told of renewals */
+  gboolean notifies;  /* processes are told of renewals */
   gboolean replaces;  /* others are at the addresses of servers that ended */
   gint64 table_takes; /* a write at most, us; 0: none is on its way */
 } WorldKind;
@@ -152,14 +152,14 @@
   GPtrArray *answers;
   GHashTable *store; /* "table/key" to StoreRow */
   guint64 version;
-  guint running;      /* index of the process that is running */
-  gboolean weak;      /* processes that start seldom poll the lease */
-  GHashTable *fences; /* bucket of keys to highest fence and its server */
-  GArray *parts[2];   /* of FencePart, of each pool, without gaps */
-  guint same_fences;  /* taken by another life of the same server */
-  GPtrArray *news;    /* of News */
-  guint serial;       /* of the last connection */
-  gint64 added_at;    /* LATER_POOL was configured, us */
+  guint running;       /* index of the process that is running */
+  gboolean weak;       /* processes that start seldom poll the lease */
+  GHashTable *fences;  /* bucket of keys to highest fence and its server */
+  GArray *parts[2];    /* of FencePart, of each pool, without gaps */
+  guint same_fences;   /* taken by another life of the same server */
+  GPtrArray *renewals; /* of Renewal */
+  guint serial;        /* of the last connection */
+  gint64 added_at;     /* LATER_POOL was configured, us */
   char failure[200];
   double faults; /* how likely a call goes wrong */
 } World;
--- a/test/test_granter_worlds.c
+++ b/test/test_granter_worlds.c
@@ -47,7 +47,7 @@
 one_owner_where_calls_arrive (void **state)
 {
   const WorldKind kind = {
-    .faults = 0.02, .many = TRUE, .often = 0.3, .news = TRUE
+    .faults = 0.02, .many = TRUE, .often = 0.3, .notifies = TRUE
   };
   const guint found[] = { 78, 163, 0 };
 
@@ -60,7 +60,7 @@
 one_owner_where_calls_are_lost (void **state)
 {
   const WorldKind kind = {
-    .faults = 0.2, .many = TRUE, .often = 0.5, .news = TRUE
+    .faults = 0.2, .many = TRUE, .often = 0.5, .notifies = TRUE
   };
   const guint found[] = { 25, 40, 73, 113, 125, 0 };
 
@@ -77,7 +77,7 @@
                            .servers = 3,
                            .many = TRUE,
                            .often = 0.4,
-                           .news = TRUE,
+                           .notifies = TRUE,
                            .table_takes = 100 * CC_MS };
   const guint found[] = { 12, 20, 25, 100, 137, 0 };
 
@@ -94,7 +94,7 @@
                            .later = 5,
                            .many = TRUE,
                            .often = 0.5,
-                           .news = TRUE,
+                           .notifies = TRUE,
                            .table_takes = 60 * CC_MS };
   const guint found[] = { 13, 35, 86, 104, 162, 164, 191, 0 };
 
@@ -127,7 +127,7 @@
                            .servers = 110,
                            .many = TRUE,
                            .often = 0.4,
-                           .news = TRUE,
+                           .notifies = TRUE,
                            .table_takes = 600 * CC_MS };
   const guint found[] = { 15, 24, 58, 146, 0 };
 
@@ -145,14 +145,14 @@
                            .later = 5,
                            .many = TRUE,
                            .often = 0.5,
-                           .news = TRUE,
+                           .notifies = TRUE,
                            .replaces = TRUE,
                            .table_takes = 60 * CC_MS };
   const WorldKind large = { .faults = 0.05,
                             .servers = 110,
                             .many = TRUE,
                             .often = 0.4,
-                            .news = TRUE,
+                            .notifies = TRUE,
                             .replaces = TRUE,
                             .table_takes = 600 * CC_MS };
   const guint found[] = { 80130, 0 };
