Log: each write of a map, and what leaves a server by it

A unit without an owner could not be followed: the log told that a move had taken long, not whether it waited for the list, the write, its reading, the server or the second write. The assigner now logs each write of a map (version, what it replaces, how long it took, units on their way; by the process that wrote it), the dispatcher each version that has units leave a server and when that has stopped. Two lines a server and write that moves units, none else.

--- a/assign.c
+++ b/assign.c
@@ -45,7 +45,10 @@
 typedef struct
 {
   Assign *assign;
-  char *name; /* pool or lease id */
+  char *name;     /* of the pool */
+  guint64 before; /* version that it replaces */
+  gint64 began;   /* us */
+  guint moving;   /* units on their way in what is written */
 } Write;
 
 static void
@@ -116,12 +119,15 @@
 }
 
 static Write *
-write_new (Assign *a, const char *name)
+write_new (Assign *a, const CcSliceMap *m)
 {
   Write *w = g_new0 (Write, 1);
 
   w->assign = a;
-  w->name = g_strdup (name);
+  w->name = g_strdup (m->pool);
+  w->before = m->version;
+  w->began = cc_clock_now ();
+  w->moving = cc_slicemap_moving (m);
   return w;
 }
 
@@ -162,11 +168,29 @@
   return r;
 }
 
+static void
+log_write (const Write *w, CcStatus status, guint64 version)
+{
+  gint64 took = (cc_clock_now () - w->began) / CC_MS;
+
+  if (status == CC_OK)
+    cc_log (CC_LOG_INFO, "map",
+            "%s: version %" G_GUINT64_FORMAT " written over %" G_GUINT64_FORMAT
+            " in %" G_GINT64_FORMAT " ms, %u units on their way",
+            w->name, version, w->before, took, w->moving);
+  else
+    cc_log (CC_LOG_WARNING, "map",
+            "%s: not written over %" G_GUINT64_FORMAT ", status %d after "
+            "%" G_GINT64_FORMAT " ms",
+            w->name, w->before, (int) status, took);
+}
+
 static void
 on_map_written (CcStatus status, guint64 version, gpointer data)
 {
   Write *w = data;
 
+  log_write (w, status, version);
   if (status == CC_OK)
     planner_of (w->assign, w->name)->written = version;
   g_hash_table_remove (w->assign->writing, w->name);
@@ -189,7 +213,7 @@
   /* A dispatcher may already go by a newer document, which says "keep". */
   cc_transaction_check (x, "config/head", a->follower->document_version);
   cc_transaction_put (x, key, value);
-  cc_platform_commit (a->platform, x, on_map_written, write_new (a, m->pool));
+  cc_platform_commit (a->platform, x, on_map_written, write_new (a, m));
 }
 
 static void
--- a/assignment.c
+++ b/assignment.c
@@ -260,16 +260,6 @@
     }
 }
 
-static guint
-count_moving (const CcSliceMap *m)
-{
-  guint n = 0;
-
-  for (guint i = 0; i < cc_slicemap_units (m); i++)
-    n += cc_slicemap_at (m, i)->from >= 0;
-  return n;
-}
-
 static guint
 fill_joining (CcBalance *b, const CcPlanner *p, const CcSliceMap *m,
               guint limit, gint64 now)
@@ -403,7 +393,7 @@
               const Policy *y, gboolean idle, gint64 now)
 {
   guint most = MAX (MOVING_LEAST, cc_slicemap_units (m) / MOVING_PART);
-  guint moving = count_moving (m);
+  guint moving = cc_slicemap_moving (m);
   guint placed = place_homeless (b, p, most, moving, now);
   guint limit = most - MIN (most, moving + placed);
 
--- a/dispatch.c
+++ b/dispatch.c
@@ -110,6 +110,20 @@
   return pool != NULL && pool->cut_off == CC_CUT_OFF_KEEP;
 }
 
+static void
+note_leaving (CcServer *s, const CcSliceMap *m, gint32 index)
+{
+  guint leaving = cc_slicemap_leaving (m, index);
+
+  if (leaving == 0)
+    return;
+  s->taking = m->version;
+  s->taking_at = cc_clock_now ();
+  cc_log (CC_LOG_INFO, "server",
+          "%s/%s: version %" G_GUINT64_FORMAT " has %u units leave", m->pool,
+          s->holding->name, m->version, leaving);
+}
+
 /* A server that this process is to hand over is taken on even if it never held
  * it, having missed the map that said so: the next holder waits for its word.
  */
@@ -134,6 +148,7 @@
   s->holding->keeps = keeps (d, m->pool);
   if (m->version <= s->holding->map_version)
     return;
+  note_leaving (s, m, index);
   cc_holding_update (s->holding, m, index, me);
   cc_server_updated (s);
 }
--- a/reports.c
+++ b/reports.c
@@ -6,6 +6,7 @@
 #include <json-glib/json-glib.h>
 
 #include "clock.h"
+#include "log.h"
 
 #define REPORT_PERIOD (200 * CC_MS)
 #define OUTCOMES_EXPIRE (5 * CC_SECOND) /* a move takes less */
@@ -84,6 +85,19 @@
                               send_outcomes, d);
 }
 
+static void
+note_stopped (CcServer *s, guint64 applied, gint64 now)
+{
+  if (s->taking == 0 || applied < s->taking)
+    return;
+  cc_log (CC_LOG_INFO, "server",
+          "%s/%s has stopped what left by version %" G_GUINT64_FORMAT
+          ", after %" G_GINT64_FORMAT " ms",
+          s->holding->pool, s->holding->name, s->taking,
+          (now - s->taking_at) / CC_MS);
+  s->taking = 0;
+}
+
 /* Reports S to the assigner if its state changed or it is time. */
 void
 cc_report_if_due (CcDispatcher *d, CcServer *s, gint64 now)
@@ -94,6 +108,7 @@
     applied = s->reported;
   if (applied == s->reported && now < s->report_due)
     return;
+  note_stopped (s, applied, now);
   s->reported = applied;
   s->report_due = now + REPORT_PERIOD;
   send_report (d, s, applied);
--- a/server.h
+++ b/server.h
@@ -45,6 +45,8 @@
   gboolean asked;    /* the lease stood then, so the server is asked */
   gboolean closed;   /* freed when the grant's callback has run */
   guint64 reported;  /* applied version last reported */
+  guint64 taking;    /* newest map version that takes units away; 0: none */
+  gint64 taking_at;  /* when it was read, us */
   gint64 report_due; /* when the next report is to be sent, us */
 } CcServer;
 
--- a/slicemap.c
+++ b/slicemap.c
@@ -334,6 +334,28 @@
   return n;
 }
 
+/* How many units are on their way from SERVER. */
+guint
+cc_slicemap_leaving (const CcSliceMap *m, gint32 server)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
+    n += cc_slicemap_at (m, i)->from == server ? 1 : 0;
+  return n;
+}
+
+/* How many units of M are on their way. */
+guint
+cc_slicemap_moving (const CcSliceMap *m)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < cc_slicemap_units (m); i++)
+    n += cc_slicemap_at (m, i)->from >= 0;
+  return n;
+}
+
 static gboolean
 is_referenced (const CcSliceMap *m, gint32 server)
 {
--- a/slicemap.h
+++ b/slicemap.h
@@ -80,6 +80,8 @@
 gint32 cc_slicemap_add (CcSliceMap *m, const char *name, const char *address,
                         const char *zone);
 guint cc_slicemap_owned (const CcSliceMap *m, gint32 server);
+guint cc_slicemap_leaving (const CcSliceMap *m, gint32 server);
+guint cc_slicemap_moving (const CcSliceMap *m);
 void cc_slicemap_compact (CcSliceMap *m);
 
 #endif
