Assigner: a leaving server is emptied by the pace of the table's answers

Callers: a leaving server is given work 3 to 4 s after it was listed; its process ends whatever it still owns. Traced in server-leaves-platform-late beside 48 loops: the first write of its pool moved 6 of its 50 units, and each write takes 0.9 s in which no other can be made, so the next 43 began a second later, 3.0 s after the first could be known.

Cause: a part was sized by the time that past moves took. Those were made while the table answered within milliseconds, and smoothing forgets them only after several slow moves.

Change: a move is two writes, so it is expected to take at least twice what the table's answers take at present; the platform's client smooths that time for its timeout.

test_hotkeys, a_leaving_server_is_emptied_by_slow_writes: 56 of 64 units were owned after two seconds with writes of 1 s before, 0 with writes of 0.2 to 1 s after.

--- a/assign.c
+++ b/assign.c
@@ -232,6 +232,7 @@
   m = row != NULL ? cc_slicemap_parse (pool->name, row->version, row->value)
                   : cc_slicemap_new (pool->name, pool->slices);
   roster = roster_of (a, pool);
+  cc_planner_answered (p, cc_platform_answer_time (a->platform));
   if (m != NULL &&
       cc_planner_step (p, m, pool, roster, reports_of (a, pool->name),
                        cc_clock_now ()) > 0)
--- a/assignment.c
+++ b/assignment.c
@@ -97,6 +97,13 @@
   g_free (p);
 }
 
+/* The table's answers, and so the writes of maps, take USUAL us at present. */
+void
+cc_planner_answered (CcPlanner *p, gint64 usual)
+{
+  p->write_usual = usual;
+}
+
 static gint64 *
 time_at (GArray *times, guint unit)
 {
@@ -348,23 +355,33 @@
   return 1;
 }
 
+/* How long a move that begins now will take, us; 0: not known.  A move is two
+ * writes, one after the other, and past moves tell nothing of a table that has
+ * become slow since. */
+static gint64
+move_expected (const CcPlanner *p)
+{
+  return MAX (p->move_usual, 2 * p->write_usual);
+}
+
 /* How many of the homeless units are to move now, so that the last one has
- * moved EMPTIED_WITHIN after the first if moves go on taking as long. */
+ * moved EMPTIED_WITHIN after the first if moves take as long as expected. */
 static guint
 homeless_due (CcPlanner *p, guint homeless, gint64 now)
 {
+  gint64 expected = move_expected (p);
   gint64 left;
 
   if (homeless == 0)
     p->homeless_since = 0;
   else if (p->homeless_since == 0)
     p->homeless_since = now;
-  if (homeless == 0 || p->move_usual == 0)
+  if (homeless == 0 || expected == 0)
     return 0;
   left = p->homeless_since + EMPTIED_WITHIN - now;
-  if (left <= p->move_usual)
+  if (left <= expected)
     return homeless;
-  return (guint) ((gint64) homeless * p->move_usual / left);
+  return (guint) ((gint64) homeless * expected / left);
 }
 
 /* Moves units away from servers that may not own them, a part at a time.
--- a/assignment.h
+++ b/assignment.h
@@ -19,7 +19,9 @@
   GArray *began;     /* of gint64 by unit: when its move began, us; 0: none */
   gint64 move_time;  /* all that moves that have ended took, us */
   gint64 move_usual; /* smoothed time of a move, us; 0: none has ended */
-  guint64 ended;     /* moves that have ended */
+  gint64
+      write_usual; /* smoothed time of the table's answers, us; 0: not known */
+  guint64 ended;   /* moves that have ended */
   gint64 homeless_since; /* units wait for another server since, us; 0: none */
   gint64 over_since; /* imbalance is above the trigger since, us; 0: is not */
   double budget;     /* units that evening out may still move */
@@ -33,6 +35,7 @@
 
 CcPlanner *cc_planner_new (void);
 void cc_planner_free (CcPlanner *p);
+void cc_planner_answered (CcPlanner *p, gint64 usual);
 guint cc_planner_step (CcPlanner *p, CcSliceMap *m, const CcPool *pool,
                        const CcRoster *roster, GHashTable *reports, gint64 now);
 guint cc_assignment_step (CcSliceMap *m, const CcPool *pool,
--- a/platform.c
+++ b/platform.c
@@ -62,6 +62,13 @@
   return p;
 }
 
+/* How long answers of P take at present, smoothed, us; 0: none has come. */
+gint64
+cc_platform_answer_time (const CcPlatform *p)
+{
+  return p->timeout.smoothed;
+}
+
 /* An empty transaction, consumed by cc_platform_commit. */
 CcTransaction *
 cc_transaction_new (void)
--- a/platform.h
+++ b/platform.h
@@ -36,6 +36,7 @@
 
 CcPlatform *cc_platform_new (const char *address, const char *source,
                              gint64 timeout);
+gint64 cc_platform_answer_time (const CcPlatform *p);
 CcTransaction *cc_transaction_new (void);
 void cc_transaction_check (CcTransaction *t, const char *key, guint64 version);
 void cc_transaction_put (CcTransaction *t, const char *key, const char *value);
--- a/test/test_hotkeys.c
+++ b/test/test_hotkeys.c
@@ -244,6 +244,35 @@
     }
 }
 
+/* Guards against a leaving server that is emptied late, since each part of its
+ * units waits for a write and the first were sized for quick ones: no write is
+ * begun that would end later than two seconds after. */
+static void
+a_leaving_server_is_emptied_by_slow_writes (void **state)
+{
+  static const gint64 writes[] = { 200 * CC_MS, 400 * CC_MS, 600 * CC_MS,
+                                   800 * CC_MS, 1000 * CC_MS };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (writes); i++)
+    {
+      World *w = world_new (256, 4, CC_PREFER_AVAILABILITY, 1);
+
+      world_spread (w, 20);
+      world_run (w, 60);
+      w->write = writes[i];
+      w->lag = writes[i];
+      world_run (w, 4);
+      world_find (w, "s1")->leaving = TRUE;
+      for (gint64 end = w->now + 2 * CC_SECOND - w->write; w->now < end;)
+        world_tick (w);
+      if (world_owned (w, "s1") > 0)
+        fail_msg ("writes of %u ms: %u units still owned",
+                  (guint) (w->write / CC_MS), world_owned (w, "s1"));
+      world_free (w);
+    }
+}
+
 /* Guards against a memory of outcomes that is lost: a unit whose next holder
  * never was its owner in any map, since it moved on in the step that ended the
  * move before. */
@@ -336,6 +365,7 @@
     cmocka_unit_test (test_two_hot_keys),
     cmocka_unit_test (test_keys_that_change),
     cmocka_unit_test (a_leaving_server_is_emptied_in_time),
+    cmocka_unit_test (a_leaving_server_is_emptied_by_slow_writes),
     cmocka_unit_test (a_move_is_settled_before_the_next),
     cmocka_unit_test (a_move_does_not_wait_for_later_ones),
     cmocka_unit_test (a_hot_key_stays_while_its_server_is_in_doubt),
--- a/test/world.c
+++ b/test/world.c
@@ -284,9 +284,13 @@
   report (w, reports);
   if (w->now % LOADS_PERIOD == 0)
     report_hot (w);
-  if (cc_planner_step (w->planner, w->map, &w->pool, roster, reports, w->now) >
-      0)
-    w->map->version++;
+  cc_planner_answered (w->planner, w->write);
+  if (w->now >= w->writing && cc_planner_step (w->planner, w->map, &w->pool,
+                                               roster, reports, w->now) > 0)
+    {
+      w->map->version++;
+      w->writing = w->now + w->write;
+    }
   count_moves (w, before);
   count_unsettled (w, moving);
   cc_roster_free (roster);
--- a/test/world.h
+++ b/test/world.h
@@ -34,6 +34,8 @@
   GRand *rand;
   double noise;    /* relative, of a measured load */
   gint64 lag;      /* until reports tell of a map, us */
+  gint64 write;    /* that a write takes, in which no step is taken, us */
+  gint64 writing;  /* a write lasts until then, us */
   GArray *written; /* of gint64 by version: when, us */
   gint64 now;
   guint moves;        /* units that changed servers */
