Assigner: a unit on its way to a leaving server is sent elsewhere while writes are slow

Traced by the map's log lines: a hot key was on its way to it (version 101) when the list told that it leaves. Its move ended with 124, 3.8 s after the listing, so the server owned the hottest key for a second, and it left by 132, at 4.7 s.

Cause: a move that has begun was carried through whatever became of its destination. It takes two writes, then leaving takes another, each as long as the table's answers.

Change: where a second move would not fit into the time in which a leaving server is to be emptied, the unit is sent to another server on its way. It keeps its epoch, which nobody has owned; the old holder passes its memory of outcomes on to the new destination, and the move counts from the version that names it, so the memory is there before the owner begins. While writes are quick nothing changes: the redirect costs the application of one more map.

--- a/assignment.c
+++ b/assignment.c
@@ -5,7 +5,8 @@
  * here stands when anything moves at all.
  *
  *  - A unit without a server that may own it moves now.  From a leaving server
- *    units move a part at a time, so that the next ones are not flooded.
+ *    units move a part at a time, so that the next ones are not flooded.  While
+ *    writes are slow, units on their way to one are sent elsewhere.
  *  - A server that joins is filled up to its share as it warms up
  *    (standing.c).
  *  - Otherwise load is evened out only when the imbalance has stood above a
@@ -247,6 +248,15 @@
         cc_moves_in_doubt (m, (gint32) i, reports);
 }
 
+/* Whether a move takes longer than a leaving server may be emptied in.  Only
+ * then is a unit sent elsewhere on its way: it is without an owner until one
+ * more map is applied, but need not move a second time. */
+static gboolean
+writes_are_slow (const CcPlanner *p)
+{
+  return 2 * p->write_usual > EMPTIED_WITHIN;
+}
+
 static void
 add_units (CcBalance *b, CcPlanner *p, const CcSliceMap *m,
            const GByteArray *on_way, const Policy *y, gint64 now)
@@ -257,13 +267,15 @@
       const CcMapHot *h = cc_slicemap_hot (m, i);
       gint64 moved = *time_at (p->moved_at, i);
       gboolean is_unit = h == NULL || h->state == CC_HOT_SPLIT;
-      CcBalanceUnit u = { .load = cc_unit_loads_of (p->loads, i),
-                          .server = s->server,
-                          .fixed = s->from >= 0 || !is_unit ||
-                                   on_way->data[i] ||
-                                   cc_balance_in_doubt (b, s->server),
-                          .rests = moved > 0 && now - moved < y->rest,
-                          .urgent = is_unit && !is_served (m, s) };
+      gboolean redirect = writes_are_slow (p) && cc_moves_may_redirect (m, i);
+      CcBalanceUnit u = {
+        .load = cc_unit_loads_of (p->loads, i),
+        .server = s->server,
+        .fixed = !redirect && (s->from >= 0 || !is_unit || on_way->data[i] ||
+                               cc_balance_in_doubt (b, s->server)),
+        .rests = moved > 0 && now - moved < y->rest,
+        .urgent = redirect || (is_unit && !is_served (m, s))
+      };
 
       cc_balance_add_unit (b, &u);
     }
@@ -330,7 +342,10 @@
 
       if (cc_slicemap_at (m, one->unit)->server >= 0)
         *time_at (p->moved_at, one->unit) = now;
-      cc_moves_start (m, one->unit, one->to);
+      if (cc_slicemap_at (m, one->unit)->from >= 0)
+        cc_moves_redirect (m, one->unit, one->to);
+      else
+        cc_moves_start (m, one->unit, one->to);
     }
   p->moves += b->moves->len;
   return b->moves->len;
--- a/move_stamps.c
+++ b/move_stamps.c
@@ -12,7 +12,8 @@
 typedef struct
 {
   guint64 epoch;   /* of the unit; 0 for a handover */
-  guint64 term;    /* of the server that is to own it, or is handed over */
+  gint32 server;   /* that is to own it; 0 for a handover */
+  guint64 term;    /* of that server, or of the one that is handed over */
   guint64 version; /* of the map that first showed it */
 } Stamp;
 
@@ -42,13 +43,14 @@
   g_free (t);
 }
 
-/* A new term of the coming owner counts as a new move, since the memory of
- * outcomes is passed on for one term. */
+/* Another coming owner, or a new term of it, counts as a new move, since the
+ * memory of outcomes is passed on to one dispatcher for one term. */
 static void
-note (Stamp *s, guint64 epoch, guint64 term, guint64 version)
+note (Stamp *s, const Stamp *seen)
 {
-  if (s->epoch != epoch || s->term != term || s->version == 0)
-    *s = (Stamp){ epoch, term, version };
+  if (s->epoch != seen->epoch || s->server != seen->server ||
+      s->term != seen->term || s->version == 0)
+    *s = *seen;
 }
 
 static void
@@ -59,7 +61,8 @@
   Stamp *s = &g_array_index (t->units, Stamp, unit);
 
   if (u->from >= 0)
-    note (s, u->epoch, to != NULL ? to->term : 0, m->version);
+    note (s, &(Stamp){ u->epoch, u->server, to != NULL ? to->term : 0,
+                       m->version });
   else
     *s = (Stamp){ 0 };
 }
@@ -79,7 +82,7 @@
       s = g_new0 (Stamp, 1);
       g_hash_table_insert (t->servers, g_strdup (server->name), s);
     }
-  note (s, 0, server->term, version);
+  note (s, &(Stamp){ 0, 0, server->term, version });
 }
 
 /* Takes in M as it was read, unchanged. */
--- a/outcome_transfer.c
+++ b/outcome_transfer.c
@@ -32,6 +32,7 @@
    * before the move is settled. */
   guint64 passed_epoch;
   guint64 passed_term;
+  char *passed_to; /* dispatcher; NULL: it was not passed on */
 } Hold;
 
 /* Chunks that came for a hold. */
@@ -66,6 +67,7 @@
 hold_free (gpointer data)
 {
   g_free (((Hold *) data)->server);
+  g_free (((Hold *) data)->passed_to);
   g_free (data);
 }
 
@@ -303,7 +305,8 @@
   const CcMapServer *owner = coming_owner (m, slice);
   guint64 epoch = cc_slicemap_at (m, slice)->epoch;
 
-  if (hold->passed_epoch == epoch && hold->passed_term == owner->term)
+  if (hold->passed_epoch == epoch && hold->passed_term == owner->term &&
+      g_strcmp0 (hold->passed_to, owner->dispatcher) == 0)
     return TRUE;
   if (g_str_equal (owner->dispatcher, me))
     pass_to_self (t, m, slice);
@@ -311,6 +314,8 @@
     return FALSE;
   hold->passed_epoch = epoch;
   hold->passed_term = owner->term;
+  g_free (hold->passed_to);
+  hold->passed_to = g_strdup (owner->dispatcher);
   return TRUE;
 }
 
--- a/ownership_moves.c
+++ b/ownership_moves.c
@@ -286,6 +286,25 @@
   s->epoch++;
 }
 
+/* Whether UNIT is on its way to a server that may not own it any more.  A slice
+ * into which a hot key is folded waits for two servers and is left alone. */
+gboolean
+cc_moves_may_redirect (const CcSliceMap *m, guint unit)
+{
+  const CcMapSlice *s = cc_slicemap_at (m, unit);
+
+  return s->from >= 0 && s->server >= 0 && !cc_moves_can_own (m, s->server) &&
+         (unit >= m->slices->len || !is_folded_into (m, unit));
+}
+
+/* Has UNIT, on its way, come to server TO.  It keeps its epoch, which nobody
+ * has owned yet. */
+void
+cc_moves_redirect (CcSliceMap *m, guint unit, gint32 to)
+{
+  cc_slicemap_at (m, unit)->server = to;
+}
+
 /* The first half of splitting the key with HASH out of its slice, to be owned
  * by server TO.  Returns the new unit, or -1 if it can't be done now. */
 gint32
--- a/ownership_moves.h
+++ b/ownership_moves.h
@@ -20,6 +20,8 @@
 gboolean cc_moves_can_own (const CcSliceMap *m, gint32 server);
 gboolean cc_moves_in_doubt (const CcSliceMap *m, gint32 server,
                             GHashTable *reports);
+gboolean cc_moves_may_redirect (const CcSliceMap *m, guint unit);
+void cc_moves_redirect (CcSliceMap *m, guint unit, gint32 to);
 void cc_moves_start (CcSliceMap *m, guint unit, gint32 to);
 gint32 cc_moves_split (CcSliceMap *m, guint64 hash, gint32 to);
 gboolean cc_moves_fold (CcSliceMap *m, guint unit);
--- a/test/test_hotkeys.c
+++ b/test/test_hotkeys.c
@@ -273,6 +273,54 @@
     }
 }
 
+static guint
+coming_to (const World *w, const char *name)
+{
+  gint32 server = cc_slicemap_find (w->map, name);
+  guint n = 0;
+
+  for (guint i = 0; i < cc_slicemap_units (w->map); i++)
+    n += cc_slicemap_at (w->map, i)->from >= 0 &&
+         cc_slicemap_at (w->map, i)->server == server;
+  return n;
+}
+
+/* Guards against units that have to move twice, since the server to which they
+ * were on their way was lost or told to leave meanwhile. */
+static void
+a_unit_on_its_way_is_sent_elsewhere (void **state)
+{
+  static const struct
+  {
+    gboolean leaving, silent;
+  } cases[] = { { TRUE, FALSE }, { FALSE, TRUE } };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      World *w = world_new (256, 4, CC_PREFER_AVAILABILITY, 1);
+
+      world_spread (w, 20);
+      world_run (w, 60);
+      w->write = 800 * CC_MS;
+      w->lag = 800 * CC_MS;
+      world_find (w, "s0")->leaving = TRUE;
+      for (guint k = 0; k < 5 && coming_to (w, "s1") == 0; k++)
+        world_tick (w);
+      assert_true (coming_to (w, "s1") > 0);
+      world_find (w, "s1")->leaving = cases[i].leaving;
+      world_find (w, "s1")->silent = cases[i].silent;
+      for (gint64 end = w->now + w->write; w->now < end;)
+        world_tick (w);
+      if (coming_to (w, "s1") > 0)
+        fail_msg ("case %u: %u units on their way to s1", i,
+                  coming_to (w, "s1"));
+      world_run (w, 10);
+      assert_int_equal (world_owned (w, "s1"), 0);
+      world_free (w);
+    }
+}
+
 /* Guards against a memory of outcomes that is lost: a unit whose next holder
  * never was its owner in any map, since it moved on in the step that ended the
  * move before. */
@@ -366,6 +414,7 @@
     cmocka_unit_test (test_keys_that_change),
     cmocka_unit_test (a_leaving_server_is_emptied_in_time),
     cmocka_unit_test (a_leaving_server_is_emptied_by_slow_writes),
+    cmocka_unit_test (a_unit_on_its_way_is_sent_elsewhere),
     cmocka_unit_test (a_move_is_settled_before_the_next),
     cmocka_unit_test (a_move_does_not_wait_for_later_ones),
     cmocka_unit_test (a_hot_key_stays_while_its_server_is_in_doubt),
--- a/test/test_slicemap.c
+++ b/test/test_slicemap.c
@@ -66,7 +66,7 @@
   GPtrArray *ids[KEYS];
   GHashTable *ran;      /* ids that took effect */
   guint64 epochs[KEYS]; /* of the last attempt */
-  guint starts, splits, folds, repeats;
+  guint starts, splits, folds, repeats, redirects;
 } Schedule;
 
 static guint
@@ -193,6 +193,19 @@
   g_free (s);
 }
 
+static gboolean
+is_folded_into (const CcSliceMap *m, guint slice)
+{
+  for (guint i = 0; i < m->hot->len; i++)
+    {
+      const CcMapHot *h = &g_array_index (m->hot, CcMapHot, i);
+
+      if (h->state == CC_HOT_FOLDING && cc_slicemap_slice (m, h->hash) == slice)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 assigner_step (Schedule *s)
 {
@@ -204,7 +217,14 @@
 
   cc_move_stamps_note (s->stamps, s->map);
   changes = cc_moves_update (s->map, s->roster, s->reports, s->stamps);
-  if (pick (s, 3) == 0 && u->from < 0 && u->server >= 0 && u->server != to)
+  if (pick (s, 3) == 0 && u->from >= 0 && u->server >= 0 &&
+      !(h == NULL && is_folded_into (s->map, unit)))
+    {
+      s->redirects += u->server != to;
+      cc_moves_redirect (s->map, unit, to);
+      changes++;
+    }
+  else if (pick (s, 3) == 0 && u->from < 0 && u->server >= 0 && u->server != to)
     {
       cc_moves_start (s->map, unit, to);
       changes++;
@@ -436,7 +456,7 @@
 static void
 test_one_owner (void **state)
 {
-  guint starts = 0, splits = 0, folds = 0, repeats = 0;
+  guint starts = 0, splits = 0, folds = 0, repeats = 0, redirects = 0;
 
   (void) state;
   for (guint32 seed = 1; seed <= SEEDS; seed++)
@@ -449,12 +469,14 @@
       splits += s->splits;
       folds += s->folds;
       repeats += s->repeats;
+      redirects += s->redirects;
       schedule_free (s);
     }
   print_message ("%u seeds: %u runs, %u repeats answered, %u splits, "
-                 "%u folds\n",
-                 SEEDS, starts, repeats, splits, folds);
-  assert_true (splits > SEEDS && folds > SEEDS && repeats > SEEDS);
+                 "%u folds, %u redirects\n",
+                 SEEDS, starts, repeats, splits, folds, redirects);
+  assert_true (splits > SEEDS && folds > SEEDS && repeats > SEEDS &&
+               redirects > SEEDS);
 }
 
 static void
