Assigner: the list of instances is read at its pace while its answers are slow

Callers: a leaving server is emptied later by up to the time of an answer.

Cause: one question at a time. A change just after a question was read is seen by the answer to the next, which was asked only when the first had been answered.

Change: listing.c asks twice a second whether or not answers are due, and drops an answer that a later one has overtaken. The timeout of a call, a lease's term at most, bounds how many are on their way.

test_listing, a_slow_list_is_not_older_than_its_answer, with the old rule: seen 1750 ms after the change at answers of 0.9 s; now at most a period and an answer (and two ticks), for answers of 0 to 1.6 s.

--- a/assign.c
+++ b/assign.c
@@ -14,6 +14,7 @@
 #include "drain_api.h"
 #include "follower.h"
 #include "leader.h"
+#include "listing.h"
 #include "log.h"
 #include "map_change.h"
 #include "metrics.h"
@@ -21,7 +22,6 @@
 #include "takeover.h"
 
 #define TICK_MS 50
-#define INSTANCES_PERIOD (500 * CC_MS)
 #define PLATFORM_TIMEOUT (700 * CC_MS)
 
 typedef struct
@@ -36,9 +36,7 @@
   GHashTable *planners; /* pool to CcPlanner */
   GHashTable *writing;  /* pools whose map is being written */
   GPtrArray *listed;    /* of CcInstance, servers of the platform's list */
-  gboolean have_list;
-  gboolean listing;
-  gint64 list_due;
+  CcListing listing;
   CcCounter *steps;
 } Assign;
 
@@ -53,6 +51,12 @@
   guint moving;   /* units on their way in what is written */
 } Write;
 
+typedef struct
+{
+  Assign *assign;
+  guint64 number; /* of the question for the list of instances */
+} Question;
+
 static void
 report_free (gpointer data)
 {
@@ -289,16 +293,29 @@
 static void
 on_instances (CcStatus status, GPtrArray *instances, gpointer data)
 {
-  Assign *a = data;
+  g_autofree Question *q = data;
+  Assign *a = q->assign;
 
-  a->listing = FALSE;
-  if (status != CC_OK)
+  if (status != CC_OK || !cc_listing_answered (&a->listing, q->number))
     return;
-  a->have_list = TRUE;
   g_ptr_array_unref (a->listed);
   a->listed = g_ptr_array_ref (instances);
 }
 
+static void
+ask_for_instances (Assign *a, gint64 now)
+{
+  guint64 number = cc_listing_ask (&a->listing, now);
+  Question *q;
+
+  if (number == 0)
+    return;
+  q = g_new0 (Question, 1);
+  q->assign = a;
+  q->number = number;
+  cc_platform_instances (a->platform, on_instances, q);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -313,13 +330,9 @@
   cc_takeover_tick (a->takeover, active, now);
   if (active && cc_voting_is_isolated (a->voting, now))
     cc_leader_resign (&a->leader);
-  if (plans && !a->listing && now >= a->list_due)
-    {
-      a->listing = TRUE;
-      a->list_due = now + INSTANCES_PERIOD;
-      cc_platform_instances (a->platform, on_instances, a);
-    }
-  if (plans && a->have_list)
+  if (plans)
+    ask_for_instances (a, now);
+  if (plans && a->listing.taken > 0)
     plan (a);
   return G_SOURCE_CONTINUE;
 }
