Holding: an answer from before an attempt's deadline does not end the doubt about it

Callers: a key at two servers at once, or work in an older epoch, at servers that do not check grants.

Cause: an answer that the server gave before it froze passed for a sign of life afterwards.

Change: the doubt ends only by an answer that comes after the last deadline has passed.

test_ownership, an_old_answer_ends_no_attempt: with a deadline at the freeze the attempt was said to have stopped after 500 ms without any answer before, never after.

--- a/holding.c
+++ b/holding.c
@@ -194,6 +194,7 @@
   if (!answered)
     {
       h->quiet_at = MAX (h->quiet_at, deadline + CC_SKEW_MAX);
+      h->quiet_since = 0;
       h->doubt = TRUE;
     }
   if (--s->running == 0 && !s->owned)
@@ -285,13 +286,22 @@
   return h->lost && (h->checks_grants || !h->doubt);
 }
 
+/* Ends the doubt about unanswered attempts.  An answer from before their
+ * deadlines passed proves nothing: the server may have frozen just after it,
+ * with an attempt inside that takes effect when it wakes. */
 static void
 settle (CcHolding *h, gint64 now, gint64 wall)
 {
-  gboolean lively = now < h->answered + CC_SERVER_SUSPECT &&
-                    now >= h->alive_since + CC_SERVER_SETTLE;
+  gboolean lively;
 
-  if (wall >= h->quiet_at && (lively || h->gone))
+  if (!h->doubt || wall < h->quiet_at)
+    return;
+  if (h->quiet_since == 0)
+    h->quiet_since = now;
+  lively = h->answered > h->quiet_since &&
+           now < h->answered + CC_SERVER_SUSPECT &&
+           now >= h->alive_since + CC_SERVER_SETTLE;
+  if (lively || h->gone)
     h->doubt = FALSE;
 }
 
--- a/holding.h
+++ b/holding.h
@@ -52,6 +52,7 @@
   gint64 unseen;      /* since then this process stood still for so long, us */
   gboolean doubt;     /* an unanswered attempt may be inside the server */
   gint64 quiet_at;    /* wall clock: the deadlines of those are past */
+  gint64 quiet_since; /* that was first seen then, us; 0: it was not yet */
   gint64 alive_since; /* it has answered without a silence since then, us */
   gboolean gone;      /* the platform doesn't list it any more */
   guint running;      /* attempts at the server, all slices */
--- a/test/test_ownership.c
+++ b/test/test_ownership.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include "assignment.h"
+#include "holding.h"
 #include "ownership.h"
 #include "view.h"
 
@@ -170,6 +171,47 @@
   g_hash_table_unref (reports);
 }
 
+/* Guards against a second owner: a server that does not check grants freezes
+ * just after an answer, with an attempt inside that takes effect when it wakes.
+ * That answer must not count as its word that the attempt has ended. */
+static void
+an_old_answer_ends_no_attempt (void **state)
+{
+  static const gint64 froze = 10 * CC_SECOND, tick = 20 * CC_MS;
+  static const gint64 left[] = { 0,           50 * CC_MS,  100 * CC_MS,
+                                 150 * CC_MS, 300 * CC_MS, CC_SECOND };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (left); i++)
+    {
+      CcSliceMap *m = map_held_by ("d1");
+      CcHolding *h;
+      gint64 now;
+
+      m->version = 1;
+      cc_slicemap_at (m, 0)->server = 0;
+      h = cc_holding_new ("p", cc_slicemap_server (m, 0), FALSE, 0, 0);
+      cc_holding_update (h, m, 0, "d1");
+      for (now = 0; now <= froze; now += tick)
+        cc_holding_answered (h, now);
+      cc_holding_sent (h, 0);
+      cc_holding_done (h, 0, froze + left[i], FALSE);
+      for (now = froze; now < froze + 10 * CC_SECOND; now += tick)
+        if (cc_holding_applied (h, now, now) != 0)
+          fail_msg ("deadline after %u ms: said to have stopped after %u ms",
+                    (guint) (left[i] / CC_MS), (guint) ((now - froze) / CC_MS));
+      for (gint64 end = now + CC_SERVER_SETTLE + 2 * tick; now < end;
+           now += tick)
+        {
+          cc_holding_answered (h, now);
+          cc_holding_applied (h, now, now);
+        }
+      assert_int_equal (cc_holding_applied (h, now, now), 1);
+      cc_holding_unref (h);
+      cc_slicemap_free (m);
+    }
+}
+
 /* Server x freezes and its dispatcher says so; it stands in the platform's list
  * all the while.  Its slices move away once, and it waits in the map to be
  * heard of again: forgotten, it was taken in as a new one and given slices
@@ -211,6 +253,7 @@
     cmocka_unit_test (test_assigners_that_alternate),
     cmocka_unit_test (test_omissions),
     cmocka_unit_test (test_gap),
+    cmocka_unit_test (an_old_answer_ends_no_attempt),
     cmocka_unit_test (test_lost_server_waits),
   };
 
