--- a/assign.c
+++ b/assign.c
@@ -195,8 +195,8 @@
             w->name, w->before, (int) status, took);
 }
 
-/* Does not wait for the next reading of the table, here and in the dispatchers
- * that have to act on what was written. */
+/* Makes the written map known here and to the dispatchers that have to act on
+ * it, without waiting for the next reading of the table. */
 static void
 publish (const Write *w, guint64 version)
 {
--- a/assignment.h
+++ b/assignment.h
@@ -15,13 +15,12 @@
   CcHotUnits *hot;
   struct CcStandings *standings;
   CcMoveStamps *stamps;
-  GArray *moved_at;  /* of gint64 by unit: its last move, us; 0: never */
-  GArray *began;     /* of gint64 by unit: when its move began, us; 0: none */
-  gint64 move_time;  /* all that moves that have ended took, us */
-  gint64 move_usual; /* smoothed time of a move, us; 0: none has ended */
-  gint64
-      write_usual; /* smoothed time of the table's answers, us; 0: not known */
-  guint64 ended;   /* moves that have ended */
+  GArray *moved_at;   /* of gint64 by unit: its last move, us; 0: never */
+  GArray *began;      /* of gint64 by unit: when its move began, us; 0: none */
+  gint64 move_time;   /* all that moves that have ended took, us */
+  gint64 move_usual;  /* smoothed time of a move, us; 0: none has ended */
+  gint64 write_usual; /* time of the table's answers, us; 0: not known */
+  guint64 ended;      /* moves that have ended */
   gint64 homeless_since; /* units wait for another server since, us; 0: none */
   gint64 over_since; /* imbalance is above the trigger since, us; 0: is not */
   double budget;     /* units that evening out may still move */
--- a/dispatch.c
+++ b/dispatch.c
@@ -120,7 +120,7 @@
   s->taking = m->version;
   s->taking_at = cc_clock_now ();
   cc_log (CC_LOG_INFO, "server",
-          "%s/%s: version %" G_GUINT64_FORMAT " has %u units leave", m->pool,
+          "%s/%s: version %" G_GUINT64_FORMAT " takes %u units away", m->pool,
           s->holding->name, m->version, leaving);
 }
 
--- a/follower.c
+++ b/follower.c
@@ -184,7 +184,7 @@
 }
 
 static void
-tell_news (CcFollower *f)
+notify_changed (CcFollower *f)
 {
   read_view (f);
   f->changed (f, f->data);
@@ -195,7 +195,7 @@
 take_rows (CcFollower *f, guint64 since, guint64 upto, GVariant *rows)
 {
   if (cc_view_apply (&f->view, since, upto, rows) > 0)
-    tell_news (f);
+    notify_changed (f);
 }
 
 /* Takes in the row at KEY, which this process has just written as VERSION. */
@@ -204,7 +204,7 @@
                    const char *value)
 {
   if (cc_view_put (&f->view, key, version, value))
-    tell_news (f);
+    notify_changed (f);
 }
 
 static void
@@ -237,8 +237,8 @@
   return newest;
 }
 
-/* Sends the row at KEY, a map, to the dispatchers IDS.  Who has not seen the
- * configuration and the members that it rests on does not take it. */
+/* Sends the row at KEY, a map, to the dispatchers IDS.  One that has not seen
+ * the configuration and the members that the map rests on refuses it. */
 void
 cc_follower_send_map (CcFollower *f, const char *key, GHashTable *ids)
 {
--- a/ownership_moves.c
+++ b/ownership_moves.c
@@ -184,8 +184,9 @@
          r->applied >= cc_move_stamps_unit (stamps, m, unit);
 }
 
-static gboolean
-is_folded_into (const CcSliceMap *m, guint slice)
+/* Whether a hot key is on its way back into SLICE. */
+gboolean
+cc_moves_is_folded_into (const CcSliceMap *m, guint slice)
 {
   for (guint i = 0; i < m->hot->len; i++)
     {
@@ -229,7 +230,7 @@
       CcMapSlice *s = cc_slicemap_at (m, i);
 
       if (s->from < 0 || !has_stopped (m, i, reports, stamps) ||
-          is_folded_into (m, i))
+          cc_moves_is_folded_into (m, i))
         continue;
       s->from = -1;
       changes++;
@@ -294,11 +295,11 @@
   const CcMapSlice *s = cc_slicemap_at (m, unit);
 
   return s->from >= 0 && s->server >= 0 && !cc_moves_can_own (m, s->server) &&
-         (unit >= m->slices->len || !is_folded_into (m, unit));
+         (unit >= m->slices->len || !cc_moves_is_folded_into (m, unit));
 }
 
-/* Has UNIT, on its way, come to server TO.  It keeps its epoch, which nobody
- * has owned yet. */
+/* Changes the destination of UNIT, which is on its way, to server TO.  It keeps
+ * its epoch, under which nobody has owned it yet. */
 void
 cc_moves_redirect (CcSliceMap *m, guint unit, gint32 to)
 {
--- a/ownership_moves.h
+++ b/ownership_moves.h
@@ -20,6 +20,7 @@
 gboolean cc_moves_can_own (const CcSliceMap *m, gint32 server);
 gboolean cc_moves_in_doubt (const CcSliceMap *m, gint32 server,
                             GHashTable *reports);
+gboolean cc_moves_is_folded_into (const CcSliceMap *m, guint slice);
 gboolean cc_moves_may_redirect (const CcSliceMap *m, guint unit);
 void cc_moves_redirect (CcSliceMap *m, guint unit, gint32 to);
 void cc_moves_start (CcSliceMap *m, guint unit, gint32 to);
--- a/reports.c
+++ b/reports.c
@@ -91,8 +91,8 @@
   if (s->taking == 0 || applied < s->taking)
     return;
   cc_log (CC_LOG_INFO, "server",
-          "%s/%s has stopped what left by version %" G_GUINT64_FORMAT
-          ", after %" G_GINT64_FORMAT " ms",
+          "%s/%s: what version %" G_GUINT64_FORMAT
+          " takes away has stopped, after %" G_GINT64_FORMAT " ms",
           s->holding->pool, s->holding->name, s->taking,
           (now - s->taking_at) / CC_MS);
   s->taking = 0;
--- a/test/test_slicemap.c
+++ b/test/test_slicemap.c
@@ -193,19 +193,6 @@
   g_free (s);
 }
 
-static gboolean
-is_folded_into (const CcSliceMap *m, guint slice)
-{
-  for (guint i = 0; i < m->hot->len; i++)
-    {
-      const CcMapHot *h = &g_array_index (m->hot, CcMapHot, i);
-
-      if (h->state == CC_HOT_FOLDING && cc_slicemap_slice (m, h->hash) == slice)
-        return TRUE;
-    }
-  return FALSE;
-}
-
 static void
 assigner_step (Schedule *s)
 {
@@ -218,7 +205,7 @@
   cc_move_stamps_note (s->stamps, s->map);
   changes = cc_moves_update (s->map, s->roster, s->reports, s->stamps);
   if (pick (s, 3) == 0 && u->from >= 0 && u->server >= 0 &&
-      !(h == NULL && is_folded_into (s->map, unit)))
+      !(h == NULL && cc_moves_is_folded_into (s->map, unit)))
     {
       s->redirects += u->server != to;
       cc_moves_redirect (s->map, unit, to);
