One copy of the exponential backoff

members.c kept a backoff of its own for relays that do not answer; the choice of peers that follows needs the same.

--- a/members.c
+++ b/members.c
@@ -12,6 +12,7 @@
 
 #include <json-glib/json-glib.h>
 
+#include "backoff.h"
 #include "clock.h"
 #include "event_log.h"
 #include "granter.h"
@@ -46,13 +47,6 @@
   gboolean is_self;
 } Member;
 
-/* A peer that did not answer. */
-typedef struct
-{
-  gint64 until; /* it is skipped until then, us */
-  gint64 delay; /* duration of the current backoff, us */
-} Backoff;
-
 struct CcMembers
 {
   CcTable *table;
@@ -66,7 +60,7 @@
   char *granter;             /* address of the granter; NULL: none yet */
   GPtrArray *relays;         /* addresses of the other relays of its zone */
   gboolean granter_fallback; /* follow the granter if no relay answers */
-  GHashTable *backoffs;      /* address to Backoff */
+  GHashTable *backoffs;      /* address to CcBackoff */
   gboolean is_relay;
   guint rank;     /* index of this process in LIST; LIST's length: not in it */
   guint64 newest; /* version of the newest member row */
@@ -481,7 +475,7 @@
 void
 cc_members_peer_result (CcMembers *m, const char *address, gboolean answered)
 {
-  Backoff *backoff = g_hash_table_lookup (m->backoffs, address);
+  CcBackoff *backoff = g_hash_table_lookup (m->backoffs, address);
 
   if (answered)
     {
@@ -491,19 +485,18 @@
     }
   if (backoff == NULL)
     {
-      backoff = g_new0 (Backoff, 1);
+      backoff = g_new0 (CcBackoff, 1);
       g_hash_table_insert (m->backoffs, g_strdup (address), backoff);
     }
-  backoff->delay = CLAMP (2 * backoff->delay, BACKOFF_MIN, BACKOFF_MAX);
-  backoff->until = cc_clock_now () + backoff->delay;
+  cc_backoff_fail (backoff, BACKOFF_MIN, BACKOFF_MAX, cc_clock_now ());
 }
 
 static gboolean
 is_backed_off (const CcMembers *m, const char *address)
 {
-  const Backoff *backoff = g_hash_table_lookup (m->backoffs, address);
+  const CcBackoff *backoff = g_hash_table_lookup (m->backoffs, address);
 
-  return backoff != NULL && cc_clock_now () < backoff->until;
+  return backoff != NULL && cc_backoff_is_active (backoff, cc_clock_now ());
 }
 
 /* Returns the address of a random relay that is not backed off.  If there is
