--- a/callers.c
+++ b/callers.c
@@ -158,7 +158,8 @@
             cc_event_int (e->expected / CC_MS), "waited_ms",
             cc_event_int (e->waited / CC_MS), "server_ms",
             cc_event_int (e->served / CC_MS), "leaving_ms",
-            cc_event_int (e->leaving < 0 ? -1 : e->leaving / CC_MS), NULL);
+            cc_event_int (e->leaving < 0 ? -1 : e->leaving / CC_MS), "peer",
+            e->peer, NULL);
 }
 
 /* Counts R, which ended as END after TOOK us.  E is its result, or NULL if the
@@ -293,7 +294,8 @@
                               .method = soup_server_message_get_method (m),
                               .path = path,
                               .headers = headers,
-                              .body = body };
+                              .body = body,
+                              .earns_budget = TRUE };
 
   r->callers = c;
   r->message = g_object_ref (m);
--- a/choose.c
+++ b/choose.c
@@ -52,6 +52,9 @@
 
       if (t->state != CC_TARGET_READY)
         continue;
+      if (chosen.considered == NULL)
+        chosen.unreachable = TRUE;
+      chosen.unreachable &= cc_pick_is_unreachable (&t->load);
       chosen.considered = t;
       reachable_at = MIN (reachable_at, unreachable_until (t, now));
       if ((tried && untried) ||
@@ -94,6 +97,7 @@
   chosen.considered = t;
   /* The owner was restarted and has not been given its keys again yet. */
   chosen.moving = t->listing.born != r->born;
+  chosen.unreachable = cc_pick_is_unreachable (&t->load);
   if (!chosen.moving)
     chosen.target = t;
   return chosen;
--- a/choose.h
+++ b/choose.h
@@ -22,6 +22,8 @@
   CcTarget *target;     /* NULL: none can be sent to now */
   CcTarget *considered; /* last candidate; NULL: there was none */
   gboolean moving;      /* the key's range is being moved between owners */
+  gboolean unreachable; /* the last attempt to connect to each candidate failed
+                         */
   gint64 reachable_at;  /* earliest time at which an upstream is reachable, us;
                            0: now */
 } CcChosen;
--- a/exchange.c
+++ b/exchange.c
@@ -19,6 +19,10 @@
 /* Delay of a retry at an owner, as the number of requests that the owner serves
  * meanwhile. */
 #define OWNER_RETRY_AFTER 1.5
+/* Period of the checks whether an attempt is overdue, and time from a probe of
+ * its upstream to the check of the result. */
+#define CHECK_PERIOD (300 * CC_MS)
+#define PROBE_CHECK_DELAY (220 * CC_MS)
 /* A connection reset within this share of the typical work time was not reset
  * by work that failed. */
 #define IMMEDIATE_RESET_SHARE 0.25
@@ -32,6 +36,7 @@
   e->forwarder->pending--;
   cc_caller_info_clear (&e->caller);
   g_ptr_array_unref (e->tried);
+  g_clear_pointer (&e->peers_tried, g_ptr_array_unref);
   g_bytes_unref (e->body);
   g_free (e->kind);
   g_free (e->method);
@@ -56,7 +61,8 @@
   CcExchangeDone done = e->done;
   gpointer data = e->data;
   g_autofree char *target =
-      g_strdup (e->target != NULL       ? e->target->listing.id
+      g_strdup (end->target != NULL     ? end->target
+                : e->target != NULL     ? e->target->listing.id
                 : e->considered != NULL ? e->considered->listing.id
                                         : "");
 
@@ -73,6 +79,9 @@
   end->attempts = e->attempts;
   end->served = e->served;
   end->leaving = e->leaving;
+  end->unreachable = e->unreachable && end->kind == CC_EXCHANGE_NOT_RUN;
+  end->partitioned = end->unreachable && e->pool->partitioned;
+  end->peer = e->peer != NULL ? e->peer : "";
   end->waited = cc_clock_now () - e->began - e->served;
   cc_exchange_free (e);
   if (done != NULL)
@@ -86,7 +95,8 @@
   return e->deadline - now;
 }
 
-static void
+/* Ends E, which may have run, for REASON. */
+void
 cc_exchange_end_unknown (CcExchange *e, const char *reason)
 {
   CcExchangeResult end = { .kind = CC_EXCHANGE_UNKNOWN, .reason = reason };
@@ -94,25 +104,51 @@
   finish (e, &end);
 }
 
+/* Ends E, whose last attempt did not run, for REASON.  The caller may retry
+ * after RETRY_AFTER, us.  If an earlier attempt of an idempotent request may
+ * have run, the outcome is unknown: not-run would be false, although the caller
+ * may repeat the request. */
+void
+cc_exchange_end_not_run_after (CcExchange *e, const char *reason,
+                               gint64 retry_after)
+{
+  CcExchangeResult end = { .kind = CC_EXCHANGE_NOT_RUN,
+                           .reason = reason,
+                           .retry_after = retry_after };
+
+  if (e->may_have_run)
+    cc_exchange_end_unknown (e, reason);
+  else
+    finish (e, &end);
+}
+
 /* Ends E, whose last attempt did not run, for REASON.  The caller's retry time
  * is when the present queue has drained, but not before AT (us; 0: no bound).
- * If an earlier attempt of an idempotent request may have run, the outcome is
- * unknown: not-run would be false, although the caller may repeat the request.
  */
 void
 cc_exchange_end_not_run_until (CcExchange *e, const char *reason, gint64 at)
 {
   gint64 now = cc_clock_now ();
   gint64 wait = cc_backlog_wait (&e->pool->backlog, e->entry.priority, now);
-  CcExchangeResult end = { .kind = CC_EXCHANGE_NOT_RUN, .reason = reason };
 
-  if (e->may_have_run)
-    {
-      cc_exchange_end_unknown (e, reason);
-      return;
-    }
-  end.retry_after = cc_backlog_retry_after (
-      MAX (wait, at - now), cc_exchange_left (e, now), g_random_double ());
+  cc_exchange_end_not_run_after (
+      e, reason,
+      cc_backlog_retry_after (MAX (wait, at - now), cc_exchange_left (e, now),
+                              g_random_double ()));
+}
+
+/* Ends E with ANSWER, which a peer has received from an upstream. */
+void
+cc_exchange_end_answered (CcExchange *e, const CcExchangeResult *answer)
+{
+  CcExchangeResult end = { .kind = CC_EXCHANGE_ANSWERED,
+                           .reason = "",
+                           .status = answer->status,
+                           .headers = answer->headers,
+                           .body = answer->body,
+                           .target = answer->target };
+
+  e->leaving = answer->leaving;
   finish (e, &end);
 }
 
@@ -171,27 +207,93 @@
   release_target (e, CC_PICK_ABANDONED, NULL);
 }
 
-/* Ends the exchange DATA, whose deadline has passed: not-run if it waits,
- * unknown if it was sent. */
+/* Returns the time by which the answer to E's attempt is due at the latest. */
+static gint64
+answer_due (const CcExchange *e)
+{
+  return e->deadline + CC_ANSWER_GRACE;
+}
+
+/* Returns the time at which E's attempt at an upstream becomes overdue. */
+static gint64
+overdue_at (const CcExchange *e)
+{
+  return e->sent + cc_pool_reach_overdue_after (&e->pool->reach, e->sent);
+}
+
+/* Starts the timer of E, which was sent to an upstream: for the next check
+ * whether the attempt is overdue, or for the end of its time. */
+void
+cc_exchange_start_timer (CcExchange *e, gint64 now)
+{
+  gint64 overdue = overdue_at (e);
+  gint64 check = now < overdue ? MIN (now + CHECK_PERIOD, overdue)
+                               : now + PROBE_CHECK_DELAY;
+
+  cc_timer_start (&e->timer, MIN (check, answer_due (e)) - now,
+                  cc_exchange_on_timeout, e);
+}
+
+/* Checks E's attempt, which has no response yet.  If it is overdue and its
+ * upstream has not responded to anything since, a connection is tried; if that
+ * has failed, an idempotent request is given up there and retried.
+ *
+ * A once-only request may have run, and waits on: the link may be restored
+ * before its deadline. */
+static void
+check_attempt (CcExchange *e, gint64 now)
+{
+  CcTargetLoad *l = &e->target->load;
+
+  if (l->reached_at < e->sent && l->unreached_at > e->sent && e->idempotent &&
+      cc_exchange_take_retry (e))
+    {
+      cc_exchange_log_retry (e, "unreachable");
+      cc_exchange_cancel_call (e);
+      e->may_have_run = TRUE;
+      cc_exchange_requeue (e, 0);
+      cc_forwarder_pump (e->forwarder);
+      return;
+    }
+  if (l->reached_at < e->sent && now >= overdue_at (e))
+    cc_forwarder_probe (e->forwarder, e->pool, e->target);
+  cc_exchange_start_timer (e, now);
+}
+
+/* The timer of the exchange DATA has expired.  If its deadline has passed, ends
+ * it: not-run if it waits, unknown if it was sent. */
 void
 cc_exchange_on_timeout (gpointer data)
 {
   CcExchange *e = data;
   CcForwarder *f = e->forwarder;
+  gint64 now = cc_clock_now ();
 
-  if (e->state == STATE_WAITING)
+  switch (e->state)
     {
+    case STATE_WAITING:
       cc_exchange_end_not_run (e, e->moving ? "keys-moving" : "deadline");
       return;
+    case STATE_SENT:
+      if (now < answer_due (e))
+        {
+          check_attempt (e, now);
+          return;
+        }
+      cc_exchange_cancel_call (e);
+      break;
+    case STATE_FORWARDED:
+      cc_http_cancel (e->call);
+      cc_exchange_end_forward (e, CC_PEER_FAILED);
+      break;
     }
-  cc_exchange_cancel_call (e);
   cc_exchange_end_unknown (e, "deadline");
   cc_forwarder_pump (f);
 }
 
 /* Returns E to its pool's backlog.  It is not sent again before DELAY, us. */
-static void
-requeue (CcExchange *e, gint64 delay)
+void
+cc_exchange_requeue (CcExchange *e, gint64 delay)
 {
   gint64 now = cc_clock_now ();
 
@@ -206,8 +308,8 @@
 /* Takes a retry from the budget for E, whose attempt reached an upstream and
  * failed.  Returns FALSE if the attempts, the time or the budget are used up.
  */
-static gboolean
-take_retry (CcExchange *e)
+gboolean
+cc_exchange_take_retry (CcExchange *e)
 {
   gint64 now = cc_clock_now ();
 
@@ -217,12 +319,15 @@
                                e->forwarder->entries, now);
 }
 
-static void
-log_retry (const CcExchange *e, const char *why)
+/* Logs that E is tried again, since its last attempt ended for WHY. */
+void
+cc_exchange_log_retry (const CcExchange *e, const char *why)
 {
   cc_event (CC_EVENT_FAILED, "attempt-repeated", "request", e->caller.id,
-            "pool", e->pool->name, "target", e->target->listing.id, "why", why,
-            "attempts", cc_event_int (e->attempts), "left_ms",
+            "pool", e->pool->name, "target",
+            e->target != NULL ? e->target->listing.id : "", "peer",
+            e->peer != NULL ? e->peer : "", "why", why, "attempts",
+            cc_event_int (e->attempts), "left_ms",
             cc_event_int (cc_exchange_left (e, cc_clock_now ()) / CC_MS), NULL);
 }
 
@@ -239,8 +344,8 @@
       cc_exchange_end_not_run (e, "unreachable");
       return;
     }
-  log_retry (e, why);
-  requeue (e, 0);
+  cc_exchange_log_retry (e, why);
+  cc_exchange_requeue (e, 0);
 }
 
 /* Retries E after a reply that proves that it did not run: the upstream
@@ -250,14 +355,14 @@
 {
   gboolean moved = reply->kind == CC_SERVER_MISDIRECTED && e->keyed;
 
-  if (!take_retry (e))
+  if (!cc_exchange_take_retry (e))
     {
       cc_exchange_end_not_run (e, moved ? "keys-moved" : "shed");
       return;
     }
-  log_retry (e, moved ? "keys-moved" : "shed");
+  cc_exchange_log_retry (e, moved ? "keys-moved" : "shed");
   e->moving = moved;
-  requeue (e, moved ? MOVED_RETRY_DELAY : 0);
+  cc_exchange_requeue (e, moved ? MOVED_RETRY_DELAY : 0);
 }
 
 /* Returns the delay before a retry at the key's owner, the only upstream that
@@ -279,14 +384,14 @@
 static void
 retry_unknown (CcExchange *e, const char *why)
 {
-  if (!e->idempotent || !take_retry (e))
+  if (!e->idempotent || !cc_exchange_take_retry (e))
     {
       cc_exchange_end_unknown (e, why);
       return;
     }
-  log_retry (e, why);
+  cc_exchange_log_retry (e, why);
   e->may_have_run = TRUE;
-  requeue (e, e->keyed ? owner_retry_delay (e) : 0);
+  cc_exchange_requeue (e, e->keyed ? owner_retry_delay (e) : 0);
 }
 
 /* Passes the upstream's answer to the caller, or retries an idempotent request
@@ -299,11 +404,11 @@
   /* An idempotent request may succeed at another upstream after a server error,
    * except 504, which means that its deadline has passed. */
   if (r->status >= 500 && r->status != 504 && e->idempotent && !e->keyed &&
-      take_retry (e))
+      cc_exchange_take_retry (e))
     {
-      log_retry (e, "server-error");
+      cc_exchange_log_retry (e, "server-error");
       e->may_have_run = TRUE;
-      requeue (e, 0);
+      cc_exchange_requeue (e, 0);
       return;
     }
   end.status = r->status;
@@ -371,15 +476,19 @@
 {
   CcExchange *e = data;
   CcForwarder *f = e->forwarder;
+  CcPoolReach *reach = &e->pool->reach;
+  gint64 now = cc_clock_now ();
 
   e->call = NULL;
   cc_timer_stop (&e->timer);
   switch (r->end)
     {
     case CC_HTTP_ANSWERED:
+      cc_pool_reach_succeeded (reach, &e->target->load.reach, now);
       handle_reply (e, r);
       break;
     case CC_HTTP_UNSENT:
+      cc_pool_reach_failed (reach, &e->target->load.reach, now);
       release_target (e, CC_PICK_UNREACHABLE, NULL);
       retry_unsent (e, r->why);
       break;
--- a/exchange_state.h
+++ b/exchange_state.h
@@ -9,14 +9,20 @@
 
 typedef enum
 {
-  STATE_WAITING, /* in the pool's backlog */
-  STATE_SENT     /* at an upstream */
+  STATE_WAITING,  /* in the pool's backlog */
+  STATE_SENT,     /* at an upstream */
+  STATE_FORWARDED /* at a peer */
 } State;
 
+/* A server answers no later than the deadline that it was given.  That answer
+ * reports the outcome of the work, so it is awaited this much longer. */
+#define CC_ANSWER_GRACE (60 * CC_MS)
+
 struct CcForwarder
 {
   CcForwarderSetup setup;
   GHashTable *pools;      /* name to CcForwardPool */
+  GPtrArray *peers;       /* of CcPeer */
   guint entries;          /* in the fleet */
   guint pending;          /* requests without an answer */
   CcTimer capacity_timer; /* until the next capacity check */
@@ -45,9 +51,17 @@
   char *headers;
   GBytes *body;
   CcCallerInfo caller;
-  CcTarget *considered; /* the upstream that had no capacity for it */
-  CcTarget *target;     /* of the attempt in progress or the last one */
-  GPtrArray *tried;     /* of CcTarget */
+  CcTarget *considered;   /* the upstream that had no capacity for it */
+  CcTarget *target;       /* of the attempt in progress or the last one */
+  GPtrArray *tried;       /* of CcTarget */
+  gboolean from_peer;     /* a peer has forwarded it */
+  gboolean earned;        /* its part of the retry budget was added here */
+  gboolean passed_budget; /* ... or goes to the peer of the last attempt */
+  gboolean unreachable;   /* see CcExchangeResult */
+  const char *peer; /* the peer of the attempt in progress or the last one */
+  GPtrArray *peers_tried;   /* addresses of peers; NULL: none */
+  guint unreached_by_peers; /* peers that did not reach its upstream */
+  guint peer_attempts;      /* attempts that the peer may make */
   CcHttpCall *call;
   gint64 sent;       /* start of the attempt, us */
   gint64 served;     /* time at upstreams, in attempts that have ended, us */
@@ -67,8 +81,28 @@
 void cc_exchange_end_not_run_until (CcExchange *e, const char *reason,
                                     gint64 at);
 void cc_exchange_end_not_run (CcExchange *e, const char *reason);
+void cc_exchange_end_not_run_after (CcExchange *e, const char *reason,
+                                    gint64 retry_after);
+void cc_exchange_end_unknown (CcExchange *e, const char *reason);
+void cc_exchange_end_answered (CcExchange *e, const CcExchangeResult *answer);
+void cc_exchange_requeue (CcExchange *e, gint64 delay);
+gboolean cc_exchange_take_retry (CcExchange *e);
+void cc_exchange_log_retry (const CcExchange *e, const char *why);
 void cc_exchange_cancel_call (CcExchange *e);
 void cc_exchange_on_result (const CcHttpResult *r, gpointer data);
 void cc_exchange_on_timeout (gpointer data);
+void cc_exchange_start_timer (CcExchange *e, gint64 now);
+
+/* Functions of forward_peer.c. */
+gboolean cc_exchange_forward (CcExchange *e, gint64 now);
+void cc_exchange_end_forward (CcExchange *e, CcPeerEnd end);
+
+/* Functions of forward.c. */
+CcForwardPool *cc_forwarder_find_pool (CcForwarder *f, const char *name);
+
+/* Functions of forward_probe.c. */
+gboolean cc_forwarder_is_partitioned (CcForwarder *f, CcForwardPool *p,
+                                      gint64 now);
+void cc_forwarder_probe (CcForwarder *f, CcForwardPool *p, CcTarget *t);
 
 #endif
--- a/forward.c
+++ b/forward.c
@@ -17,9 +17,6 @@
  * close can be neither repeated nor refused, so its limit is lower. */
 #define IDLE_MAX_IDEMPOTENT (8 * CC_SECOND)
 #define IDLE_MAX_ONCE_ONLY (4 * CC_SECOND)
-/* A server answers no later than the deadline that it was given.  That answer
- * reports the outcome of the work, so it is awaited this much longer. */
-#define ANSWER_GRACE (60 * CC_MS)
 /* Longest wait of a request whose key is being moved to another owner, as a
  * fraction of the route's target time.  A move takes as long as the work in
  * progress, which is less than the time until the caller would retry. */
@@ -31,6 +28,8 @@
 /* Hard limit on a pool's backlog, requests; admission control refuses long
  * before it is reached. */
 #define BACKLOG_MAX 2000
+/* Time after which a probe of an upstream has ended (forward_probe.c). */
+#define PROBE_TIME (200 * CC_MS)
 /* Period at which waiting requests are retried even if no attempt has ended:
  * load reports lose weight with age, which also frees capacity. */
 #define PUMP_PERIOD (20 * CC_MS)
@@ -44,14 +43,15 @@
 
   f->setup = *setup;
   f->entries = 1;
+  f->peers = cc_peers_new ();
   f->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                     cc_forward_pool_free);
   return f;
 }
 
 /* Returns the pool NAME, which is created if needed. */
-static CcForwardPool *
-find_pool (CcForwarder *f, const char *name)
+CcForwardPool *
+cc_forwarder_find_pool (CcForwarder *f, const char *name)
 {
   CcForwardPool *p = g_hash_table_lookup (f->pools, name);
 
@@ -70,13 +70,22 @@
   f->entries = MAX (entries, 1);
 }
 
+/* Sets the other gateways of the fleet, PEERS (of CcPeer), which F takes
+ * over. */
+void
+cc_forwarder_set_peers (CcForwarder *f, GPtrArray *peers)
+{
+  g_ptr_array_unref (f->peers);
+  f->peers = peers;
+}
+
 /* Limits the connections to each upstream of POOL to this gateway's share of
  * CONNECTIONS, the limit for the whole fleet; 0: no limit. */
 void
 cc_forwarder_limit_connections (CcForwarder *f, const char *pool,
                                 guint connections)
 {
-  find_pool (f, pool)->connections_max =
+  cc_forwarder_find_pool (f, pool)->connections_max =
       connections == 0 ? 0 : MAX (connections / f->entries, 2);
 }
 
@@ -93,7 +102,8 @@
 cc_forwarder_longest_time (CcForwarder *f, const char *pool,
                            const CcRoute *route)
 {
-  return cc_work_times_longest (&find_pool (f, pool)->times, route->name);
+  return cc_work_times_longest (&cc_forwarder_find_pool (f, pool)->times,
+                                route->name);
 }
 
 /* Updates the metric gauges of all pools. */
@@ -124,7 +134,7 @@
                             .echo = cc_edge_echo_header (),
                             .echo_value = e->caller.id,
                             .connect_timeout = CONNECT_TIMEOUT,
-                            .answer_timeout = left + ANSWER_GRACE,
+                            .answer_timeout = left + CC_ANSWER_GRACE,
                             .idle_max = e->idempotent ? IDLE_MAX_IDEMPOTENT
                                                       : IDLE_MAX_ONCE_ONLY,
                             .connections_max = e->pool->connections_max };
@@ -153,7 +163,8 @@
     g_ptr_array_add (e->tried, t);
   e->work_share =
       cc_pick_sent (&t->load, &e->typical, cc_exchange_inside (e, t, now));
-  cc_timer_start (&e->timer, left + ANSWER_GRACE, cc_exchange_on_timeout, e);
+  cc_pool_reach_sent (&e->pool->reach);
+  cc_exchange_start_timer (e, now);
   return TRUE;
 }
 
@@ -178,6 +189,35 @@
                      .typical = e->typical };
 }
 
+/* Handles E if CHOSEN, the upstreams that may serve it, are unreachable from
+ * here: forwards it through a peer, or refuses it if trying them is in vain.
+ * Their links are probed meanwhile.  SEND_WAITS: an upstream may be tried. */
+static SendResult
+try_around (CcExchange *e, const CcChosen *chosen, gint64 now)
+{
+  CcForwarder *f = e->forwarder;
+  CcTarget *t = chosen->target != NULL ? chosen->target : chosen->considered;
+  gboolean partitioned = cc_forwarder_is_partitioned (f, e->pool, now);
+
+  if (t == NULL || !(chosen->unreachable ||
+                     (partitioned && !cc_pool_reach_is_reached (
+                                         &e->pool->reach, &t->load.reach))))
+    return SEND_WAITS;
+  if (cc_exchange_forward (e, now))
+    {
+      cc_forwarder_probe (f, e->pool, t);
+      return SEND_DONE;
+    }
+  if (!e->from_peer && !partitioned)
+    return SEND_WAITS;
+  cc_forwarder_probe (f, e->pool, t);
+  e->unreachable = TRUE;
+  cc_exchange_end_not_run_until (e,
+                                 e->keyed ? "owner-unreachable" : "unreachable",
+                                 MAX (t->load.avoid_until, now + PROBE_TIME));
+  return SEND_REFUSED;
+}
+
 /* Sends E to the owner of its key, lets it wait, or refuses it with a reason.
  */
 static SendResult
@@ -186,8 +226,12 @@
   CcChoice c = choice_for (e);
   CcChosen chosen = cc_choose_owner (&c, &e->pool->ranges, e->caller.key, now);
   CcTarget *t = chosen.target;
+  SendResult around;
 
   e->considered = chosen.considered;
+  around = t != NULL ? try_around (e, &chosen, now) : SEND_WAITS;
+  if (around != SEND_WAITS)
+    return around;
   if (t != NULL && cc_choose_has_capacity (&c, t, now))
     return send_to (e, t) ? SEND_DONE : SEND_WAITS;
   /* An owner that shed work has capacity again shortly; an unreachable one may
@@ -209,7 +253,11 @@
   /* The owner is not tried before avoid_until, by when its keys may have moved,
    * so an earlier retry by the caller cannot succeed. */
   if (t != NULL)
-    cc_exchange_end_not_run_until (e, "owner-unreachable", t->load.avoid_until);
+    {
+      e->unreachable = TRUE;
+      cc_exchange_end_not_run_until (e, "owner-unreachable",
+                                     t->load.avoid_until);
+    }
   else
     cc_exchange_end_not_run (e, chosen.moving ? "keys-moving" : "no-owner");
   return SEND_REFUSED;
@@ -222,6 +270,7 @@
 {
   CcChoice c;
   CcChosen chosen;
+  SendResult around;
 
   if (now < e->not_before)
     return SEND_WAITS;
@@ -231,12 +280,15 @@
     return try_send_to_owner (e, now);
   chosen = cc_choose_any (&c, now);
   e->considered = chosen.considered;
+  around = try_around (e, &chosen, now);
+  if (around != SEND_WAITS)
+    return around;
   if (chosen.target != NULL)
     return send_to (e, chosen.target) ? SEND_DONE : SEND_WAITS;
-  /* No upstream is reachable from here for a while.  Another gateway may reach
-   * one, and the caller gets there sooner if it is refused now. */
+  /* No upstream is reachable from here for a while, nor through a peer. */
   if (chosen.reachable_at > now)
     {
+      e->unreachable = TRUE;
       cc_exchange_end_not_run_until (e, "unreachable", chosen.reachable_at);
       return SEND_REFUSED;
     }
@@ -361,8 +413,10 @@
   if (s->caller->left >= 0)
     allowed = MIN (allowed, s->caller->left);
   e->forwarder = f;
-  e->pool = find_pool (f, s->pool);
+  e->pool = cc_forwarder_find_pool (f, s->pool);
   e->keyed = s->keyed;
+  e->from_peer = s->from_peer;
+  e->earned = s->earns_budget;
   e->idempotent = s->route->idempotent;
   e->began = cc_clock_now ();
   e->leaving = -1;
@@ -411,10 +465,11 @@
   /* A key has a single owner, whose own queue decides, not the pool's. */
   gboolean admitted = e->keyed || is_admitted (e);
 
-  if (e->keyed && e->caller.key >= 0)
+  if (e->keyed && e->caller.key >= 0 && !e->from_peer)
     cc_load_reporter_count (f->setup.reporter, e->pool->name,
                             (guint) e->caller.key);
-  cc_retry_budget_earn (&e->pool->budget, &f->setup.retry_bound);
+  if (e->earned)
+    cc_retry_budget_earn (&e->pool->budget, &f->setup.retry_bound);
   cc_backlog_push (&e->pool->backlog, &e->entry);
   cc_timer_start (&e->timer, cc_exchange_left (e, e->began),
                   cc_exchange_on_timeout, e);
@@ -437,20 +492,31 @@
 }
 
 /* Cancels E after its caller disconnected.  An idempotent request is aborted at
- * the server.  A once-only request that was sent continues, since after an
- * abort its outcome would be unknown.  DONE is not called. */
+ * the server; so is the call to a peer, which does the same there.  A once-only
+ * request that was sent continues, since after an abort its outcome would be
+ * unknown.  DONE is not called. */
 void
 cc_exchange_cancel (CcExchange *e)
 {
   CcForwarder *f = e->forwarder;
 
-  if (e->state == STATE_SENT && !e->idempotent)
+  switch (e->state)
     {
-      e->done = NULL;
-      return;
+    case STATE_WAITING:
+      break;
+    case STATE_SENT:
+      if (!e->idempotent)
+        {
+          e->done = NULL;
+          return;
+        }
+      cc_exchange_cancel_call (e);
+      break;
+    case STATE_FORWARDED:
+      cc_http_cancel (e->call);
+      cc_exchange_end_forward (e, CC_PEER_ABANDONED);
+      break;
     }
-  if (e->state == STATE_SENT)
-    cc_exchange_cancel_call (e);
   cc_exchange_free (e);
   cc_forwarder_pump (f);
 }
--- a/forward.h
+++ b/forward.h
@@ -4,40 +4,15 @@
 #define CC_FORWARD_H
 
 #include "edge.h"
+#include "exchange_result.h"
 #include "load_reporter.h"
+#include "peer_pick.h"
+#include "pool_reach.h"
 #include "retry_budget.h"
 
 typedef struct CcForwarder CcForwarder;
 typedef struct CcExchange CcExchange;
 
-/* The outcome of a request. */
-typedef enum
-{
-  CC_EXCHANGE_ANSWERED, /* a server's answer, to be returned to the caller */
-  CC_EXCHANGE_NOT_RUN,  /* no server ran it, and none will */
-  CC_EXCHANGE_UNKNOWN   /* it may have run */
-} CcExchangeOutcome;
-
-typedef struct
-{
-  CcExchangeOutcome kind;
-  const char *reason; /* one word; "" with an answer */
-  guint status;       /* of an answer */
-  GVariant *headers;  /* of an answer, packed (headers.h) */
-  GBytes *body;       /* of an answer */
-  gint64 retry_after; /* NOT_RUN: delay before the caller retries, us */
-  const char *target; /* id of the last upstream tried or considered, or "" */
-  guint attempts;     /* attempts that reached an upstream */
-  guint waiting;      /* requests in the pool's queue at the end */
-  gint64 waited;      /* time in the pool's queue, us */
-  gint64 served;      /* time at upstreams, us */
-  gint64 leaving;     /* upper bound on how long the target had been leaving
-                         when the last attempt was sent, us; -1: it was not
-                         leaving, or nothing was sent */
-  gint64 expected;    /* estimated response time of the target considered, us */
-  double inside;      /* estimated number of requests inside that target */
-} CcExchangeResult;
-
 /* Called once, with the result of an exchange; E is valid during the call. */
 typedef void (*CcExchangeDone) (const CcExchangeResult *e, gpointer data);
 
@@ -52,6 +27,9 @@
   const char *path;    /* with its query, as the caller sent it */
   const char *headers; /* to forward; each line ends in CRLF */
   GBytes *body;
+  gboolean from_peer;    /* a peer has forwarded it; it goes to no other peer */
+  gboolean earns_budget; /* adds to the retry budget, as each request of a
+                            caller does once in the fleet */
 } CcExchangeRequest;
 
 typedef struct
@@ -65,6 +43,7 @@
 
 CcForwarder *cc_forwarder_new (const CcForwarderSetup *setup);
 void cc_forwarder_set_entries (CcForwarder *f, guint entries);
+void cc_forwarder_set_peers (CcForwarder *f, GPtrArray *peers);
 void cc_forwarder_ranges_changed (CcForwarder *f, const CcView *state,
                                   const GPtrArray *rows);
 void cc_forwarder_pump (CcForwarder *f);
--- a/forward_pool.c
+++ b/forward_pool.c
@@ -3,6 +3,7 @@
 #include "forward_pool.h"
 
 #include "clock.h"
+#include "event_log.h"
 #include "metrics.h"
 
 /* Returns a new pool NAME.  Its key owners are read from STATE, which may be
@@ -16,6 +17,7 @@
   cc_work_times_init (&p->times);
   cc_backlog_init (&p->backlog);
   cc_key_ranges_init (&p->ranges);
+  p->peers = cc_peer_pick_new ();
   if (state != NULL)
     cc_key_ranges_read (&p->ranges, state, name);
   return p;
@@ -30,6 +32,7 @@
   cc_backlog_clear (&p->backlog);
   cc_key_ranges_clear (&p->ranges);
   cc_work_times_clear (&p->times);
+  cc_peer_pick_free (p->peers);
   g_free (p->name);
   g_free (p);
 }
@@ -45,6 +48,26 @@
   return typical;
 }
 
+/* Returns whether this gateway reaches none of P's UPSTREAMS at NOW, us.  Each
+ * change is logged. */
+gboolean
+cc_forward_pool_check_reach (CcForwardPool *p, guint upstreams, gint64 now)
+{
+  gboolean partitioned =
+      cc_pool_reach_is_partitioned (&p->reach, upstreams, now);
+
+  if (partitioned != p->partitioned)
+    cc_event (CC_EVENT_STATE, "pool-reachable", "pool", p->name, "reachable",
+              partitioned ? "no" : "yes", "upstreams", cc_event_int (upstreams),
+              "failed", cc_event_int (p->reach.failed), "silence_ms",
+              cc_event_int (p->reach.reached_at == 0
+                                ? -1
+                                : (now - p->reach.reached_at) / CC_MS),
+              NULL);
+  p->partitioned = partitioned;
+  return partitioned;
+}
+
 /* Updates the metric gauges of P. */
 void
 cc_forward_pool_write_gauges (const CcForwardPool *p)
@@ -64,6 +87,7 @@
                     cc_work_times_any (&p->times) / 1e6);
   cc_metrics_gauge ("capercrank_typical_inside_per_slot", label,
                     cc_pool_load_typical (&p->load, cc_clock_now ()));
+  cc_metrics_gauge ("capercrank_pool_unreachable", label, p->partitioned);
   cc_metrics_gauge ("capercrank_retry_tokens", label, p->budget.tokens);
   cc_metrics_gauge ("capercrank_keys_owned", label, owned);
   cc_metrics_gauge ("capercrank_keys_moving", label, moving);
--- a/gateway.c
+++ b/gateway.c
@@ -16,6 +16,7 @@
 #include "clock.h"
 #include "edge.h"
 #include "event_log.h"
+#include "forward_server.h"
 #include "granter.h"
 #include "load_reporter.h"
 #include "isolation.h"
@@ -66,6 +67,7 @@
   gboolean targets_changed; /* since the granter was last notified */
   gboolean cut_off;         /* result of the last check (isolation.h) */
   CcForwarder *forwarder;
+  CcForwardServer *forward_server;
   CcCallers *callers;
   CcGranter *granter;
   SoupServer *readiness;
@@ -269,6 +271,7 @@
   if (role.distance == 0)
     cc_granter_named_in_table (g->granter);
   cc_forwarder_set_entries (g->forwarder, count);
+  cc_forwarder_set_peers (g->forwarder, cc_members_others (g->members));
   cc_load_reporter_set_relay (g->reporter, cc_members_is_relay (g->members));
   limit_connections (g);
   cc_mirror_set_role (g->mirror, &role);
@@ -445,6 +448,7 @@
       !cc_http_listen (g->readiness, cc_setting (g->settings, "readiness"),
                        message))
     return FALSE;
+  cc_forward_server_add_to (g->forward_server, cc_peer_server_http (g->peers));
   if (cc_admin_listen (cc_setting (g->settings, "admin"), not_ready_reason, g,
                        message) == NULL)
     return FALSE;
@@ -516,6 +520,7 @@
 
   if (now >= g->stop_at ||
       (now >= g->quiet_at && cc_callers_pending (g->callers) == 0 &&
+       cc_forward_server_pending (g->forward_server) == 0 &&
        cc_granter_has_resigned (g->granter)))
     exit_process (g);
   cc_timer_start (&g->drain, DRAIN_POLL, on_drain_poll, g);
@@ -535,6 +540,7 @@
   cc_event (CC_EVENT_STATE, "stopping", "unanswered",
             cc_event_int (cc_callers_pending (g->callers)), NULL);
   cc_callers_drain (g->callers, g->quiet_at, g->stop_at);
+  cc_forward_server_drain (g->forward_server);
   cc_granter_resign (g->granter);
   cc_timer_start (&g->drain, DRAIN_POLL, on_drain_poll, g);
   return G_SOURCE_CONTINUE;
@@ -631,6 +637,7 @@
   granter_setup.table = g->table;
   g->forwarder = cc_forwarder_new (&forwarder_setup);
   g->callers = cc_callers_new (g->forwarder);
+  g->forward_server = cc_forward_server_new (g->forwarder);
   g->granter = cc_granter_new (&granter_setup);
   mirror_setup.table = g->table;
   mirror_setup.http = g->http;
--- a/http_link.c
+++ b/http_link.c
@@ -38,7 +38,8 @@
   gboolean in_value;
   GString *headers; /* packed */
   GByteArray *body;
-  CcHttpDone done;
+  CcHttpDone done;           /* NULL: the call only connects */
+  CcHttpConnected connected; /* of a call that only connects */
   gpointer data;
 };
 
@@ -103,7 +104,20 @@
     }
   cc_timer_stop (&call->timer);
   release_connection (c);
-  call->done (&r, call->data);
+  if (call->done != NULL)
+    call->done (&r, call->data);
+  else
+    call->connected (FALSE, call->data);
+  call_free (call);
+}
+
+/* Ends CALL, which only connects and has succeeded; its connection is kept. */
+static void
+finish_connect (CcHttpCall *call)
+{
+  cc_timer_stop (&call->timer);
+  release_connection (call->connection);
+  call->connected (TRUE, call->data);
   call_free (call);
 }
 
@@ -425,6 +439,11 @@
 
   c->connected = TRUE;
   c->opened_at = cc_clock_now ();
+  if (call->done == NULL)
+    {
+      finish_connect (call);
+      return FALSE;
+    }
   cc_timer_start (&call->timer, call->answer_by - cc_clock_now (), on_timeout,
                   call);
   return write_pending (c);
@@ -463,17 +482,29 @@
   read_available (c);
 }
 
+/* Returns a call without a request. */
 static CcHttpCall *
-call_new (const CcHttpRequest *request, CcHttpDone done, gpointer data)
+call_new_empty (void)
 {
   CcHttpCall *call = g_new0 (CcHttpCall, 1);
+
+  call->out = g_byte_array_new ();
+  call->name = g_string_new (NULL);
+  call->value = g_string_new (NULL);
+  call->headers = g_string_new (NULL);
+  call->body = g_byte_array_new ();
+  return call;
+}
+
+static CcHttpCall *
+call_new (const CcHttpRequest *request, CcHttpDone done, gpointer data)
+{
+  CcHttpCall *call = call_new_empty ();
   gsize size = 0;
   gconstpointer body =
       request->body != NULL ? g_bytes_get_data (request->body, &size) : NULL;
   const char *head_end = request->closes ? "Connection: close\r\n\r\n" : "\r\n";
 
-  call->out =
-      g_byte_array_sized_new ((guint) (strlen (request->head) + size + 64));
   g_byte_array_append (call->out, (const guint8 *) request->head,
                        (guint) strlen (request->head));
   if (size > 0 || !g_str_has_prefix (request->head, "GET "))
@@ -494,10 +525,6 @@
   call->answer_by = cc_clock_now () + request->answer_timeout;
   call->stall_timeout = request->stall_timeout;
   call->latest = call->answer_by + request->extend_max;
-  call->name = g_string_new (NULL);
-  call->value = g_string_new (NULL);
-  call->headers = g_string_new (NULL);
-  call->body = g_byte_array_new ();
   call->done = done;
   call->data = data;
   return call;
@@ -565,6 +592,30 @@
   return call;
 }
 
+/* Opens a new connection to ADDRESS (IP:PORT) and keeps it for later requests.
+ * DONE is called once, from the main loop, when it is established or has
+ * failed, which is after TIMEOUT us at the latest.  Returns FALSE, without
+ * calling DONE, if ADDRESS is invalid or no connection can be opened. */
+gboolean
+cc_http_connect (CcHttp *h, const char *address, gint64 timeout,
+                 CcHttpConnected done, gpointer data)
+{
+  CcHttpPeer *p = cc_http_find_peer (h, address);
+  CcHttpConnection *c =
+      p != NULL ? cc_http_connection_open (h, p, on_socket) : NULL;
+  CcHttpCall *call;
+
+  if (c == NULL)
+    return FALSE;
+  call = call_new_empty ();
+  call->connection = c;
+  call->connected = done;
+  call->data = data;
+  c->call = call;
+  cc_timer_start (&call->timer, timeout, on_timeout, call);
+  return TRUE;
+}
+
 /* Cancels C without calling its DONE.  The connection is closed, which makes
  * most servers abort the work. */
 void
--- a/http_link.h
+++ b/http_link.h
@@ -60,10 +60,15 @@
 /* Called once, with the result of a call; R is valid during it. */
 typedef void (*CcHttpDone) (const CcHttpResult *r, gpointer data);
 
+/* Called once, with whether a connection was established. */
+typedef void (*CcHttpConnected) (gboolean connected, gpointer data);
+
 CcHttp *cc_http_new (const char *local_ip);
 void cc_http_free (CcHttp *h);
 CcHttpCall *cc_http_send (CcHttp *h, const CcHttpRequest *request,
                           CcHttpDone done, gpointer data);
+gboolean cc_http_connect (CcHttp *h, const char *address, gint64 timeout,
+                          CcHttpConnected done, gpointer data);
 void cc_http_cancel (CcHttpCall *c);
 void cc_http_close_idle (CcHttp *h, const char *address);
 guint cc_http_open_connections (const CcHttp *h);
--- a/members.c
+++ b/members.c
@@ -397,6 +397,22 @@
   return m->list->len;
 }
 
+/* Returns the other members as a list of CcPeer, which the caller frees. */
+GPtrArray *
+cc_members_others (const CcMembers *m)
+{
+  GPtrArray *others = cc_peers_new ();
+
+  for (guint i = 0; i < m->list->len; i++)
+    {
+      const Member *member = &g_array_index (m->list, Member, i);
+
+      if (!member->is_self && member->address[0] != '\0')
+        cc_peers_add (others, member->address, member->zone);
+    }
+  return others;
+}
+
 /* Returns this process's index in the order of members, which is the same at
  * all processes with the same rows. */
 guint
--- a/members.h
+++ b/members.h
@@ -5,6 +5,7 @@
 
 #include "granter.h"
 #include "mirror.h"
+#include "peer_pick.h"
 
 typedef struct CcMembers CcMembers;
 
@@ -32,6 +33,7 @@
 gboolean cc_members_reads_row (const char *key);
 void cc_members_update (CcMembers *m, const CcView *state);
 guint cc_members_count (const CcMembers *m);
+GPtrArray *cc_members_others (const CcMembers *m);
 guint cc_members_rank (const CcMembers *m);
 gboolean cc_members_is_followed (const CcMembers *m);
 gboolean cc_members_is_relay (const CcMembers *m);
--- /dev/null
+++ b/peer_message.c
@@ -0,0 +1,129 @@
+/* Messages are GVariants in normal form, with a version and a payload.  A
+ * message of another version or type is rejected as a whole. */
+#include "peer_message.h"
+
+#define VERSION 1
+#define ENVELOPE "(uv)"
+#define REQUEST "(sbsbuuxxxbsisssay)"
+#define REPLY "(uusuxsuuxxxxdbayay)"
+
+/* Returns PAYLOAD, which is consumed, in an envelope. */
+static GBytes *
+seal (GVariant *payload)
+{
+  g_autoptr (GVariant) all =
+      g_variant_ref_sink (g_variant_new (ENVELOPE, VERSION, payload));
+
+  return g_variant_get_data_as_bytes (all);
+}
+
+/* Returns the payload of BYTES, which must be of TYPE, or NULL. */
+static GVariant *
+unseal (GBytes *bytes, const char *type)
+{
+  g_autoptr (GVariant) all = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (ENVELOPE), bytes, FALSE));
+  g_autoptr (GVariant) payload = NULL;
+  guint32 version;
+
+  if (!g_variant_is_normal_form (all))
+    return NULL;
+  g_variant_get (all, ENVELOPE, &version, &payload);
+  if (version != VERSION ||
+      !g_variant_is_of_type (payload, G_VARIANT_TYPE (type)))
+    return NULL;
+  return g_steal_pointer (&payload);
+}
+
+/* Returns a floating byte array of BYTES; NULL is empty. */
+static GVariant *
+new_bytes (GBytes *bytes)
+{
+  if (bytes == NULL)
+    return g_variant_new_array (G_VARIANT_TYPE_BYTE, NULL, 0);
+  return g_variant_new_from_bytes (G_VARIANT_TYPE_BYTESTRING, bytes, TRUE);
+}
+
+/* Encodes R; the caller unrefs the result. */
+GBytes *
+cc_peer_request_encode (const CcPeerRequest *r)
+{
+  return seal (g_variant_new (
+      "(sbsbuuxxxbsisss@ay)", r->pool, r->keyed, r->route, r->idempotent,
+      r->attempts, r->priority, r->target, r->left, r->sent_at, r->earns_budget,
+      r->id, r->key, r->method, r->path, r->headers, new_bytes (r->body)));
+}
+
+/* Decodes BYTES into R, which is valid as long as the returned GVariant and is
+ * to be cleared.  Returns NULL if BYTES are not a request. */
+GVariant *
+cc_peer_request_decode (GBytes *bytes, CcPeerRequest *r)
+{
+  g_autoptr (GVariant) v = unseal (bytes, REQUEST);
+  g_autoptr (GVariant) body = NULL;
+
+  if (v == NULL)
+    return NULL;
+  g_variant_get (v, "(&sb&sbuuxxxb&si&s&s&s@ay)", &r->pool, &r->keyed,
+                 &r->route, &r->idempotent, &r->attempts, &r->priority,
+                 &r->target, &r->left, &r->sent_at, &r->earns_budget, &r->id,
+                 &r->key, &r->method, &r->path, &r->headers, &body);
+  r->body = g_variant_get_data_as_bytes (body);
+  return g_steal_pointer (&v);
+}
+
+/* Frees what decoding allocated for R. */
+void
+cc_peer_request_clear (CcPeerRequest *r)
+{
+  g_bytes_unref (r->body);
+}
+
+/* Encodes R; the caller unrefs the result. */
+GBytes *
+cc_peer_reply_encode (const CcPeerReply *r)
+{
+  const CcExchangeResult *e = &r->result;
+
+  return seal (g_variant_new (
+      "(uusuxsuuxxxxdb@ay@ay)", (guint32) r->end, (guint32) e->kind, e->reason,
+      e->status, e->retry_after, e->target, e->attempts, e->waiting, e->waited,
+      e->served, e->leaving, e->expected, e->inside, e->unreachable,
+      e->headers != NULL ? e->headers : new_bytes (NULL), new_bytes (e->body)));
+}
+
+/* Decodes BYTES into R, which is valid as long as the returned GVariant and is
+ * to be cleared.  Returns NULL if BYTES are not a reply. */
+GVariant *
+cc_peer_reply_decode (GBytes *bytes, CcPeerReply *r)
+{
+  g_autoptr (GVariant) v = unseal (bytes, REPLY);
+  CcExchangeResult *e = &r->result;
+  g_autoptr (GVariant) body = NULL;
+  guint32 end, kind;
+
+  *r = (CcPeerReply){ 0 };
+  if (v == NULL)
+    return NULL;
+  g_variant_get (v, "(uu&sux&suuxxxxdb@ay@ay)", &end, &kind, &e->reason,
+                 &e->status, &e->retry_after, &e->target, &e->attempts,
+                 &e->waiting, &e->waited, &e->served, &e->leaving, &e->expected,
+                 &e->inside, &e->unreachable, &e->headers, &body);
+  r->end = end;
+  e->kind = kind;
+  e->body = g_variant_get_data_as_bytes (body);
+  if (end > CC_PEER_BUSY || kind > CC_EXCHANGE_UNKNOWN)
+    {
+      cc_peer_reply_clear (r);
+      return NULL;
+    }
+  return g_steal_pointer (&v);
+}
+
+/* Frees what decoding allocated for R. */
+void
+cc_peer_reply_clear (CcPeerReply *r)
+{
+  g_variant_unref (r->result.headers);
+  g_bytes_unref (r->result.body);
+}
--- a/peer_server.c
+++ b/peer_server.c
@@ -111,6 +111,13 @@
   return cc_http_listen (p->server, address, message) ? p : NULL;
 }
 
+/* The HTTP server of P, to which handlers of other paths may be added. */
+SoupServer *
+cc_peer_server_http (CcPeerServer *p)
+{
+  return p->server;
+}
+
 /* Answers the pending requests of peers for which the mirror has an update;
  * called after each change of the mirror.  P may be NULL before it listens. */
 void
--- a/pick.c
+++ b/pick.c
@@ -101,6 +101,7 @@
   l->avoid_span =
       l->avoid_span == 0 ? BACKOFF_FIRST : MIN (2 * l->avoid_span, BACKOFF_MAX);
   l->avoid_until = now + l->avoid_span;
+  l->unreached_at = now;
 }
 
 /* Adds an attempt to the failure rate of L; FAILED is 1 if it failed, else 0.
@@ -184,6 +185,33 @@
     }
 }
 
+/* Records that a connection to L was established without a request. */
+void
+cc_pick_connected (CcTargetLoad *l, gint64 now)
+{
+  l->reached_at = now;
+  if (l->avoid_span == 0)
+    return;
+  l->avoid_span = 0;
+  l->avoid_until = MIN (l->avoid_until, now);
+}
+
+/* Records that no connection to L could be established, without a request. */
+void
+cc_pick_not_connected (CcTargetLoad *l, gint64 now)
+{
+  back_off (l, now);
+  update_failure_rate (l, 1.0, now);
+}
+
+/* Returns whether the last attempt to connect to L failed, with no response
+ * since. */
+gboolean
+cc_pick_is_unreachable (const CcTargetLoad *l)
+{
+  return l->avoid_span > 0;
+}
+
 /* Returns the number of attempts of other entries inside L if L is as loaded
  * as a typical upstream of its pool. */
 static double
--- a/pick.h
+++ b/pick.h
@@ -3,7 +3,9 @@
 #ifndef CC_PICK_H
 #define CC_PICK_H
 
+#include "backoff.h"
 #include "pool_load.h"
+#include "pool_reach.h"
 
 /* The load of one upstream as this entry estimates it. */
 typedef struct
@@ -28,8 +30,14 @@
   gint64 cold_until;  /* counted as slow after its start until then, us */
   gint64 avoid_until; /* unreachable or shedding: no attempts until then, us */
   gint64 avoid_span;  /* length of the last backoff for being unreachable, us */
-  gint64 reached_at;  /* time of its last response, us; 0: never */
-  CcPoolReport in_pool; /* its last contribution to the pool's load */
+  gint64 reached_at;  /* time of its last response or accepted connection, us;
+                         0: never */
+  gint64 unreached_at; /* time of the last failed connection, us; 0: never */
+  CcReachMark reach;
+  gboolean probing;        /* a connection to it is being tried */
+  CcBackoff peers_backoff; /* of requests that are forwarded through peers,
+                              after these did not reach it either */
+  CcPoolReport in_pool;    /* its last contribution to the pool's load */
 } CcTargetLoad;
 
 /* How an attempt ended. */
@@ -72,6 +80,9 @@
 double cc_pick_sent (CcTargetLoad *l, const CcTypicalWork *typical,
                      double inside);
 void cc_pick_ended (CcTargetLoad *l, const CcPickResult *r, gint64 now);
+void cc_pick_connected (CcTargetLoad *l, gint64 now);
+void cc_pick_not_connected (CcTargetLoad *l, gint64 now);
+gboolean cc_pick_is_unreachable (const CcTargetLoad *l);
 double cc_pick_inside (const CcTargetLoad *l, const CcTypicalWork *typical,
                        gint64 now);
 double cc_pick_owner_inside (const CcTargetLoad *l,
--- a/retry_budget.c
+++ b/retry_budget.c
@@ -31,6 +31,14 @@
   b->tokens += bound->ratio * RATIO_PART;
 }
 
+/* Removes from B what a first attempt has earned, since another entry earns it.
+ * The bucket may become negative if it was spent. */
+void
+cc_retry_budget_return (CcRetryBudget *b, const CcRetryBound *bound)
+{
+  b->tokens -= bound->ratio * RATIO_PART;
+}
+
 /* Takes one token at NOW and returns TRUE, or returns FALSE if there is none.
  * ENTRIES share the slack. */
 gboolean
--- a/retry_budget.h
+++ b/retry_budget.h
@@ -22,6 +22,7 @@
 } CcRetryBudget;
 
 void cc_retry_budget_earn (CcRetryBudget *b, const CcRetryBound *bound);
+void cc_retry_budget_return (CcRetryBudget *b, const CcRetryBound *bound);
 gboolean cc_retry_budget_take (CcRetryBudget *b, const CcRetryBound *bound,
                                guint entries, gint64 now);
 
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -13,6 +13,8 @@
 #include "forward.h"
 #include "headers.h"
 #include "key_ranges.h"
+#include "peer_message.h"
+#include "timers.h"
 
 #define ATTEMPTS_MAX 4
 
@@ -29,7 +31,16 @@
   WRONG_ECHO,
   UNSENT,
   LOST,
-  LATE
+  LATE,
+  /* at a peer */
+  PEER_200,
+  PEER_UNKNOWN,     /* lost between the peer and the upstream */
+  PEER_FULL,        /* refused for the pool's load */
+  PEER_BUSY,        /* refused for its own load */
+  PEER_PARTITIONED, /* reaches the pool no more than this gateway */
+  PEER_UNREACHED,   /* reaches the pool, but not the upstream */
+  PEER_OLD,         /* a build that does not forward */
+  PEER_DAMAGED      /* an answer that is no reply */
 } AttemptEnd;
 
 typedef struct
@@ -199,13 +210,40 @@
   gpointer data;
 } Call;
 
+/* A connection that is being tried without a request. */
+typedef struct
+{
+  CcHttpConnected done;
+  gpointer data;
+} Probe;
+
 static struct
 {
   GQueue *calls; /* of Call, in progress */
   GPtrArray *addresses;
   guint cancelled;
+  GQueue *probes;       /* of Probe */
+  GPtrArray *forwarded; /* of CcPeerRequest: fields that are not pointers */
 } net;
 
+/* Records the request that O carries, if it is for a peer. */
+static void
+record_forwarded (const CcHttpRequest *o)
+{
+  CcPeerRequest r;
+  g_autoptr (GVariant) holder = NULL;
+
+  if (!g_str_has_prefix (o->head, "POST " CC_FORWARD_PATH " "))
+    return;
+  holder = cc_peer_request_decode (o->body, &r);
+  assert_non_null (holder);
+  assert_string_equal (r.id, "r1");
+  assert_string_equal (r.pool, "booking");
+  assert_string_equal (r.path, "/b");
+  cc_peer_request_clear (&r);
+  g_ptr_array_add (net.forwarded, g_memdup2 (&r, sizeof r));
+}
+
 CcHttpCall *
 cc_http_send (CcHttp *h, const CcHttpRequest *o, CcHttpDone done, gpointer data)
 {
@@ -216,9 +254,31 @@
   c->data = data;
   g_queue_push_tail (net.calls, c);
   g_ptr_array_add (net.addresses, g_strdup (o->address));
+  record_forwarded (o);
   return (CcHttpCall *) c;
 }
 
+gboolean
+cc_http_connect (CcHttp *h, const char *address, gint64 timeout,
+                 CcHttpConnected done, gpointer data)
+{
+  Probe p = { done, data };
+
+  (void) h, (void) address, (void) timeout;
+  g_queue_push_tail (net.probes, g_memdup2 (&p, sizeof p));
+  return TRUE;
+}
+
+/* Ends the oldest probe. */
+static void
+end_probe (gboolean connected)
+{
+  g_autofree Probe *p = g_queue_pop_head (net.probes);
+
+  assert_non_null (p);
+  p->done (connected, p->data);
+}
+
 void
 cc_http_cancel (CcHttpCall *c)
 {
@@ -265,12 +325,52 @@
 
 #define SIGNED "X-Response-Signature=s"
 
+/* Returns a peer's answer with REPLY. */
+static CcHttpResult
+peer_answer (const CcPeerReply *reply, GBytes **body)
+{
+  CcPeerReply r = *reply;
+
+  if (r.result.reason == NULL)
+    r.result.reason = "";
+  r.result.target = "s9";
+  r.result.leaving = -1;
+  *body = cc_peer_reply_encode (&r);
+  return (CcHttpResult){ .end = CC_HTTP_ANSWERED, .status = 200 };
+}
+
+/* The replies of peers, by the end of the attempt. */
+static const CcPeerReply peer_replies[] = {
+  [PEER_200] = { CC_PEER_SERVED,
+                 { .kind = CC_EXCHANGE_ANSWERED,
+                   .status = 200,
+                   .attempts = 1 } },
+  [PEER_UNKNOWN] = { CC_PEER_SERVED,
+                     { .kind = CC_EXCHANGE_UNKNOWN,
+                       .reason = "lost",
+                       .attempts = 1 } },
+  [PEER_FULL] = { CC_PEER_SERVED,
+                  { .kind = CC_EXCHANGE_NOT_RUN,
+                    .reason = "full",
+                    .retry_after = 70 * CC_MS } },
+  [PEER_BUSY] = { CC_PEER_BUSY,
+                  { .kind = CC_EXCHANGE_NOT_RUN, .reason = "busy" } },
+  [PEER_PARTITIONED] = { CC_PEER_PARTITIONED,
+                         { .kind = CC_EXCHANGE_NOT_RUN,
+                           .reason = "unreachable",
+                           .unreachable = TRUE } },
+  [PEER_UNREACHED] = { CC_PEER_SERVED,
+                       { .kind = CC_EXCHANGE_NOT_RUN,
+                         .reason = "unreachable",
+                         .unreachable = TRUE } },
+};
+
 static void
 end_attempt (AttemptEnd script)
 {
   g_autofree Call *c = g_queue_pop_head (net.calls);
   g_autoptr (GVariant) headers = NULL;
-  g_autoptr (GBytes) body = g_bytes_new_static ("", 0);
+  g_autoptr (GBytes) body = NULL;
   CcHttpResult r = { .why = "lost" };
 
   switch (script)
@@ -306,7 +406,23 @@
     case NONE:
       r.end = CC_HTTP_TIMED_OUT;
       break;
+    case PEER_OLD:
+      r = answer (404, "X-None=1", &headers);
+      break;
+    case PEER_DAMAGED:
+      r = answer (200, "X-None=1", &headers);
+      break;
+    case PEER_200:
+    case PEER_UNKNOWN:
+    case PEER_FULL:
+    case PEER_BUSY:
+    case PEER_PARTITIONED:
+    case PEER_UNREACHED:
+      r = peer_answer (&peer_replies[script], &body);
+      break;
     }
+  if (body == NULL)
+    body = g_bytes_new_static ("", 0);
   r.body = body;
   c->done (&r, c->data);
 }
@@ -321,6 +437,7 @@
   char reason[32];
   gint64 retry_after;
   gint64 leaving;
+  gboolean unreachable, partitioned;
 } Outcome;
 
 static void
@@ -334,6 +451,8 @@
   o->status = e->status;
   o->retry_after = e->retry_after;
   o->leaving = e->leaving;
+  o->unreachable = e->unreachable;
+  o->partitioned = e->partitioned;
   g_strlcpy (o->reason, e->reason, sizeof o->reason);
 }
 
@@ -382,6 +501,8 @@
   net.calls = g_queue_new ();
   net.addresses = g_ptr_array_new_with_free_func (g_free);
   net.cancelled = 0;
+  net.probes = g_queue_new ();
+  net.forwarded = g_ptr_array_new_with_free_func (g_free);
   cc_clock_pause (1000 * CC_SECOND, 1000 * CC_SECOND);
   cc_targets_init (&w->targets);
   cc_view_init (&w->view);
@@ -415,7 +536,8 @@
                           .method = "POST",
                           .path = "/b",
                           .headers = "",
-                          .body = w->body };
+                          .body = w->body,
+                          .earns_budget = TRUE };
 
   return cc_exchange_begin (w->forwarder, &s, on_end, o);
 }
@@ -440,6 +562,8 @@
 {
   g_queue_free (net.calls);
   g_ptr_array_unref (net.addresses);
+  g_ptr_array_unref (net.forwarded);
+  g_queue_free_full (net.probes, g_free);
   g_bytes_unref (w->body);
   cc_clock_resume ();
 }
@@ -589,6 +713,319 @@
     }
 }
 
+/* ---- through peers ---- */
+
+/* Makes the gateway of W lose its links to all upstreams.  Its requests tell.
+ */
+static void
+lose_links (World *w)
+{
+  for (guint i = 0; i < 3; i++)
+    {
+      Outcome o = { 0 };
+
+      begin (w, &o);
+      while (!o.ended && g_queue_get_length (net.calls) > 0)
+        end_attempt (UNSENT);
+    }
+  while (!g_queue_is_empty (net.probes))
+    end_probe (FALSE);
+  g_ptr_array_set_size (net.addresses, 0);
+  g_ptr_array_set_size (net.forwarded, 0);
+}
+
+/* Adds COUNT peers to the gateway of W. */
+static void
+add_peers (World *w, guint count)
+{
+  GPtrArray *peers = cc_peers_new ();
+
+  for (guint i = 0; i < count; i++)
+    {
+      g_autofree char *address = g_strdup_printf ("10.1.0.%u:7102", i);
+
+      cc_peers_add (peers, address, i % 2 == 0 ? "a" : "b");
+    }
+  cc_forwarder_set_peers (w->forwarder, peers);
+}
+
+static const Case peer_cases[] = {
+  { "once-only, served by a peer",
+    FALSE,
+    2,
+    { PEER_200 },
+    1,
+    CC_EXCHANGE_ANSWERED,
+    "",
+    200 },
+  { "once-only, peer not reached, then served",
+    FALSE,
+    2,
+    { UNSENT, PEER_200 },
+    2,
+    CC_EXCHANGE_ANSWERED,
+    "",
+    200 },
+  { "once-only, peer partitioned as well, then served",
+    FALSE,
+    2,
+    { PEER_PARTITIONED, PEER_200 },
+    2,
+    CC_EXCHANGE_ANSWERED,
+    "",
+    200 },
+  { "once-only, peer of an older build, then served",
+    FALSE,
+    2,
+    { PEER_OLD, PEER_200 },
+    2,
+    CC_EXCHANGE_ANSWERED,
+    "",
+    200 },
+  { "once-only, peer busy, then served",
+    FALSE,
+    2,
+    { PEER_BUSY, PEER_200 },
+    2,
+    CC_EXCHANGE_ANSWERED,
+    "",
+    200 },
+  { "once-only, pool full at the peer",
+    FALSE,
+    2,
+    { PEER_FULL, PEER_200 },
+    1,
+    CC_EXCHANGE_NOT_RUN,
+    "full",
+    0 },
+  { "once-only, peer lost",
+    FALSE,
+    3,
+    { LOST, PEER_200 },
+    1,
+    CC_EXCHANGE_UNKNOWN,
+    "peer-lost",
+    0 },
+  { "once-only, peer silent",
+    FALSE,
+    3,
+    { LATE, PEER_200 },
+    1,
+    CC_EXCHANGE_UNKNOWN,
+    "deadline",
+    0 },
+  { "once-only, lost behind the peer",
+    FALSE,
+    3,
+    { PEER_UNKNOWN, PEER_200 },
+    1,
+    CC_EXCHANGE_UNKNOWN,
+    "lost",
+    0 },
+  { "once-only, damaged answer of the peer",
+    FALSE,
+    3,
+    { PEER_DAMAGED, PEER_200 },
+    1,
+    CC_EXCHANGE_UNKNOWN,
+    "peer-answer-damaged",
+    0 },
+  { "upstreams unreachable for all",
+    FALSE,
+    3,
+    { PEER_UNREACHED, PEER_UNREACHED, PEER_200 },
+    2,
+    CC_EXCHANGE_NOT_RUN,
+    "unreachable",
+    0 },
+  { "idempotent, peer lost, then served",
+    TRUE,
+    3,
+    { LOST, PEER_200 },
+    2,
+    CC_EXCHANGE_ANSWERED,
+    "",
+    200 },
+  { "idempotent, peer lost, no attempt left",
+    TRUE,
+    1,
+    { LOST, PEER_200 },
+    1,
+    CC_EXCHANGE_UNKNOWN,
+    "peer-lost",
+    0 },
+  { "idempotent, lost behind the peer, then refused",
+    TRUE,
+    3,
+    { PEER_UNKNOWN, PEER_FULL },
+    2,
+    CC_EXCHANGE_UNKNOWN,
+    "full",
+    0 },
+};
+
+/* Guards against a request that is refused although a peer reaches the
+ * upstreams, runs twice on its way through peers, or is reported "not run"
+ * after it may have run. */
+static void
+requests_end_through_peers_as_the_cases_say (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (peer_cases); i++)
+    {
+      const Case *c = &peer_cases[i];
+      World w;
+      Outcome o = { 0 };
+
+      world_init (&w, c);
+      earn_budget (&w);
+      lose_links (&w);
+      add_peers (&w, 6);
+      begin (&w, &o);
+      for (guint k = 0; k < ATTEMPTS_MAX && !o.ended; k++)
+        end_attempt (c->script[k]);
+      if (!o.ended || o.kind != c->end || o.status != c->status ||
+          strcmp (o.reason, c->reason) != 0 || net.addresses->len != c->sent ||
+          net.forwarded->len != c->sent || !all_differ (net.addresses))
+        fail_msg ("%s: end %d, reason %s, status %u, %u sent, %u to peers",
+                  c->name, o.kind, o.reason, o.status, net.addresses->len,
+                  net.forwarded->len);
+      world_clear (&w);
+    }
+}
+
+/* The peer gets what is left of the time, the target and the attempts; one
+ * attempt of an idempotent request is kept for a lost peer. */
+static void
+a_peer_gets_what_is_left (void **state)
+{
+  static const Case any = { .idempotent = TRUE, .attempts = 3 };
+  const CcPeerRequest *first, *second;
+  World w;
+  Outcome o = { 0 };
+
+  (void) state;
+  world_init (&w, &any);
+  earn_budget (&w);
+  lose_links (&w);
+  add_peers (&w, 6);
+  begin (&w, &o);
+  cc_clock_advance (100 * CC_MS);
+  end_attempt (PEER_PARTITIONED);
+  first = net.forwarded->pdata[0];
+  second = net.forwarded->pdata[1];
+  assert_int_equal (first->left, 1500 * CC_MS);
+  assert_int_equal (second->left, 1400 * CC_MS);
+  assert_int_equal (second->target, 400 * CC_MS);
+  assert_int_equal (first->attempts, 2);
+  /* The budget is earned once, at the first peer. */
+  assert_true (first->earns_budget);
+  assert_false (second->earns_budget);
+  end_attempt (PEER_200);
+  assert_true (o.ended);
+  world_clear (&w);
+}
+
+/* Guards against a request that goes in circles: one that a peer has forwarded
+ * is refused at once, with the reason. */
+static void
+a_forwarded_request_is_not_forwarded_again (void **state)
+{
+  static const Case any = { .idempotent = TRUE, .attempts = 3 };
+  World w;
+  Outcome o = { 0 };
+  CcExchangeRequest s = { .pool = "booking",
+                          .method = "POST",
+                          .path = "/b",
+                          .headers = "",
+                          .from_peer = TRUE };
+
+  (void) state;
+  world_init (&w, &any);
+  lose_links (&w);
+  add_peers (&w, 6);
+  s.route = &w.route;
+  s.caller = &w.caller;
+  s.body = w.body;
+  cc_exchange_begin (w.forwarder, &s, on_end, &o);
+  assert_true (o.ended);
+  assert_int_equal (o.kind, CC_EXCHANGE_NOT_RUN);
+  assert_true (o.unreachable && o.partitioned);
+  assert_int_equal (net.forwarded->len, 0);
+  world_clear (&w);
+}
+
+/* Guards against a gateway that goes on forwarding after its links are
+ * restored: the upstreams are probed meanwhile. */
+static void
+requests_go_directly_once_the_links_are_restored (void **state)
+{
+  static const Case any = { .idempotent = FALSE, .attempts = 2 };
+  World w;
+
+  (void) state;
+  world_init (&w, &any);
+  lose_links (&w);
+  add_peers (&w, 6);
+  for (guint i = 0; i < 20; i++)
+    {
+      Outcome o = { 0 };
+
+      cc_clock_advance (300 * CC_MS);
+      begin (&w, &o);
+      end_attempt (PEER_200);
+      assert_true (o.ended);
+      while (!g_queue_is_empty (net.probes))
+        end_probe (i >= 10);
+    }
+  g_ptr_array_set_size (net.forwarded, 0);
+  for (guint i = 0; i < 3; i++)
+    {
+      Outcome o = { 0 };
+
+      begin (&w, &o);
+      end_attempt (OK_200);
+      assert_true (o.ended);
+    }
+  assert_int_equal (net.forwarded->len, 0);
+  world_clear (&w);
+}
+
+/* Guards against attempts that wait for their whole deadline on a connection
+ * that hangs: once a new connection fails as well, an idempotent request goes
+ * elsewhere; a once-only one, which may have run, waits on. */
+static void
+overdue_attempts_are_given_up_if_the_link_is_lost (void **state)
+{
+  (void) state;
+  for (guint idempotent = 0; idempotent < 2; idempotent++)
+    {
+      const Case c = { .idempotent = idempotent, .attempts = 2 };
+      World w;
+      Outcome o = { 0 };
+
+      world_init (&w, &c);
+      earn_budget (&w);
+      cc_clock_advance (CC_MS);
+      begin (&w, &o);
+      for (guint i = 0; i < 10; i++)
+        {
+          cc_clock_advance (100 * CC_MS);
+          cc_timers_run ();
+        }
+      assert_int_equal (g_queue_get_length (net.probes), 1);
+      end_probe (FALSE);
+      for (guint i = 0; i < 3; i++)
+        {
+          cc_clock_advance (100 * CC_MS);
+          cc_timers_run ();
+        }
+      assert_int_equal (net.addresses->len, idempotent ? 2 : 1);
+      assert_int_equal (net.cancelled, idempotent);
+      world_clear (&w);
+    }
+}
+
 int
 main (void)
 {
@@ -597,6 +1034,11 @@
     cmocka_unit_test (repeats_are_bounded_by_the_budget),
     cmocka_unit_test (a_caller_that_left_ends_idempotent_work_only),
     cmocka_unit_test (result_reports_how_long_the_target_had_been_leaving),
+    cmocka_unit_test (requests_end_through_peers_as_the_cases_say),
+    cmocka_unit_test (a_peer_gets_what_is_left),
+    cmocka_unit_test (a_forwarded_request_is_not_forwarded_again),
+    cmocka_unit_test (requests_go_directly_once_the_links_are_restored),
+    cmocka_unit_test (overdue_attempts_are_given_up_if_the_link_is_lost),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/test/test_peer_message.c
@@ -0,0 +1,149 @@
+/* Guards against a forwarded request or its result that is changed on the way,
+ * and against a damaged or foreign message that is taken for one. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "headers.h"
+#include "peer_message.h"
+
+static void
+a_request_arrives_as_it_was_sent (void **state)
+{
+  g_autoptr (GBytes) body = g_bytes_new_static ("a\0b", 3);
+  CcPeerRequest sent = { .pool = "castles",
+                         .keyed = TRUE,
+                         .route = "browse",
+                         .idempotent = TRUE,
+                         .attempts = 2,
+                         .priority = 1,
+                         .target = 600 * CC_MS,
+                         .left = 1400 * CC_MS,
+                         .sent_at = 1700000000 * CC_SECOND,
+                         .earns_budget = TRUE,
+                         .id = "r1",
+                         .key = 65535,
+                         .method = "PUT",
+                         .path = "/a/%2F?q=1",
+                         .headers = "Host: a\r\nX-A: \xc3\xa9\r\n",
+                         .body = body };
+  g_autoptr (GBytes) bytes = cc_peer_request_encode (&sent);
+  CcPeerRequest got;
+  g_autoptr (GVariant) holder = cc_peer_request_decode (bytes, &got);
+
+  (void) state;
+  assert_non_null (holder);
+  assert_string_equal (got.pool, sent.pool);
+  assert_string_equal (got.route, sent.route);
+  assert_string_equal (got.id, sent.id);
+  assert_string_equal (got.method, sent.method);
+  assert_string_equal (got.path, sent.path);
+  assert_string_equal (got.headers, sent.headers);
+  assert_true (got.keyed && got.idempotent && got.earns_budget);
+  assert_int_equal (got.attempts, 2);
+  assert_int_equal (got.priority, 1);
+  assert_int_equal (got.target, sent.target);
+  assert_int_equal (got.left, sent.left);
+  assert_int_equal (got.sent_at, sent.sent_at);
+  assert_int_equal (got.key, 65535);
+  assert_true (g_bytes_equal (got.body, body));
+  cc_peer_request_clear (&got);
+}
+
+static void
+a_reply_arrives_as_it_was_sent (void **state)
+{
+  GString *packed = g_string_new (NULL);
+  g_autoptr (GVariant) headers = NULL;
+  g_autoptr (GBytes) body = g_bytes_new_static ("done", 4);
+  CcPeerReply sent = { CC_PEER_SERVED,
+                       { .kind = CC_EXCHANGE_ANSWERED,
+                         .reason = "",
+                         .status = 201,
+                         .body = body,
+                         .retry_after = 7,
+                         .target = "u1",
+                         .attempts = 2,
+                         .served = 9,
+                         .leaving = -1,
+                         .unreachable = TRUE } };
+  g_autoptr (GBytes) bytes = NULL;
+  g_autoptr (GVariant) holder = NULL;
+  CcPeerReply got;
+  CcHeadersIter i;
+  const char *name, *value;
+
+  (void) state;
+  cc_headers_add (packed, "X-Response-Signature", "s");
+  headers = cc_headers_take (packed);
+  sent.result.headers = headers;
+  bytes = cc_peer_reply_encode (&sent);
+  holder = cc_peer_reply_decode (bytes, &got);
+  assert_non_null (holder);
+  assert_int_equal (got.end, CC_PEER_SERVED);
+  assert_int_equal (got.result.kind, CC_EXCHANGE_ANSWERED);
+  assert_int_equal (got.result.status, 201);
+  assert_int_equal (got.result.retry_after, 7);
+  assert_int_equal (got.result.attempts, 2);
+  assert_int_equal (got.result.served, 9);
+  assert_int_equal (got.result.leaving, -1);
+  assert_true (got.result.unreachable);
+  assert_string_equal (got.result.target, "u1");
+  assert_true (g_bytes_equal (got.result.body, body));
+  cc_headers_iter (&i, got.result.headers);
+  assert_true (cc_headers_next (&i, &name, &value));
+  assert_string_equal (name, "X-Response-Signature");
+  assert_string_equal (value, "s");
+  cc_peer_reply_clear (&got);
+}
+
+/* No part of a message, and no message of the other kind, is accepted. */
+static void
+damaged_messages_are_rejected (void **state)
+{
+  g_autoptr (GBytes) body = g_bytes_new_static ("x", 1);
+  CcPeerRequest request = { .pool = "p",
+                            .route = "r",
+                            .id = "i",
+                            .method = "GET",
+                            .path = "/",
+                            .headers = "",
+                            .body = body };
+  CcPeerReply reply = {
+    CC_PEER_SERVED,
+    { .kind = CC_EXCHANGE_NOT_RUN, .reason = "full", .target = "" }
+  };
+  g_autoptr (GBytes) a = cc_peer_request_encode (&request);
+  g_autoptr (GBytes) b = cc_peer_reply_encode (&reply);
+
+  (void) state;
+  for (gsize size = 0; size < g_bytes_get_size (a); size++)
+    {
+      g_autoptr (GBytes) part = g_bytes_new_from_bytes (a, 0, size);
+
+      assert_null (cc_peer_request_decode (part, &request));
+    }
+  for (gsize size = 0; size < g_bytes_get_size (b); size++)
+    {
+      g_autoptr (GBytes) part = g_bytes_new_from_bytes (b, 0, size);
+
+      assert_null (cc_peer_reply_decode (part, &reply));
+    }
+  assert_null (cc_peer_request_decode (b, &request));
+  assert_null (cc_peer_reply_decode (a, &reply));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_request_arrives_as_it_was_sent),
+    cmocka_unit_test (a_reply_arrives_as_it_was_sent),
+    cmocka_unit_test (damaged_messages_are_rejected),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
