A granter that reaches no upstream gives the lease up at once, to one that does

Its unfinished plans were left to the successor, which has to wait for them.

The holder now writes that the lease is vacant, with a row that its followers receive at once; processes claim it only if they reach upstreams, which they find out first; and nothing is planned without reach. What the predecessor may have sent is waited for as after a resignation.

--- a/forward.h
+++ b/forward.h
@@ -44,6 +44,8 @@
 CcForwarder *cc_forwarder_new (const CcForwarderSetup *setup);
 void cc_forwarder_set_entries (CcForwarder *f, guint entries);
 void cc_forwarder_set_peers (CcForwarder *f, GPtrArray *peers);
+CcReach cc_forwarder_check_reach (CcForwarder *f, const char *pool,
+                                  gboolean probe);
 void cc_forwarder_ranges_changed (CcForwarder *f, const CcView *state,
                                   const GPtrArray *rows);
 void cc_forwarder_pump (CcForwarder *f);
--- a/forward_probe.c
+++ b/forward_probe.c
@@ -8,6 +8,13 @@
  * only after a second. */
 #define CONNECT_TIMEOUT (200 * CC_MS)
 
+/* An upstream that responded this long ago is reachable. */
+#define REACHED_TIMEOUT (1 * CC_SECOND)
+/* Upstreams that have to be reachable, all if there are fewer, for the pool to
+ * count as reachable; and those probed at a time while it is unknown. */
+#define REACHED_MIN 3
+#define UNKNOWN_PROBES 5
+
 typedef struct
 {
   CcForwarder *forwarder;
@@ -75,3 +82,56 @@
     return FALSE;
   return cc_forward_pool_check_reach (p, count_upstreams (f, p), now);
 }
+
+/* Probes a few random upstreams of P. */
+static void
+probe_some (CcForwarder *f, CcForwardPool *p)
+{
+  GPtrArray *all = cc_targets_of_pool (f->setup.targets, p->name);
+
+  for (guint i = 0; all != NULL && all->len > 0 && i < UNKNOWN_PROBES; i++)
+    {
+      CcTarget *t = all->pdata[g_random_int_range (0, (gint32) all->len)];
+
+      if (t->state == CC_TARGET_READY)
+        cc_forwarder_probe (f, p, t);
+    }
+}
+
+/* Counts the ready upstreams of P that responded lately. */
+static guint
+count_reached (const CcForwarder *f, const CcForwardPool *p, gint64 now)
+{
+  GPtrArray *all = cc_targets_of_pool (f->setup.targets, p->name);
+  guint n = 0;
+
+  for (guint i = 0; all != NULL && i < all->len; i++)
+    {
+      const CcTarget *t = all->pdata[i];
+
+      n += t->state == CC_TARGET_READY && !cc_pick_is_unreachable (&t->load) &&
+           t->load.reached_at != 0 &&
+           now - t->load.reached_at < REACHED_TIMEOUT;
+    }
+  return n;
+}
+
+/* Returns whether this gateway reaches the upstreams of the pool NAME.  If that
+ * is unknown and PROBE is set, some are probed, and a later call returns the
+ * result. */
+CcReach
+cc_forwarder_check_reach (CcForwarder *f, const char *name, gboolean probe)
+{
+  CcForwardPool *p = cc_forwarder_find_pool (f, name);
+  gint64 now = cc_clock_now ();
+  guint upstreams = count_upstreams (f, p);
+
+  if (cc_forward_pool_check_reach (p, upstreams, now))
+    return CC_REACH_NO;
+  if (upstreams > 0 &&
+      count_reached (f, p, now) >= MIN (REACHED_MIN, upstreams))
+    return CC_REACH_YES;
+  if (probe)
+    probe_some (f, p);
+  return CC_REACH_UNKNOWN;
+}
--- a/gateway.c
+++ b/gateway.c
@@ -354,6 +354,25 @@
   cc_granter_lease_received (g->granter, version, received_at);
 }
 
+static CcReach
+check_reach (const char *pool, gboolean probe, gpointer data)
+{
+  return cc_forwarder_check_reach (((Gateway *) data)->forwarder, pool, probe);
+}
+
+/* Notifies the granter if ROWS tell that the lease was given up. */
+static void
+check_vacancy (Gateway *g, const GPtrArray *rows)
+{
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const CcRow *row = rows->pdata[i];
+
+      if (g_str_equal (row->key, CC_GRANTER_VACANT_KEY))
+        cc_granter_lease_vacated (g->granter, row->version);
+    }
+}
+
 /* Rows of the table NAME have changed: passes them to the modules that use
  * it. */
 static void
@@ -375,6 +394,7 @@
       cc_members_join (g->members, cc_mirror_view (g->mirror, CC_TABLE_STATE));
       if (include_member_rows (rows))
         update_members (g);
+      check_vacancy (g, rows);
       cc_forwarder_ranges_changed (
           g->forwarder, cc_mirror_view (g->mirror, CC_TABLE_STATE), rows);
       break;
@@ -599,6 +619,7 @@
     .instance = g->instance,
     .address = g->address,
     .renewed = on_lease_renewed,
+    .reach = check_reach,
     .data = g,
     .claim_delay = cores < GRANTER_CORES ? SMALL_PROCESS_LEASE_DELAY : 0
   };
--- a/granter.c
+++ b/granter.c
@@ -20,6 +20,9 @@
  * An upstream that has accepted a higher fence rejects renewals by the previous
  * holder, which may not know yet that it was replaced.
  *
+ * A holder that reaches less than half of the owners gives the lease up, and a
+ * process claims it only if it reaches upstreams itself.
+ *
  * A holder that cannot renew the lease may still renew grants for a limited
  * time (see granter_lease.h), but changes no owner. */
 #include "granter.h"
@@ -69,6 +72,15 @@
  * them may actually be down. */
 #define CUT_OFF_MIN_OWNERS 4
 #define CLAIM_PAUSE (8 * CC_SECOND)
+/* Polls after the lease was given up are spread over this time: the first
+ * FREQUENT_POLLERS processes poll at once, the others later, in case those
+ * don't reach the upstreams either. */
+#define VACANT_SPREAD (50 * CC_MS)
+#define VACANT_SPREAD_EACH (10 * CC_MS) /* for each process of the fleet */
+#define VACANT_SPREAD_MAX (3 * CC_SECOND)
+/* Time in which a process that may claim the lease finds out whether it reaches
+ * upstreams; a failed connection takes 200 ms. */
+#define REACH_TIMEOUT (300 * CC_MS)
 
 struct CcGranter
 {
@@ -81,10 +93,14 @@
   gboolean table_busy; /* a request to the table service is in progress */
   gboolean result_unknown; /* the result of a write is unknown; the row is read
                               before the next one */
+  guint64 vacant_version;  /* of the last write that gave the lease up */
+  gboolean vacating;       /* the lease is being given up */
+  gboolean writes_vacancy; /* ... by the write in progress */
   gboolean resigning;      /* the lease is being released permanently */
   gboolean resigned;
   gint64 started;          /* when the granter was created, us */
   gboolean may_claim;      /* the row as last read allows a claim */
+  gint64 may_claim_since;  /* since it was read, us */
   gboolean claiming;       /* a claim was sent and may still be committed */
   gint64 no_claim_before;  /* no claim before, us */
   gint64 next_poll;        /* of the row, while the lease is not held, us */
@@ -220,7 +236,8 @@
                        .predecessors_remaining = CC_GRANTER_RENEWAL_LIMIT };
   gint64 timeout = RENEWAL_TIMEOUT;
 
-  if (g->shared.lease.held || version <= g->shared.lease.version)
+  if (g->shared.lease.held || version <= g->shared.lease.version ||
+      version <= g->vacant_version)
     return;
   if (g->rank >= FREQUENT_POLLERS)
     timeout += (gint64) (g_random_double () * (double) poll_period (g));
@@ -229,6 +246,24 @@
   g->next_poll = received_at + timeout;
 }
 
+/* The holder has given the lease up, by a write that was committed as VERSION.
+ * Polls the lease's row soon. */
+void
+cc_granter_lease_vacated (CcGranter *g, guint64 version)
+{
+  gint64 spread = VACANT_SPREAD;
+  gint64 delay;
+
+  if (g->shared.lease.held || version <= g->vacant_version)
+    return;
+  g->vacant_version = version;
+  if (g->rank >= FREQUENT_POLLERS)
+    spread += MIN (VACANT_SPREAD_EACH * g->fleet, VACANT_SPREAD_MAX);
+  delay = (gint64) (g_random_double () * (double) spread);
+  g->next_poll = cc_clock_now () + delay;
+  cc_timer_start (&g->tick, delay, on_tick, g);
+}
+
 /* The upstreams that may own keys have changed.  OUTAGE is the time of the last
  * failure of the service that keeps their list, us, or 0 for none. */
 void
@@ -327,6 +362,18 @@
   cc_granter_lease_lost (&g->shared.lease);
   reset_ranges (g);
   g->result_unknown = FALSE;
+  g->vacating = FALSE;
+}
+
+/* Gives the lease up, since most owners are unreachable from this process while
+ * others may reach them. */
+static void
+vacate_lease (CcGranter *g, gint64 now)
+{
+  cc_event (CC_EVENT_STATE, "lease-vacated", "why", "cut-off-from-upstreams",
+            "version", cc_event_int ((gint64) g->shared.lease.version), NULL);
+  g->no_claim_before = now + CLAIM_PAUSE;
+  g->vacating = TRUE;
 }
 
 /* Decoded value of the lease's row. */
@@ -472,6 +519,9 @@
        * renewing. */
       g->may_claim = cc_granter_lease_may_claim (&g->shared.lease, now) &&
                      (version != 0 || now >= g->started + g->setup.claim_delay);
+      g->may_claim_since = now;
+      if (g->may_claim)
+        cc_timer_start (&g->tick, 0, on_tick, g);
       poll_when_free (g, now);
       return;
     }
@@ -572,6 +622,14 @@
 static void
 put_changed_rows (CcGranter *g, CcTableChange *c)
 {
+  if (g->vacating)
+    {
+      g_autofree char *text =
+          g_strdup_printf ("%s %" G_GUINT64_FORMAT, g->id, g->sequence);
+
+      put_row (g, c, CC_GRANTER_VACANT_KEY, text);
+      return;
+    }
   if (g->address_due)
     put_row (g, c, CC_GRANTER_KEY, g->setup.address);
   collect_dirty (g, RANGE_ROWS_MAX, g->writing);
@@ -639,9 +697,11 @@
         g->address_due = FALSE;
       if (held)
         confirm_lease (g, version);
-      else if (g->claiming)
+      if (held && g->writes_vacancy)
+        lose_lease (g, "vacated");
+      else if (!held && g->claiming)
         take_lease (g, version);
-      else
+      else if (!held)
         /* A renewal of a lease that was lost in the meantime. */
         g->next_poll = 0;
       break;
@@ -665,8 +725,8 @@
 {
   return g_strdup_printf ("{\"holder\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT
                           ",\"others_ms\":%" G_GINT64_FORMAT "}",
-                          g->resigning ? "" : g->id, ++g->sequence,
-                          predecessors_left_ms (g, now));
+                          g->resigning || g->vacating ? "" : g->id,
+                          ++g->sequence, predecessors_left_ms (g, now));
 }
 
 /* Claims or renews the lease, in one transaction with changed rows of
@@ -690,12 +750,66 @@
   g_ptr_array_set_size (g->rows, 0);
   cc_table_expect (c, CC_TABLE_LEASE, LEASE_KEY, g->shared.lease.version);
   cc_table_put (c, CC_TABLE_LEASE, LEASE_KEY, value);
+  g->writes_vacancy = g->vacating;
   if (g->shared.lease.held && !g->resigning)
     put_changed_rows (g, c);
   g->table_busy = TRUE;
   cc_table_commit (g->setup.table, c, on_written, g);
 }
 
+/* Returns whether this process reaches the upstreams of any pool, which is
+ * found out if PROBE. */
+static CcReach
+check_reach (const CcGranter *g, gboolean probe)
+{
+  CcReach all = CC_REACH_NO;
+  GHashTableIter i;
+  gpointer value;
+
+  if (g->setup.reach == NULL)
+    return CC_REACH_YES;
+  g_hash_table_iter_init (&i, g->pools);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    switch (
+        g->setup.reach (((CcGrantedPool *) value)->name, probe, g->setup.data))
+      {
+      case CC_REACH_YES:
+        return CC_REACH_YES;
+      case CC_REACH_UNKNOWN:
+        all = CC_REACH_UNKNOWN;
+        break;
+      case CC_REACH_NO:
+        break;
+      }
+  return all;
+}
+
+/* Whether to claim the lease at NOW.  A process that reaches no upstream leaves
+ * it to others; whether it does is found out first, except when there was no
+ * holder yet.
+ *
+ * Failure: the holder is partitioned from the owners together with most other
+ * processes, and one of those takes over.  Symptom: keys lapse for all callers,
+ * although some processes could renew them. */
+static gboolean
+may_claim_now (CcGranter *g, gint64 now)
+{
+  if (!g->may_claim || now < g->no_claim_before)
+    return FALSE;
+  if (g->shared.lease.version == 0)
+    return TRUE;
+  switch (check_reach (g, TRUE))
+    {
+    case CC_REACH_YES:
+      return TRUE;
+    case CC_REACH_UNKNOWN:
+      return now >= g->may_claim_since + REACH_TIMEOUT;
+    case CC_REACH_NO:
+      return FALSE;
+    }
+  return FALSE;
+}
+
 /* Does the next request to the table that is due: a poll, a claim, a renewal,
  * or the read of the state rows.  One request is in progress at a time. */
 static void
@@ -707,7 +821,7 @@
     {
       if (g->resigning)
         g->resigned = TRUE;
-      else if (g->may_claim && now >= g->no_claim_before)
+      else if (may_claim_now (g, now))
         write_lease (g);
       else if (now >= g->next_poll)
         {
@@ -724,7 +838,7 @@
     }
   else if (g->result_unknown)
     return;
-  else if (g->resigning)
+  else if (g->resigning || g->vacating)
     write_lease (g);
   else if (!g->loaded && now >= g->next_poll)
     {
@@ -765,9 +879,11 @@
   if (g_hash_table_size (g->pools) == 0 && !g->resigning)
     return;
   log_renew_only (g, now);
-  if (g->shared.lease.held && !g->resigning && now >= g->plan_after &&
+  if (g->shared.lease.held && !g->resigning && !g->vacating &&
+      now >= g->plan_after &&
       cc_granter_lease_may_change (&g->shared.lease, now) &&
-      (g->shared.replan || now >= g->rebalance_at))
+      (g->shared.replan || now >= g->rebalance_at) &&
+      check_reach (g, FALSE) != CC_REACH_NO)
     {
       gboolean rebalance = now >= g->rebalance_at;
 
@@ -775,11 +891,9 @@
         g->rebalance_at = now + REBALANCE_PERIOD;
       plan_all (g, rebalance, now);
     }
-  if (g->shared.lease.held && !g->resigning && step_grants (g, now))
-    {
-      g->no_claim_before = now + CLAIM_PAUSE;
-      lose_lease (g, "cut-off-from-upstreams");
-    }
+  if (g->shared.lease.held && !g->resigning && !g->vacating &&
+      step_grants (g, now))
+    vacate_lease (g, now);
   step_lease (g, now);
 }
 
@@ -788,7 +902,8 @@
 {
   CcGranter *g = data;
 
-  cc_timer_start (&g->tick, g->shared.lease.held ? TICK : POLL_PERIOD / 2,
+  cc_timer_start (&g->tick,
+                  g->shared.lease.held || g->may_claim ? TICK : POLL_PERIOD / 2,
                   on_tick, g);
   cc_granter_tick (g);
 }
--- a/test/granter_world.c
+++ b/test/granter_world.c
@@ -813,6 +813,21 @@
   configure (&world.processes[index], 2);
 }
 
+/* Whether one of ROWS tells that the lease was given up. */
+static gboolean
+include_vacancy (GVariant *rows)
+{
+  GVariantIter i;
+  const char *key, *value;
+  guint64 version;
+
+  g_variant_iter_init (&i, rows);
+  while (g_variant_iter_next (&i, "(&st&s)", &key, &version, &value))
+    if (g_str_equal (key, CC_GRANTER_VACANT_KEY))
+      return TRUE;
+  return FALSE;
+}
+
 /* Sends a renewal to the other processes; some receive it much later or not at
  * all. */
 static void
@@ -820,10 +835,11 @@
 {
   gint64 now = cc_clock_now ();
 
-  (void) rows;
   for (guint i = 0; i < GRANTERS; i++)
     {
-      Renewal n = { .process = i, .version = version };
+      Renewal n = { .process = i,
+                    .version = version,
+                    .vacant = include_vacancy (rows) };
 
       if (i == GPOINTER_TO_UINT (data) || random_bool (world.faults))
         continue;
@@ -845,12 +861,53 @@
       if (n->at > now || p->paused_until > now)
         continue;
       world.running = n->process;
+      if (n->vacant)
+        cc_granter_lease_vacated (p->granter, n->version);
       cc_granter_lease_received (p->granter, n->version, n->received_at);
       g_ptr_array_remove_index (world.renewals, i--);
       g_free (n);
     }
 }
 
+/* Time from the start of a partition until a process has detected it. */
+#define PARTITION_DETECTION (800 * CC_MS)
+
+/* Whether the process with the index DATA reaches servers, as far as it has
+ * detected. */
+static CcReach
+check_reach (const char *pool, gboolean probe, gpointer data)
+{
+  const Process *p = &world.processes[GPOINTER_TO_UINT (data)];
+
+  (void) pool, (void) probe;
+  return p->partitioned_at != 0 &&
+                 cc_clock_now () - p->partitioned_at >= PARTITION_DETECTION
+             ? CC_REACH_NO
+             : CC_REACH_YES;
+}
+
+/* Partitions process INDEX from all servers for SPAN, us. */
+void
+world_partition (guint index, gint64 span)
+{
+  Process *p = &world.processes[index];
+
+  p->partitioned_at = cc_clock_now ();
+  p->reconnect_at = p->partitioned_at + span;
+  for (guint s = 0; s < world.count; s++)
+    p->cut_from[s] = TRUE;
+}
+
+/* Returns the index of the process that holds the lease, or -1. */
+gint
+world_holder (void)
+{
+  for (guint i = 0; i < GRANTERS; i++)
+    if (cc_granter_holds_lease (world.processes[i].granter))
+      return (gint) i;
+  return -1;
+}
+
 /* Starts or restarts process INDEX. */
 void
 world_start_process (guint index, gint64 now)
@@ -862,11 +919,11 @@
                                                     : "c",
                            .address = "10.9.9.9:1" };
 
+  setup.data = GUINT_TO_POINTER (index);
   if (world.kind.notifies)
-    {
-      setup.renewed = send_renewal;
-      setup.data = GUINT_TO_POINTER (index);
-    }
+    setup.renewed = send_renewal;
+  if (world.kind.partitions)
+    setup.reach = check_reach;
   g_clear_pointer (&p->connections, g_array_unref);
   memset (p, 0, sizeof *p);
   p->connections = g_array_new (FALSE, FALSE, sizeof (Connection));
@@ -893,6 +950,7 @@
   world_start_process (index, cc_clock_now ());
   p->cut_from_table = before.cut_from_table;
   p->reconnect_at = before.reconnect_at;
+  p->partitioned_at = before.partitioned_at;
   memcpy (p->cut_from, before.cut_from, sizeof before.cut_from);
   memcpy (p->unlisted, before.unlisted, sizeof before.unlisted);
 }
@@ -1079,6 +1137,18 @@
   reconnect_later (p, 9000);
 }
 
+/* Partitions the holder of the lease from all servers, or a random process. */
+static void
+inject_partition (void)
+{
+  gint holder = world_holder ();
+
+  world_partition (holder >= 0 && random_bool (0.7)
+                       ? (guint) holder
+                       : (guint) g_rand_int_range (world.rand, 0, GRANTERS),
+                   random_ms (500, 9000));
+}
+
 static void
 inject_one_of_all_faults (gint64 now)
 {
@@ -1138,6 +1208,7 @@
         {
           p->reconnect_at = 0;
           p->cut_from_table = FALSE;
+          p->partitioned_at = 0;
           memset (p->cut_from, 0, sizeof p->cut_from);
           memset (p->unlisted, 0, sizeof p->unlisted);
         }
@@ -1163,6 +1234,9 @@
       run_scheduled (now);
       if (random_bool (world.kind.fault_rate * STEP / CC_SECOND))
         inject_one_of_all_faults (now);
+      if (world.kind.partitions &&
+          random_bool (world.kind.fault_rate * STEP / CC_SECOND))
+        inject_partition ();
       return;
     }
   if (random_bool (probability))
--- a/test/granter_world.h
+++ b/test/granter_world.h
@@ -55,6 +55,7 @@
   gint64
       reconnect_at; /* all its connections are restored, us; 0: not planned */
   gboolean cut_from[MAX_SERVERS];
+  gint64 partitioned_at; /* start of the cut from all servers, us; 0: not cut */
   gboolean unlisted[MAX_SERVERS]; /* missing from its copy of the list */
   GArray *connections;            /* of Connection */
 } Process;
@@ -114,6 +115,7 @@
   guint process;
   guint64 version;
   gint64 received_at;
+  gboolean vacant; /* the holder gave the lease up */
 } Renewal;
 
 typedef struct
@@ -142,6 +144,8 @@
   gboolean all_faults; /* all kinds of faults, and strict checks of fences */
   double fault_rate;   /* faults that begin in a second, with ALL_FAULTS */
   gboolean notifies;   /* processes are notified of renewals */
+  gboolean partitions; /* processes detect that they reach no server; with
+                          ALL_FAULTS some are partitioned from all */
   gboolean replaces_servers; /* other servers appear at the addresses of stopped
                                 ones */
   gint64 table_delay_max; /* longest time of a write, us; 0: writes are executed
@@ -180,6 +184,8 @@
 void world_start_process (guint index, gint64 now);
 void world_restart_process (guint index);
 void world_add_pool (guint index);
+void world_partition (guint index, gint64 span);
+gint world_holder (void);
 void world_list_servers (Process *p, gint64 now);
 void world_step (guint number);
 double world_share_held (void);
--- a/test/test_granter.c
+++ b/test/test_granter.c
@@ -195,6 +195,61 @@
     fail_msg ("%" G_GINT64_FORMAT " ms in the mean", sum / 60 / CC_MS);
 }
 
+/* The gateways that are partitioned from all servers, in addition to the
+ * granter. */
+typedef struct
+{
+  const char *name;
+  guint others;
+} PartitionCase;
+
+static const PartitionCase partition_cases[] = {
+  { "the granter", 0 },
+  { "the granter and one of the others", 1 },
+};
+
+/* Guards against keys that lapse because the granter is partitioned from all
+ * upstreams and keeps the lease, or a process that is partitioned as well takes
+ * it. */
+static void
+keys_outlast_a_partition_of_the_granter (void **state)
+{
+  (void) state;
+  for (guint c = 0; c < G_N_ELEMENTS (partition_cases); c++)
+    for (guint seed = 1; seed <= 20; seed++)
+      {
+        guint cut = 0;
+        gint holder;
+
+        g_random_set_seed (seed);
+        world_begin_kind (&(WorldKind){ .seed = seed,
+                                        .servers = 10,
+                                        .notifies = TRUE,
+                                        .partitions = TRUE });
+        for (guint i = 0; i < 600 + seed * 7; i++)
+          world_step (i);
+        holder = world_holder ();
+        assert_true (holder >= 0);
+        world_partition ((guint) holder, 100 * CC_SECOND);
+        for (guint i = 0; i < GRANTERS && cut < partition_cases[c].others; i++)
+          if ((gint) i != holder)
+            {
+              world_partition (i, 100 * CC_SECOND);
+              cut++;
+            }
+        for (guint i = 0; i < 12 * CC_SECOND / STEP; i++)
+          {
+            world_step (i);
+            if (world_share_held () < 0.9999)
+              fail_msg ("%s, seed %u: %.3f of the keys are held after %u ms",
+                        partition_cases[c].name, seed, world_share_held (),
+                        i * (guint) (STEP / CC_MS));
+          }
+        assert_string_equal (world.failure, "");
+        world_clear ();
+      }
+}
+
 static void
 a_key_has_one_owner_despite_faults (void **state)
 {
@@ -218,6 +273,7 @@
     cmocka_unit_test (keys_of_a_replaced_server_are_reassigned),
     cmocka_unit_test (connections_that_end_cost_their_own_keys_only),
     cmocka_unit_test (a_granter_that_is_lost_as_it_renews_is_replaced_soon),
+    cmocka_unit_test (keys_outlast_a_partition_of_the_granter),
     cmocka_unit_test (a_key_has_one_owner_despite_faults),
   };
 
--- a/test/test_granter_worlds.c
+++ b/test/test_granter_worlds.c
@@ -66,6 +66,23 @@
   run_seeds (&kind, SEEDS, found);
 }
 
+/* Guards against the same while granters are partitioned from all servers, give
+ * the lease up and take it again. */
+static void
+one_owner_while_granters_are_partitioned (void **state)
+{
+  const WorldKind kind = { .faults = 0.05,
+                           .all_faults = TRUE,
+                           .fault_rate = 0.4,
+                           .notifies = TRUE,
+                           .partitions = TRUE,
+                           .table_delay_max = 100 * CC_MS };
+  const guint found[] = { 0 };
+
+  (void) state;
+  run_seeds (&kind, SEEDS, found);
+}
+
 /* Guards against the same in a pool so small that a granter which is cut off
  * from most owners does not give up the lease. */
 static void
@@ -166,6 +183,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (one_owner_while_granters_are_partitioned),
     cmocka_unit_test (one_owner_where_calls_arrive),
     cmocka_unit_test (one_owner_where_calls_are_lost),
     cmocka_unit_test (one_owner_in_a_small_pool),
