The soak partitions gateways from all servers

The relay drops the packets of partitioned gateways at its listening sockets, so that new connections hang as behind a broken link; half of the partitions reset the open ones. They come in a series of their own, so that each seed keeps the faults that it had.

--- a/test/partition.c
+++ b/test/partition.c
@@ -27,7 +27,17 @@
   return ntohl (a.s_addr);
 }
 
-/* Makes the socket FD drop packets from the peers of P. */
+/* Makes the socket FD accept packets from all peers again. */
+static void
+clear_socket (int fd)
+{
+  int unused = 0;
+
+  /* Fails if there is no filter. */
+  (void) setsockopt (fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+}
+
+/* Makes the socket FD drop packets from the peers of P, and from no others. */
 void
 partition_socket (const Partition *p, int fd)
 {
@@ -35,6 +45,11 @@
   struct sock_fprog program = { .filter = code };
   guint n = 0;
 
+  if (p->count == 0)
+    {
+      clear_socket (fd);
+      return;
+    }
   code[n++] = (struct sock_filter) BPF_STMT (
       BPF_LD | BPF_W | BPF_ABS, (guint32) SKF_NET_OFF + IPV4_SOURCE_OFFSET);
   for (guint i = 0; i < p->count; i++)
@@ -131,11 +146,8 @@
 static void
 detach (const Partition *p, int fd, gboolean listens)
 {
-  int unused = 0;
-
   (void) p, (void) listens;
-  /* Fails if there is no filter. */
-  (void) setsockopt (fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+  clear_socket (fd);
 }
 
 /* Ends all partitions of the servers whose addresses begin with
--- a/test/relay.c
+++ b/test/relay.c
@@ -9,6 +9,8 @@
  *   PUT /cut?a=X&b=Y     stops all data between X and Y without closing
  *                        connections; after /heal it flows on, as it would
  *                        after a retransmission by TCP
+ *   PUT /partition?a=X&b=Y  the same, and new connections from X to Y hang
+ *                        before they are established
  *   PUT /oneway?a=X&b=Y  the same, only for data from X to Y
  *   PUT /delay?a=X&b=Y&ms=N  delays each chunk between X and Y by N ms
  *   PUT /heal?a=X&b=Y    removes the rules for X and Y, or all without a
@@ -31,6 +33,7 @@
 #include <glib-unix.h>
 
 #include "admin.h"
+#include "partition.h"
 #include "settings.h"
 
 #define BUFFER_SIZE 65536
@@ -45,6 +48,7 @@
 typedef enum
 {
   RULE_CUT,
+  RULE_PARTITION,
   RULE_ONE_WAY, /* from A to B */
   RULE_DELAY
 } RuleKind;
@@ -59,6 +63,7 @@
 /* An address that the relay listens on. */
 typedef struct
 {
+  int fd; /* that it listens on */
   GSocketAddress *target;
   Endpoint endpoint;
   guint64 bytes_passed; /* in both directions */
@@ -124,6 +129,7 @@
   switch (r->kind)
     {
     case RULE_CUT:
+    case RULE_PARTITION:
     case RULE_DELAY:
       return connects (l, r->a, r->b);
     case RULE_ONE_WAY:
@@ -375,7 +381,8 @@
   g_socket_set_blocking (s, FALSE);
   if (!g_socket_bind (s, at, TRUE, &error) || !g_socket_listen (s, &error))
     g_error ("relay: %s: %s", f[1], error->message);
-  g_unix_fd_add (g_socket_get_fd (s), G_IO_IN, on_accept, front);
+  front->fd = g_socket_get_fd (s);
+  g_unix_fd_add (front->fd, G_IO_IN, on_accept, front);
 }
 
 /* Reads the map of fronts and sources; aborts on an error. */
@@ -414,6 +421,41 @@
   cc_http_answer (m, SOUP_STATUS_OK, "text/plain", text);
 }
 
+/* Whether a rule partitions connections from SOURCE to FRONT. */
+static gboolean
+is_partitioned (const Endpoint *source, const Front *front)
+{
+  for (guint i = 0; i < rules->len; i++)
+    {
+      const Rule *r = rules->pdata[i];
+
+      if (r->kind == RULE_PARTITION && matches (source, r->a) &&
+          matches (&front->endpoint, r->b))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Makes each front drop the packets of the sources that are partitioned from
+ * it. */
+static void
+apply_partitions (void)
+{
+  for (guint i = 0; i < fronts->len; i++)
+    {
+      const Front *front = fronts->pdata[i];
+      Partition p = { .count = 0 };
+      GHashTableIter k;
+      gpointer ip, source;
+
+      g_hash_table_iter_init (&k, sources);
+      while (g_hash_table_iter_next (&k, &ip, &source))
+        if (p.count < PARTITION_PEERS_MAX && is_partitioned (source, front))
+          p.peers[p.count++] = partition_peer (ip);
+      partition_socket (&p, front->fd);
+    }
+}
+
 /* Adds a rule; DATA is its kind, as a pointer. */
 static void
 on_rule (SoupServer *server, SoupServerMessage *m, const char *path,
@@ -431,6 +473,7 @@
   for (guint i = 0; i < links->len; i++)
     n += connects (links->pdata[i], r->a, r->b);
   g_ptr_array_add (rules, r);
+  apply_partitions ();
   answer_count (m, n);
 }
 
@@ -496,6 +539,7 @@
         g_ptr_array_remove_index (rules, i);
         n++;
       }
+  apply_partitions ();
   for (guint i = 0; i < all->len; i++)
     {
       Link *l = all->pdata[i];
@@ -577,6 +621,8 @@
   read_map (cc_setting (settings, "map"));
   soup_server_add_handler (control, "/cut", on_rule,
                            GUINT_TO_POINTER (RULE_CUT), NULL);
+  soup_server_add_handler (control, "/partition", on_rule,
+                           GUINT_TO_POINTER (RULE_PARTITION), NULL);
   soup_server_add_handler (control, "/oneway", on_rule,
                            GUINT_TO_POINTER (RULE_ONE_WAY), NULL);
   soup_server_add_handler (control, "/delay", on_rule,
--- a/test/soak.c
+++ b/test/soak.c
@@ -2,6 +2,7 @@
  * relay, with a store, servers and callers that this program simulates.  A
  * seeded random series of overlapping external faults is injected:
  *   - links are cut in both directions or one, blackholed, reset or delayed;
+ *   - gateways are partitioned from all servers, new connections included;
  *   - gateways are stopped, paused, killed and restarted;
  *   - the store is down or slow, drops its responses after it has written,
  *     applies writes late or loses its change history;
@@ -88,14 +89,20 @@
   FAULT_LATE_GRANTS,
   FAULT_CONFIGURATION,
   FAULT_BURST,
+  FAULT_PARTITION,
   FAULTS
 } FaultKind;
 
+/* Kinds that plan_faults draws.  The others have series of their own, so that a
+ * seed keeps its faults when a kind is added. */
+#define FAULTS_DRAWN FAULT_PARTITION
+
 static const char *const fault_names[FAULTS] = {
   "kill",       "stop",         "pause",          "reload",    "cut table",
   "cut server", "cut callers",  "one way",        "silence",   "reset",
   "delay",      "table",        "forget history", "crash",     "crash, same id",
-  "drain",      "slow, spoils", "late grants",    "configure", "burst"
+  "drain",      "slow, spoils", "late grants",    "configure", "burst",
+  "partition"
 };
 
 typedef struct
@@ -404,6 +411,7 @@
     case FAULT_CUT_CALLERS:
     case FAULT_ONE_WAY:
     case FAULT_DELAY:
+    case FAULT_PARTITION:
       relay ("heal", f->a, f->b, "");
       break;
     case FAULT_TABLE:
@@ -506,6 +514,11 @@
     case FAULT_BURST:
       soak_callers_burst (4);
       break;
+    case FAULT_PARTITION:
+      if (f->draw % 2 == 0)
+        set_rule (f, "reset", "&percent=100");
+      set_rule (f, "partition", "");
+      break;
     case FAULTS:
       break;
     }
@@ -575,7 +588,7 @@
     {
       Fault *f = g_new0 (Fault, 1);
 
-      f->kind = (FaultKind) g_rand_int_range (r, 0, FAULTS);
+      f->kind = (FaultKind) g_rand_int_range (r, 0, FAULTS_DRAWN);
       f->span = (guint) g_rand_int_range (r, 200, 4000);
       f->gateway = (guint) g_rand_int_range (r, 0, GATEWAYS);
       f->server = (guint) g_rand_int_range (r, 0, SERVERS);
@@ -588,6 +601,35 @@
   return end;
 }
 
+/* Schedules partitions of gateways from all servers, drawn from SEED, which
+ * start within FOR_MS.  They may overlap, and one of four affects all gateways.
+ * Returns when the last of them ends, ms. */
+static guint
+plan_partitions (guint seed, guint for_ms)
+{
+  GRand *r = g_rand_new_with_seed (seed ^ 0x5eed);
+  guint end = for_ms;
+
+  for (guint at = (guint) g_rand_int_range (r, 0, 4000); at < for_ms;
+       at += (guint) g_rand_int_range (r, 500, 6000))
+    {
+      Fault *f = g_new0 (Fault, 1);
+
+      f->kind = FAULT_PARTITION;
+      f->span = (guint) g_rand_int_range (r, 500, 5000);
+      f->gateway = (guint) g_rand_int_range (r, 0, GATEWAYS);
+      f->draw = (guint) g_rand_int_range (r, 0, 10000);
+      f->a = g_strdup (g_rand_int_range (r, 0, 4) == 0
+                           ? "gateways"
+                           : soak.gateways[f->gateway].name);
+      f->b = g_strdup ("servers");
+      g_timeout_add (at, on_fault, f);
+      end = MAX (end, at + f->span);
+    }
+  g_rand_free (r);
+  return end;
+}
+
 /* Changes the configuration. */
 static gboolean
 on_change (gpointer unused)
@@ -726,7 +768,7 @@
                              "time in which faults start, s", 1, 86400, NULL },
                            { 0 } };
   g_autofree char *callers = NULL;
-  guint seed, end;
+  guint seed, fault_ms, end;
 
   if (cc_settings_read (settings, "soak",
                         "Soak test of real gateways under faults.", argc,
@@ -750,8 +792,8 @@
   soak_watch_begin (callers, soak.admin);
   soak_callers_start (soak.fronts, callers, REQUESTS_PER_S);
   run_for (2000);
-  end = plan_faults (seed, 0,
-                     (guint) cc_setting_number (settings, "seconds") * 1000);
+  fault_ms = (guint) cc_setting_number (settings, "seconds") * 1000;
+  end = MAX (plan_faults (seed, 0, fault_ms), plan_partitions (seed, fault_ms));
   plan_changes (seed, end + CHANGES_AFTER_FAULTS_MS);
   run_for (end + 200);
   relay ("heal", "", "", "");
