--- a/forward_peer.c
+++ b/forward_peer.c
@@ -248,7 +248,6 @@
                       .priority = e->entry.priority,
                       .target = MAX (e->began + e->target_time - now, 0),
                       .left = cc_exchange_left (e, now),
-                      .sent_at = cc_clock_wall (),
                       .earns_budget = e->passed_budget,
                       .id = e->caller.id,
                       .key = e->caller.key,
--- a/forward_server.c
+++ b/forward_server.c
@@ -14,6 +14,8 @@
 #include "timers.h"
 
 #define CONTENT_TYPE "application/octet-stream"
+/* Requests that are handled this long after a stall may have arrived in it. */
+#define STALL_KEPT (100 * CC_MS)
 /* The limit is updated for this time after the last request. */
 #define LIMIT_UPDATED_FOR (2 * CC_SECOND)
 
@@ -25,6 +27,8 @@
   CcForwardLimit limit;
   CcTimer limit_timer;
   gint64 update_due;  /* when that timer is to expire, us */
+  gint64 stalled_for; /* lateness of its last expiry, us */
+  gint64 stalled_at;  /* time of that, us */
   gint64 received_at; /* last request, us */
   CcCounter *accepted;
   CcCounter *refused;
@@ -120,18 +124,6 @@
   soup_server_message_unpause (r->message);
 }
 
-/* Returns the time left of P, which was sent with P->left.  The part of its
- * time in transit that the clocks of two instances can't explain is taken off,
- * so that a request which waited in the buffers of a paused process is not
- * given more time than its caller has. */
-static gint64
-time_left (const CcPeerRequest *p)
-{
-  gint64 transit = cc_clock_wall () - p->sent_at - CC_INSTANCE_SKEW_MAX;
-
-  return p->left - MAX (transit, 0);
-}
-
 /* Starts to send P, which M contains, to an upstream. */
 static void
 start_request (CcForwardServer *s, SoupServerMessage *m, const CcPeerRequest *p,
@@ -186,11 +178,31 @@
   CcForwardServer *s = data;
   gint64 now = cc_clock_now ();
 
-  cc_forward_limit_update (&s->limit, now - s->update_due);
+  s->stalled_for = now - s->update_due;
+  s->stalled_at = now;
+  cc_forward_limit_update (&s->limit, s->stalled_for);
   if (now - s->received_at < LIMIT_UPDATED_FOR)
     start_limit_timer (s, now);
 }
 
+/* Returns for how long at most a request that arrives at NOW has waited in the
+ * buffers of this process while it stood still, us.
+ *
+ * Failure: a process that was paused handles a request with the time that was
+ * left when it was sent.  Symptom: an upstream is given more time than the
+ * caller has. */
+static gint64
+waited_in_buffers (const CcForwardServer *s, gint64 now)
+{
+  gint64 stalled = 0;
+
+  if (s->limit_timer.place != NULL)
+    stalled = MAX (now - s->update_due, 0);
+  if (now - s->stalled_at < STALL_KEPT)
+    stalled = MAX (stalled, s->stalled_for);
+  return stalled;
+}
+
 /* Refuses the request P of M, which is not run, for REASON. */
 static void
 refuse (CcForwardServer *s, SoupServerMessage *m, const CcPeerRequest *p,
@@ -226,7 +238,7 @@
       cc_http_answer (m, SOUP_STATUS_BAD_REQUEST, "text/plain", "");
       return;
     }
-  left = time_left (&p);
+  left = p.left - waited_in_buffers (s, now);
   if (s->draining)
     refuse (s, m, &p, CC_PEER_BUSY, "stopping");
   else if (left <= 0 || cc_hangup_detected (soup_server_message_get_socket (m)))
--- a/peer_message.c
+++ b/peer_message.c
@@ -4,7 +4,7 @@
 
 #define VERSION 1
 #define ENVELOPE "(uv)"
-#define REQUEST "(sbsbuuxxxbsisssay)"
+#define REQUEST "(sbsbuuxxbsisssay)"
 #define REPLY "(uusuxsuuxxxxdbayay)"
 
 /* Returns PAYLOAD, which is consumed, in an envelope. */
@@ -49,9 +49,9 @@
 cc_peer_request_encode (const CcPeerRequest *r)
 {
   return seal (g_variant_new (
-      "(sbsbuuxxxbsisss@ay)", r->pool, r->keyed, r->route, r->idempotent,
-      r->attempts, r->priority, r->target, r->left, r->sent_at, r->earns_budget,
-      r->id, r->key, r->method, r->path, r->headers, new_bytes (r->body)));
+      "(sbsbuuxxbsisss@ay)", r->pool, r->keyed, r->route, r->idempotent,
+      r->attempts, r->priority, r->target, r->left, r->earns_budget, r->id,
+      r->key, r->method, r->path, r->headers, new_bytes (r->body)));
 }
 
 /* Decodes BYTES into R, which is valid as long as the returned GVariant and is
@@ -64,10 +64,10 @@
 
   if (v == NULL)
     return NULL;
-  g_variant_get (v, "(&sb&sbuuxxxb&si&s&s&s@ay)", &r->pool, &r->keyed,
-                 &r->route, &r->idempotent, &r->attempts, &r->priority,
-                 &r->target, &r->left, &r->sent_at, &r->earns_budget, &r->id,
-                 &r->key, &r->method, &r->path, &r->headers, &body);
+  g_variant_get (v, "(&sb&sbuuxxb&si&s&s&s@ay)", &r->pool, &r->keyed, &r->route,
+                 &r->idempotent, &r->attempts, &r->priority, &r->target,
+                 &r->left, &r->earns_budget, &r->id, &r->key, &r->method,
+                 &r->path, &r->headers, &body);
   r->body = g_variant_get_data_as_bytes (body);
   return g_steal_pointer (&v);
 }
--- a/peer_message.h
+++ b/peer_message.h
@@ -19,7 +19,6 @@
   guint priority;
   gint64 target;         /* time left until its target response time, us */
   gint64 left;           /* time left until its deadline, us */
-  gint64 sent_at;        /* us of the sender's wall clock */
   gboolean earns_budget; /* adds to the retry budget of the receiver */
   const char *id;        /* of the caller's attempt */
   gint32 key;            /* -1: none */
--- a/test/test_http_link.c
+++ b/test/test_http_link.c
@@ -14,6 +14,7 @@
 
 #include "fd_watch.h"
 #include "http_link.h"
+#include "partition.h"
 #include "timers.h"
 
 #define ECHO "X-Echo"
@@ -332,6 +333,50 @@
   cc_http_free (h);
 }
 
+static void
+on_connect (gboolean connected, gpointer data)
+{
+  *(int *) data = connected;
+}
+
+/* Whether a connection to ADDRESS is established. */
+static int
+connect_only (CcHttp *h, const char *address)
+{
+  int connected = -1;
+
+  assert_true (cc_http_connect (h, address, WITHIN, on_connect, &connected));
+  while (connected < 0)
+    g_main_context_iteration (NULL, TRUE);
+  return connected;
+}
+
+/* A connection that was opened without a request carries the next one, also a
+ * partitioned peer is told from one that listens. */
+static void
+a_connection_may_be_tried_without_a_request (void **state)
+{
+  static const Case good = { "good",    OK "Content-Length: 0\r\n\r\n",
+                             THEN_KEEP, CC_HTTP_ANSWERED,
+                             200,       "",
+                             TRUE };
+  CcHttp *h = cc_http_new ("127.0.0.1");
+  CcHttpRequest request = request_to (server.address);
+  const guint64 opened = cc_http_connections_opened (h);
+  const Partition all = { { partition_peer ("127.0.0.1") }, 1 };
+
+  (void) state;
+  server.playing = &good;
+  assert_true (connect_only (h, server.address));
+  assert_int_equal (call (h, &request).end, CC_HTTP_ANSWERED);
+  assert_int_equal (cc_http_connections_opened (h), opened + 1);
+  assert_false (connect_only (h, "127.0.0.1:1"));
+  partition_begin (&all, "127.0.0.1");
+  assert_false (connect_only (h, server.address));
+  partition_end ("127.0.0.1");
+  cc_http_free (h);
+}
+
 /* Guards against a request that runs after it was reported as failed: its bytes
  * are buffered during a network outage and delivered afterwards.  A reset
  * discards them. */
@@ -573,6 +618,7 @@
     cmocka_unit_test (results_match_what_the_server_did),
     cmocka_unit_test (no_call_reuses_a_connection_to_be_closed),
     cmocka_unit_test (a_refused_connection_is_unsent),
+    cmocka_unit_test (a_connection_may_be_tried_without_a_request),
     cmocka_unit_test (a_failed_or_cancelled_call_resets_its_connection),
     cmocka_unit_test (a_slow_answer_is_awaited_while_it_arrives),
     cmocka_unit_test (an_answer_that_arrived_is_read_after_a_stall),
