A single upstream that is slow to respond is left alone

An attempt without a response for a second had a connection opened to its upstream; one that was overloaded would have got more connections, and an idempotent request at work there could be broken off. Now only a pool that is silent as a whole is probed, a few of its upstreams at once, and attempts are given up only after the links to the pool are lost.

--- a/exchange.c
+++ b/exchange.c
@@ -19,10 +19,9 @@
 /* Delay of a retry at an owner, as the number of requests that the owner serves
  * meanwhile. */
 #define OWNER_RETRY_AFTER 1.5
-/* Period of the checks whether an attempt is overdue, and time from a probe of
- * its upstream to the check of the result. */
+/* Period of the checks whether an attempt waits on a link that is lost.  A
+ * probe of the upstream ends within it. */
 #define CHECK_PERIOD (300 * CC_MS)
-#define PROBE_CHECK_DELAY (220 * CC_MS)
 /* A connection reset within this share of the typical work time was not reset
  * by work that failed. */
 #define IMMEDIATE_RESET_SHARE 0.25
@@ -214,49 +213,43 @@
   return e->deadline + CC_ANSWER_GRACE;
 }
 
-/* Returns the time at which E's attempt at an upstream becomes overdue. */
-static gint64
-overdue_at (const CcExchange *e)
-{
-  return e->sent + cc_pool_reach_overdue_after (&e->pool->reach, e->sent);
-}
-
-/* Starts the timer of E, which was sent to an upstream: for the next check
- * whether the attempt is overdue, or for the end of its time. */
+/* Starts the timer of E, which was sent to an upstream: for the next check of
+ * the attempt, or for the end of its time. */
 void
 cc_exchange_start_timer (CcExchange *e, gint64 now)
 {
-  gint64 overdue = overdue_at (e);
-  gint64 check = now < overdue ? MIN (now + CHECK_PERIOD, overdue)
-                               : now + PROBE_CHECK_DELAY;
-
-  cc_timer_start (&e->timer, MIN (check, answer_due (e)) - now,
+  cc_timer_start (&e->timer, MIN (now + CHECK_PERIOD, answer_due (e)) - now,
                   cc_exchange_on_timeout, e);
 }
 
-/* Checks E's attempt, which has no response yet.  If it is overdue and its
- * upstream has not responded to anything since, a connection is tried; if that
- * has failed, an idempotent request is given up there and retried.
+/* Checks E's attempt, which has no response yet.  If the whole pool is silent,
+ * a connection to the upstream is tried.  If this gateway has lost its links to
+ * the pool, an idempotent request is given up there and retried.
  *
  * A once-only request may have run, and waits on: the link may be restored
  * before its deadline. */
 static void
 check_attempt (CcExchange *e, gint64 now)
 {
+  CcForwarder *f = e->forwarder;
   CcTargetLoad *l = &e->target->load;
 
-  if (l->reached_at < e->sent && l->unreached_at > e->sent && e->idempotent &&
+  if (cc_forwarder_is_partitioned (f, e->pool, now) &&
+      l->reached_at < e->sent && l->unreached_at > e->sent && e->idempotent &&
       cc_exchange_take_retry (e))
     {
       cc_exchange_log_retry (e, "unreachable");
       cc_exchange_cancel_call (e);
       e->may_have_run = TRUE;
       cc_exchange_requeue (e, 0);
-      cc_forwarder_pump (e->forwarder);
+      cc_forwarder_pump (f);
       return;
     }
-  if (l->reached_at < e->sent && now >= overdue_at (e))
-    cc_forwarder_probe (e->forwarder, e->pool, e->target);
+  if (cc_pool_reach_is_silent (&e->pool->reach, e->sent))
+    {
+      cc_forwarder_probe (f, e->pool, e->target);
+      cc_forwarder_probe_some (f, e->pool);
+    }
   cc_exchange_start_timer (e, now);
 }
 
--- a/exchange_state.h
+++ b/exchange_state.h
@@ -104,5 +104,6 @@
 gboolean cc_forwarder_is_partitioned (CcForwarder *f, CcForwardPool *p,
                                       gint64 now);
 void cc_forwarder_probe (CcForwarder *f, CcForwardPool *p, CcTarget *t);
+void cc_forwarder_probe_some (CcForwarder *f, CcForwardPool *p);
 
 #endif
--- a/forward_pool.c
+++ b/forward_pool.c
@@ -59,11 +59,9 @@
   if (partitioned != p->partitioned)
     cc_event (CC_EVENT_STATE, "pool-reachable", "pool", p->name, "reachable",
               partitioned ? "no" : "yes", "upstreams", cc_event_int (upstreams),
-              "failed", cc_event_int (p->reach.failed), "silence_ms",
-              cc_event_int (p->reach.reached_at == 0
-                                ? -1
-                                : (now - p->reach.reached_at) / CC_MS),
-              NULL);
+              "failed", cc_event_int (p->reach.failed), "reached",
+              cc_event_int (p->reach.reached), NULL);
+  p->upstreams = upstreams;
   p->partitioned = partitioned;
   return partitioned;
 }
@@ -87,7 +85,9 @@
                     cc_work_times_any (&p->times) / 1e6);
   cc_metrics_gauge ("capercrank_typical_inside_per_slot", label,
                     cc_pool_load_typical (&p->load, cc_clock_now ()));
-  cc_metrics_gauge ("capercrank_pool_unreachable", label, p->partitioned);
+  cc_metrics_gauge (
+      "capercrank_pool_unreachable", label,
+      cc_pool_reach_is_partitioned (&p->reach, p->upstreams, cc_clock_now ()));
   cc_metrics_gauge ("capercrank_retry_tokens", label, p->budget.tokens);
   cc_metrics_gauge ("capercrank_keys_owned", label, owned);
   cc_metrics_gauge ("capercrank_keys_moving", label, moving);
--- a/forward_pool.h
+++ b/forward_pool.h
@@ -20,7 +20,8 @@
   CcWorkTimes times;       /* service times at its upstreams */
   CcPoolLoad load;         /* load of its upstreams */
   CcPoolReach reach;       /* whether its upstreams are reachable from here */
-  gboolean partitioned;    /* by the last check of REACH */
+  gboolean partitioned;    /* by the last check of REACH ... */
+  guint upstreams;         /* ... with so many of them */
   CcPeerPick *peers;       /* the gateways that reach it */
   CcBackoff peers_backoff; /* of forwarding requests without a key, after peers
                               reached no upstream either */
--- a/forward_probe.c
+++ b/forward_probe.c
@@ -11,9 +11,9 @@
 /* An upstream that responded this long ago is reachable. */
 #define REACHED_TIMEOUT (1 * CC_SECOND)
 /* Upstreams that have to be reachable, all if there are fewer, for the pool to
- * count as reachable; and those probed at a time while it is unknown. */
+ * count as reachable; and those that are probed at a time to find out. */
 #define REACHED_MIN 3
-#define UNKNOWN_PROBES 5
+#define PROBES 5
 
 typedef struct
 {
@@ -84,12 +84,12 @@
 }
 
 /* Probes a few random upstreams of P. */
-static void
-probe_some (CcForwarder *f, CcForwardPool *p)
+void
+cc_forwarder_probe_some (CcForwarder *f, CcForwardPool *p)
 {
   GPtrArray *all = cc_targets_of_pool (f->setup.targets, p->name);
 
-  for (guint i = 0; all != NULL && all->len > 0 && i < UNKNOWN_PROBES; i++)
+  for (guint i = 0; all != NULL && all->len > 0 && i < PROBES; i++)
     {
       CcTarget *t = all->pdata[g_random_int_range (0, (gint32) all->len)];
 
@@ -132,6 +132,6 @@
       count_reached (f, p, now) >= MIN (REACHED_MIN, upstreams))
     return CC_REACH_YES;
   if (probe)
-    probe_some (f, p);
+    cc_forwarder_probe_some (f, p);
   return CC_REACH_UNKNOWN;
 }
--- a/pool_reach.c
+++ b/pool_reach.c
@@ -20,12 +20,7 @@
  * longer than the longest backoff of an upstream, at the end of which a request
  * for it makes the next attempt to connect. */
 #define STATE_TIMEOUT (4 * CC_SECOND)
-/* An attempt is overdue, and a connection to its upstream is tried, after this
- * time without a response of the upstream.  Few requests take that long. */
-#define OVERDUE (1 * CC_SECOND)
-/* The same if the pool as a whole has stopped to respond: several attempts were
- * sent since its last response. */
-#define OVERDUE_SILENT (300 * CC_MS)
+/* Attempts without a response in a pool that is silent. */
 #define SILENT_MIN 3
 
 /* Counts an attempt that is sent to an upstream of R's pool. */
@@ -94,10 +89,11 @@
   return m->episode == r->episode && m->state == CC_REACH_YES;
 }
 
-/* Returns the time after which an attempt sent at SENT is overdue, us. */
-gint64
-cc_pool_reach_overdue_after (const CcPoolReach *r, gint64 sent)
+/* Returns whether no upstream of R's pool has responded to anything since SENT,
+ * us, when an attempt was sent, although several attempts wait for it.  A
+ * single upstream that does not respond may simply be at work. */
+gboolean
+cc_pool_reach_is_silent (const CcPoolReach *r, gint64 sent)
 {
-  return r->unanswered >= SILENT_MIN && r->reached_at < sent ? OVERDUE_SILENT
-                                                             : OVERDUE;
+  return r->unanswered >= SILENT_MIN && r->reached_at < sent;
 }
--- a/pool_reach.h
+++ b/pool_reach.h
@@ -37,6 +37,6 @@
 gboolean cc_pool_reach_is_partitioned (const CcPoolReach *r, guint upstreams,
                                        gint64 now);
 gboolean cc_pool_reach_is_reached (const CcPoolReach *r, const CcReachMark *m);
-gint64 cc_pool_reach_overdue_after (const CcPoolReach *r, gint64 sent);
+gboolean cc_pool_reach_is_silent (const CcPoolReach *r, gint64 sent);
 
 #endif
