--- a/test/test_granter.c
+++ b/test/test_granter.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <setjmp.h>
 #include <stdint.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -250,6 +251,55 @@
       }
 }
 
+/* The number of ranges in the table that are being moved. */
+static guint
+count_moving (void)
+{
+  GHashTableIter i;
+  gpointer row;
+  guint n = 0;
+
+  g_hash_table_iter_init (&i, world.store);
+  while (g_hash_table_iter_next (&i, NULL, &row))
+    n += ((StoreRow *) row)->value != NULL &&
+         strstr (((StoreRow *) row)->value, "\"previous\":\"") != NULL;
+  return n;
+}
+
+/* Guards against keys that nobody serves for seconds because a partitioned
+ * granter has planned moves that it can't carry out, and its successor has to
+ * wait for. */
+static void
+a_granter_without_upstreams_plans_no_moves (void **state)
+{
+  (void) state;
+  for (guint seed = 1; seed <= 40; seed++)
+    {
+      guint hot = seed % 10 * (CC_KEYS / 10);
+      gint holder;
+
+      g_random_set_seed (seed);
+      world_begin_kind (&(WorldKind){
+          .seed = seed, .servers = 10, .notifies = TRUE, .partitions = TRUE });
+      for (guint i = 0; i < 600 + seed * 7; i++)
+        world_step (i);
+      holder = world_holder ();
+      assert_true (holder >= 0);
+      world_partition ((guint) holder, 100 * CC_SECOND);
+      for (guint i = 0; world_holder () == holder; i++)
+        {
+          /* The partition is detected by then. */
+          for (guint key = 0; i > 80 && key < 2048; key += 16)
+            cc_granter_add_load (world.processes[holder].granter, POOL,
+                                 hot + key, 4);
+          world_step (i);
+        }
+      if (count_moving () > 0)
+        fail_msg ("seed %u: %u ranges are being moved", seed, count_moving ());
+      world_clear ();
+    }
+}
+
 static void
 a_key_has_one_owner_despite_faults (void **state)
 {
@@ -274,6 +324,7 @@
     cmocka_unit_test (connections_that_end_cost_their_own_keys_only),
     cmocka_unit_test (a_granter_that_is_lost_as_it_renews_is_replaced_soon),
     cmocka_unit_test (keys_outlast_a_partition_of_the_granter),
+    cmocka_unit_test (a_granter_without_upstreams_plans_no_moves),
     cmocka_unit_test (a_key_has_one_owner_despite_faults),
   };
 
