--- a/exchange.c
+++ b/exchange.c
@@ -206,6 +206,20 @@
   release_target (e, CC_PICK_ABANDONED, NULL);
 }
 
+/* Takes a retry from the budget for E, whose attempt reached an upstream and
+ * failed.  Returns FALSE if the attempts, the time or the budget are used up.
+ */
+static gboolean
+take_retry (CcExchange *e)
+{
+  gint64 now = cc_clock_now ();
+
+  return e->attempts < e->attempts_max && cc_exchange_left (e, now) > 0 &&
+         cc_retry_budget_take (&e->pool->budget,
+                               &e->forwarder->setup.retry_bound,
+                               e->forwarder->entries, now);
+}
+
 /* Returns the time by which the answer to E's attempt is due at the latest. */
 static gint64
 answer_due (const CcExchange *e)
@@ -236,7 +250,7 @@
 
   if (cc_forwarder_is_partitioned (f, e->pool, now) &&
       l->reached_at < e->sent && l->unreached_at > e->sent && e->idempotent &&
-      cc_exchange_take_retry (e))
+      take_retry (e))
     {
       cc_exchange_log_retry (e, "unreachable");
       cc_exchange_cancel_call (e);
@@ -298,20 +312,6 @@
                   e);
 }
 
-/* Takes a retry from the budget for E, whose attempt reached an upstream and
- * failed.  Returns FALSE if the attempts, the time or the budget are used up.
- */
-gboolean
-cc_exchange_take_retry (CcExchange *e)
-{
-  gint64 now = cc_clock_now ();
-
-  return e->attempts < e->attempts_max && cc_exchange_left (e, now) > 0 &&
-         cc_retry_budget_take (&e->pool->budget,
-                               &e->forwarder->setup.retry_bound,
-                               e->forwarder->entries, now);
-}
-
 /* Logs that E is tried again, since its last attempt ended for WHY. */
 void
 cc_exchange_log_retry (const CcExchange *e, const char *why)
@@ -348,7 +348,7 @@
 {
   gboolean moved = reply->kind == CC_SERVER_MISDIRECTED && e->keyed;
 
-  if (!cc_exchange_take_retry (e))
+  if (!take_retry (e))
     {
       cc_exchange_end_not_run (e, moved ? "keys-moved" : "shed");
       return;
@@ -372,19 +372,26 @@
               cc_exchange_left (e, now) / 4);
 }
 
-/* Retries E after an attempt that may have run, if E is idempotent; otherwise
- * ends it with unknown. */
-static void
-retry_unknown (CcExchange *e, const char *why)
+/* Retries E after DELAY, us, after an attempt that may have run, if E is
+ * idempotent; otherwise ends it with unknown. */
+void
+cc_exchange_retry_unknown (CcExchange *e, const char *why, gint64 delay)
 {
-  if (!e->idempotent || !cc_exchange_take_retry (e))
+  if (!e->idempotent || !take_retry (e))
     {
       cc_exchange_end_unknown (e, why);
       return;
     }
   cc_exchange_log_retry (e, why);
   e->may_have_run = TRUE;
-  cc_exchange_requeue (e, e->keyed ? owner_retry_delay (e) : 0);
+  cc_exchange_requeue (e, delay);
+}
+
+/* The same after an attempt at an upstream. */
+static void
+retry_unknown (CcExchange *e, const char *why)
+{
+  cc_exchange_retry_unknown (e, why, e->keyed ? owner_retry_delay (e) : 0);
 }
 
 /* Passes the upstream's answer to the caller, or retries an idempotent request
@@ -397,7 +404,7 @@
   /* An idempotent request may succeed at another upstream after a server error,
    * except 504, which means that its deadline has passed. */
   if (r->status >= 500 && r->status != 504 && e->idempotent && !e->keyed &&
-      cc_exchange_take_retry (e))
+      take_retry (e))
     {
       cc_exchange_log_retry (e, "server-error");
       e->may_have_run = TRUE;
--- a/exchange_state.h
+++ b/exchange_state.h
@@ -86,7 +86,7 @@
 void cc_exchange_end_unknown (CcExchange *e, const char *reason);
 void cc_exchange_end_answered (CcExchange *e, const CcExchangeResult *answer);
 void cc_exchange_requeue (CcExchange *e, gint64 delay);
-gboolean cc_exchange_take_retry (CcExchange *e);
+void cc_exchange_retry_unknown (CcExchange *e, const char *why, gint64 delay);
 void cc_exchange_log_retry (const CcExchange *e, const char *why);
 void cc_exchange_cancel_call (CcExchange *e);
 void cc_exchange_on_result (const CcHttpResult *r, gpointer data);
--- a/forward_peer.c
+++ b/forward_peer.c
@@ -130,21 +130,6 @@
     }
 }
 
-/* Retries E after a call to its peer in which it may have run, if it is
- * idempotent; otherwise ends it with unknown. */
-static void
-retry_unknown (CcExchange *e, const char *why)
-{
-  if (!e->idempotent || !cc_exchange_take_retry (e))
-    {
-      cc_exchange_end_unknown (e, why);
-      return;
-    }
-  cc_exchange_log_retry (e, why);
-  e->may_have_run = TRUE;
-  cc_exchange_requeue (e, 0);
-}
-
 /* Handles the reply of E's peer. */
 static void
 handle_reply (CcExchange *e, const CcPeerReply *reply)
@@ -166,7 +151,7 @@
       handle_not_run (e, reply, now);
       break;
     case CC_EXCHANGE_UNKNOWN:
-      retry_unknown (e, r->reason);
+      cc_exchange_retry_unknown (e, r->reason, 0);
       break;
     }
 }
@@ -199,7 +184,7 @@
     {
       e->attempts += e->peer_attempts;
       cc_exchange_end_forward (e, CC_PEER_FAILED);
-      retry_unknown (e, "peer-answer-damaged");
+      cc_exchange_retry_unknown (e, "peer-answer-damaged", 0);
       return;
     }
   handle_reply (e, &reply);
@@ -228,7 +213,7 @@
       e->attempts += e->peer_attempts;
       cc_exchange_end_forward (e, CC_PEER_FAILED);
       if (r->end == CC_HTTP_LOST)
-        retry_unknown (e, "peer-lost");
+        cc_exchange_retry_unknown (e, "peer-lost", 0);
       else
         cc_exchange_end_unknown (e, "deadline");
       break;
