--- a/exchange.c
+++ b/exchange.c
@@ -237,8 +237,9 @@
 }
 
 /* Checks E's attempt, which has no response yet.  If the whole pool is silent,
- * a connection to the upstream is tried.  If this gateway has lost its links to
- * the pool, an idempotent request is given up there and retried.
+ * connections to the upstream and to a few others are tried.  If this gateway
+ * has lost its links to the pool, an idempotent request is given up there and
+ * retried.
  *
  * A once-only request may have run, and waits on: the link may be restored
  * before its deadline. */
