--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -31,6 +32,7 @@
 RigHooks rig_hooks;
 GPtrArray *rig_servers;
 GMutex rig_servers_lock;
+guint rig_max_fds;
 
 /* ---- time and the record ---- */
 
@@ -87,13 +89,19 @@
     return FALSE;
   for (guint i = 0; i < 50; i++)
     {
-      g_autofree char *probe = NULL;
-      int fd;
+      g_autofree char *mark = NULL;
+      g_autofree char *front = NULL;
+      int fd, other;
 
       net = (guint) g_random_int_range (10, 250);
-      probe = rig_address (0, 1, 7999);
-      fd = rig_listen (probe);
-      if (fd >= 0) /* kept: it marks the network as used */
+      mark = rig_address (0, 1, 7999);
+      front = rig_address (1, 1, 7100);
+      other = rig_listen (front);
+      if (other < 0)
+        continue;
+      close (other);
+      fd = rig_listen (mark);
+      if (fd >= 0) /* stays open: it marks the network as used */
         return TRUE;
     }
   return FALSE;
@@ -353,6 +361,13 @@
   return NULL;
 }
 
+RigMessage *
+rig_call (RigConn *c, const char *text, int timeout_ms)
+{
+  return rig_send (c, text, strlen (text)) ? rig_read (c, FALSE, timeout_ms)
+                                           : NULL;
+}
+
 typedef struct
 {
   int fd;
@@ -1098,7 +1113,11 @@
     {
       int out = open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+      struct rlimit fds = { rig_max_fds, rig_max_fds };
+
       prctl (PR_SET_PDEATHSIG, SIGKILL);
+      if (rig_max_fds > 0)
+        setrlimit (RLIMIT_NOFILE, &fds);
       dup2 (out, 1);
       dup2 (out, 2);
       execve (argv[0], argv, env);
@@ -1129,6 +1148,24 @@
   return ready;
 }
 
+gboolean
+rig_gateways_are_ready (RigGateway **all, guint count)
+{
+  gint64 end = rig_now_ms () + 15000;
+
+  for (guint i = 0; i < count;)
+    if (rig_gateway_is_ready (all[i]))
+      i++;
+    else if (rig_now_ms () > end)
+      {
+        fprintf (stderr, "%s is not ready\n", all[i]->name);
+        return FALSE;
+      }
+    else
+      rig_sleep_ms (200);
+  return TRUE;
+}
+
 /* ---- clients ---- */
 
 int
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -49,6 +49,8 @@
 void rig_message_free (RigMessage *m);
 const char *rig_header (const RigMessage *m, const char *name);
 int rig_status (const RigMessage *m);
+/* Sends TEXT on C, which is not at its end, and returns the answer or NULL. */
+RigMessage *rig_call (RigConn *c, const char *text, int timeout_ms);
 
 /* ---- the store ---- */
 
@@ -121,12 +123,18 @@
   int out;
 } RigGateway;
 
+/* The descriptors that a gateway may have: maxFds of its settings; 0: as many
+ * as this process. */
+extern guint rig_max_fds;
+
 /* Starts the gateway INDEX with the command and the environment that
- * deploy/system.toml names.  BOUNDS: more placeholders and values, NULL-ended.
+ * deploy/system.toml names; FIRST: the whole fleet starts for the first time.
  */
 RigGateway *rig_gateway_start (guint index, const char *zone, const char *table,
                                gboolean first);
 gboolean rig_gateway_is_ready (RigGateway *g);
+/* Waits for up to 15 s until COUNT gateways are ready. */
+gboolean rig_gateways_are_ready (RigGateway **all, guint count);
 
 /* ---- clients ---- */
 
