--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -33,6 +33,7 @@
 GPtrArray *rig_servers;
 GMutex rig_servers_lock;
 guint rig_max_fds;
+gint rig_last_granter;
 
 /* ---- time and the record ---- */
 
@@ -429,6 +430,12 @@
 static GCond store_changed;
 static GTree *rows; /* "table/key" to Row */
 static guint64 newest;
+static gboolean away;
+static guint era;
+static char *copy_text; /* see rig_store_copy_at */
+static GTree *copy;     /* of ROWS; NULL: none */
+static guint64 copied_version;
+static gint64 copied_at;
 
 static gint
 compare_texts (gconstpointer a, gconstpointer b, gpointer unused)
@@ -525,9 +532,9 @@
 send_json (RigConn *c, int status, const char *text)
 {
   g_autofree char *head = g_strdup_printf (
-      "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: "
-      "%zu\r\n\r\n%s",
-      status, status == 200 ? "OK" : "No", strlen (text), text);
+      "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nStore-Era: "
+      "%u\r\nContent-Length: %zu\r\n\r\n%s",
+      status, status == 200 ? "OK" : "No", era, strlen (text), text);
 
   rig_send (c, head, strlen (head));
 }
@@ -554,10 +561,44 @@
   return json_object_get_string_member_with_default (o, name, "");
 }
 
+static gboolean
+copy_row (gpointer id, gpointer value, gpointer data)
+{
+  const Row *r = value;
+  Row *made = g_new0 (Row, 1);
+
+  *made = (Row){ g_strdup (r->table), g_strdup (r->key), g_strdup (r->value),
+                 r->version };
+  g_tree_insert (data, g_strdup (id), made);
+  return FALSE;
+}
+
+/* Makes the copy if BASE64 contains the text that was named. */
+static gboolean
+is_to_be_copied (const char *base64)
+{
+  gsize size;
+  g_autofree char *text = (char *) g_base64_decode (base64, &size);
+
+  return copy_text != NULL && copy == NULL &&
+         g_strstr_len (text, (gssize) size, copy_text) != NULL;
+}
+
+static void
+make_copy (void)
+{
+  copy = g_tree_new_full (compare_texts, NULL, g_free, NULL);
+  g_tree_foreach (rows, copy_row, copy);
+  copied_version = newest;
+  copied_at = rig_now_ms ();
+  rig_record ("the store is copied at version %" G_GUINT64_FORMAT, newest);
+}
+
 /* Applies a transaction; FALSE: a condition does not hold. */
 static gboolean
 transact (JsonObject *o)
 {
+  gboolean copies = FALSE;
   JsonArray *list = json_object_get_array_member (o, "precondition");
 
   for (guint i = 0; i < json_array_get_length (list); i++)
@@ -578,6 +619,7 @@
 
       write_row (text_member (p, "table"), text_member (p, "key"),
                  text_member (p, "value"));
+      copies |= is_to_be_copied (text_member (p, "value"));
     }
   list = json_object_get_array_member (o, "deletes");
   for (guint i = 0; i < json_array_get_length (list); i++)
@@ -586,6 +628,8 @@
 
       write_row (text_member (p, "table"), text_member (p, "key"), NULL);
     }
+  if (copies)
+    make_copy ();
   g_cond_broadcast (&store_changed);
   return TRUE;
 }
@@ -614,7 +658,12 @@
       g_autofree char *body = NULL;
       int status = 200;
 
-      if (g_str_has_prefix (m->target, "/v1/rows-tx"))
+      if (away)
+        {
+          status = 503;
+          body = g_strdup ("{}");
+        }
+      else if (g_str_has_prefix (m->target, "/v1/rows-tx"))
         {
           g_autofree char *text =
               g_strndup ((char *) m->body->data, m->body->len);
@@ -651,9 +700,15 @@
           g_autofree char *wait = query_value (m->target, "waitMs");
           gint64 end = g_get_monotonic_time () +
                        (wait != NULL ? atoi (wait) : 0) * G_TIME_SPAN_MILLISECOND;
+          guint began_in = era;
 
           g_mutex_lock (&store_lock);
-          for (;;)
+          if (strtoull (after, NULL, 10) > newest)
+            {
+              status = 410;
+              body = g_strdup ("{}");
+            }
+          while (status == 200)
             {
               Selection s = { .table = table,
                               .from = "",
@@ -668,6 +723,11 @@
                 break;
             }
           g_mutex_unlock (&store_lock);
+          if (away || era != began_in) /* the drill has cut the call */
+            {
+              rig_message_free (m);
+              return;
+            }
         }
       else
         {
@@ -679,6 +739,103 @@
     }
 }
 
+void
+rig_store_copy_at (const char *text)
+{
+  g_mutex_lock (&store_lock);
+  copy_text = g_strdup (text);
+  g_mutex_unlock (&store_lock);
+}
+
+gint64
+rig_store_copied_at (void)
+{
+  gint64 at;
+
+  g_mutex_lock (&store_lock);
+  at = copied_at;
+  g_mutex_unlock (&store_lock);
+  return at;
+}
+
+typedef struct
+{
+  const char *table;
+  void (*each) (const char *key, const char *value);
+} Visit;
+
+static gboolean
+visit_row (gpointer id, gpointer value, gpointer data)
+{
+  const Row *r = value;
+  const Visit *v = data;
+  gsize size;
+  g_autofree char *text = NULL;
+  g_autofree char *whole = NULL;
+
+  (void) id;
+  if (strcmp (r->table, v->table) != 0 || r->value == NULL)
+    return FALSE;
+  text = (char *) g_base64_decode (r->value, &size);
+  whole = g_strndup (text, size);
+  v->each (r->key, whole);
+  return FALSE;
+}
+
+void
+rig_store_each_copied (const char *table,
+                       void (*each) (const char *key, const char *value))
+{
+  Visit v = { table, each };
+
+  g_tree_foreach (copy, visit_row, &v);
+}
+
+void
+rig_store_leave (void)
+{
+  g_mutex_lock (&store_lock);
+  away = TRUE;
+  g_cond_broadcast (&store_changed);
+  g_mutex_unlock (&store_lock);
+  rig_record ("the store is away");
+}
+
+/* Writes a row of the operator or a server again. */
+static gboolean
+write_again (gpointer id, gpointer value, gpointer unused)
+{
+  const Row *r = value;
+
+  (void) id, (void) unused;
+  if (strcmp (r->table, "op") == 0 || strcmp (r->table, "servers") == 0)
+    {
+      newest++;
+      write_row (r->table, r->key, r->value);
+    }
+  return FALSE;
+}
+
+void
+rig_store_return (void)
+{
+  GTree *lost;
+
+  g_mutex_lock (&store_lock);
+  lost = rows;
+  rows = copy;
+  rig_record ("the store is back in a new era, from a copy that is "
+              "%" G_GINT64_FORMAT " ms old; it had version %" G_GUINT64_FORMAT
+              " and has %" G_GUINT64_FORMAT,
+              rig_now_ms () - copied_at, newest, copied_version);
+  newest = copied_version;
+  era++;
+  g_tree_foreach (lost, write_again, NULL);
+  away = FALSE;
+  g_cond_broadcast (&store_changed);
+  g_mutex_unlock (&store_lock);
+}
+
 void
 rig_store_start (const char *address)
 {
@@ -771,7 +928,11 @@
   guint64 fence = (guint64) number_in (m, "fence");
   gint64 hold = number_in (m, "holdMs"), until = rig_now_ms () + hold;
   gboolean accepted = TRUE, is_new = FALSE;
+  struct sockaddr_in peer;
+  socklen_t size = sizeof peer;
 
+  if (getpeername (x->conn->fd, (struct sockaddr *) &peer, &size) == 0)
+    rig_last_granter = (gint) (ntohl (peer.sin_addr.s_addr) & 0xff);
   g_mutex_lock (&s->lock);
   for (guint k = from; k <= to; k++)
     accepted &= s->fence[k] <= fence;
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -57,6 +57,16 @@
 void rig_store_start (const char *address);
 void rig_store_put (const char *table, const char *key, const char *value);
 void rig_store_delete (const char *table, const char *key);
+/* A drill: the store is away, and comes back from a copy.  The copy is made by
+ * the first transaction that writes a row whose value contains TEXT. */
+void rig_store_copy_at (const char *text);
+/* When the copy was made, ms; 0: not yet. */
+gint64 rig_store_copied_at (void);
+/* Calls EACH for the rows of TABLE in the copy. */
+void rig_store_each_copied (const char *table,
+                            void (*each) (const char *key, const char *value));
+void rig_store_leave (void);  /* all calls get 503 from now on */
+void rig_store_return (void); /* from the copy, in a new era */
 
 /* ---- servers ---- */
 
@@ -105,6 +115,7 @@
 } RigHooks;
 
 extern RigHooks rig_hooks;
+extern gint rig_last_granter; /* index of the gateway that granted last */
 extern GPtrArray *rig_servers; /* of RigServer, ever started */
 extern GMutex rig_servers_lock;
 
