--- a/review/4/case.c
+++ b/review/4/case.c
@@ -8,7 +8,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
 
 #include <json-glib/json-glib.h>
 
@@ -28,7 +27,7 @@
 static GMutex fence_lock;
 static guint64 top_fence[RIG_KEYS];
 static RigServer *top_owner[RIG_KEYS];
-static RigServer *added;       /* the server that was added */
+static RigServer *added;           /* the server that was added */
 static guint moved_from, moved_to; /* the range on its way to it in the copy */
 static guint64 moved_fence;
 static gint moved_on; /* keys of that range that others have taken since */
@@ -113,8 +112,8 @@
   JsonObject *o = root != NULL && JSON_NODE_HOLDS_OBJECT (root)
                       ? json_node_get_object (root)
                       : NULL;
-  guint from = (guint) atoi (strrchr (key, '/') != NULL ? strrchr (key, '/') + 1
-                                                        : "0");
+  guint from =
+      (guint) atoi (strrchr (key, '/') != NULL ? strrchr (key, '/') + 1 : "0");
   guint to;
 
   if (!g_str_has_prefix (key, "range/") || o == NULL ||
@@ -163,7 +162,8 @@
     g_thread_unref (g_thread_new ("client", run_client, GUINT_TO_POINTER (i)));
   rig_sleep_ms (5000);
 
-  /* An empty server is added; the copy is made as keys are on their way to it. */
+  /* An empty server is added; the copy is made as keys are on their way to it.
+   */
   text = g_strdup_printf ("\"owner\":\"i-%04d\",", SERVERS + 1);
   rig_store_copy_at (text);
   added = start_server ();
@@ -206,7 +206,7 @@
   rig_sleep_ms (AWAY_MS);
   if (rig_trouble ())
     rig_store_return ();
-  waitpid (gateways[granter - 1]->pid, NULL, 0);
+  rig_gateway_wait (gateways[granter - 1]);
   rig_record ("gw%u has ended", granter);
   gateways[granter - 1] =
       rig_gateway_start (granter, zones[granter - 1], table, FALSE);
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -273,8 +273,8 @@
 {
   for (;;)
     {
-      guint8 *end = c->in->len > 0 ? memchr (c->in->data, '\n', c->in->len)
-                                   : NULL;
+      guint8 *end =
+          c->in->len > 0 ? memchr (c->in->data, '\n', c->in->len) : NULL;
 
       if (end != NULL)
         {
@@ -547,10 +547,10 @@
 
   s->out = g_string_new (NULL);
   g_tree_foreach (rows, add_selected, s);
-  body = g_strdup_printf (
-      "{\"rows\":[%s],\"rowVersion\":%" G_GUINT64_FORMAT
-      ",\"nowMs\":%" G_GINT64_FORMAT ",\"hasMore\":%s}",
-      s->out->str, newest, rig_now_ms (), s->more ? "true" : "false");
+  body = g_strdup_printf ("{\"rows\":[%s],\"rowVersion\":%" G_GUINT64_FORMAT
+                          ",\"nowMs\":%" G_GINT64_FORMAT ",\"hasMore\":%s}",
+                          s->out->str, newest, rig_now_ms (),
+                          s->more ? "true" : "false");
   g_string_free (s->out, TRUE);
   return body;
 }
@@ -604,8 +604,8 @@
   for (guint i = 0; i < json_array_get_length (list); i++)
     {
       JsonObject *p = json_array_get_object_element (list, i);
-      const Row *r = find_row (text_member (p, "table"),
-                               text_member (p, "key"), FALSE);
+      const Row *r =
+          find_row (text_member (p, "table"), text_member (p, "key"), FALSE);
       guint64 version = r != NULL && r->value != NULL ? r->version : 0;
 
       if ((gint64) version != json_object_get_int_member (p, "rowVersion"))
@@ -672,9 +672,10 @@
           rig_sleep_ms (4);
           g_mutex_lock (&store_lock);
           status = transact (json_node_get_object (root)) ? 200 : 412;
-          body = g_strdup_printf ("{\"rows\":[],\"rowVersion\":%" G_GUINT64_FORMAT
-                                  ",\"nowMs\":%" G_GINT64_FORMAT "}",
-                                  newest, rig_now_ms ());
+          body =
+              g_strdup_printf ("{\"rows\":[],\"rowVersion\":%" G_GUINT64_FORMAT
+                               ",\"nowMs\":%" G_GINT64_FORMAT "}",
+                               newest, rig_now_ms ());
           g_mutex_unlock (&store_lock);
         }
       else if (g_str_has_prefix (m->target, "/v1/rows-get"))
@@ -698,8 +699,9 @@
           g_autofree char *table = query_value (m->target, "table");
           g_autofree char *after = query_value (m->target, "after");
           g_autofree char *wait = query_value (m->target, "waitMs");
-          gint64 end = g_get_monotonic_time () +
-                       (wait != NULL ? atoi (wait) : 0) * G_TIME_SPAN_MILLISECOND;
+          gint64 end =
+              g_get_monotonic_time () +
+              (wait != NULL ? atoi (wait) : 0) * G_TIME_SPAN_MILLISECOND;
           guint began_in = era;
 
           g_mutex_lock (&store_lock);
@@ -1158,6 +1160,16 @@
 
 /* ---- gateways ---- */
 
+static GHashTable *settings; /* name to value; see rig_set */
+
+void
+rig_set (const char *name, const char *value)
+{
+  if (settings == NULL)
+    settings = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_insert (settings, (gpointer) name, (gpointer) value);
+}
+
 /* The value of a placeholder, which stands in double braces in the deploy
  * file. */
 static char *
@@ -1190,10 +1202,12 @@
     { "#zones",
       g_strdup ("hala-a=sk-central,hala-b=sk-central,hala-c=sk-central") },
   };
-  char *found = NULL;
+  const char *set =
+      settings != NULL ? g_hash_table_lookup (settings, name) : NULL;
+  char *found = g_strdup (set);
 
   for (guint i = 0; i < G_N_ELEMENTS (all); i++)
-    if (strcmp (all[i].name, name) == 0)
+    if (set == NULL && strcmp (all[i].name, name) == 0)
       found = all[i].value;
     else
       g_free (all[i].value);
@@ -1289,6 +1303,13 @@
   return g;
 }
 
+void
+rig_gateway_wait (RigGateway *g)
+{
+  waitpid (g->pid, NULL, 0);
+  g_ptr_array_remove (children, GINT_TO_POINTER (g->pid));
+}
+
 gboolean
 rig_gateway_is_ready (RigGateway *g)
 {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -115,7 +115,7 @@
 } RigHooks;
 
 extern RigHooks rig_hooks;
-extern gint rig_last_granter; /* index of the gateway that granted last */
+extern gint rig_last_granter;  /* index of the gateway that granted last */
 extern GPtrArray *rig_servers; /* of RigServer, ever started */
 extern GMutex rig_servers_lock;
 
@@ -138,11 +138,17 @@
  * as this process. */
 extern guint rig_max_fds;
 
+/* Sets the value of a placeholder of the deploy file; without it, that of the
+ * site hradvstup-gw is used. */
+void rig_set (const char *name, const char *value);
+
 /* Starts the gateway INDEX with the command and the environment that
  * deploy/system.toml names; FIRST: the whole fleet starts for the first time.
  */
 RigGateway *rig_gateway_start (guint index, const char *zone, const char *table,
                                gboolean first);
+/* Waits until G, which was sent a signal, has ended. */
+void rig_gateway_wait (RigGateway *g);
 gboolean rig_gateway_is_ready (RigGateway *g);
 /* Waits for up to 15 s until COUNT gateways are ready. */
 gboolean rig_gateways_are_ready (RigGateway **all, guint count);
