--- a/test/test_endless.c
+++ b/test/test_endless.c
@@ -24,6 +24,12 @@
 /* Memory for all calls together; an instance may have 260 MB. */
 #define MEMORY_MAX (64 * 1024 * 1024)
 #define SENT_MAX (256 * 1024 * 1024) /* by one thread, bytes */
+/* Calls to faulty upstreams at once, while calls to another are counted. */
+#define CROWD 48
+#define CROWD_PAUSE (50 * CC_MS) /* until one of these is repeated */
+#define COUNTED_FOR (1 * CC_SECOND)
+/* Part of the calls to the other upstream that is still made. */
+#define SHARE_MIN 0.5
 
 #define OK "HTTP/1.1 200 OK\r\n"
 
@@ -157,35 +163,174 @@
               (w.memory - before) / (1024 * 1024));
 }
 
-static void
-endless_bytes_are_cut_off (void **state)
+typedef gboolean (*ConnectionHandler) (GThreadedSocketService *service,
+                                       GSocketConnection *c, GObject *source,
+                                       gpointer data);
+
+/* Starts a server with up to THREADS connections that HANDLER serves.  Returns
+ * its address, to be freed, and sets *SERVICE. */
+static char *
+start_server (int threads, ConnectionHandler handler, GSocketService **service)
 {
-  GSocketService *service = g_threaded_socket_service_new (CALLS);
   g_autoptr (GInetAddress) ip =
       g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
   g_autoptr (GSocketAddress) at = g_inet_socket_address_new (ip, 0);
   g_autoptr (GSocketAddress) got = NULL;
-  g_autofree char *address = NULL;
-  CcHttp *http = cc_http_new ("127.0.0.1");
 
-  (void) state;
+  *service = g_threaded_socket_service_new (threads);
   assert_true (g_socket_listener_add_address (
-      G_SOCKET_LISTENER (service), at, G_SOCKET_TYPE_STREAM,
+      G_SOCKET_LISTENER (*service), at, G_SOCKET_TYPE_STREAM,
       G_SOCKET_PROTOCOL_TCP, NULL, &got, NULL));
-  address = g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (
-                                                 G_INET_SOCKET_ADDRESS (got)));
-  g_signal_connect (service, "run", G_CALLBACK (on_connection), NULL);
+  g_signal_connect (*service, "run", G_CALLBACK (handler), NULL);
+  return g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (
+                                              G_INET_SOCKET_ADDRESS (got)));
+}
+
+static void
+endless_bytes_are_cut_off (void **state)
+{
+  GSocketService *service;
+  g_autofree char *address = start_server (CALLS, on_connection, &service);
+  CcHttp *http = cc_http_new ("127.0.0.1");
+
+  (void) state;
   for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
     play (http, address, &cases[i]);
   cc_http_free (http);
   g_object_unref (service);
 }
 
+/* Answers each request on a connection. */
+static gboolean
+on_good_connection (GThreadedSocketService *service, GSocketConnection *c,
+                    GObject *source, gpointer data)
+{
+  static const char answer[] = OK "Content-Length: 2\r\n\r\nok";
+  GSocket *socket = g_socket_connection_get_socket (c);
+  char request[4096];
+
+  (void) service, (void) source, (void) data;
+  while (g_socket_receive (socket, request, sizeof request, NULL, NULL) > 0 &&
+         g_socket_send (socket, answer, sizeof answer - 1, NULL, NULL) > 0)
+    continue;
+  return TRUE;
+}
+
+/* A call that is repeated when it has ended. */
+typedef struct
+{
+  CcHttp *http;
+  const char *address;
+  gint64 pause;    /* before it is repeated, us */
+  gint64 idle_max; /* of a connection that is used again, us */
+  CcTimer timer;
+  gboolean in_progress;
+  guint answered;
+  gboolean stopped;
+} Repeated;
+
+static void on_repeated_result (const CcHttpResult *r, gpointer data);
+
+static void
+repeat_call (gpointer data)
+{
+  Repeated *p = data;
+  CcHttpRequest o = { .address = p->address,
+                      .head = "GET / HTTP/1.1\r\nHost: a\r\n",
+                      .echo = "X-Echo",
+                      .echo_value = "1",
+                      .connect_timeout = TIMEOUT,
+                      .answer_timeout = TIMEOUT,
+                      .idle_max = p->idle_max };
+
+  p->in_progress = cc_http_send (p->http, &o, on_repeated_result, p) != NULL;
+  assert_true (p->in_progress);
+}
+
+static void
+on_repeated_result (const CcHttpResult *r, gpointer data)
+{
+  Repeated *p = data;
+
+  p->in_progress = FALSE;
+  p->answered += r->end == CC_HTTP_ANSWERED;
+  if (!p->stopped && p->pause > 0)
+    cc_timer_start (&p->timer, p->pause, repeat_call, p);
+  else if (!p->stopped)
+    repeat_call (p);
+}
+
+/* Returns how many calls to the good upstream P are made in COUNTED_FOR. */
+static guint
+count_calls (Repeated *p)
+{
+  gint64 from = cc_clock_now ();
+
+  p->answered = 0;
+  while (cc_clock_now () - from < COUNTED_FOR)
+    g_main_context_iteration (NULL, TRUE);
+  return p->answered;
+}
+
+static void
+stop_call (Repeated *p)
+{
+  p->stopped = TRUE;
+  cc_timer_stop (&p->timer);
+  while (p->in_progress)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+/* Guards against callers of other upstreams that are served at a fraction of
+ * their rate while the main loop reads bytes that it throws away. */
+static void
+other_calls_go_on_beside_endless_bytes (void **state)
+{
+  GSocketService *bad, *good;
+  g_autofree char *bad_address = start_server (CROWD, on_connection, &bad);
+  g_autofree char *good_address = start_server (4, on_good_connection, &good);
+  CcHttp *http = cc_http_new ("127.0.0.1");
+  guint failed = 0;
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Repeated other = { .http = http,
+                         .address = good_address,
+                         .idle_max = CC_SECOND };
+      Repeated crowd[CROWD];
+      guint alone, beside;
+
+      w.playing = &cases[i];
+      repeat_call (&other);
+      alone = count_calls (&other);
+      for (guint k = 0; k < CROWD; k++)
+        {
+          crowd[k] = (Repeated){ .http = http,
+                                 .address = bad_address,
+                                 .pause = CROWD_PAUSE };
+          repeat_call (&crowd[k]);
+        }
+      beside = count_calls (&other);
+      for (guint k = 0; k < CROWD; k++)
+        stop_call (&crowd[k]);
+      stop_call (&other);
+      print_message ("%s: %u calls to another upstream, %u alone\n",
+                     cases[i].name, beside, alone);
+      failed += beside < SHARE_MIN * alone;
+    }
+  cc_http_free (http);
+  g_object_unref (bad);
+  g_object_unref (good);
+  assert_int_equal (failed, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (endless_bytes_are_cut_off),
+    cmocka_unit_test (other_calls_go_on_beside_endless_bytes),
   };
 
   signal (SIGPIPE, SIG_IGN);
--- a/test/test_silent_upstreams.c
+++ b/test/test_silent_upstreams.c
@@ -16,6 +16,7 @@
 /* After the keys have gone to others, no more may be lost for this long. */
 #define WATCHED (60 * CC_SECOND)
 #define ALL 0.9999
+#define ALONE_FOR (2 * CC_SECOND)
 
 /* When the silent upstream is listed and becomes silent. */
 typedef enum
@@ -24,6 +25,7 @@
   JOINS,         /* it is listed when the others own all keys */
   STOPS,         /* it owns keys and stops answering */
   BEFORE_HOLDER, /* as FROM_THE_START, and the granter is replaced at once */
+  ALONE, /* it is the only one listed at the start; the others join 2 s later */
 } When;
 
 typedef struct
@@ -46,6 +48,8 @@
     20 * CC_SECOND },
   { "swallows, the granter is replaced", LINK_SWALLOWS, BEFORE_HOLDER,
     30 * CC_SECOND },
+  { "refuses, alone at first", LINK_REFUSES, ALONE, 3 * CC_SECOND },
+  { "swallows, alone at first", LINK_SWALLOWS, ALONE, 9 * CC_SECOND },
 };
 
 static const guint good[] = { 1, 2, 5 };
@@ -76,6 +80,8 @@
   s->up = c->when != JOINS;
   if (c->when != STOPS)
     s->link = c->link;
+  for (guint i = 0; i < others; i++)
+    world.servers[i].up = c->when != ALONE;
   list_at_all ();
   switch (c->when)
     {
@@ -89,7 +95,12 @@
       run_for (SETTLED);
       assert_true (world_share_held () > ALL);
       break;
+    case ALONE:
+      run_for (ALONE_FOR);
+      break;
     }
+  for (guint i = 0; i < others; i++)
+    world.servers[i].up = TRUE;
   s->up = TRUE;
   s->link = c->link;
   list_at_all ();
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -28,6 +28,7 @@
 #define REQUESTS_MAX 4
 #define SIGNALS_MAX 4
 #define GRACE_MS 3500
+#define SHORT_GRACE_MS 2000
 /* A request that was sent so shortly before its connection ends may have
  * crossed the close. */
 #define CROSSING_MS 200
@@ -40,6 +41,9 @@
 #define KEPT 1u    /* the connection has served a request before */
 #define KEYED 2u   /* the requests are for keys, which the upstream owns */
 #define CHUNKED 4u /* the body has no length in advance */
+#define QUEUED 8u  /* for an upstream that serves two at once, in up to 12 s */
+#define HANGS 16u  /* the upstream does not answer before the process is gone  \
+                    */
 
 /* Times are ms since SIGTERM. */
 typedef struct
@@ -178,6 +182,65 @@
       { 1000, 1, 300, 10, 0, 0, 0, KEYED } } },
 };
 
+/* Requests that a process can't answer before it has to be gone. */
+static const Case late_cases[] = {
+  { "requests that wait for an upstream",
+    FALSE,
+    0,
+    { { 0 } },
+    { { -200, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -200, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -100, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -100, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -100, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -100, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -100, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -100, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -100, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { -100, 1, 1400, 10, 0, 0, 0, QUEUED },
+      { 300, 1, 1400, 10, 0, 0, 0, QUEUED } } },
+  { "an upstream that does not answer",
+    FALSE,
+    0,
+    { { 0 } },
+    { { -100, 1, 60000, 10, 0, 0, 0, QUEUED | HANGS },
+      { -100, 1, 60000, 10, 0, 0, 0, QUEUED | HANGS },
+      { -50, 1, 300, 10, 0, 0, 0, QUEUED },
+      { -50, 1, 300, 10, 0, 0, 0, KEPT } } },
+  { "a request that takes longer than usual",
+    FALSE,
+    0,
+    { { 0 } },
+    { { 1000, 1, 1, 10, 0, 0, 0, KEPT },
+      { 2400, 1, 2000, 10, 0, 0, 0, KEPT | HANGS } } },
+  { "a process that is paused before the signal",
+    FALSE,
+    0,
+    { { -50, SIGSTOP }, { 1500, SIGCONT } },
+    { { -300, 1, 1000, 10, 0, 0, 0, 0 },
+      { -100, 1, 300, 10, 0, 0, 0, KEPT },
+      { 100, 1, 300, 10, 0, 0, 0, KEPT } } },
+};
+
+/* Played with SHORT_GRACE_MS. */
+static const Case short_grace_cases[] = {
+  { "a short grace period",
+    FALSE,
+    0,
+    { { 0 } },
+    { { -300, 1, 1000, 10, 0, 0, 0, 0 },
+      { 500, 1, 300, 10, 0, 0, 0, KEPT },
+      { 1000, 1, 300, 10, 0, 0, 0, KEPT },
+      { 1300, 1, 300, 10, 0, 0, 0, KEPT },
+      { 1450, 1, 300, 10, 0, 0, 0, KEPT },
+      { 1550, 1, 300, 10, 0, 0, 0, KEPT } } },
+  { "a short grace period, a request that takes longer than usual",
+    FALSE,
+    0,
+    { { 0 } },
+    { { 500, 1, 1, 10, 0, 0, 0, KEPT }, { 1200, 1, 440, 10, 0, 0, 0, KEPT } } },
+};
+
 /* What one caller has seen. */
 typedef struct
 {
@@ -199,6 +262,7 @@
   gint64 stop_at;  /* when SIGTERM is sent, us */
   GSubprocess *gateway;
   guint version;
+  guint grace; /* of the processes, ms */
   guint cases;
   gint left; /* callers that run, atomic */
 } w;
@@ -269,7 +333,7 @@
 }
 
 static void
-start_upstream (const char *pool, guint host)
+start_upstream (const char *pool, guint host, guint slots)
 {
   SoupServer *server = soup_server_new (NULL, NULL);
   g_autofree char *address = address_of (3, host, 7200);
@@ -278,8 +342,8 @@
       g_inet_socket_address_new_from_string (ip, 7200);
   g_autofree char *row = g_strdup_printf (
       "{\"address\":\"%s\",\"born\":1,\"info\":{\"service\":\"%s\",\"zone\":"
-      "\"a\",\"slots\":50},\"status\":{\"state\":\"ready\"}}",
-      address, pool);
+      "\"a\",\"slots\":%u},\"status\":{\"state\":\"ready\"}}",
+      address, pool, slots);
   g_autofree char *path = g_strconcat ("/", pool, NULL);
 
   soup_server_add_handler (server, path, on_work, NULL, NULL);
@@ -295,7 +359,11 @@
 {
   g_autofree char *text = g_strdup_printf (
       "{\"version\":\"%08x\",\"services\":{\"free\":{\"sharding\":false},"
-      "\"keys\":{\"sharding\":true}},\"routes\":{"
+      "\"queue\":{\"sharding\":false},\"keys\":{\"sharding\":true}},"
+      "\"routes\":{"
+      "\"queue\":{\"host\":\"a.example\",\"prefix\":\"/queue/\","
+      "\"kind\":\"unsafe\",\"service\":\"queue\",\"timeoutMs\":12000,"
+      "\"targetLatencyMs\":8000,\"maxAttempts\":2},"
       "\"free\":{\"host\":\"a.example\",\"prefix\":\"/free/\","
       "\"kind\":\"unsafe\",\"service\":\"free\",\"timeoutMs\":2500,"
       "\"targetLatencyMs\":1000,\"maxAttempts\":2},"
@@ -349,7 +417,7 @@
                              .zone = "a",
                              .ip = ip,
                              .table = table,
-                             .grace = GRACE_MS,
+                             .grace = w.grace,
                              .log = w.log };
 
   (void) unlink (w.log);
@@ -452,13 +520,16 @@
 static void
 append_head (GString *out, const char *id, const Caller *c)
 {
-  gboolean keyed = (c->flags & KEYED) != 0;
+  gboolean keyed = (c->flags & KEYED) != 0, queued = (c->flags & QUEUED) != 0;
 
   g_string_append_printf (out,
                           "%s /%s/%u/%u/%s HTTP/1.1\r\nHost: a.example\r\n"
-                          "X-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\n",
-                          c->body > 0 ? "POST" : "GET", keyed ? "keys" : "free",
-                          c->delay, c->size, id, id);
+                          "X-Request-Id: %s\r\nX-Deadline-Ms: %u\r\n",
+                          c->body > 0 ? "POST" : "GET",
+                          keyed    ? "keys"
+                          : queued ? "queue"
+                                   : "free",
+                          c->delay, c->size, id, id, queued ? 12000 : 3000);
   if (keyed)
     g_string_append (out, "X-Shard-Key: 7\r\n");
   if (c->body > 0 && (c->flags & CHUNKED) != 0)
@@ -568,6 +639,9 @@
 
   if (ran && status == 0)
     return "passed on, and no complete answer";
+  if (ran && (seen->setup->flags & HANGS) != 0)
+    return status == 502 || status == 504 ? NULL
+                                          : "passed on, and a wrong answer";
   if (ran && status != 200)
     return "passed on, and an answer that is not the upstream's";
   if (!ran && status == 200)
@@ -642,7 +716,7 @@
   for (guint i = 0; i < count; i++)
     failed += check_caller (c, &seen[i], i);
   while (g_subprocess_get_identifier (w.gateway) != NULL &&
-         cc_clock_now () < w.stop_at + GRACE_MS * CC_MS)
+         cc_clock_now () < w.stop_at + w.grace * CC_MS)
     run_loop (10);
   if (g_subprocess_get_identifier (w.gateway) != NULL)
     {
@@ -679,8 +753,9 @@
   table = address_of (0, 2, 7000);
   soak_table_listen (table);
   configure (NULL);
-  start_upstream ("free", 1);
-  start_upstream ("keys", 2);
+  start_upstream ("free", 1, 50);
+  start_upstream ("keys", 2, 50);
+  start_upstream ("queue", 3, 2);
   return 0;
 }
 
@@ -695,22 +770,52 @@
   return 0;
 }
 
+/* Plays COUNT cases with processes whose grace period is GRACE, ms. */
 static void
-a_stop_loses_no_request (void **state)
+run_cases (const Case *all, guint count, guint grace)
 {
   guint failed = 0;
 
-  (void) state;
-  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
-    failed += run_case (&cases[i]);
+  w.grace = grace;
+  for (guint i = 0; i < count; i++)
+    failed += run_case (&all[i]);
   assert_int_equal (failed, 0);
 }
 
+static void
+a_stop_loses_no_request (void **state)
+{
+  (void) state;
+  run_cases (cases, G_N_ELEMENTS (cases), GRACE_MS);
+}
+
+/* Guards against requests that are passed on although the process has to be
+ * gone before their answers, and against callers that get no answer then. */
+static void
+requests_late_in_the_grace_are_answered (void **state)
+{
+  (void) state;
+  run_cases (late_cases, G_N_ELEMENTS (late_cases), GRACE_MS);
+}
+
+/* Guards against a reserve before the end of the grace period that is fit only
+ * for a long one. */
+static void
+a_stop_with_a_short_grace_loses_no_request (void **state)
+{
+  (void) state;
+  run_cases (short_grace_cases, G_N_ELEMENTS (short_grace_cases),
+             SHORT_GRACE_MS);
+}
+
 int
 main (int argc, char **argv)
 {
-  const struct CMUnitTest tests[] = { cmocka_unit_test (
-      a_stop_loses_no_request) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_stop_loses_no_request),
+    cmocka_unit_test (requests_late_in_the_grace_are_answered),
+    cmocka_unit_test (a_stop_with_a_short_grace_loses_no_request),
+  };
 
   (void) argc;
   g_set_prgname (argv[0]);
