Metric of the time that is spent on reading long answers

Bytes that are thrown away take time of the main loop, and nothing told how much: the log of requests shows late answers of other upstreams and no reason.

--- a/gateway.c
+++ b/gateway.c
@@ -614,6 +614,10 @@
   cc_metrics_gauge ("capercrank_upstream_connections_opened", "",
                     (double) (cc_http_connections_opened (g->http) +
                               cc_http_connections_opened (g->grants_http)));
+  cc_metrics_gauge ("capercrank_long_answer_seconds", "",
+                    (double) (cc_http_long_answer_time (g->http) +
+                              cc_http_long_answer_time (g->grants_http)) /
+                        1e6);
   cc_metrics_gauge ("capercrank_table_age_seconds", "",
                     (double) cc_mirror_age (g->mirror, now) / 1e6);
   cc_metrics_gauge ("capercrank_evacuated_zones", "",
--- a/http_link.c
+++ b/http_link.c
@@ -45,6 +45,9 @@
  * that one can't. */
 #define BUFFERED_MAX (24 * 1024 * 1024)
 #define LARGE_ANSWER (1024 * 1024)
+/* Bytes of an answer, head included, from which on it counts as a long one.  It
+ * is what the largest head may have. */
+#define LONG_ANSWER (64 * 1024)
 /* Bytes of an answer beside its body: heads, interim answers, those to other
  * requests, and for each byte of the body the frame of a chunk. */
 #define OVERHEAD_MAX (256 * 1024)
@@ -606,6 +609,27 @@
     }
 }
 
+/* Whether C receives a long answer. */
+static gboolean
+is_long (const CcHttpConnection *c)
+{
+  return c->call != NULL && c->call->received >= LONG_ANSWER;
+}
+
+/* Reads what has arrived on C, and counts the time if it is of a long answer.
+ * C may be freed. */
+static void
+read_counted (CcHttpConnection *c)
+{
+  CcHttp *h = c->http;
+  gboolean counts = is_long (c);
+  gint64 from = cc_clock_steady ();
+
+  read_available (c);
+  if (counts)
+    h->long_time += cc_clock_steady () - from;
+}
+
 /* Sends the next part of the request of CALL, which is not complete.  Returns
  * the number of bytes sent, or -1 with ERROR set. */
 static gssize
@@ -743,7 +767,7 @@
       if (!(condition & (G_IO_IN | G_IO_HUP | G_IO_ERR)))
         return;
     }
-  read_available (c);
+  read_counted (c);
 }
 
 /* Returns a call without a request. */
@@ -939,6 +963,13 @@
   return c->written > 0;
 }
 
+/* The time that was spent on reading long answers, us. */
+gint64
+cc_http_long_answer_time (const CcHttp *h)
+{
+  return h->long_time;
+}
+
 /* Cancels C without calling its DONE.  The connection is closed, which makes
  * most servers abort the work. */
 void
--- a/http_link.h
+++ b/http_link.h
@@ -100,6 +100,7 @@
 void cc_http_close_idle (CcHttp *h, const char *address);
 guint cc_http_open_connections (const CcHttp *h);
 guint64 cc_http_connections_opened (const CcHttp *h);
+gint64 cc_http_long_answer_time (const CcHttp *h);
 const char *cc_http_header (const CcHttpResult *r, const char *name);
 
 #endif
--- a/http_state.h
+++ b/http_state.h
@@ -28,6 +28,7 @@
   guint64 ids;                 /* ids sent since the start */
   CcTimer sweep;               /* closes connections that stay idle */
   gsize buffered;              /* bytes of bodies of calls in progress */
+  gint64 long_time;            /* spent on reading long answers, us */
   CcMemoryBudget *budget;      /* that counts answers; NULL: none */
 };
 
