Long answers are read in a part of the main loop's time

What callers saw: while faulty upstreams send bodies without end, callers of all other upstreams are served at a small part of their rate: 57 to 5,822 calls a second of some 25,000 beside 48 calls at a time.

Cause: each answer is bounded in size and time and each connection in its reads for one turn of the loop, but an upstream sends as fast as it is read, and nothing bounds the time of all answers together.

Evidence: test_endless, other_calls_go_on_beside_endless_bytes, red since: five of eleven kinds are below half of the calls that are made alone.

The rest waits in the kernel, so that the sender is slowed down.

--- a/http_link.c
+++ b/http_link.c
@@ -45,9 +45,10 @@
  * that one can't. */
 #define BUFFERED_MAX (24 * 1024 * 1024)
 #define LARGE_ANSWER (1024 * 1024)
-/* Bytes of an answer, head included, from which on it counts as a long one.  It
- * is what the largest head may have. */
+/* Bytes of an answer, and of what is beside its body, from which on it counts
+ * as a long one.  Sound heads and frames of chunks are a few kB. */
 #define LONG_ANSWER (64 * 1024)
+#define LONG_OVERHEAD (16 * 1024)
 /* Bytes of an answer beside its body: heads, interim answers, those to other
  * requests, and for each byte of the body the frame of a chunk. */
 #define OVERHEAD_MAX (256 * 1024)
@@ -569,13 +570,24 @@
   fail (call, "closed");
 }
 
-/* Reads until the socket has no more data, or READS_MAX times; the rest is read
- * in the next turn of the main loop.  Data or a close without a call closes the
- * connection. */
+/* Whether C receives a long answer. */
+static gboolean
+is_long (const CcHttpConnection *c)
+{
+  const CcHttpCall *call = c->call;
+
+  return call != NULL && (call->received >= LONG_ANSWER ||
+                          call->received - call->body_size >= LONG_OVERHEAD);
+}
+
+/* Reads until the socket has no more data, or READS_MAX times, or until the
+ * answer has become a long one; the rest is read later.  Data or a close
+ * without a call closes the connection. */
 static void
 read_available (CcHttpConnection *c)
 {
   char buffer[READ_SIZE];
+  gboolean was_long = is_long (c);
 
   for (guint reads = 0; reads < READS_MAX; reads++)
     {
@@ -592,7 +604,7 @@
         {
           if (!parse_bytes (c, buffer, (gsize) got))
             return;
-          if (got < READ_SIZE)
+          if (got < READ_SIZE || is_long (c) != was_long)
             return;
           continue;
         }
@@ -609,25 +621,77 @@
     }
 }
 
-/* Whether C receives a long answer. */
+/* Reads the next piece of the long answer on C, which may be freed. */
+static void
+read_long (CcHttpConnection *c)
+{
+  CcHttp *h = c->http;
+  gint64 from = cc_clock_steady ();
+  gint64 spent;
+
+  read_available (c);
+  spent = cc_clock_steady () - from;
+  cc_read_share_spend (&h->long_share, spent);
+  h->long_time += spent;
+}
+
+static void on_socket (GIOCondition condition, gpointer data);
+
+/* Watches C, which has waited to be read, again. */
 static gboolean
-is_long (const CcHttpConnection *c)
+watch_again (CcHttpConnection *c)
 {
-  return c->call != NULL && c->call->received >= LONG_ANSWER;
+  GIOCondition conditions = G_IO_IN;
+
+  if (c->call->written < request_size (c->call) && !c->call->unsendable)
+    conditions |= G_IO_OUT;
+  return cc_fd_watch_start (&c->watch, g_socket_get_fd (c->socket), conditions,
+                            on_socket, c);
 }
 
-/* Reads what has arrived on C, and counts the time if it is of a long answer.
- * C may be freed. */
+/* Reads from the connections of DATA, a client, that wait for that, in turn. */
 static void
-read_counted (CcHttpConnection *c)
+on_long_timer (gpointer data)
+{
+  CcHttp *h = data;
+  gint64 wait;
+
+  while (h->long_waiting.length > 0)
+    {
+      CcHttpConnection *c = g_queue_peek_head (&h->long_waiting);
+
+      wait = cc_read_share_wait (&h->long_share, cc_clock_steady ());
+      if (wait > 0)
+        {
+          cc_timer_start (&h->long_timer, wait, on_long_timer, h);
+          return;
+        }
+      cc_http_connection_wait_no_more (c);
+      if (watch_again (c))
+        read_long (c);
+      else
+        fail (c->call, "unwatched");
+    }
+}
+
+/* Reads the next piece of the long answer on C if the time for that is not used
+ * up and no other connection waits for it; otherwise C waits. */
+static void
+read_long_in_turn (CcHttpConnection *c)
 {
   CcHttp *h = c->http;
-  gboolean counts = is_long (c);
-  gint64 from = cc_clock_steady ();
+  gint64 wait = cc_read_share_wait (&h->long_share, cc_clock_steady ());
 
-  read_available (c);
-  if (counts)
-    h->long_time += cc_clock_steady () - from;
+  if (wait == 0 && h->long_waiting.length == 0)
+    {
+      read_long (c);
+      return;
+    }
+  cc_fd_watch_stop (&c->watch);
+  c->waiting.data = c;
+  g_queue_push_tail_link (&h->long_waiting, &c->waiting);
+  if (h->long_timer.place == NULL)
+    cc_timer_start (&h->long_timer, wait, on_long_timer, h);
 }
 
 /* Sends the next part of the request of CALL, which is not complete.  Returns
@@ -767,7 +831,10 @@
       if (!(condition & (G_IO_IN | G_IO_HUP | G_IO_ERR)))
         return;
     }
-  read_counted (c);
+  if (is_long (c))
+    read_long_in_turn (c);
+  else
+    read_available (c);
 }
 
 /* Returns a call without a request. */
--- a/http_pool.c
+++ b/http_pool.c
@@ -88,10 +88,21 @@
                      &at_once, sizeof at_once);
 }
 
+/* Removes C from those that wait to be read if it is one of them. */
+void
+cc_http_connection_wait_no_more (CcHttpConnection *c)
+{
+  if (c->waiting.data == NULL)
+    return;
+  g_queue_unlink (&c->http->long_waiting, &c->waiting);
+  c->waiting.data = NULL;
+}
+
 /* Closes and frees C, which must have no call. */
 void
 cc_http_connection_close (CcHttpConnection *c)
 {
+  cc_http_connection_wait_no_more (c);
   cc_fd_watch_stop (&c->watch);
   g_ptr_array_remove (c->peer->idle, c);
   c->peer->open--;
@@ -131,6 +142,7 @@
   gpointer peer;
 
   cc_timer_stop (&h->sweep);
+  cc_timer_stop (&h->long_timer);
   g_hash_table_iter_init (&i, h->peers);
   while (g_hash_table_iter_next (&i, NULL, &peer))
     while (((CcHttpPeer *) peer)->idle->len > 0)
--- a/http_state.h
+++ b/http_state.h
@@ -8,6 +8,7 @@
 
 #include "fd_watch.h"
 #include "http_link.h"
+#include "read_share.h"
 #include "timers.h"
 
 /* The connections to one address. */
@@ -28,7 +29,10 @@
   guint64 ids;                 /* ids sent since the start */
   CcTimer sweep;               /* closes connections that stay idle */
   gsize buffered;              /* bytes of bodies of calls in progress */
-  gint64 long_time;            /* spent on reading long answers, us */
+  CcReadShare long_share;      /* of the time, for reading long answers */
+  gint64 long_time;            /* spent on that, us */
+  GQueue long_waiting;         /* of CcHttpConnection, for their share */
+  CcTimer long_timer;          /* until the first of these may be read */
   CcMemoryBudget *budget;      /* that counts answers; NULL: none */
 };
 
@@ -37,7 +41,8 @@
   CcHttp *http;
   CcHttpPeer *peer;
   GSocket *socket;
-  CcFdWatch watch;  /* of SOCKET */
+  CcFdWatch watch;  /* of SOCKET; stopped while it waits to be read */
+  GList waiting;    /* in the client's LONG_WAITING; no data: it is not */
   CcHttpCall *call; /* in progress; NULL: idle */
   http_parser parser;
   gint64 opened_at;  /* when it was established, us; 0: not yet */
@@ -68,6 +73,7 @@
 CcHttpConnection *cc_http_connection_open (CcHttp *h, CcHttpPeer *p,
                                            CcHttpReady ready);
 void cc_http_connection_keep (CcHttpConnection *c);
+void cc_http_connection_wait_no_more (CcHttpConnection *c);
 void cc_http_connection_close (CcHttpConnection *c);
 void cc_http_connection_reset_on_close (CcHttpConnection *c);
 void cc_http_peer_close_idle (CcHttpPeer *p);
