Granter: a sole owner that does not answer loses its keys to others

What callers saw: an upstream that did not accept grants, as it was silent or sent bytes that are no answer, was the only one listed when a fleet started. Others joined later and got no keys: every request on a key was refused for as long as the first one was listed.

Cause: an owner counts as silent only if others of its pool have answered grants since, so that a granter that is cut off moves nothing. An upstream without keys is sent no grants, so beside a sole owner that condition is never met.

Change: any other upstream of the pool that was reached since counts, by a probe as well. A granter that is cut off reaches none.

--- a/granted_pool.c
+++ b/granted_pool.c
@@ -490,15 +490,22 @@
                now - x->answered_at > SILENT_AFTER;
 }
 
-/* Returns when an owner of P has last answered a grant, us; 0: never. */
+/* Returns when an upstream of P other than T was last reached, us; 0: never.
+ * One without keys counts as well: the owner that fails may own all of them. */
 static gint64
-last_answer (const CcGrantedPool *p)
+others_reached_at (const CcGrantedPool *p, const CcTarget *t)
 {
+  GPtrArray *all = cc_targets_of_pool (p->shared->targets, p->name);
   gint64 last = 0;
 
-  for (guint i = 0; i < p->grants->len; i++)
-    last =
-        MAX (last, ((const CcRangeGrant *) p->grants->pdata[i])->answered_at);
+  for (guint i = 0; i < all->len; i++)
+    {
+      const CcTarget *other = all->pdata[i];
+
+      if (other != t)
+        last = MAX (
+            last, cc_grant_contact (p->shared, other->listing.id)->reached_at);
+    }
   return last;
 }
 
@@ -508,7 +515,6 @@
 step_contacts (CcGrantedPool *p, gint64 now)
 {
   GPtrArray *all = cc_targets_of_pool (p->shared->targets, p->name);
-  gint64 answered_at = last_answer (p);
 
   for (guint i = 0; all != NULL && i < all->len; i++)
     {
@@ -518,7 +524,8 @@
       if (t->state != CC_TARGET_READY)
         continue;
       cc_owner_contact_started (c, t->listing.born);
-      if (cc_owner_contact_check (c, answered_at, now))
+      if (c->failing_since != 0 &&
+          cc_owner_contact_check (c, others_reached_at (p, t), now))
         {
           cc_event (CC_EVENT_STATE, "owner-silent", "pool", p->name, "owner",
                     t->listing.id, "failing_ms",
--- a/owner_contact.c
+++ b/owner_contact.c
@@ -8,8 +8,8 @@
  * An upstream that fails to answer is silent, and its keys are planned for
  * others, if three conditions hold.  Keys that it may have been granted before
  * have expired, so that it loses none by the plan.  It has failed for longer
- * than a call takes.  Other upstreams of the pool have answered since:
- * otherwise this process may be cut off itself. */
+ * than a call takes.  Another upstream of the pool was reached since, with or
+ * without keys: otherwise this process may be cut off itself. */
 #include "owner_contact.h"
 
 #include "granter_lease.h"
@@ -53,24 +53,25 @@
   c->holds_until = MAX (c->holds_until, until);
 }
 
-/* The upstream has responded or accepted a connection.  Returns whether it was
- * not known to be reachable. */
+/* The upstream has responded or accepted a connection, as found at NOW, us.
+ * Returns whether it was not known to be reachable. */
 gboolean
-cc_owner_contact_reached (CcOwnerContact *c)
+cc_owner_contact_reached (CcOwnerContact *c, gint64 now)
 {
   gboolean changed = c->state != CC_CONTACT_REACHED;
 
   c->state = CC_CONTACT_REACHED;
+  c->reached_at = now;
   c->failing_since = 0;
   return changed;
 }
 
-/* The upstream has answered a grant, and may hold keys until HOLDS_UNTIL, us.
- */
+/* The upstream has answered a grant, as found at NOW, and may hold keys until
+ * HOLDS_UNTIL; both are us. */
 void
-cc_owner_contact_answered (CcOwnerContact *c, gint64 holds_until)
+cc_owner_contact_answered (CcOwnerContact *c, gint64 holds_until, gint64 now)
 {
-  cc_owner_contact_reached (c);
+  cc_owner_contact_reached (c, now);
   cc_owner_contact_may_hold (c, holds_until);
   c->unanswered.fence = 0;
   cc_backoff_clear (&c->probes);
@@ -89,7 +90,7 @@
     c->unanswered = *sent;
 }
 
-/* Updates C at NOW, us; another upstream of the pool has last answered at
+/* Updates C at NOW, us; another upstream of the pool was last reached at
  * OTHERS_AT, us.  Returns whether the upstream has become silent. */
 gboolean
 cc_owner_contact_check (CcOwnerContact *c, gint64 others_at, gint64 now)
--- a/owner_contact.h
+++ b/owner_contact.h
@@ -28,6 +28,7 @@
   gint64 holds_until;   /* keys that it may hold have expired by then, us */
   gint64 failing_since; /* first failed call since its last answer, us; 0:
                            none has failed */
+  gint64 reached_at;    /* last response or accepted connection, us; 0: none */
   gboolean sent;        /* the last failed call may have arrived */
   CcContactGrant unanswered; /* last grant that may have arrived */
   CcBackoff probes;
@@ -37,8 +38,9 @@
 void cc_owner_contact_reset (CcOwnerContact *c);
 void cc_owner_contact_started (CcOwnerContact *c, guint64 born);
 void cc_owner_contact_may_hold (CcOwnerContact *c, gint64 until);
-gboolean cc_owner_contact_reached (CcOwnerContact *c);
-void cc_owner_contact_answered (CcOwnerContact *c, gint64 holds_until);
+gboolean cc_owner_contact_reached (CcOwnerContact *c, gint64 now);
+void cc_owner_contact_answered (CcOwnerContact *c, gint64 holds_until,
+                                gint64 now);
 void cc_owner_contact_failed (CcOwnerContact *c, const CcContactGrant *sent,
                               gint64 now);
 gboolean cc_owner_contact_check (CcOwnerContact *c, gint64 others_at,
--- a/owner_probe.c
+++ b/owner_probe.c
@@ -23,11 +23,12 @@
 finish (Probe *probe, gboolean answered)
 {
   CcOwnerContact *c = probe->contact;
+  gint64 now = cc_clock_now ();
 
   c->probing = FALSE;
   if (!answered)
-    cc_owner_contact_probe_failed (c, cc_clock_now ());
-  else if (cc_owner_contact_reached (c))
+    cc_owner_contact_probe_failed (c, now);
+  else if (cc_owner_contact_reached (c, now))
     {
       cc_event (CC_EVENT_STATE, "owner-reached", "owner", probe->id, NULL);
       probe->shared->replan = TRUE;
--- a/range_grant.c
+++ b/range_grant.c
@@ -272,7 +272,7 @@
   x->fence_raised = FALSE;
   x->held = TRUE;
   x->answered_at = now;
-  cc_owner_contact_answered (contact_of (x), x->owner_until);
+  cc_owner_contact_answered (contact_of (x), x->owner_until, now);
   x->same_process_at = MAX (x->call_started_at, r->connected_at);
   x->withheld = FALSE;
   x->not_before = x->call_started_at + CC_GRANT_RENEW_PERIOD;
@@ -288,7 +288,7 @@
   cc_event (CC_EVENT_STATE, "grant-refused", "pool", x->pool, "from",
             cc_event_int (x->range->from), "owner", x->range->owner, "fence",
             cc_event_int ((gint64) x->range->fence), NULL);
-  cc_owner_contact_answered (contact_of (x), 0);
+  cc_owner_contact_answered (contact_of (x), 0, now);
   x->held = FALSE;
   x->not_before = now + CALL_RETRY;
   if (now < x->shared->suspect_until)
