A stopping gateway refuses waiting requests that it can't see answered

What callers saw: in a planned stop, requests that had waited for an upstream were sent to it late in the grace period and cut at its end without an answer, among them requests that must not be repeated.

Cause: whether a request can be answered before the process has to be gone was asked only when it arrived, not when it was sent after a wait or a retry.

Evidence: test_stop, "requests that wait for an upstream": two of ten were sent 2.7 s after SIGTERM, need 1.4 s and were cut at 3.1 s; red since.

Change: once the process stops, each look at the queues first refuses those whose work may outlast it, with the reason "stopping" and a short Retry-After. A peer that had forwarded one tries another gateway.

--- a/exchange_state.h
+++ b/exchange_state.h
@@ -33,6 +33,8 @@
   gint64 pump_at;         /* when that ends, us */
   gint64 permit_due;      /* when a request that waits for a permit is to be
                              decided again, us; G_MAXINT64: none waits */
+  gint64 stop_at;         /* all requests must have ended by then, us; 0: this
+                             process does not stop */
   GPtrArray *lost;        /* of CcLostUpstream */
   CcTimer lost_timer;     /* until the next check of these */
   const CcView *state;
--- a/forward.c
+++ b/forward.c
@@ -34,6 +34,9 @@
 /* Callers that are refused during a rest are told to return within this part of
  * it after its end, spread evenly. */
 #define REST_SPREAD 0.25
+/* Retry-After of a request that is refused since this process stops: the retry
+ * reaches another one. */
+#define STOPPING_RETRY (20 * CC_MS)
 /* Hard limit on a pool's backlog, requests; admission control refuses long
  * before it is reached. */
 #define BACKLOG_MAX 2000
@@ -292,6 +295,23 @@
   SEND_REFUSED /* refused; the exchange is freed */
 } SendResult;
 
+/* Whether E, if it were sent now, might still be at work when this process has
+ * to be gone.  Its outcome would be unknown then; refused, it is served by
+ * another process.
+ *
+ * Failure: only arriving requests are checked.  Symptom: one that has waited is
+ * sent late in the grace period and gets no answer. */
+static gboolean
+is_too_late (CcExchange *e, gint64 now)
+{
+  const CcForwarder *f = e->forwarder;
+
+  return f->stop_at != 0 &&
+         now + MIN (cc_exchange_left (e, now),
+                    cc_work_estimate_longest (&e->pool->work, e->kind)) >
+             f->stop_at;
+}
+
 /* Handles E if CHOSEN, the upstreams that may serve it, are unreachable from
  * here: forwards it through a peer, or refuses it if trying them is in vain.
  * Their links are probed meanwhile.  SEND_WAITS: an upstream may be tried. */
@@ -595,6 +615,23 @@
     }
 }
 
+/* Refuses the requests in P's backlog that can't be answered before this
+ * process has to be gone. */
+static void
+refuse_late (CcForwardPool *p, gint64 now)
+{
+  GSequenceIter *i = g_sequence_get_begin_iter (p->backlog.order);
+
+  while (!g_sequence_iter_is_end (i))
+    {
+      CcExchange *e = ((CcBacklogEntry *) g_sequence_get (i))->item;
+
+      i = g_sequence_iter_next (i);
+      if (is_too_late (e, now))
+        cc_exchange_end_not_run_after (e, "stopping", STOPPING_RETRY);
+    }
+}
+
 /* Refuses the requests in P's backlog that can't be answered before their
  * deadlines.  Each request with a key waits for its own owner, not for those
  * before it. */
@@ -653,6 +690,8 @@
     {
       CcForwardPool *p = value;
 
+      if (f->stop_at != 0)
+        refuse_late (p, now);
       if (cc_backlog_length (&p->backlog) > 0)
         pump_pool (p, now);
       if (cc_backlog_length (&p->backlog) > 0)
@@ -663,6 +702,15 @@
     schedule_pump (f);
 }
 
+/* From now on refuses waiting requests that may not be answered by STOP_AT, us
+ * of cc_clock_now, when all must have ended. */
+void
+cc_forwarder_drain (CcForwarder *f, gint64 stop_at)
+{
+  f->stop_at = stop_at;
+  cc_forwarder_pump (f);
+}
+
 /* Applies those of ROWS that describe key ranges of P.  Returns FALSE if there
  * are none. */
 static gboolean
--- a/forward.h
+++ b/forward.h
@@ -63,6 +63,7 @@
 void cc_forwarder_ranges_changed (CcForwarder *f, const CcView *state,
                                   const GPtrArray *rows);
 void cc_forwarder_pump (CcForwarder *f);
+void cc_forwarder_drain (CcForwarder *f, gint64 stop_at);
 void cc_forwarder_limit_connections (CcForwarder *f, const char *pool,
                                      guint connections);
 guint cc_forwarder_pending (const CcForwarder *f);
--- a/forward_server.c
+++ b/forward_server.c
@@ -95,6 +95,17 @@
   g_free (r);
 }
 
+/* Returns how a request that ended as E is reported to the peer.  What S
+ * refuses while it stops may be served by another gateway. */
+static CcPeerEnd
+peer_end (const CcForwardServer *s, const CcExchangeResult *e)
+{
+  if (e->partitioned)
+    return CC_PEER_PARTITIONED;
+  return s->draining && e->kind == CC_EXCHANGE_NOT_RUN ? CC_PEER_BUSY
+                                                       : CC_PEER_SERVED;
+}
+
 static void
 on_result (const CcExchangeResult *e, gpointer data)
 {
@@ -108,7 +119,7 @@
               e->kind == CC_EXCHANGE_NOT_RUN ? "not-run" : "unknown", "reason",
               e->reason, "target", e->target, "attempts",
               cc_event_int (e->attempts), NULL);
-  answer (r->message, e->partitioned ? CC_PEER_PARTITIONED : CC_PEER_SERVED, e);
+  answer (r->message, peer_end (r->server, e), e);
   soup_server_message_unpause (r->message);
 }
 
--- a/gateway.c
+++ b/gateway.c
@@ -699,6 +699,7 @@
             cc_event_int (cc_callers_pending (g->callers)), NULL);
   cc_callers_drain (g->callers, g->quiet_at, g->stop_at);
   cc_forward_server_drain (g->forward_server);
+  cc_forwarder_drain (g->forwarder, g->stop_at);
   cc_granter_resign (g->granter);
   cc_timer_start (&g->drain, DRAIN_POLL, on_drain_poll, g);
   return G_SOURCE_CONTINUE;
