Requests without an answer are ended before a stopping gateway exits

What callers saw: at the end of the grace period of a planned stop, connections were closed without an answer while upstreams were at work, also of requests that must not be repeated.

Cause: the process exited at the end with its requests in progress.

Evidence: test_stop, "an upstream that does not answer" and "a request that takes longer than usual": status 0, closed at 3.1 s; red since.

Change: 400 ms before the end of the grace period waiting requests are refused and those that were sent end as unknown, with 502 and the reason "stopping"; the process exits when the answers are written, 200 ms before the end at the latest.

--- a/callers.c
+++ b/callers.c
@@ -25,10 +25,6 @@
 /* Retry-After while there is no configuration. */
 #define STARTING_RETRY (300 * CC_MS)
 
-/* Retry-After of a stopping process: the retry reaches another instance, so it
- * may be sent almost at once. */
-#define STOPPING_RETRY (20 * CC_MS)
-
 /* Retry-After of a request that was refused for want of memory is between this
  * and twice this: bodies over slow links take seconds, and those refused at the
  * same time should not return at the same time. */
@@ -380,7 +376,7 @@
                                        "headers-too-large", 0 };
 static const Refusal cancelled = { SOUP_STATUS_BAD_GATEWAY, "cancelled", 0 };
 static const Refusal stopping = { SOUP_STATUS_SERVICE_UNAVAILABLE, "stopping",
-                                  STOPPING_RETRY };
+                                  CC_STOPPING_RETRY };
 static const Refusal no_connections = { SOUP_STATUS_SERVICE_UNAVAILABLE,
                                         "connections", STARTING_RETRY };
 static const Refusal no_pool = { SOUP_STATUS_SERVICE_UNAVAILABLE, "no-pool",
--- a/exchange.c
+++ b/exchange.c
@@ -36,6 +36,7 @@
   cc_timer_stop (&e->timer);
   cc_backlog_remove (&e->pool->backlog, &e->entry);
   e->forwarder->pending--;
+  g_queue_unlink (&e->forwarder->exchanges, &e->link);
   cc_caller_info_clear (&e->caller);
   g_ptr_array_unref (e->tried);
   g_clear_pointer (&e->peers_tried, g_ptr_array_unref);
@@ -417,6 +418,27 @@
   cc_forwarder_pump (f);
 }
 
+/* Ends E, which has no answer, since this process stops: not-run if it waits,
+ * unknown if it was sent. */
+void
+cc_exchange_end_stopping (CcExchange *e)
+{
+  switch (e->state)
+    {
+    case STATE_WAITING:
+      cc_exchange_end_not_run_after (e, "stopping", CC_STOPPING_RETRY);
+      return;
+    case STATE_SENT:
+      cc_exchange_cancel_call (e);
+      break;
+    case STATE_FORWARDED:
+      cc_http_cancel (e->call);
+      cc_exchange_end_forward (e, CC_PEER_ABANDONED);
+      break;
+    }
+  cc_exchange_end_unknown (e, "stopping");
+}
+
 /* Returns E to its pool's backlog.  It is not sent again before DELAY, us. */
 void
 cc_exchange_requeue (CcExchange *e, gint64 delay)
--- a/exchange_state.h
+++ b/exchange_state.h
@@ -29,6 +29,7 @@
   GPtrArray *peers;       /* of CcPeer */
   guint entries;          /* in the fleet */
   guint pending;          /* requests without an answer */
+  GQueue exchanges;       /* these, of CcExchange */
   CcTimer capacity_timer; /* until the next capacity check */
   gint64 pump_at;         /* when that ends, us */
   gint64 permit_due;      /* when a request that waits for a permit is to be
@@ -43,6 +44,7 @@
 struct CcExchange
 {
   CcForwarder *forwarder;
+  GList link; /* in the forwarder's EXCHANGES */
   CcForwardPool *pool;
   CcBacklogEntry entry;
   State state;
@@ -109,6 +111,7 @@
                                     gint64 retry_after);
 void cc_exchange_end_unknown (CcExchange *e, const char *reason);
 void cc_exchange_end_answered (CcExchange *e, const CcExchangeResult *answer);
+void cc_exchange_end_stopping (CcExchange *e);
 void cc_exchange_requeue (CcExchange *e, gint64 delay);
 void cc_exchange_retry_unknown (CcExchange *e, const char *why, gint64 delay);
 void cc_exchange_log_retry (const CcExchange *e, const char *why);
--- a/forward.c
+++ b/forward.c
@@ -34,9 +34,6 @@
 /* Callers that are refused during a rest are told to return within this part of
  * it after its end, spread evenly. */
 #define REST_SPREAD 0.25
-/* Retry-After of a request that is refused since this process stops: the retry
- * reaches another one. */
-#define STOPPING_RETRY (20 * CC_MS)
 /* Hard limit on a pool's backlog, requests; admission control refuses long
  * before it is reached. */
 #define BACKLOG_MAX 2000
@@ -628,7 +625,7 @@
 
       i = g_sequence_iter_next (i);
       if (is_too_late (e, now))
-        cc_exchange_end_not_run_after (e, "stopping", STOPPING_RETRY);
+        cc_exchange_end_not_run_after (e, "stopping", CC_STOPPING_RETRY);
     }
 }
 
@@ -711,6 +708,14 @@
   cc_forwarder_pump (f);
 }
 
+/* Ends all requests that have no answer, since the process has to be gone. */
+void
+cc_forwarder_end_all (CcForwarder *f)
+{
+  while (f->exchanges.length > 0)
+    cc_exchange_end_stopping (g_queue_peek_head (&f->exchanges));
+}
+
 /* Applies those of ROWS that describe key ranges of P.  Returns FALSE if there
  * are none. */
 static gboolean
@@ -796,6 +801,8 @@
   e->entry.item = e;
   e->done = done;
   e->data = data;
+  e->link.data = e;
+  g_queue_push_tail_link (&f->exchanges, &e->link);
   f->pending++;
   return e;
 }
--- a/forward.h
+++ b/forward.h
@@ -17,6 +17,10 @@
 #include "upstream_notices.h"
 #include "zones.h"
 
+/* Retry-After of a request that is refused since this process stops: the retry
+ * reaches another one, so it may be sent almost at once. */
+#define CC_STOPPING_RETRY (20 * CC_MS)
+
 typedef struct CcForwarder CcForwarder;
 typedef struct CcExchange CcExchange;
 
@@ -64,6 +68,7 @@
                                   const GPtrArray *rows);
 void cc_forwarder_pump (CcForwarder *f);
 void cc_forwarder_drain (CcForwarder *f, gint64 stop_at);
+void cc_forwarder_end_all (CcForwarder *f);
 void cc_forwarder_limit_connections (CcForwarder *f, const char *pool,
                                      guint connections);
 guint cc_forwarder_pending (const CcForwarder *f);
--- a/gateway.c
+++ b/gateway.c
@@ -38,8 +38,9 @@
 /* Time until the load balancer stops sending new connections to a draining
  * process: it polls readiness once a second and acts after two failures. */
 #define DRAIN_QUIET (2600 * CC_MS)
-/* Part of the stop grace period that is left unused, so that the process exits
- * before the platform kills it. */
+/* Requests without an answer are ended this long before the end of the stop
+ * grace period.  Half of that is for writing their answers; the rest is left
+ * unused, so that the process exits before the platform kills it. */
 #define DRAIN_RESERVE (400 * CC_MS)
 #define DRAIN_POLL (50 * CC_MS)
 #define TARGETS_RECHECK (250 * CC_MS) /* period while upstreams are missing */
@@ -101,7 +102,8 @@
   CcLimitLink *limits;
   CcHealthLink *health;
   CcTimer drain;
-  gint64 stop_at;  /* exits by then, us; 0: not draining */
+  gint64 stop_at;  /* all requests have ended by then, us; 0: not draining */
+  gint64 exit_at;  /* exits by then, us */
   gint64 quiet_at; /* no new connections are expected after this, us */
 } Gateway;
 
@@ -669,14 +671,19 @@
 }
 
 /* Exits when no new requests are expected, all are answered and the lease was
- * released, or when the stop grace period is over. */
+ * released, or when the stop grace period is over.
+ *
+ * Failure: the process exits while upstreams are at work.  Symptom: callers
+ * whose requests must not be repeated get no answer at all. */
 static void
 on_drain_poll (gpointer data)
 {
   Gateway *g = data;
   gint64 now = cc_clock_now ();
 
-  if (now >= g->stop_at ||
+  if (now >= g->stop_at)
+    cc_forwarder_end_all (g->forwarder);
+  if (now >= g->exit_at ||
       (now >= g->quiet_at && cc_callers_pending (g->callers) == 0 &&
        cc_forward_server_pending (g->forward_server) == 0 &&
        cc_granter_has_resigned (g->granter)))
@@ -694,6 +701,7 @@
   if (g->stop_at != 0)
     return G_SOURCE_CONTINUE;
   g->stop_at = cc_clock_now () + MAX (grace - DRAIN_RESERVE, 0);
+  g->exit_at = cc_clock_now () + MAX (grace - DRAIN_RESERVE / 2, 0);
   g->quiet_at = MIN (cc_clock_now () + DRAIN_QUIET, g->stop_at);
   cc_event (CC_EVENT_STATE, "stopping", "unanswered",
             cc_event_int (cc_callers_pending (g->callers)), NULL);
