The reserve at the end of a stop is a tenth of the grace period at most

What callers saw: with a grace period of 2 s, requests were cut 1.6 s after SIGTERM, though their upstreams had answers for them at 1.64 s.

Cause: 400 ms were left unused whatever the grace period is.

Evidence: test_stop, a_stop_with_a_short_grace_loses_no_request, red since.

Change: a tenth of the grace period, 400 ms at most. Periods of 4 s and more are as before.

After: that test passes.

--- a/gateway.c
+++ b/gateway.c
@@ -39,9 +39,11 @@
  * process: it polls readiness once a second and acts after two failures. */
 #define DRAIN_QUIET (2600 * CC_MS)
 /* Requests without an answer are ended this long before the end of the stop
- * grace period.  Half of that is for writing their answers; the rest is left
- * unused, so that the process exits before the platform kills it. */
-#define DRAIN_RESERVE (400 * CC_MS)
+ * grace period, or one part in DRAIN_RESERVE_PART before the end of a short
+ * one.  Half of that is for writing their answers; the rest is left unused, so
+ * that the process exits before the platform kills it. */
+#define DRAIN_RESERVE_MAX (400 * CC_MS)
+#define DRAIN_RESERVE_PART 10
 #define DRAIN_POLL (50 * CC_MS)
 #define TARGETS_RECHECK (250 * CC_MS) /* period while upstreams are missing */
 #define LOG_FLUSH_PERIOD (1 * CC_SECOND) /* for buffered log lines */
@@ -697,12 +699,14 @@
 {
   Gateway *g = data;
   gint64 grace = cc_setting_time (g->settings, "stop-grace");
+  gint64 reserve = MIN (grace / DRAIN_RESERVE_PART, DRAIN_RESERVE_MAX);
+  gint64 now = cc_clock_now ();
 
   if (g->stop_at != 0)
     return G_SOURCE_CONTINUE;
-  g->stop_at = cc_clock_now () + MAX (grace - DRAIN_RESERVE, 0);
-  g->exit_at = cc_clock_now () + MAX (grace - DRAIN_RESERVE / 2, 0);
-  g->quiet_at = MIN (cc_clock_now () + DRAIN_QUIET, g->stop_at);
+  g->stop_at = now + grace - reserve;
+  g->exit_at = now + grace - reserve / 2;
+  g->quiet_at = MIN (now + DRAIN_QUIET, g->stop_at);
   cc_event (CC_EVENT_STATE, "stopping", "unanswered",
             cc_event_int (cc_callers_pending (g->callers)), NULL);
   cc_callers_drain (g->callers, g->quiet_at, g->stop_at);
