The grace period of a stop counts from a stall that hid the signal

What callers saw: a gateway that was paused when it was told to stop was killed with requests in progress.

Cause: the grace period was counted from when the signal was handled, and the supervisor counts it from when it sends it.

Evidence: test_stop, "a process that is paused before the signal": it is paused for 1.5 s and still there when its grace period of 3.5 s is over; red since.

Change: a signal that is handled within a moment of a stall may be as old as the stall, so the grace period is counted from its begin.

After: requests_late_in_the_grace_are_answered passes.

--- a/gateway.c
+++ b/gateway.c
@@ -693,20 +693,24 @@
   cc_timer_start (&g->drain, DRAIN_POLL, on_drain_poll, g);
 }
 
-/* Starts to drain on SIGTERM; further signals are ignored. */
+/* Starts to drain on SIGTERM; further signals are ignored.
+ *
+ * Failure: a process that was paused, or waited for a processor, counts the
+ * grace period from when it handles the signal.  Symptom: it is killed with
+ * requests in progress. */
 static gboolean
 on_stop (gpointer data)
 {
   Gateway *g = data;
   gint64 grace = cc_setting_time (g->settings, "stop-grace");
   gint64 reserve = MIN (grace / DRAIN_RESERVE_PART, DRAIN_RESERVE_MAX);
-  gint64 now = cc_clock_now ();
+  gint64 sent = cc_stall_arrived_after (&g->stall, cc_clock_now ());
 
   if (g->stop_at != 0)
     return G_SOURCE_CONTINUE;
-  g->stop_at = now + grace - reserve;
-  g->exit_at = now + grace - reserve / 2;
-  g->quiet_at = MIN (now + DRAIN_QUIET, g->stop_at);
+  g->stop_at = sent + grace - reserve;
+  g->exit_at = sent + grace - reserve / 2;
+  g->quiet_at = MIN (sent + DRAIN_QUIET, g->stop_at);
   cc_event (CC_EVENT_STATE, "stopping", "unanswered",
             cc_event_int (cc_callers_pending (g->callers)), NULL);
   cc_callers_drain (g->callers, g->quiet_at, g->stop_at);
--- a/stall.h
+++ b/stall.h
@@ -19,11 +19,14 @@
 /* All zero: not started. */
 typedef struct
 {
-  gint64 active_at;  /* last sign of activity, us; 0: none yet */
-  gint64 hold_until; /* us */
+  gint64 active_at;    /* last sign of activity, us; 0: none yet */
+  gint64 hold_until;   /* us */
+  gint64 stalled_from; /* begin of the last stall of any length, us */
+  gint64 stalled_to;   /* its end, us; 0: there was none */
 } CcStall;
 
 void cc_stall_tick (CcStall *s, gint64 now);
 gint64 cc_stall_hold_until (CcStall *s, gint64 now);
+gint64 cc_stall_arrived_after (CcStall *s, gint64 now);
 
 #endif
