Dispatcher: answers to grants and probes are read within bounds

What callers saw: a server that sends a body without end in its answers to grants or probes made the dispatcher keep 182 to 438 MB, until the calls were cancelled. One that sends interim answers without end held its main loop for 263 s: no caller was served and no lease renewed.

Cause: these calls went through libsoup's client, which keeps a whole answer and reads interim ones in a loop of its own.

Change: they go through http_link.c, as requests do, on new connections as before.

The server of test_endless is shared with the new test; its cases and checks are unchanged.

--- a/test/test_endless.c
+++ b/test/test_endless.c
@@ -11,6 +11,7 @@
 #include <gio/gio.h>
 
 #include "clock.h"
+#include "endless_server.h"
 #include "http_link.h"
 #include "process.h"
 #include "timers.h"
@@ -23,7 +24,6 @@
 #define LATE_MAX (150 * CC_MS)
 /* Memory for all calls together; an instance may have 260 MB. */
 #define MEMORY_MAX (64 * 1024 * 1024)
-#define SENT_MAX (256 * 1024 * 1024) /* by one thread, bytes */
 /* Calls to faulty upstreams at once, while calls to another are counted. */
 #define CROWD 48
 #define CROWD_PAUSE (50 * CC_MS) /* until one of these is repeated */
@@ -33,75 +33,14 @@
 
 #define OK "HTTP/1.1 200 OK\r\n"
 
-typedef struct
-{
-  const char *name;
-  const char *head;  /* sent once */
-  const char *piece; /* sent without end, many times over */
-} Case;
-
-static const Case cases[] = {
-  { "a body", OK "Content-Length: 99999999999\r\n\r\n", "xxxxxxxxxxxxxxxx" },
-  { "a body in chunks", OK "Transfer-Encoding: chunked\r\n\r\n",
-    "8\r\nxxxxxxxx\r\n" },
-  { "a body until the close", OK "\r\n", "xxxxxxxxxxxxxxxx" },
-  { "a header", OK "X: ", "xxxxxxxxxxxxxxxx" },
-  { "headers", OK, "X: xxxxxxxxxx\r\n" },
-  { "interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n" },
-  { "answers to other requests", "",
-    OK "X-Echo: 0\r\nContent-Length: 2\r\n\r\nho" },
-  { "a chunk's extension", OK "Transfer-Encoding: chunked\r\n\r\n1;",
-    "xxxxxxxxxxxxxxxx" },
-  { "chunks of one byte", OK "Transfer-Encoding: chunked\r\n\r\n",
-    "1\r\nx\r\n" },
-  { "trailers", OK "Transfer-Encoding: chunked\r\n\r\n0\r\n",
-    "X: xxxxxxxxxx\r\n" },
-  { "no HTTP", "", "xxxxxxxxxxxxxxxx" },
-};
-
 static struct
 {
-  const Case *playing;
   CcTimer timer;
   gint64 due, latest; /* of the timer; its greatest lateness, us */
   gint64 memory;      /* most, bytes */
   guint ended, answered;
 } w;
 
-/* Sends the bytes of the case to a connection until it is closed. */
-static gboolean
-on_connection (GThreadedSocketService *service, GSocketConnection *c,
-               GObject *source, gpointer data)
-{
-  GSocket *socket = g_socket_connection_get_socket (c);
-  const Case *playing = w.playing;
-  GString *block = g_string_new (NULL);
-  char request[4096];
-  gsize sent = 0;
-
-  (void) service, (void) source, (void) data;
-  while (block->len < 64 * 1024)
-    g_string_append (block, playing->piece);
-  if (g_socket_receive (socket, request, sizeof request, NULL, NULL) > 0 &&
-      g_socket_send (socket, playing->head, strlen (playing->head), NULL,
-                     NULL) >= 0)
-    while (sent < SENT_MAX)
-      {
-        gssize n = g_socket_send (socket, block->str, block->len, NULL, NULL);
-
-        if (n <= 0)
-          break;
-        sent += (gsize) n;
-        /* The pieces must stay whole. */
-        if ((gsize) n < block->len &&
-            g_socket_send (socket, block->str + n, block->len - (gsize) n, NULL,
-                           NULL) <= 0)
-          break;
-      }
-  g_string_free (block, TRUE);
-  return TRUE;
-}
-
 static void
 on_tick (gpointer data)
 {
@@ -123,11 +62,11 @@
 }
 
 static void
-play (CcHttp *http, const char *address, const Case *c)
+play (CcHttp *http, const char *address, const EndlessKind *c)
 {
   gint64 from = cc_clock_now (), before = cc_process_resident_bytes ();
 
-  w.playing = c;
+  endless_playing = c;
   w.ended = w.answered = 0;
   w.latest = 0;
   w.memory = before;
@@ -163,39 +102,17 @@
               (w.memory - before) / (1024 * 1024));
 }
 
-typedef gboolean (*ConnectionHandler) (GThreadedSocketService *service,
-                                       GSocketConnection *c, GObject *source,
-                                       gpointer data);
-
-/* Starts a server with up to THREADS connections that HANDLER serves.  Returns
- * its address, to be freed, and sets *SERVICE. */
-static char *
-start_server (int threads, ConnectionHandler handler, GSocketService **service)
-{
-  g_autoptr (GInetAddress) ip =
-      g_inet_address_new_loopback (G_SOCKET_FAMILY_IPV4);
-  g_autoptr (GSocketAddress) at = g_inet_socket_address_new (ip, 0);
-  g_autoptr (GSocketAddress) got = NULL;
-
-  *service = g_threaded_socket_service_new (threads);
-  assert_true (g_socket_listener_add_address (
-      G_SOCKET_LISTENER (*service), at, G_SOCKET_TYPE_STREAM,
-      G_SOCKET_PROTOCOL_TCP, NULL, &got, NULL));
-  g_signal_connect (*service, "run", G_CALLBACK (handler), NULL);
-  return g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (
-                                              G_INET_SOCKET_ADDRESS (got)));
-}
-
 static void
 endless_bytes_are_cut_off (void **state)
 {
   GSocketService *service;
-  g_autofree char *address = start_server (CALLS, on_connection, &service);
+  g_autofree char *address =
+      endless_server_start (CALLS, endless_serve, &service);
   CcHttp *http = cc_http_new ("127.0.0.1");
 
   (void) state;
-  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
-    play (http, address, &cases[i]);
+  for (guint i = 0; i < ENDLESS_KINDS; i++)
+    play (http, address, &endless_kinds[i]);
   cc_http_free (http);
   g_object_unref (service);
 }
@@ -287,13 +204,15 @@
 other_calls_go_on_beside_endless_bytes (void **state)
 {
   GSocketService *bad, *good;
-  g_autofree char *bad_address = start_server (CROWD, on_connection, &bad);
-  g_autofree char *good_address = start_server (4, on_good_connection, &good);
+  g_autofree char *bad_address =
+      endless_server_start (CROWD, endless_serve, &bad);
+  g_autofree char *good_address =
+      endless_server_start (4, on_good_connection, &good);
   CcHttp *http = cc_http_new ("127.0.0.1");
   guint failed = 0;
 
   (void) state;
-  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+  for (guint i = 0; i < ENDLESS_KINDS; i++)
     {
       Repeated other = { .http = http,
                          .address = good_address,
@@ -301,7 +220,7 @@
       Repeated crowd[CROWD];
       guint alone, beside;
 
-      w.playing = &cases[i];
+      endless_playing = &endless_kinds[i];
       repeat_call (&other);
       alone = count_calls (&other);
       for (guint k = 0; k < CROWD; k++)
@@ -316,7 +235,7 @@
         stop_call (&crowd[k]);
       stop_call (&other);
       print_message ("%s: %u calls to another upstream, %u alone\n",
-                     cases[i].name, beside, alone);
+                     endless_kinds[i].name, beside, alone);
       failed += beside < SHARE_MIN * alone;
     }
   cc_http_free (http);
--- a/upstream.c
+++ b/upstream.c
@@ -30,8 +30,8 @@
 
 struct CcUpstream
 {
-  CcHttp *http;         /* for attempts */
-  SoupSession *control; /* for grants and probes, not queued behind work */
+  CcHttp *http;    /* for attempts */
+  CcHttp *control; /* for grants and probes */
 };
 
 struct CcAttempt
@@ -44,10 +44,6 @@
 
 typedef struct
 {
-  CcUpstream *upstream;
-  SoupMessage *message;
-  GCancellable *cancel;
-  guint timer;
   guint64 serial;
   gint64 sent;
   CcGrantDone done;
@@ -64,7 +60,7 @@
 
   cc_address_parse (source, &ip, NULL);
   u->http = cc_http_new (ip);
-  u->control = cc_http_client (source, CC_CONNECTIONS_MAX);
+  u->control = cc_http_new (ip);
   return u;
 }
 
@@ -265,58 +261,59 @@
   end_without_call (a, end);
 }
 
-static gboolean
-on_control_timeout (gpointer data)
+/* Ends a grant or probe that could not be sent. */
+static void
+end_unsent (gpointer data)
 {
   ControlCall *c = data;
 
-  c->timer = 0;
-  g_cancellable_cancel (c->cancel);
-  return G_SOURCE_REMOVE;
+  c->done (CC_UNKNOWN, c->serial, c->sent, c->data);
+  g_free (c);
 }
 
 /* Ends a grant or probe with CC_OK, CC_CONFLICT, or CC_UNKNOWN for any other
  * result. */
 static void
-on_control_answer (GObject *source, GAsyncResult *result, gpointer data)
+on_control_result (const CcHttpResult *r, gpointer data)
 {
   ControlCall *c = data;
-  g_autoptr (GBytes) body =
-      soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
-  guint code = soup_message_get_status (c->message);
   CcStatus status = CC_UNKNOWN;
 
-  if (body != NULL && code == SOUP_STATUS_OK)
+  if (r->end == CC_HTTP_ANSWERED && r->status == SOUP_STATUS_OK)
     status = CC_OK;
-  else if (body != NULL && code == SOUP_STATUS_CONFLICT)
+  else if (r->end == CC_HTTP_ANSWERED && r->status == SOUP_STATUS_CONFLICT)
     status = CC_CONFLICT;
   c->done (status, c->serial, c->sent, c->data);
-  if (c->timer != 0)
-    g_source_remove (c->timer);
-  g_object_unref (c->message);
-  g_object_unref (c->cancel);
   g_free (c);
 }
 
-/* Prepares a grant or probe on a new connection, cancelled after GRANT_TIMEOUT.
- */
-static ControlCall *
-control_call (CcUpstream *u, const char *method, const CcHolding *h,
-              const char *path, CcGrantDone done, gpointer data)
+/* Sends a grant or probe, whose LINE is method and path, on a new connection;
+ * it ends after GRANT_TIMEOUT.  BODY may be NULL.
+ *
+ * Failure: libsoup's client keeps all of an answer and reads interim ones in
+ * one go.  Symptom: a server that sends either without end exhausts the memory
+ * of the process, or holds its main loop. */
+static void
+control_call (CcUpstream *u, const CcHolding *h, const char *line, GBytes *body,
+              CcGrantDone done, gpointer data)
 {
-  g_autofree char *url = g_strconcat ("http://", h->address, path, NULL);
+  g_autofree char *head = g_strdup_printf (
+      "%s HTTP/1.1\r\nHost: %s\r\n%s", line, h->address,
+      body != NULL ? "Content-Type: application/json\r\n" : "");
+  CcHttpRequest request = { .address = h->address,
+                            .head = head,
+                            .body = body,
+                            .connect_timeout = GRANT_TIMEOUT,
+                            .answer_timeout = GRANT_TIMEOUT,
+                            .closes = TRUE };
   ControlCall *c = g_new0 (ControlCall, 1);
 
-  c->upstream = u;
-  c->message = soup_message_new (method, url);
-  c->cancel = g_cancellable_new ();
   c->serial = h->serial;
   c->sent = cc_clock_now ();
   c->done = done;
   c->data = data;
-  cc_http_use_new_connection (c->message);
-  c->timer = g_timeout_add (GRANT_TIMEOUT / CC_MS, on_control_timeout, c);
-  return c;
+  if (cc_http_send (u->control, &request, on_control_result, c) == NULL)
+    g_idle_add_once (end_unsent, c);
 }
 
 /* Returns the JSON body of a grant; the caller frees it. */
@@ -354,14 +351,10 @@
 cc_upstream_grant (CcUpstream *u, const CcHolding *h, const char *holder,
                    CcGrantDone done, gpointer data)
 {
-  ControlCall *c = control_call (u, "PUT", h, "/capercrank/grant", done, data);
   char *text = grant_body (h, holder);
   g_autoptr (GBytes) body = g_bytes_new_take (text, strlen (text));
 
-  soup_message_set_request_body_from_bytes (c->message, "application/json",
-                                            body);
-  soup_session_send_and_read_async (u->control, c->message, G_PRIORITY_DEFAULT,
-                                    c->cancel, on_control_answer, c);
+  control_call (u, h, "PUT /capercrank/grant", body, done, data);
 }
 
 /* Checks whether H's server is reachable, without granting anything. */
@@ -369,8 +362,5 @@
 cc_upstream_probe (CcUpstream *u, const CcHolding *h, CcGrantDone done,
                    gpointer data)
 {
-  ControlCall *c = control_call (u, "GET", h, "/capercrank/load", done, data);
-
-  soup_session_send_and_read_async (u->control, c->message, G_PRIORITY_DEFAULT,
-                                    c->cancel, on_control_answer, c);
+  control_call (u, h, "GET /capercrank/load", NULL, done, data);
 }
