capercrankctl: answers are read within bounds

What operators saw: capercrankctl kept an answer without end, 779 MB in 2.4 s, or never came back.

Cause: as with grants and probes, libsoup's client has no bound, and its time-out begins anew with each byte.

Change: calls go through http_link.c, with one time of 10 s for the whole answer. Names in the path of drain are quoted, which libsoup did.

--- a/ctl_call.c
+++ b/ctl_call.c
@@ -1,5 +1,6 @@
 /* HTTP requests of capercrankctl, and the report of those that fail. */
 #include "ctl.h"
+#include "http_link.h"
 #include "json_tree.h"
 
 #include <stdio.h>
@@ -10,7 +11,8 @@
 /* Longer than the assigner's timeout for a call to the platform plus the read
  * that follows it, so that the assigner reports a slow platform before this
  * client times out. */
-#define REQUEST_TIMEOUT_S 10
+#define REQUEST_TIMEOUT (10 * CC_SECOND)
+#define ANY_IP "0.0.0.0"
 
 /* Frees the members of A. */
 void
@@ -20,16 +22,52 @@
   g_clear_pointer (&a->etag, g_free);
 }
 
-static void
-add_headers (SoupMessage *m, const CtlOptions *o, const char *if_match)
+/* Returns the head of a request; the caller frees it. */
+static char *
+request_head (const CtlOptions *o, const char *address, const char *line,
+              const char *body, const char *if_match)
 {
-  SoupMessageHeaders *h = soup_message_get_request_headers (m);
-  g_autofree char *bearer = g_strconcat ("Bearer ", o->token, NULL);
+  GString *head = g_string_new (NULL);
 
+  g_string_append_printf (head, "%s HTTP/1.1\r\nHost: %s\r\n", line, address);
+  if (body != NULL)
+    g_string_append (head, "Content-Type: application/json\r\n");
   if (if_match != NULL)
-    soup_message_headers_append (h, "If-Match", if_match);
+    g_string_append_printf (head, "If-Match: %s\r\n", if_match);
   if (o->token[0] != '\0')
-    soup_message_headers_append (h, "Authorization", bearer);
+    g_string_append_printf (head, "Authorization: Bearer %s\r\n", o->token);
+  return g_string_free (head, FALSE);
+}
+
+/* A call in progress. */
+typedef struct
+{
+  const char *address;
+  gboolean ended;
+  CtlResponse response;
+} Call;
+
+static void
+print_unreachable (const char *address, const char *why)
+{
+  fprintf (stderr, "capercrankctl: %s can't be reached: %s\n", address, why);
+}
+
+static void
+on_result (const CcHttpResult *r, gpointer data)
+{
+  Call *c = data;
+
+  c->ended = TRUE;
+  if (r->end != CC_HTTP_ANSWERED)
+    {
+      print_unreachable (c->address, r->why);
+      return;
+    }
+  c->response.status = r->status;
+  c->response.body =
+      g_strndup (g_bytes_get_data (r->body, NULL), g_bytes_get_size (r->body));
+  c->response.etag = g_strdup (cc_http_header (r, "ETag"));
 }
 
 /* Sends one request to ADDRESS (IP:PORT) and waits for the response.  BODY and
@@ -39,34 +77,26 @@
 ctl_call (const CtlOptions *o, const char *address, const char *method,
           const char *path, const char *body, const char *if_match)
 {
-  CtlResponse a = { 0 };
-  g_autofree char *url = g_strconcat ("http://", address, path, NULL);
-  g_autoptr (SoupSession) s =
-      soup_session_new_with_options ("timeout", REQUEST_TIMEOUT_S, NULL);
-  g_autoptr (SoupMessage) m = soup_message_new (method, url);
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) received = NULL;
+  Call c = { .address = address };
+  CcHttp *http = cc_http_new (ANY_IP);
+  g_autofree char *line = g_strdup_printf ("%s %s", method, path);
+  g_autofree char *head = request_head (o, address, line, body, if_match);
+  g_autoptr (GBytes) bytes =
+      body != NULL ? g_bytes_new (body, strlen (body)) : NULL;
+  CcHttpRequest request = { .address = address,
+                            .head = head,
+                            .body = bytes,
+                            .connect_timeout = REQUEST_TIMEOUT,
+                            .answer_timeout = REQUEST_TIMEOUT,
+                            .closes = TRUE };
 
-  if (body != NULL)
-    {
-      g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
-
-      soup_message_set_request_body_from_bytes (m, "application/json", bytes);
-    }
-  add_headers (m, o, if_match);
-  received = soup_session_send_and_read (s, m, NULL, &error);
-  if (received == NULL)
-    {
-      fprintf (stderr, "capercrankctl: %s can't be reached: %s\n", address,
-               error->message);
-      return a;
-    }
-  a.status = soup_message_get_status (m);
-  a.body = g_strndup (g_bytes_get_data (received, NULL),
-                      g_bytes_get_size (received));
-  a.etag = g_strdup (soup_message_headers_get_one (
-      soup_message_get_response_headers (m), "ETag"));
-  return a;
+  if (cc_http_send (http, &request, on_result, &c) != NULL)
+    while (!c.ended)
+      g_main_context_iteration (NULL, TRUE);
+  else
+    print_unreachable (address, "no valid address");
+  cc_http_free (http);
+  return c.response;
 }
 
 static void
--- a/ctl_config.c
+++ b/ctl_config.c
@@ -172,7 +172,7 @@
 static int
 request_drain (const CtlOptions *o, const char *method, const char *state)
 {
-  g_autofree char *path = NULL;
+  g_autofree char *quoted = NULL, *path = NULL;
   g_auto (GStrv) parts = g_strsplit (o->args[0], "/", -1);
   CtlResponse a;
   int code;
@@ -185,7 +185,8 @@
                o->args[0]);
       return CTL_USAGE;
     }
-  path = g_strconcat ("/v1/drain/", o->args[0], NULL);
+  quoted = g_uri_escape_string (o->args[0], "/", TRUE);
+  path = g_strconcat ("/v1/drain/", quoted, NULL);
   a = ctl_call (o, o->control, method, path, "", NULL);
   code = ctl_report (o, &a);
   if (code == CTL_OK)
