Reading in turn: sound large answers keep their room and their time

By reading the code before, not shown by a run: answers of over 64 KB fail beyond 32 MB in all, which sound answers of up to 1 MB may reach together; and a wait for the processor within a read counts as time of reading, so that a large answer waits four times as long again.

Change: the bound is 64 MB, and a read counts as 10 ms at most. Nothing used cc_http_use_new_connection and CC_CONNECTIONS_MAX any more.

--- a/admin.c
+++ b/admin.c
@@ -203,18 +203,6 @@
   return s;
 }
 
-/* Sends M on a new connection that is closed after the response.  libsoup would
- * keep the connection, and scans all kept connections for each new one: at 500
- * new ones per second that takes a whole core. */
-void
-cc_http_use_new_connection (SoupMessage *m)
-{
-  soup_message_add_flags (m, SOUP_MESSAGE_NEW_CONNECTION |
-                                 SOUP_MESSAGE_NO_REDIRECT);
-  soup_message_headers_replace (soup_message_get_request_headers (m),
-                                "Connection", "close");
-}
-
 static gboolean
 ignore_signal (gpointer data)
 {
--- a/admin.h
+++ b/admin.h
@@ -20,7 +20,6 @@
 void cc_http_answer (SoupServerMessage *m, guint status, const char *type,
                      const char *body);
 SoupSession *cc_http_client (const char *source, guint per_host);
-void cc_http_use_new_connection (SoupMessage *m);
 void cc_run_until_signal (GSourceFunc stop, GSourceFunc reload, gpointer data);
 
 #endif
--- a/gateway.c
+++ b/gateway.c
@@ -39,9 +39,9 @@
  * process: it polls readiness once a second and acts after two failures. */
 #define DRAIN_QUIET (2600 * CC_MS)
 /* Requests without an answer are ended this long before the end of the stop
- * grace period, or one part in DRAIN_RESERVE_PART before the end of a short
- * one.  Half of that is for writing their answers; the rest is left unused, so
- * that the process exits before the platform kills it. */
+ * grace period, and one part in DRAIN_RESERVE_PART of a short one.  Half of
+ * that is for writing their answers; the rest is left unused, so that the
+ * process exits before the platform kills it. */
 #define DRAIN_RESERVE_MAX (400 * CC_MS)
 #define DRAIN_RESERVE_PART 10
 #define DRAIN_POLL (50 * CC_MS)
--- a/http_link.c
+++ b/http_link.c
@@ -47,7 +47,7 @@
 #define LARGE_ANSWER (1024 * 1024)
 /* The same, beyond which all long ones fail: many that are read in turn are all
  * of some size below LARGE_ANSWER. */
-#define BUFFERED_HARD_MAX (32 * 1024 * 1024)
+#define BUFFERED_HARD_MAX (64 * 1024 * 1024)
 /* Bytes of an answer, and of what is beside its body, from which on it counts
  * as a long one.  Sound heads and frames of chunks are a few kB. */
 #define LONG_ANSWER (64 * 1024)
@@ -575,7 +575,7 @@
   fail (call, "closed");
 }
 
-/* Whether C receives a long answer. */
+/* Whether C receives a long answer, which is read in its share of the time. */
 static gboolean
 is_long (const CcHttpConnection *c)
 {
--- a/read_share.c
+++ b/read_share.c
@@ -9,8 +9,7 @@
  * stays in the buffers of the kernel, and its sender has to wait. */
 #include "read_share.h"
 
-/* One part in SHARE of the time. */
-#define SHARE 4
+#define SHARE 4 /* one part in SHARE of the time */
 #define BURST (10 * CC_MS)
 
 /* Returns how long to wait, from NOW, us, until the next piece of a long answer
@@ -33,9 +32,10 @@
   return s->credit > 0 ? 0 : (1 - s->credit) * SHARE;
 }
 
-/* Records that a piece was read in SPENT, us. */
+/* Records that a piece was read in SPENT, us.  A piece takes no longer than
+ * BURST; beyond that the process has waited for a processor. */
 void
 cc_read_share_spend (CcReadShare *s, gint64 spent)
 {
-  s->credit -= spent;
+  s->credit -= MIN (spent, BURST);
 }
--- a/upstream.h
+++ b/upstream.h
@@ -5,9 +5,6 @@
 #include "capercrank.h"
 #include "holding.h"
 
-/* Connections to one server; the servers accept 130. */
-#define CC_CONNECTIONS_MAX 130
-
 typedef struct CcUpstream CcUpstream;
 typedef struct CcAttempt CcAttempt;
 
