Logs and metric of the connection that an attempt was sent on

Nothing told whether a request was sent on a connection that had carried its id before, so that a copy of the refusal of the one could not be told from the refusal of the other. Each connection keeps the ids it has carried, as hashes, up to 1024; request-ended, attempt-repeated and forwarded-request-ended name the connection and whether it had carried the id; capercrank_attempts_of_same_id counts that. No logic changes.

--- a/exchange.c
+++ b/exchange.c
@@ -96,6 +96,8 @@
   end->unreachable = e->unreachable && end->kind == CC_EXCHANGE_NOT_RUN;
   end->partitioned = end->unreachable && e->pool->partitioned;
   end->peer = e->peer != NULL ? e->peer : "";
+  end->connection = e->connection;
+  end->same_id = e->same_id;
   end->waited = cc_clock_now () - e->began - e->served;
   cc_exchange_free (e);
   if (done != NULL)
@@ -460,8 +462,10 @@
   cc_event (CC_EVENT_FAILED, "attempt-repeated", "request", e->caller.id,
             "pool", e->pool->name, "target",
             e->target != NULL ? e->target->listing.id : "", "peer",
-            e->peer != NULL ? e->peer : "", "why", why, "attempts",
-            cc_event_int (e->attempts), "left_ms",
+            e->peer != NULL ? e->peer : "", "why", why, "connection",
+            cc_event_int ((gint64) e->connection), "same_id",
+            e->same_id ? "yes" : "no", "attempts", cc_event_int (e->attempts),
+            "left_ms",
             cc_event_int (cc_exchange_left (e, cc_clock_now ()) / CC_MS), NULL);
 }
 
@@ -775,6 +779,19 @@
             cc_event_int (e->target->load.in_flight), NULL);
 }
 
+/* Notes on which connection E's attempt was made, by its result R. */
+static void
+note_connection (CcExchange *e, const CcHttpResult *r)
+{
+  static CcCounter *same_ids;
+
+  if (same_ids == NULL)
+    same_ids = cc_metrics_counter ("capercrank_attempts_of_same_id", "");
+  *same_ids += r->same_id;
+  e->connection = r->connection;
+  e->same_id = r->same_id;
+}
+
 /* Handles result R of the attempt of DATA, an exchange. */
 void
 cc_exchange_on_result (const CcHttpResult *r, gpointer data)
@@ -787,6 +804,7 @@
 
   e->call = NULL;
   cc_timer_stop (&e->timer);
+  note_connection (e, r);
   read_notice (e, r);
   switch (r->end)
     {
--- a/exchange_result.h
+++ b/exchange_result.h
@@ -33,6 +33,9 @@
   gboolean unreachable; /* NOT_RUN: no upstream that may serve it is reachable
                            from the gateway that tried last */
   gboolean partitioned; /* ... nor any other upstream of its pool */
+  guint64 connection;   /* number of the connection of the last attempt, see
+                           CcHttpResult; 0: it has no result */
+  gboolean same_id;     /* of that attempt, see CcHttpResult */
   const char *peer;     /* address of the peer that it was last forwarded to, or
                            "" */
 } CcExchangeResult;
--- a/exchange_state.h
+++ b/exchange_state.h
@@ -80,6 +80,8 @@
   guint unreached_by_peers; /* peers that did not reach its upstream */
   guint peer_attempts;      /* attempts that the peer may make */
   CcHttpCall *call;
+  guint64 connection; /* of the last attempt, see CcExchangeResult */
+  gboolean same_id;
   gint64 sent;       /* start of the attempt, us */
   gint64 served;     /* time at upstreams, in attempts that have ended, us */
   gint64 leaving;    /* as of the last attempt, see CcExchangeResult */
--- a/forward.c
+++ b/forward.c
@@ -266,6 +266,8 @@
       return FALSE;
     }
   e->state = STATE_SENT;
+  e->connection = 0;
+  e->same_id = FALSE;
   e->moving = FALSE;
   e->sent = now;
   e->leaving = cc_target_leaving_age (t, now);
--- a/forward_server.c
+++ b/forward_server.c
@@ -118,7 +118,9 @@
               r->caller.id, "outcome",
               e->kind == CC_EXCHANGE_NOT_RUN ? "not-run" : "unknown", "reason",
               e->reason, "target", e->target, "attempts",
-              cc_event_int (e->attempts), NULL);
+              cc_event_int (e->attempts), "connection",
+              cc_event_int ((gint64) e->connection), "same_id",
+              e->same_id ? "yes" : "no", NULL);
   answer (r->message, peer_end (r->server, e), e);
   soup_server_message_unpause (r->message);
 }
--- a/http_link.c
+++ b/http_link.c
@@ -88,6 +88,8 @@
   gboolean (*may_send) (gpointer data); /* NULL: always */
   char *echo;
   char *echo_value;
+  guint64 echo_hash;  /* of ECHO_VALUE, unless HAS_ID */
+  gboolean same_id;   /* see CcHttpResult */
   gboolean has_id;    /* ECHO_VALUE is an id of the client */
   gboolean repeats;   /* see CcHttpRequest */
   gboolean echoed;    /* the answer being parsed names this request */
@@ -172,11 +174,24 @@
   g_free (c);
 }
 
+/* Whether the request of CALL has an id that is not the client's own, and so
+ * may be sent again. */
+static gboolean
+has_foreign_id (const CcHttpCall *call)
+{
+  return call->echo_value != NULL && !call->has_id;
+}
+
 /* Returns the connection of a finished call to the pool, or closes it. */
 static void
 release_connection (CcHttpConnection *c)
 {
-  c->carried |= c->call->written > 0;
+  const CcHttpCall *call = c->call;
+
+  c->carried |= call->written > 0;
+  if (call->written > 0 && has_foreign_id (call) &&
+      !cc_carried_ids_is_full (&c->ids))
+    cc_carried_ids_add (&c->ids, call->echo_hash);
   c->call = NULL;
   if (c->close_after_call)
     {
@@ -197,6 +212,8 @@
   CcHttpResult r = { .end = end,
                      .why = why,
                      .reused = c->used,
+                     .connection = c->number,
+                     .same_id = call->same_id,
                      .connected_at = c->opened_at,
                      .received = call->received };
   g_autoptr (GVariant) headers = NULL;
@@ -902,6 +919,8 @@
     {
       call->echo = g_strdup (request->echo);
       call->echo_value = g_strdup (request->echo_value);
+      if (request->echo_value != NULL)
+        call->echo_hash = cc_carried_ids_hash (request->echo_value);
     }
   if (size > 0 || !g_str_has_prefix (request->head, "GET "))
     {
@@ -981,6 +1000,8 @@
     return NULL;
   call = call_new (h, request, done, data);
   call->connection = c;
+  call->same_id =
+      has_foreign_id (call) && cc_carried_ids_has (&c->ids, call->echo_hash);
   c->call = call;
   c->finished = FALSE;
   c->skipping = FALSE;
--- a/http_link.h
+++ b/http_link.h
@@ -64,6 +64,9 @@
   CcHttpOutcome end;
   const char *why;     /* cause, if there is no answer; one word */
   gboolean reused;     /* sent on a reused connection */
+  guint64 connection;  /* its number since the start of the client, from 1 */
+  gboolean same_id;    /* an idle connection that could have been used had
+                          carried a request with the same ECHO_VALUE */
   gint64 connected_at; /* when its connection was established, us; 0: never */
   gsize received;      /* bytes received, also of an incomplete answer */
   guint status;        /* of an answer */
--- a/http_pool.c
+++ b/http_pool.c
@@ -107,6 +107,7 @@
   g_ptr_array_remove (c->peer->idle, c);
   c->peer->open--;
   c->http->open--;
+  cc_carried_ids_clear (&c->ids);
   g_socket_close (c->socket, NULL);
   g_object_unref (c->socket);
   g_free (c);
@@ -306,7 +307,7 @@
     }
   p->open++;
   h->open++;
-  h->opened++;
+  c->number = ++h->opened;
   return c;
 }
 
--- a/http_state.h
+++ b/http_state.h
@@ -6,6 +6,7 @@
 #include <gio/gio.h>
 #include <http_parser.h>
 
+#include "carried_ids.h"
 #include "fd_watch.h"
 #include "http_link.h"
 #include "read_share.h"
@@ -45,6 +46,8 @@
   GList waiting;    /* in the client's LONG_WAITING; no data: it is not */
   CcHttpCall *call; /* in progress; NULL: idle */
   http_parser parser;
+  guint64 number;    /* counts the connections of the client from 1 */
+  CcCarriedIds ids;  /* of callers' requests */
   gint64 opened_at;  /* when it was established, us; 0: not yet */
   gint64 idle_since; /* us */
   gint64 idle_limit; /* the peer's Keep-Alive timeout, us; 0: unknown */
