--- a/test/fleet_test.c
+++ b/test/fleet_test.c
@@ -103,9 +103,10 @@
   g_free (c);
 }
 
-/* Sends R with a new id. */
+/* Sends R with ID.  AGAIN: it was sent with that before, and its caller was
+ * told that it has not run. */
 void
-fleet_test_send (const FleetTestRequest *r)
+fleet_test_send_as (const FleetTestRequest *r, const char *id, gboolean again)
 {
   g_autofree char *address = demo_fleet_address (r->gateway, GATEWAY_LISTEN);
   g_autofree char *head = NULL;
@@ -116,7 +117,7 @@
                       .answer_timeout = ANSWER_TIMEOUT,
                       .body = r->once ? body : NULL };
 
-  c->id = g_strdup_printf ("q%" G_GUINT64_FORMAT, next_id++);
+  c->id = g_strdup (id);
   c->done = r->done;
   c->data = r->data;
   head = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: a.example\r\n"
@@ -124,11 +125,23 @@
                           "X-Shard-Key: %s\r\n",
                           r->method, r->path, c->id, DEADLINE_MS, r->key);
   o.head = head;
-  soak_audit_sent (c->id, r->once);
+  if (again)
+    soak_audit_repeated (id);
+  else
+    soak_audit_sent (id, r->once);
   if (cc_http_send (http, &o, on_response, c) == NULL)
     g_error ("can't send to %s", address);
 }
 
+/* Sends R with a new id. */
+void
+fleet_test_send (const FleetTestRequest *r)
+{
+  g_autofree char *id = g_strdup_printf ("q%" G_GUINT64_FORMAT, next_id++);
+
+  fleet_test_send_as (r, id, FALSE);
+}
+
 /* Opens a connection to PORT of GATEWAY, which does not block.  The caller
  * unrefs it. */
 GSocket *
--- a/test/fleet_test.h
+++ b/test/fleet_test.h
@@ -32,6 +32,8 @@
 gboolean fleet_test_start (const char *program, const char *name);
 guint64 fleet_test_next_id (void);
 void fleet_test_send (const FleetTestRequest *r);
+void fleet_test_send_as (const FleetTestRequest *r, const char *id,
+                         gboolean again);
 GSocket *fleet_test_connect (guint gateway, guint port);
 
 #endif
--- a/test/soak.c
+++ b/test/soak.c
@@ -972,6 +972,7 @@
   soak_notice_plan (seed, fault_ms, soak.servers, SERVERS);
   soak_odd_plan (seed, fault_ms, soak.servers, SERVERS);
   soak_answer_plan (seed, fault_ms, soak.servers, SERVERS);
+  soak_copy_plan (seed, fault_ms, soak.servers, SERVERS);
   run_for (end + 200);
   relay ("heal", "", "", "");
   check_recovery ();
--- a/test/soak.h
+++ b/test/soak.h
@@ -14,6 +14,7 @@
 
 void soak_audit_log (const char *format, ...) G_GNUC_PRINTF (1, 2);
 void soak_audit_sent (const char *id, gboolean once);
+void soak_audit_repeated (const char *id);
 void soak_audit_started (const char *id, const char *pool, const char *server);
 void soak_audit_answered (const char *id, guint status, const char *body);
 /* Records that keys FROM to TO are granted, with FENCE, until UNTIL to
@@ -104,6 +105,9 @@
 /* Makes S refuse all requests with 503 and ask for REST_S seconds of rest; 0:
  * it takes requests. */
 void soak_server_set_rest (SoakServer *s, guint rest_s);
+/* Makes S refuse SHARE of the requests that it could run, and send each refusal
+ * once more as the next request arrives on its connection; 0: none. */
+void soak_server_set_refusals (SoakServer *s, double share);
 /* Makes S say in its answers that it leaves, while its row says "ready". */
 void soak_server_say_leaving (SoakServer *s);
 /* Makes servers that drain tell that by their rows alone, not in answers. */
@@ -221,6 +225,14 @@
 void soak_answer_plan (guint seed, guint for_ms, SoakServer **servers,
                        guint count);
 
+/* ---- refusals that are sent twice (soak_copy.c) ---- */
+
+void soak_copy_keep (SoupServerMessage *m, guint status);
+void soak_copy_send (SoupServerMessage *m);
+guint soak_copies_sent (guint *same);
+void soak_copy_plan (guint seed, guint for_ms, SoakServer **servers,
+                     guint count);
+
 /* ---- odd rows among those of the servers (soak_odd.c) ---- */
 
 void soak_odd_plan (guint seed, guint for_ms, SoakServer **servers,
--- a/test/soak_audit.c
+++ b/test/soak_audit.c
@@ -121,6 +121,14 @@
   recent_sent++;
 }
 
+/* Records that the caller of ID, which was told that it has not run, sends it
+ * again under its id: it may run now. */
+void
+soak_audit_repeated (const char *id)
+{
+  find_request (id)->status = 0;
+}
+
 /* Whether STATUS guarantees to the caller that the request did not run. */
 static gboolean
 is_not_run_status (guint status)
--- a/test/soak_caller.c
+++ b/test/soak_caller.c
@@ -16,6 +16,9 @@
 #define TICKS_PER_PROBE 4 /* on average */
 #define CONNECTION_TICK_MS 40
 #define KEEP_LONG (3600 * CC_SECOND)
+/* A request that was refused is sent again under its id, half of the time. */
+#define REPEATS_MAX 4
+#define REPEAT_AFTER_MAX_MS 40
 
 /* The kinds of requests. */
 static const struct
@@ -44,11 +47,20 @@
 static guint64 next_id;
 static guint pending;
 
-/* Passes a response, or its absence, to the checks. */
-static void
-on_response (const CcHttpResult *r, gpointer data)
+/* A request for one of the routes that every configuration has, which may be
+ * sent again. */
+typedef struct
+{
+  guint kind;
+  gint32 key;
+  char *id;
+  guint repeats;
+} Routed;
+
+/* Passes the response to the request ID, or its absence, to the checks. */
+static guint
+check_response (const CcHttpResult *r, const char *id)
 {
-  g_autofree char *id = data;
   guint status = r->end == CC_HTTP_ANSWERED ? r->status : 0;
   g_autofree char *body = r->end == CC_HTTP_ANSWERED
                               ? g_strndup (g_bytes_get_data (r->body, NULL),
@@ -60,6 +72,15 @@
     soak_audit_fail ("%s is refused as if it crashed servers", id);
   soak_probe_answered (id, status);
   soak_audit_answered (id, status, body);
+  return status;
+}
+
+static void
+on_response (const CcHttpResult *r, gpointer data)
+{
+  g_autofree char *id = data;
+
+  (void) check_response (r, id);
 }
 
 /* Returns HOST in a random equivalent form: letter case and port vary. */
@@ -95,10 +116,12 @@
 }
 
 /* Sends a request to a random gateway. */
-static void
+static gboolean
 send_call (const char *method, const char *host, const char *target,
-           gboolean once, gint32 key, const char *id)
+           gboolean once, gint32 key, const char *id, CcHttpDone done,
+           gpointer data)
 {
+  CcHttpCall *call;
   guint n = g_strv_length (gateways);
   guint gateway = (guint) g_random_int_range (0, (gint32) n);
   GString *head = write_head (method, host, target);
@@ -115,24 +138,78 @@
   o.head = head->str;
   o.body = once ? body : NULL;
   soak_probe_sent (gateway, id, host, target);
-  pending += cc_http_send (http, &o, on_response, g_strdup (id)) != NULL;
+  call = cc_http_send (http, &o, done, data);
+  pending += call != NULL;
   g_string_free (head, TRUE);
+  return call != NULL;
+}
+
+static void
+routed_free (Routed *q)
+{
+  g_free (q->id);
+  g_free (q);
+}
+
+static gboolean on_repeat (gpointer data);
+
+static void
+on_routed_response (const CcHttpResult *r, gpointer data)
+{
+  Routed *q = data;
+  guint status = check_response (r, q->id);
+
+  if ((status != 503 && status != 429) || q->repeats >= REPEATS_MAX ||
+      timer == 0 || g_random_boolean ())
+    {
+      routed_free (q);
+      return;
+    }
+  q->repeats++;
+  g_timeout_add ((guint) g_random_int_range (0, REPEAT_AFTER_MAX_MS), on_repeat,
+                 q);
+}
+
+/* Sends Q, for the first time or again. */
+static void
+send_kind (Routed *q)
+{
+  g_autofree char *target = g_strconcat (kinds[q->kind].prefix, q->id, NULL);
+
+  if (!send_call (kinds[q->kind].method, "a.example", target,
+                  kinds[q->kind].once, q->key, q->id, on_routed_response, q))
+    routed_free (q);
+}
+
+static gboolean
+on_repeat (gpointer data)
+{
+  Routed *q = data;
+
+  if (timer == 0)
+    routed_free (q);
+  else
+    {
+      soak_audit_repeated (q->id);
+      send_kind (q);
+    }
+  return G_SOURCE_REMOVE;
 }
 
 /* Sends a request for one of the routes that every configuration has. */
 static void
 send_routed (void)
 {
-  guint k = (guint) g_random_int_range (0, G_N_ELEMENTS (kinds));
+  Routed *q = g_new0 (Routed, 1);
+
+  q->kind = (guint) g_random_int_range (0, G_N_ELEMENTS (kinds));
   /* Half of the requests are for the lowest sixteenth of the keys, so that load
    * is uneven. */
-  gint32 key =
+  q->key =
       g_random_int_range (0, g_random_boolean () ? SOAK_KEYS : SOAK_KEYS / 16);
-  g_autofree char *id = g_strdup_printf ("q%" G_GUINT64_FORMAT, next_id++);
-  g_autofree char *target = g_strconcat (kinds[k].prefix, id, NULL);
-
-  soak_audit_sent (id, kinds[k].once);
-  send_call (kinds[k].method, "a.example", target, kinds[k].once, key, id);
+  q->id = g_strdup_printf ("q%" G_GUINT64_FORMAT, next_id++);
+  soak_audit_sent (q->id, kinds[q->kind].once);
+  send_kind (q);
 }
 
 /* Sends a request that only some configurations may allow. */
@@ -150,8 +227,9 @@
       target,
       target_suffixes[g_random_int_range (0, G_N_ELEMENTS (target_suffixes))],
       id);
-  send_call ("GET", host, target->str, FALSE, g_random_int_range (0, SOAK_KEYS),
-             id);
+  if (send_call ("GET", host, target->str, FALSE,
+                 g_random_int_range (0, SOAK_KEYS), id, on_response, id))
+    (void) g_steal_pointer (&id);
 }
 
 /* Sends the requests due in this tick, at the set rate, and some probes. */
@@ -233,6 +311,7 @@
 soak_callers_stop (void)
 {
   g_source_remove (timer);
+  timer = 0;
   g_source_remove (connection_timer);
 }
 
--- a/test/soak_server.c
+++ b/test/soak_server.c
@@ -59,6 +59,7 @@
   SoakAnswerFault answer_fault;
   double limit;      /* that it names, requests a second; 0: none */
   gint64 cold_until; /* us; 0: never cold */
+  double refusals;   /* share of the requests that it refuses, each twice */
   guint rest_s;      /* it refuses all requests, for so long each; 0: none */
   gboolean leaving;  /* says in answers that it leaves */
   guint probes;      /* of its health */
@@ -213,6 +214,13 @@
   s->rest_s = rest_s;
 }
 
+/* Makes S refuse SHARE of the requests that it could run, each twice. */
+void
+soak_server_set_refusals (SoakServer *s, double share)
+{
+  s->refusals = share;
+}
+
 /* Makes S say in its answers that it leaves, as one does whose row the store
  * does not take. */
 void
@@ -318,6 +326,8 @@
 {
   soup_message_headers_replace (soup_server_message_get_response_headers (m),
                                 "X-Not-Executed", "1");
+  if (s->refusals > 0)
+    soak_copy_keep (m, status);
   respond (s, m, status, "");
 }
 
@@ -586,6 +596,13 @@
       refuse (s, m, 400);
       return;
     }
+  if (may_run (s, number) && g_random_double () < s->refusals)
+    {
+      static const guint statuses[] = { 503, 503, 429, 421 };
+
+      refuse (s, m, statuses[g_random_int_range (0, G_N_ELEMENTS (statuses))]);
+      return;
+    }
   if (may_run (s, number) && s->rest_s > 0)
     {
       refuse_for_rest (s, m);
@@ -729,6 +746,7 @@
       soup_server_message_get_request_headers (m), "X-Target-Instance");
 
   (void) server, (void) query;
+  soak_copy_send (m);
   /* The connection was opened to the previous incarnation. */
   if (s->http != server)
     close_connection (m);
@@ -766,6 +784,7 @@
   s->answer_fault = (SoakAnswerFault){ 0 };
   s->limit = 0;
   s->cold_until = 0;
+  s->refusals = 0;
   s->rest_s = 0;
   s->leaving = FALSE;
   s->probes = 0;
