A connection carries an id once

Callers were told "not run" of requests that ran, and requests that must run once ran twice: an upstream sends a refusal once more as the next request arrives on its connection, and if that is the refused request again, under its id, the copy counts as its answer.

Cause: the id of an answer was taken as proof that it belongs to the request that is under way. It tells which id was answered, not which of two sends of one id. Only send_to guarded against that, within one exchange; a repeat by the caller or through a peer is another exchange, and takes the connection that was used last.

Now the client's connections decide: one that has carried an id, however it was answered, is passed over for that id.

The tests of the client that reuse a connection send another id the second time; what they check is the same.

--- a/http_link.c
+++ b/http_link.c
@@ -7,6 +7,11 @@
  * closed after the call.  An idle connection that becomes readable is closed at
  * once.
  *
+ * Callers may send a request again under its id, and so may peers and exchanges
+ * that were refused.  A surplus answer to the first one bears the id of the
+ * second, so a connection carries an id once: what it has carried is kept
+ * (carried_ids.h), and a connection that can keep no more carries no more.
+ *
  * Requests that a gateway makes on its own behalf carry an id of the client
  * (id_header).  Not all servers echo it.  An answer that names no request is
  * taken for the answer to such a request only if no earlier request was sent on
@@ -88,13 +93,14 @@
   gboolean (*may_send) (gpointer data); /* NULL: always */
   char *echo;
   char *echo_value;
-  guint64 echo_hash;  /* of ECHO_VALUE, unless HAS_ID */
-  gboolean same_id;   /* see CcHttpResult */
-  gboolean has_id;    /* ECHO_VALUE is an id of the client */
-  gboolean repeats;   /* see CcHttpRequest */
-  gboolean echoed;    /* the answer being parsed names this request */
-  gboolean unmatched; /* an answer arrived that may be to another request */
-  GString *name;      /* of the header being parsed */
+  gboolean is_foreign; /* ECHO_VALUE is a caller's id, which may come again */
+  guint64 id_hash;     /* of that */
+  gboolean same_id;    /* see CcHttpResult */
+  gboolean has_id;     /* ECHO_VALUE is an id of the client */
+  gboolean repeats;    /* see CcHttpRequest */
+  gboolean echoed;     /* the answer being parsed names this request */
+  gboolean unmatched;  /* an answer arrived that may be to another request */
+  GString *name;       /* of the header being parsed */
   GString *value;
   gboolean in_value;
   gboolean has_head; /* of the answer, which is not an interim one */
@@ -174,14 +180,6 @@
   g_free (c);
 }
 
-/* Whether the request of CALL has an id that is not the client's own, and so
- * may be sent again. */
-static gboolean
-has_foreign_id (const CcHttpCall *call)
-{
-  return call->echo_value != NULL && !call->has_id;
-}
-
 /* Returns the connection of a finished call to the pool, or closes it. */
 static void
 release_connection (CcHttpConnection *c)
@@ -189,11 +187,11 @@
   const CcHttpCall *call = c->call;
 
   c->carried |= call->written > 0;
-  if (call->written > 0 && has_foreign_id (call) &&
-      !cc_carried_ids_is_full (&c->ids))
-    cc_carried_ids_add (&c->ids, call->echo_hash);
+  if (call->written > 0 && call->is_foreign)
+    cc_carried_ids_add (&c->ids, call->id_hash);
   c->call = NULL;
-  if (c->close_after_call)
+  /* An id that could not be kept might come again. */
+  if (c->close_after_call || cc_carried_ids_is_full (&c->ids))
     {
       cc_http_connection_close (c);
       return;
@@ -919,8 +917,6 @@
     {
       call->echo = g_strdup (request->echo);
       call->echo_value = g_strdup (request->echo_value);
-      if (request->echo_value != NULL)
-        call->echo_hash = cc_carried_ids_hash (request->echo_value);
     }
   if (size > 0 || !g_str_has_prefix (request->head, "GET "))
     {
@@ -949,19 +945,31 @@
   return call;
 }
 
-/* Returns an idle connection to P that REQUEST may use, or a new one; NULL if
- * none is available. */
+/* Returns which idle connections REQUEST may use. */
+static CcHttpIdleRule
+idle_rule (const CcHttpRequest *request)
+{
+  CcHttpIdleRule rule = {
+    .idle_max = request->idle_max,
+    .opened_by = request->connected_by,
+    .identified = request->id_header != NULL && !request->repeats,
+    .has_id = request->id_header == NULL && request->echo_value != NULL,
+  };
+
+  if (rule.has_id)
+    rule.id = cc_carried_ids_hash (request->echo_value);
+  return rule;
+}
+
+/* Returns an idle connection to P that REQUEST may use by RULE, or a new one;
+ * NULL if none is available.  SAME_ID: see CcHttpResult. */
 static CcHttpConnection *
-find_connection (CcHttp *h, CcHttpPeer *p, const CcHttpRequest *request)
+find_connection (CcHttp *h, CcHttpPeer *p, const CcHttpRequest *request,
+                 const CcHttpIdleRule *rule, gboolean *same_id)
 {
-  gboolean identified = request->id_header != NULL && !request->repeats;
-  CcHttpConnection *c;
+  CcHttpConnection *c = cc_http_connection_take_idle (p, rule, same_id);
 
-  if (request->connected_by > 0)
-    return cc_http_connection_take_older (p, request->idle_max,
-                                          request->connected_by, identified);
-  c = cc_http_connection_take_idle (p, request->idle_max, identified);
-  if (c != NULL)
+  if (c != NULL || request->connected_by > 0)
     return c;
   if (request->connections_max > 0 && p->open >= request->connections_max &&
       p->idle->len == 0)
@@ -990,18 +998,21 @@
               gpointer data)
 {
   CcHttpPeer *p = cc_http_find_peer (h, request->address);
+  CcHttpIdleRule rule = idle_rule (request);
+  gboolean same_id;
   CcHttpConnection *c;
   CcHttpCall *call;
 
   if (p == NULL)
     return NULL;
-  c = find_connection (h, p, request);
+  c = find_connection (h, p, request, &rule, &same_id);
   if (c == NULL)
     return NULL;
   call = call_new (h, request, done, data);
   call->connection = c;
-  call->same_id =
-      has_foreign_id (call) && cc_carried_ids_has (&c->ids, call->echo_hash);
+  call->is_foreign = rule.has_id;
+  call->id_hash = rule.id;
+  call->same_id = same_id;
   c->call = call;
   c->finished = FALSE;
   c->skipping = FALSE;
--- a/http_link.h
+++ b/http_link.h
@@ -35,11 +35,11 @@
   gboolean bodiless;   /* the answer to this method has no body (HEAD) */
   const char *echo;    /* header whose value in the answer must be ECHO_VALUE,
                           if present; NULL: not checked */
-  const char *echo_value;
-  const char *id_header; /* sends a unique id in this header, which the peer
-                            copies to its answer; used in place of ECHO.  An
-                            answer without it counts only as the first one on a
-                            connection, which is then closed; NULL: no id */
+  const char *echo_value; /* sent on no connection that has carried it before */
+  const char *id_header;  /* sends a unique id in this header, which the peer
+                             copies to its answer; used in place of ECHO.  An
+                             answer without it counts only as the first one on a
+                             connection, which is then closed; NULL: no id */
   gboolean repeats; /* with ID_HEADER: a request that repeats an earlier one, so
                        that its success does no harm if it is that of another;
                        one without an id counts if the peer sends no ids */
@@ -65,7 +65,7 @@
   const char *why;     /* cause, if there is no answer; one word */
   gboolean reused;     /* sent on a reused connection */
   guint64 connection;  /* its number since the start of the client, from 1 */
-  gboolean same_id;    /* an idle connection that could have been used had
+  gboolean same_id;    /* an idle connection was passed over, since it had
                           carried a request with the same ECHO_VALUE */
   gint64 connected_at; /* when its connection was established, us; 0: never */
   gsize received;      /* bytes received, also of an incomplete answer */
--- a/http_pool.c
+++ b/http_pool.c
@@ -205,28 +205,52 @@
          0;
 }
 
-/* Takes the most recently used idle connection to P out of the pool; NULL if it
- * has been idle for longer than IDLE_MAX us, as then all have been.  With
- * IDENTIFIED, only one on which every answer has named its request. */
+/* Whether C has been idle for longer than RULE allows at NOW.  The peer may
+ * close a connection at its own limit while the request is in transit, which
+ * leaves the outcome unknown; half of that limit is safe on any link.  Requests
+ * that require an existing connection tolerate the loss of their answer. */
+static gboolean
+is_idle_too_long (const CcHttpConnection *c, const CcHttpIdleRule *rule,
+                  gint64 now)
+{
+  gint64 limit = rule->idle_max;
+
+  if (rule->opened_by == 0 && c->idle_limit > 0)
+    limit = MIN (limit, c->idle_limit / 2);
+  return now - c->idle_since > limit;
+}
+
+/* Whether C is one of those among which RULE lets a request choose. */
+static gboolean
+is_eligible (const CcHttpConnection *c, const CcHttpIdleRule *rule)
+{
+  return !(rule->identified && c->unidentified) &&
+         (rule->opened_by == 0 || c->opened_at <= rule->opened_by);
+}
+
+/* Takes the most recently used idle connection to P that RULE allows out of the
+ * pool; NULL: there is none.  Sets *SAME_ID to whether one was passed over
+ * because it has carried the id of RULE. */
 CcHttpConnection *
-cc_http_connection_take_idle (CcHttpPeer *p, gint64 idle_max,
-                              gboolean identified)
+cc_http_connection_take_idle (CcHttpPeer *p, const CcHttpIdleRule *rule,
+                              gboolean *same_id)
 {
   gint64 now = cc_clock_now ();
 
+  *same_id = FALSE;
   for (guint i = p->idle->len; i > 0; i--)
     {
       CcHttpConnection *c = p->idle->pdata[i - 1];
-      /* The peer may close the connection at its own limit while the request is
-       * in transit, which leaves the outcome unknown.  Half of that limit is
-       * safe on any link. */
-      gint64 limit =
-          c->idle_limit > 0 ? MIN (idle_max, c->idle_limit / 2) : idle_max;
 
-      if (identified && c->unidentified)
+      if (!is_eligible (c, rule))
         continue;
-      if (now - c->idle_since > limit)
+      if (is_idle_too_long (c, rule, now))
         return NULL;
+      if (rule->has_id && cc_carried_ids_has (&c->ids, rule->id))
+        {
+          *same_id = TRUE;
+          continue;
+        }
       if (has_nothing_to_read (c))
         {
           g_ptr_array_remove_index (p->idle, i - 1);
@@ -237,30 +261,6 @@
   return NULL;
 }
 
-/* Takes an idle connection to P out of the pool that was open at OPENED_BY, us
- * of cc_clock_now, and has been idle for at most IDLE_MAX us, or returns NULL.
- * IDENTIFIED: see cc_http_connection_take_idle.  The peer's own limit is
- * ignored, since requests that require an existing connection tolerate the loss
- * of their answer. */
-CcHttpConnection *
-cc_http_connection_take_older (CcHttpPeer *p, gint64 idle_max, gint64 opened_by,
-                               gboolean identified)
-{
-  gint64 now = cc_clock_now ();
-
-  for (guint i = p->idle->len; i > 0; i--)
-    {
-      CcHttpConnection *c = p->idle->pdata[i - 1];
-
-      if (c->opened_at > opened_by || now - c->idle_since > idle_max ||
-          (identified && c->unidentified) || !has_nothing_to_read (c))
-        continue;
-      g_ptr_array_remove_index (p->idle, i - 1);
-      return c;
-    }
-  return NULL;
-}
-
 /* Starts to open a connection to P.  READY is called when it is established or
  * has failed, and for each later event.  If it fails at once, for want of a
  * route for example, it is returned as unconnectable and READY is not called.
--- a/http_state.h
+++ b/http_state.h
@@ -63,16 +63,25 @@
   gboolean skipping;         /* the answer being parsed is to another request */
 } CcHttpConnection;
 
+/* Which idle connections a request may use. */
+typedef struct
+{
+  gint64 idle_max;     /* that have been idle for at most this, us */
+  gint64 opened_by;    /* that were open at this time, us of cc_clock_now; 0: of
+                          any age */
+  gboolean identified; /* on which every answer has named its request */
+  gboolean has_id;     /* that have not carried the id with the hash ID */
+  guint64 id;
+} CcHttpIdleRule;
+
 /* DATA, a CcHttpConnection, is readable or writable, or has failed, according
  * to CONDITION. */
 typedef void (*CcHttpReady) (GIOCondition condition, gpointer data);
 
 CcHttpPeer *cc_http_find_peer (CcHttp *h, const char *address);
-CcHttpConnection *cc_http_connection_take_idle (CcHttpPeer *p, gint64 idle_max,
-                                                gboolean identified);
-CcHttpConnection *cc_http_connection_take_older (CcHttpPeer *p, gint64 idle_max,
-                                                 gint64 opened_by,
-                                                 gboolean identified);
+CcHttpConnection *cc_http_connection_take_idle (CcHttpPeer *p,
+                                                const CcHttpIdleRule *rule,
+                                                gboolean *same_id);
 CcHttpConnection *cc_http_connection_open (CcHttp *h, CcHttpPeer *p,
                                            CcHttpReady ready);
 void cc_http_connection_keep (CcHttpConnection *c);
--- a/test/test_http_link.c
+++ b/test/test_http_link.c
@@ -329,6 +329,7 @@
                   out.status, out.body);
       server.playing = &good;
       accepted = server.accepted;
+      request.echo_value = "2";
       call (h, &request);
       if ((server.accepted == accepted) != c->kept)
         fail_msg ("%s: the connection was %s", c->name,
@@ -362,6 +363,7 @@
       call (h, &request);
       accepted = server.accepted;
       run_loop (300);
+      request.echo_value = "2";
       call (h, &request);
       if (server.accepted != accepted)
         fail_msg ("%s: the connection was not kept", timeouts[i]);
@@ -442,8 +444,10 @@
   if (reused)
     {
       server.playing = &good;
+      request.echo_value = "0";
       assert_int_equal (call (h, &request).end, CC_HTTP_ANSWERED);
     }
+  request.echo_value = "1";
   accepted = server.accepted;
   request.head = whole->head;
   request.bodiless = whole->head[0] == 'H';
@@ -839,6 +843,7 @@
       accepted = server.accepted;
       server.playing = &keeps;
       request.connected_by = first.connected_at + requests[i].after;
+      request.echo_value = "2";
       if ((cc_http_send (h, &request, on_done, &second) != NULL) !=
           requests[i].sent)
         fail_msg ("case %u", i);
@@ -906,6 +911,7 @@
       request.answer_timeout = c->answer_timeout;
       if (c->kept)
         assert_int_equal (call (h, &request).end, CC_HTTP_ANSWERED);
+      request.echo_value = "2";
       run_loop (20);
       received = server.received;
       assert_int_equal (pipe (ends), 0);
@@ -955,6 +961,7 @@
 
       if (kept)
         assert_int_equal (call (h, &request).end, CC_HTTP_ANSWERED);
+      request.echo_value = "2";
       run_loop (20);
       received = server.received;
       request.may_send = may_send_nothing;
@@ -1161,6 +1168,7 @@
   first = call_early (h, &request, e);
   accepted = g_atomic_int_get (&early.accepted);
   request.body = NULL;
+  request.echo_value = "2";
   second = call (h, &request);
   run_loop (2 * e->pause_ms + 20);
   if (first.end != e->end)
