A new connection at the limit replaces an idle one

A request that can use none of the idle connections to an upstream opened a new one although the limit was reached, since idle ones counted as room: with an id that comes again and again one connection for each send stayed open (test_same_id: 1000 with a limit of 4). Upstreams reset what is beyond theirs, under whatever request it carries. The oldest idle connection is closed first now, so the number of open ones stays level: 4 in the test.

--- a/http_link.c
+++ b/http_link.c
@@ -962,7 +962,8 @@
 }
 
 /* Returns an idle connection to P that REQUEST may use by RULE, or a new one;
- * NULL if none is available.  SAME_ID: see CcHttpResult. */
+ * NULL if none is available.  At the limit of connections a new one replaces an
+ * idle one.  SAME_ID: see CcHttpResult. */
 static CcHttpConnection *
 find_connection (CcHttp *h, CcHttpPeer *p, const CcHttpRequest *request,
                  const CcHttpIdleRule *rule, gboolean *same_id)
@@ -971,9 +972,12 @@
 
   if (c != NULL || request->connected_by > 0)
     return c;
-  if (request->connections_max > 0 && p->open >= request->connections_max &&
-      p->idle->len == 0)
-    return NULL;
+  if (request->connections_max > 0 && p->open >= request->connections_max)
+    {
+      if (p->idle->len == 0)
+        return NULL;
+      cc_http_connection_close (p->idle->pdata[0]);
+    }
   return cc_http_connection_open (h, p, on_socket);
 }
 
