A request that asks for a new connection gets one

An idle_max of 0 compared the time for which a connection had been idle by "more than 0", so that the connection that became idle in the same microsecond was used: send_to in forward.c, attempts of the dispatcher that must run once, and releases of owner_probe.c ask for a new one. Shown by a test with a standing clock only (a_new_connection_is_new_while_the_clock_ stands: both requests on one connection before, on two after); a process whose clock has coarser steps may meet it too.

--- a/http_pool.c
+++ b/http_pool.c
@@ -217,7 +217,7 @@
 
   if (rule->opened_by == 0 && c->idle_limit > 0)
     limit = MIN (limit, c->idle_limit / 2);
-  return now - c->idle_since > limit;
+  return limit <= 0 || now - c->idle_since > limit;
 }
 
 /* Whether C is one of those among which RULE lets a request choose. */
