The probe of a silent owner knows its answer by its id

An owner that has left a grant unanswered is probed by the release of that grant, the one order of the granter without an id: any 200 counted. One that answers with what belongs to other requests counted as reached, was given keys again and left their grants unanswered, after each silence. Found by reading every caller of the client for what it takes an answer by.

The release has an id of the client now, like the others; an answer that names none counts as the first one on its connection. Before the change a_silent_owner_is_reached_by_its_own_answer fails ("that to another request: reached"), after it all three cases pass. The contacts of the test's world are kept now, which its other cases don't need.

--- a/owner_probe.c
+++ b/owner_probe.c
@@ -66,6 +66,7 @@
   CcHttpRequest request = { .address = t->listing.address,
                             .head = message,
                             .body = body,
+                            .id_header = cc_edge_echo_header (),
                             .connect_timeout = CONNECT_TIMEOUT,
                             .answer_timeout = CC_GRANT_CALL_TIMEOUT };
 
--- a/test/test_answer_match.c
+++ b/test/test_answer_match.c
@@ -16,6 +16,7 @@
 
 #include "clock.h"
 #include "health_link.h"
+#include "owner_probe.h"
 #include "range_grant.h"
 #include "timers.h"
 
@@ -404,6 +405,8 @@
   cc_clock_pause (g_get_monotonic_time (), g_get_real_time ());
   gateway.shared.http = cc_http_new ("127.0.0.1");
   gateway.shared.targets = &gateway.targets;
+  gateway.shared.contacts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   add_upstream ();
   create_probes ();
   return 0;
@@ -707,12 +710,56 @@
     }
 }
 
+/* What a silent owner answers to the release by which it is probed. */
+static const struct
+{
+  const char *name;
+  Names names;
+  gboolean reached;
+} owner_answers[] = {
+  { "its own answer", NAMES_OWN, TRUE },
+  { "one that names none, the first on its connection", NAMES_NONE, TRUE },
+  { "that to another request", NAMES_FOREIGN, FALSE },
+};
+
+/* Failure: an upstream that answers other requests than it is sent counts as
+ * reached, and is given keys again after each silence. */
+static void
+a_silent_owner_is_reached_by_its_own_answer (void **state)
+{
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (owner_answers); i++)
+    {
+      const Case c = { .name = owner_answers[i].name,
+                       .first = owner_answers[i].names };
+      CcOwnerContact *contact = cc_grant_contact (&gateway.shared, OWNER);
+      gboolean is_reached;
+
+      server.playing = &c;
+      cc_http_close_idle (gateway.shared.http, server.address);
+      cc_owner_contact_reset (contact);
+      contact->state = CC_CONTACT_SILENT;
+      contact->unanswered = (CcContactGrant){ 0, 9, 1 };
+      server.requests = 0;
+      cc_owner_probe (&gateway.shared,
+                      cc_targets_find (&gateway.targets, OWNER),
+                      cc_clock_now ());
+      settle ();
+      assert_int_equal (server.requests, 1);
+      run_loop_once (CALL_TIMEOUT);
+      is_reached = contact->state == CC_CONTACT_REACHED;
+      if (is_reached != owner_answers[i].reached)
+        fail_msg ("%s: %s", c.name, is_reached ? "reached" : "not reached");
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (only_its_own_answer_counts_for_a_request),
     cmocka_unit_test (renewals_need_no_echo),
+    cmocka_unit_test (a_silent_owner_is_reached_by_its_own_answer),
   };
 
   signal (SIGPIPE, SIG_IGN);
