Dispatcher: a late second answer is not that to the next attempt

Attempts of idempotent requests go out on kept connections, and any answer counted as theirs. A second answer to one caller's request that comes late was passed on as the answer to the next one's.

The run id, which is unique to each attempt, is the id that an answer has to name if it names one, so a late second answer is skipped and its connection closed after the call. It is not forwarded, in either direction. The stand-in of the servers copies it. A server that doesn't is served as before: open, as without an id nothing tells two answers apart, and once-only attempts have a connection of their own.

--- a/capercrank.h
+++ b/capercrank.h
@@ -59,7 +59,7 @@
 #define CC_HDR_SLICE "X-Grant-Slice" /* slice of the key */
 #define CC_HDR_EPOCH "X-Grant-Epoch" /* counts the owners of the slice */
 #define CC_HDR_DEADLINE "X-Deadline" /* Unix time in ms, absolute */
-#define CC_HDR_RUN_ID "X-Run-Id"     /* unique per attempt */
+#define CC_HDR_RUN_ID "X-Run-Id"     /* unique per attempt, and in its answer */
 
 /* Limits on untrusted input. */
 #define CC_KEY_MAX 1024 /* bytes of a key */
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -24,6 +24,8 @@
 #define PATH_REDIRECT "/redirect" /* 302 to /elsewhere */
 #define PATH_ENCODED "/encoded"   /* an invalid gzip body */
 #define PATH_HANG "/hang"         /* reads until the client closes */
+#define PATH_TWICE "/twice"       /* a body of "first", and once more later */
+#define PATH_NEXT "/next"         /* a body of "next" */
 #define PATH_CUT "/cut/"          /* /cut/I/N: N bytes of wholes[I], closes */
 
 static const char encoded_body[] = "not really gzip \x1f\x8b";
@@ -50,11 +52,21 @@
 
 static RawServer server;
 
-/* Reads exactly one request.  Returns its path, or NULL at the end of the
+/* What is known of a connection. */
+typedef struct
+{
+  GInputStream *in;
+  GOutputStream *out;
+  char *run_id; /* of the last request */
+  char *late;   /* is sent as the next request arrives; NULL: nothing */
+} Line;
+
+/* Reads exactly one request on L.  Returns its path, or NULL at the end of the
  * connection. */
 static char *
-read_request (GInputStream *in)
+read_request (Line *l)
 {
+  GInputStream *in = l->in;
   GString *head = g_string_new (NULL);
   char c;
   gsize length = 0, received;
@@ -80,6 +92,10 @@
 
       g_input_stream_read_all (in, body, length, &received, NULL, NULL);
     }
+  found = strstr (head->str, CC_HDR_RUN_ID ": ");
+  found += strlen (CC_HDR_RUN_ID ": ");
+  g_free (l->run_id);
+  l->run_id = g_strndup (found, strcspn (found, "\r"));
   words = g_strsplit (head->str, " ", 3);
   path = g_strdup (words[1]);
   g_strfreev (words);
@@ -105,12 +121,39 @@
   write_text (out, part);
 }
 
-/* Answers the request for PATH.  Returns whether the connection is kept. */
+/* Answers the request on L for PATH, and names it.  What is late goes first. */
+static void
+serve_named (Line *l, const char *path)
+{
+  gboolean twice = g_str_equal (path, PATH_TWICE);
+  const char *body = twice ? "first" : "next";
+  g_autofree char *text = g_strdup_printf ("HTTP/1.1 200 OK\r\n" CC_HDR_RUN_ID
+                                           ": %s\r\nContent-Length: %zu\r\n\r\n"
+                                           "%s",
+                                           l->run_id, strlen (body), body);
+
+  if (l->late != NULL)
+    write_text (l->out, l->late);
+  g_clear_pointer (&l->late, g_free);
+  write_text (l->out, text);
+  if (twice)
+    l->late = g_steal_pointer (&text);
+}
+
+/* Answers the request on L for PATH.  Returns whether the connection is kept.
+ */
 static gboolean
-serve (const char *path, GInputStream *in, GOutputStream *out)
+serve (Line *l, const char *path)
 {
+  GInputStream *in = l->in;
+  GOutputStream *out = l->out;
   char c;
 
+  if (g_str_equal (path, PATH_TWICE) || g_str_equal (path, PATH_NEXT))
+    {
+      serve_named (l, path);
+      return TRUE;
+    }
   if (g_str_equal (path, PATH_DROP))
     {
       g_atomic_int_inc (&server.drop);
@@ -155,16 +198,18 @@
 run_connection (gpointer data)
 {
   GSocketConnection *c = data;
-  GInputStream *in = g_io_stream_get_input_stream (G_IO_STREAM (c));
-  GOutputStream *out = g_io_stream_get_output_stream (G_IO_STREAM (c));
+  Line l = { g_io_stream_get_input_stream (G_IO_STREAM (c)),
+             g_io_stream_get_output_stream (G_IO_STREAM (c)), NULL, NULL };
   gboolean kept = TRUE;
 
   while (kept)
     {
-      g_autofree char *path = read_request (in);
+      g_autofree char *path = read_request (&l);
 
-      kept = path != NULL && serve (path, in, out);
+      kept = path != NULL && serve (&l, path);
     }
+  g_free (l.run_id);
+  g_free (l.late);
   g_io_stream_close (G_IO_STREAM (c), NULL, NULL);
   g_object_unref (c);
   return NULL;
@@ -240,12 +285,22 @@
     g_source_remove (timer);
 }
 
+/* Returns an id that no attempt had before. */
+static char *
+next_run_id (void)
+{
+  static guint runs;
+
+  return g_strdup_printf ("run-%u", ++runs);
+}
+
 static CcAttempt *
 send_request (CcUpstream *upstream, const char *method, const char *path,
               gboolean once_only, Answer *received)
 {
   g_autoptr (GVariant) headers = cc_headers_take (g_string_new (NULL));
   g_autoptr (GBytes) body = g_bytes_new_static ("12345", 5);
+  g_autofree char *run_id = next_run_id ();
   CcUpstreamRequest request = { .address = server.address,
                                 .method = method,
                                 .path = path,
@@ -253,7 +308,7 @@
                                 .body =
                                     g_str_equal (method, "GET") ? NULL : body,
                                 .deadline = cc_clock_wall () + CC_SECOND,
-                                .run_id = "run-1",
+                                .run_id = run_id,
                                 .once_only = once_only };
 
   *received = (Answer){ 0 };
@@ -300,6 +355,28 @@
   assert_int_equal (g_atomic_int_get (&server.drop), 1);
 }
 
+/* Failure: the late second answer to one caller's request counts as the answer
+ * to the next one's on its connection. */
+static void
+a_late_second_answer_reaches_nobody (void **state)
+{
+  CcUpstream *upstream = cc_upstream_new ("127.0.0.1:1");
+
+  (void) state;
+  for (guint i = 0; i < 4; i++)
+    {
+      const char *path = i % 2 == 0 ? PATH_TWICE : PATH_NEXT;
+      Answer received;
+
+      send_request (upstream, "GET", path, FALSE, &received);
+      run_until (&received.done);
+      assert_int_equal (received.end, CC_ATTEMPT_ANSWERED);
+      assert_memory_equal (g_bytes_get_data (received.body, NULL),
+                           i % 2 == 0 ? "first" : "next", 4);
+      g_bytes_unref (received.body);
+    }
+}
+
 /* Guards against followed redirects, which would run work that no grant covers.
  */
 static void
@@ -431,6 +508,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (once_only_is_sent_once),
+    cmocka_unit_test (a_late_second_answer_reaches_nobody),
     cmocka_unit_test (redirects_pass_through),
     cmocka_unit_test (encoded_bodies_pass_unchanged),
     cmocka_unit_test (cancelling_closes),
--- a/test/upstream.c
+++ b/test/upstream.c
@@ -215,6 +215,9 @@
   const char *work_text = request_header (m, "X-Work-Us");
   Work *w;
 
+  soup_message_headers_replace (soup_server_message_get_response_headers (m),
+                                CC_HDR_RUN_ID,
+                                request_header (m, CC_HDR_RUN_ID));
   if (u->shed || u->queued.length >= QUEUE_MAX)
     {
       refuse (m, SOUP_STATUS_SERVICE_UNAVAILABLE, "shed\n");
--- a/upstream.c
+++ b/upstream.c
@@ -9,7 +9,12 @@
  * Whether a request is once-only is decided by its class, not its method, so
  * each once-only attempt opens a new connection (1 ms at the servers).  The
  * handshake also proves that the path works, while a pooled connection may be
- * silent. */
+ * silent.
+ *
+ * Servers should copy the run id to their answers: a late second answer to an
+ * attempt is told by it from the answer to the next one on its connection.  One
+ * without it is taken as it comes, so it may be that of another idempotent
+ * request. */
 #include "upstream.h"
 
 #include <string.h>
@@ -76,11 +81,19 @@
 static gboolean
 is_forwarded (const char *name)
 {
-  static const char *const not_forwarded[] = {
-    "Connection",       "Content-Length", "Keep-Alive",   "Transfer-Encoding",
-    "Upgrade",          "Host",           "Te",           "Trailer",
-    "Proxy-Connection", "Expect",         CC_HDR_OUTCOME, NULL
-  };
+  static const char *const not_forwarded[] = { "Connection",
+                                               "Content-Length",
+                                               "Keep-Alive",
+                                               "Transfer-Encoding",
+                                               "Upgrade",
+                                               "Host",
+                                               "Te",
+                                               "Trailer",
+                                               "Proxy-Connection",
+                                               "Expect",
+                                               CC_HDR_OUTCOME,
+                                               CC_HDR_RUN_ID,
+                                               NULL };
 
   for (guint i = 0; not_forwarded[i] != NULL; i++)
     if (g_ascii_strcasecmp (name, not_forwarded[i]) == 0)
@@ -228,6 +241,8 @@
                          .head = head,
                          .body = request->body,
                          .bodiless = g_str_equal (request->method, "HEAD"),
+                         .echo = CC_HDR_RUN_ID,
+                         .echo_value = request->run_id,
                          .connect_timeout = ATTEMPT_TIMEOUT,
                          .answer_timeout = ATTEMPT_TIMEOUT,
                          .idle_max = is_new ? 0 : IDLE_MAX,
