A request that was refused may use a kept connection at its upstream

An upstream that a request had tried before got a new connection for it, since a copy of the refusal might come on the old one. After an attempt that may have run a new one is still opened: kept connections may be as dead as the one of that attempt.

--- a/forward.c
+++ b/forward.c
@@ -226,8 +226,9 @@
 }
 
 /* Sends E to T.  Returns FALSE, with E back in the backlog, if no connection to
- * T is available.  An upstream that E has tried before gets a new connection.
- */
+ * T is available.  After an attempt that may have run, an upstream that E has
+ * tried before gets a new connection: the others may be as dead as the one of
+ * that attempt. */
 static gboolean
 send_to (CcExchange *e, CcTarget *t)
 {
@@ -248,7 +249,7 @@
                             .connections_max = e->pool->connections_max,
                             .may_send = may_send };
 
-  if (tried_before)
+  if (tried_before && e->may_have_run)
     request.idle_max = 0;
   g_string_append_printf (head, "%s %s HTTP/1.1\r\n%s", e->method, e->path,
                           e->headers);
