Large memory blocks are returned when they are freed

A gateway beside upstreams that send bodies without end took 146 MB at its peak where the bodies are bounded to 24 MB, and kept 115 to 130 MB when they had ended: instances have 120 MB and more. glibc maps large blocks on their own, but raises the size from which it does to that of the largest block freed, and bodies that grow side by side leave holes in the heap.

--- a/dispatch.c
+++ b/dispatch.c
@@ -16,6 +16,7 @@
 #include "dispatcher.h"
 #include "log.h"
 #include "metrics.h"
+#include "process.h"
 
 #define TICK_MS 20
 /* Three calls start within a lease term. */
@@ -371,6 +372,7 @@
     case CC_START_RUN:
       break;
     }
+  cc_process_map_large_blocks ();
   if (!open_ports (&d, incarnation))
     return 1;
   platform =
--- a/entry.c
+++ b/entry.c
@@ -20,6 +20,7 @@
 #include "log.h"
 #include "metrics.h"
 #include "outcome.h"
+#include "process.h"
 #include "request_check.h"
 #include "settings.h"
 
@@ -467,6 +468,7 @@
     case CC_START_RUN:
       break;
     }
+  cc_process_map_large_blocks ();
   e.stats = g_hash_table_new (g_str_hash, g_str_equal);
   cc_histograms_init (&e.latency, "capercrank_request_seconds");
   if (!open_ports (&e, settings, cc_clock_incarnation ()))
--- a/gateway.c
+++ b/gateway.c
@@ -975,6 +975,7 @@
     case CC_START_FAIL:
       return 2;
     }
+  cc_process_map_large_blocks ();
   g.instance = cc_setting (settings, "instance");
   g.address = g_strdup (cc_setting (settings, "internal"));
   return run (&g);
--- a/process.h
+++ b/process.h
@@ -6,5 +6,6 @@
 
 gint64 cc_process_resident_bytes (void);
 guint cc_process_descriptors_max (void);
+void cc_process_map_large_blocks (void);
 
 #endif
--- a/test/test_endless.c
+++ b/test/test_endless.c
@@ -260,5 +260,6 @@
   };
 
   signal (SIGPIPE, SIG_IGN);
+  cc_process_map_large_blocks ();
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
