Rows of ranges that others have replaced are written again

Another program that spoils or removes the row of a key range left its keys without an owner for as long as the granter lives: requests on them got 503, "no-owner". The granter kept and renewed the grant, but wrote a row only after changes of its own or a new era of the table.

The holder of the lease compares the rows that it receives with its ranges now: one with a version above that of its own last write and with another text is written again, in the transaction that renews the lease, so only while it still holds that. Rows of another era are left to the handling of lost rows.

--- a/gateway.c
+++ b/gateway.c
@@ -478,9 +478,10 @@
   return cc_forwarder_check_reach (((Gateway *) data)->forwarder, pool, probe);
 }
 
-/* Notifies the granter if ROWS tell that the lease was given up. */
+/* Passes ROWS, which have changed, to the granter: they may tell that the lease
+ * was given up, or be those of ranges. */
 static void
-check_vacancy (Gateway *g, const GPtrArray *rows)
+notify_granter (Gateway *g, const GPtrArray *rows)
 {
   for (guint i = 0; i < rows->len; i++)
     {
@@ -488,6 +489,8 @@
 
       if (g_str_equal (row->key, CC_GRANTER_VACANT_KEY))
         cc_granter_lease_vacated (g->granter, row->version);
+      else
+        cc_granter_row_received (g->granter, row);
     }
 }
 
@@ -514,7 +517,7 @@
       cc_members_join (g->members, cc_mirror_view (g->mirror, CC_TABLE_STATE));
       if (include_member_rows (rows))
         update_members (g);
-      check_vacancy (g, rows);
+      notify_granter (g, rows);
       cc_guard_link_apply_rows (
           g->guard, cc_mirror_view (g->mirror, CC_TABLE_STATE), rows);
       cc_forwarder_ranges_changed (
--- a/granted_pool.c
+++ b/granted_pool.c
@@ -3,6 +3,8 @@
  * (range_grant.c), and turns the planned changes into grants. */
 #include "granted_pool.h"
 
+#include <string.h>
+
 #include "clock.h"
 #include "eligibility.h"
 #include "event_log.h"
@@ -128,6 +130,49 @@
     }
 }
 
+/* Returns the grant of P whose row has KEY, or NULL. */
+static CcRangeGrant *
+find_by_row (const CcGrantedPool *p, const char *key)
+{
+  const char *number;
+  guint from;
+
+  if (!cc_key_range_is_of (key, p->name))
+    return NULL;
+  number = strrchr (key, '/') + 1;
+  from = (guint) g_ascii_strtoull (number, NULL, 10);
+  for (guint i = 0; i < p->grants->len; i++)
+    {
+      CcRangeGrant *x = p->grants->pdata[i];
+
+      if (x->range->from == from)
+        return x;
+    }
+  return NULL;
+}
+
+/* Handles ROW, which the table service has now.  If it is that of one of P's
+ * ranges and another program has written or removed it, it is written again.
+ *
+ * Failure: the row names no owner, or none that can be read, and requests for
+ * its keys are refused for as long as this process holds the lease. */
+void
+cc_granted_pool_row_received (CcGrantedPool *p, const CcRow *row)
+{
+  CcRangeGrant *x = find_by_row (p, row->key);
+  g_autofree char *text = NULL;
+
+  if (x == NULL || x->dirty || row->version <= x->row_version)
+    return;
+  text = cc_key_range_text (x->range);
+  if (g_strcmp0 (row->value, text) == 0)
+    return;
+  x->dirty = TRUE;
+  cc_event (CC_EVENT_STATE, "range-row-replaced", "row", row->key,
+            "row_version", cc_event_int ((gint64) row->version), "removed",
+            row->value == NULL ? "yes" : "no", NULL);
+}
+
 /* Whether rows of P that the table service may have lost were not written
  * since. */
 gboolean
--- a/granted_pool.h
+++ b/granted_pool.h
@@ -42,6 +42,7 @@
                            const CcPredecessor *predecessor);
 void cc_granted_pool_rows_lost (CcGrantedPool *p, guint64 fence_min,
                                 gboolean suspect);
+void cc_granted_pool_row_received (CcGrantedPool *p, const CcRow *row);
 gboolean cc_granted_pool_has_lost_rows (const CcGrantedPool *p);
 gboolean cc_granted_pool_is_answered (const CcGrantedPool *p, gint64 since);
 void cc_granted_pool_hold_back (CcGrantedPool *p, gint64 until, gboolean all);
--- a/granter.c
+++ b/granter.c
@@ -311,6 +311,24 @@
   cc_timer_start (&g->tick, delay, on_tick, g);
 }
 
+/* Handles ROW, a state row that the table service has now.  Rows of ranges are
+ * written by the holder of the lease alone, so others of this process's ranges
+ * are written again.  Those of another era of the table are written again as
+ * lost ones. */
+void
+cc_granter_row_received (CcGranter *g, const CcRow *row)
+{
+  GHashTableIter i;
+  gpointer pool;
+
+  if (!g->shared.lease.held || !g->loaded ||
+      cc_row_era (row->version) != g->era.era)
+    return;
+  g_hash_table_iter_init (&i, g->pools);
+  while (g_hash_table_iter_next (&i, NULL, &pool))
+    cc_granted_pool_row_received (pool, row);
+}
+
 /* The upstreams that may own keys have changed.  OUTAGE is the time of the last
  * failure of the service that keeps their list, us, or 0 for none. */
 void
@@ -763,16 +781,17 @@
   g_ptr_array_set_size (g->writing, 0);
 }
 
-/* Marks the grants of the last write as written, unless their rows have changed
- * since. */
+/* Marks the grants of the last write, which got VERSION, as written, unless
+ * their rows have changed since. */
 static void
-mark_written (CcGranter *g)
+mark_written (CcGranter *g, guint64 version)
 {
   for (guint i = 0; i < g->writing->len; i++)
     {
       CcRangeGrant *x = g->writing->pdata[i];
 
       x->written = !x->dirty;
+      x->row_version = version;
       x->lost = FALSE;
     }
   g_ptr_array_set_size (g->writing, 0);
@@ -796,7 +815,7 @@
   switch (status)
     {
     case CC_OK:
-      mark_written (g);
+      mark_written (g, version);
       if (held && g->loaded)
         g->address_due = FALSE;
       if (held)
--- a/granter.h
+++ b/granter.h
@@ -52,6 +52,7 @@
 void cc_granter_lease_received (CcGranter *g, guint64 version,
                                 gint64 received_at);
 void cc_granter_lease_vacated (CcGranter *g, guint64 version);
+void cc_granter_row_received (CcGranter *g, const CcRow *row);
 void cc_granter_targets_changed (CcGranter *g, gint64 outage);
 void cc_granter_plan_again (CcGranter *g);
 void cc_granter_add_load (CcGranter *g, const char *pool, guint key,
--- a/range_grant.h
+++ b/range_grant.h
@@ -34,6 +34,7 @@
   CcKeyRange *range;     /* the range, an element of RANGES */
   gboolean dirty;        /* the row has to be written */
   gboolean written;      /* the row is written as RANGE is now */
+  guint64 row_version;   /* of its last write by this process; 0: none */
   gboolean lost;         /* the row may have been lost by the table service and
                             was not written since */
   gboolean fence_raised; /* the fence is new to the owner: with its first
