--- a/granted_pool.c
+++ b/granted_pool.c
@@ -144,9 +144,12 @@
   for (guint i = 0; i < p->grants->len; i++)
     {
       CcRangeGrant *x = p->grants->pdata[i];
+      g_autofree char *own = NULL;
 
-      if (x->range->from == from)
-        return x;
+      if (x->range->from != from)
+        continue;
+      own = cc_key_range_key (p->name, x->range);
+      return g_str_equal (own, key) ? x : NULL;
     }
   return NULL;
 }
