start_signals: NULL is declared on every kind of machine

The build of the last landing ended on x86-64, so no program was made there: "start_signals.c: NULL undeclared". On arm64 it passed.

Cause: the file used NULL and included <signal.h> alone. That header is only asked to declare size_t and the like. On arm64 the C library's <signal.h> includes the kernel's <asm/sigcontext.h> and with it the whole of <stddef.h> (gcc -H shows it); on x86-64 it includes <stddef.h> for size_t alone. The file includes <stddef.h> itself now.

Class: a name that is declared by way of another header, which differs between kinds of machine. Of 347 other sources none has the fault, in either direction, and no other compiler warning differs.

"make other-machine OTHER_MACHINE=x86_64-linux-gnu", which is what an arm64 machine runs, fails with the same error on the file as it was and passes now.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # make          build the programs
 # make demo     gateways on loopback, a few faults and an audit, under 30 s
-# make check    warnings as errors, formatter, linter, all tests
-# Packages are listed in .ci/packages; make deps installs what is missing.
+# make check    warnings as errors on both kinds of machine, formatter, linter,
+#               all tests
+# Packages are listed in .ci/packages*; make deps installs what is missing.
 
 BUILD ?= build
 CC = gcc
@@ -95,7 +96,7 @@
 	@$(BUILD)/test/bench_path
 
 .PHONY: all gateway bench bench-assignment bench-path build-all prove soak soak-seeds callers modules deps demo demo-path check \
-  format lint test clean
+  format lint objects other-machine test clean
 
 deps:
 	@sh .ci/deps
@@ -151,10 +152,18 @@
 	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 8 -n 4 sh -c \
 	  'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
 
+objects: $(patsubst %.c,$(BUILD)/%.o,$(filter %.c,$(SOURCES)))
+
+# The C library's headers include others on each kind of machine, and char is
+# signed on one of them: all sources are compiled for both.
+OTHER_MACHINE = $(if $(filter aarch64,$(shell uname -m)),x86_64,aarch64)-linux-gnu
+other-machine:
+	@$(MAKE) -s objects BUILD=$(BUILD)/$(OTHER_MACHINE) CC=$(OTHER_MACHINE)-gcc
+
 test: build-all
 	@sh test/run_all.sh $(BUILD)
 
-check: build-all lint test
+check: build-all other-machine lint test
 
 clean:
 	rm -rf $(BUILD)
--- a/start_signals.c
+++ b/start_signals.c
@@ -8,6 +8,7 @@
 #include "start_signals.h"
 
 #include <signal.h>
+#include <stddef.h>
 
 static void
 set_mask (int how)
