Times and tokens of odd rates are bounded before they become integers

A gateway that asks for tokens of such a limit is told to ask again after 50 ms, the least, on x86-64 and after 3 s, the most, on arm64. Of a limit of 2^40 or more, x86-64 may grant no tokens. Such rates come from a row ("warmupPerS") or from another gateway's message; both accept any number above 0.

Cause: a double beyond the range of an integer was converted to it, and bounded after that. C leaves the result open; x86-64 gives the smallest number, arm64 the nearest. It is bounded as a double now. For rates of real upstreams the results are the same.

Of some 45 other conversions of doubles, read one by one, none has a value that can be out of range. No division of integers has a divisor that can be 0, which ends a process on x86-64 alone.

--- a/fleet_limits.c
+++ b/fleet_limits.c
@@ -15,6 +15,7 @@
  * goes on to hand out those of named limits. */
 #include "fleet_limits.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "clock.h"
@@ -45,6 +46,8 @@
  * theirs at once. */
 #define COLD_SHARE_PART 0.2
 #define COLD_SHARE_BURST 1.0
+/* No request waits longer for a token, however low the rate is. */
+#define SHARE_WAIT_MAX (86400 * CC_SECOND)
 /* Bound of the bucket of a cold upstream that names a lower limit. */
 #define NAMED_BURST_MAX 3.0
 /* Requests to an upstream that names a limit are reported to the gateway with
@@ -788,7 +791,8 @@
       h->share -= 1.0;
       return CC_LIMIT_PASSES;
     }
-  *at = now + MAX ((gint64) ((1.0 - h->share) / own * 1e6), CC_MS);
+  *at = now + (gint64) fmin (fmax ((1.0 - h->share) / own * 1e6, CC_MS),
+                             SHARE_WAIT_MAX);
   return CC_LIMIT_REFUSED;
 }
 
--- a/limit_tokens.c
+++ b/limit_tokens.c
@@ -303,7 +303,7 @@
   double wait =
       (MAX (missing, 0.0) + g_random_double () * MAX (others, 0.0) / 4) / least;
 
-  return CLAMP ((gint64) (wait * 1e6), WAIT_MIN, WAIT_MAX);
+  return (gint64) fmin (fmax (wait * 1e6, WAIT_MIN), WAIT_MAX);
 }
 
 /* Returns the tokens that the request of PRIORITY in ASK may have.  A full
@@ -368,7 +368,7 @@
   CcLimitGrant grant = { 0 };
 
   update (b, ask, now);
-  grant.granted = MIN ((guint) available (b, priority, ask), ask->wanted);
+  grant.granted = (guint) MIN (available (b, priority, ask), ask->wanted);
   if (grant.granted == 0 && ask->wanted > 0)
     {
       grant.wait = wait_of (b, ask, priority, now);
