Doubles are rounded alike on x86-64 and on arm64

Cause: arm64 has fused multiplication, which rounds once where a product and a sum round twice, and gcc uses it unless told not to; x86-64 without further flags has none. Plans, loads and estimates of one fleet that has both kinds of machine differ in their last digits by this, and so may a comparison.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,8 @@
 CFLAGS ?= -O2 -g
 # No function of ours is replaced by another at load time.
 PIC = -fPIC -fno-semantic-interposition
+# Doubles are rounded alike on machines with and without fused multiplication.
+FLOAT = -ffp-contract=off
 WARN = -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
   -Wmissing-prototypes -Wno-unused-parameter -Werror
 CPPFLAGS = -I. $(shell pkg-config --cflags $(PKGS))
@@ -40,7 +42,7 @@
 $(BUILD)/%.o: %.c Makefile
 	@mkdir -p $(@D)
 	@echo '  CC $<'
-	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PIC) $(WARN) -MMD -MP -c $< -o $@
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(PIC) $(FLOAT) $(WARN) -MMD -MP -c $< -o $@
 
 $(BUILD)/libcapercrank.a: $(LIB_OBJ)
 	@rm -f $@ && ar rcs $@ $^
