--- a/Makefile
+++ b/Makefile
@@ -156,8 +156,8 @@
 
 objects: $(patsubst %.c,$(BUILD)/%.o,$(filter %.c,$(SOURCES)))
 
-# The C library's headers include others on each kind of machine, and char is
-# signed on one of them: all sources are compiled for both.
+# What the C library's headers include, and the sign of char, differ between the
+# kinds of machine, so all sources are compiled for both.
 OTHER_MACHINE = $(if $(filter aarch64,$(shell uname -m)),x86_64,aarch64)-linux-gnu
 other-machine:
 	@$(MAKE) -s objects BUILD=$(BUILD)/$(OTHER_MACHINE) CC=$(OTHER_MACHINE)-gcc
--- a/test/test_odd_rates.c
+++ b/test/test_odd_rates.c
@@ -42,7 +42,7 @@
 /* Failure: an upstream with a huge limit gets no requests, and gateways ask for
  * tokens of one with a tiny limit as often as they may. */
 static void
-tokens_of_odd_rates (void **state)
+tokens_of_odd_rates_are_bounded (void **state)
 {
   (void) state;
   for (guint i = 0; i < G_N_ELEMENTS (token_cases); i++)
@@ -115,7 +115,7 @@
 /* Failure: a gateway that knows no source of tokens tries a request to a cold
  * upstream again each millisecond, or at a time that is past. */
 static void
-share_of_a_tiny_rate (void **state)
+a_share_of_a_tiny_rate_is_awaited (void **state)
 {
   const CcFleetLimitsSetup setup = { .address = "127.0.0.1:1",
                                      .send = ignore_datagram,
@@ -154,8 +154,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (tokens_of_odd_rates),
-    cmocka_unit_test (share_of_a_tiny_rate),
+    cmocka_unit_test (tokens_of_odd_rates_are_bounded),
+    cmocka_unit_test (a_share_of_a_tiny_rate_is_awaited),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
