Failures of requests in progress together lengthen a backoff once

Cause: a peer accepts a few requests at once at first and refuses the others as busy. Each refusal doubled the backoff of the peer, so five that came within a millisecond made 100 ms a second. 12 of them stopped the exploration of all peers, and the backoff of a pool that no peer reaches grew the same way. By the gateways' logs nothing was sent to a peer meanwhile.

The new test fails before ("partitioned, 2 together") and passes after.

--- a/backoff.h
+++ b/backoff.h
@@ -11,7 +11,7 @@
   gint64 span;  /* length of the last backoff, us; 0: no failure */
 } CcBackoff;
 
-void cc_backoff_fail (CcBackoff *b, gint64 first, gint64 max, gint64 now);
+gboolean cc_backoff_fail (CcBackoff *b, gint64 first, gint64 max, gint64 now);
 void cc_backoff_clear (CcBackoff *b);
 gboolean cc_backoff_is_active (const CcBackoff *b, gint64 now);
 
--- a/peer_pick.c
+++ b/peer_pick.c
@@ -33,7 +33,7 @@
 #define FAILED_FIRST (1 * CC_SECOND)
 #define FAILED_MAX (30 * CC_SECOND)
 #define UNSUPPORTED_PERIOD (30 * CC_SECOND)
-/* After this many requests in a row that no peer served, no peer is explored
+/* After this many failures in a row, with none served, no peer is explored
  * for a while: the upstreams themselves may be down. */
 #define MISSED_MAX 12
 #define ALL_FIRST (500 * CC_MS)
@@ -53,7 +53,7 @@
 {
   GHashTable *states; /* address to State, for peers that were chosen */
   GPtrArray *serving; /* of State: served within SERVES_TIMEOUT */
-  guint missed;       /* requests that were not served, since one was */
+  guint missed;       /* failures of peers since one served */
   CcBackoff backoff;  /* of the exploration of all peers */
 };
 
@@ -269,7 +269,8 @@
 count_missed (CcPeerPick *p, State *s, gint64 first, gint64 max, gint64 now)
 {
   s->served_at = 0;
-  cc_backoff_fail (&s->backoff, first, max, now);
+  if (!cc_backoff_fail (&s->backoff, first, max, now))
+    return;
   p->missed++;
   if (p->missed % MISSED_MAX == 0)
     cc_backoff_fail (&p->backoff, ALL_FIRST, ALL_MAX, now);
--- a/test/test_peer_pick.c
+++ b/test/test_peer_pick.c
@@ -270,6 +270,41 @@
     }
 }
 
+/* Failure: a peer refuses several requests that are in progress together, each
+ * lengthens its backoff, and callers are refused while the peer could serve. */
+static void
+requests_that_fail_together_count_as_one_failure (void **state)
+{
+  static const guint together[] = { 1, 2, 6, 12, 100 };
+
+  (void) state;
+  for (guint i = 0; i < G_N_ELEMENTS (end_cases) * G_N_ELEMENTS (together); i++)
+    {
+      const EndCase *c = &end_cases[i % G_N_ELEMENTS (end_cases)];
+      guint n = together[i / G_N_ELEMENTS (end_cases)];
+      g_autoptr (GPtrArray) peers = cc_peers_new ();
+      g_autoptr (GPtrArray) tried = g_ptr_array_new ();
+      CcPeerChoice choice = { .peers = peers, .zone = "a", .tried = tried };
+      CcPeerPick *p = cc_peer_pick_new ();
+      const char *address = NULL;
+
+      cc_peers_add (peers, "10.0.0.1:1", "a");
+      for (guint k = 0; k < n; k++)
+        {
+          address = cc_peer_pick_choose (p, &choice, CC_SECOND);
+          cc_peer_pick_sent (p, address);
+        }
+      for (guint k = 0; k < n; k++)
+        cc_peer_pick_ended (p, address, c->end, CC_SECOND + k);
+      if (cc_peer_pick_choose (p, &choice, CC_SECOND + c->not_ms * CC_MS) !=
+              NULL ||
+          cc_peer_pick_choose (p, &choice, CC_SECOND + c->again_ms * CC_MS) ==
+              NULL)
+        fail_msg ("%s, %u together", c->name, n);
+      cc_peer_pick_free (p);
+    }
+}
+
 /* Peers in the zones a, b, c and d, of the regions x, x, y and an unknown one.
  */
 typedef struct
@@ -381,6 +416,7 @@
     cmocka_unit_test (peers_of_the_own_zone_are_preferred),
     cmocka_unit_test (peers_that_do_not_serve_are_skipped_for_a_while),
     cmocka_unit_test (requests_go_to_peers_in_allowed_regions_only),
+    cmocka_unit_test (requests_that_fail_together_count_as_one_failure),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
