An upstream's backoff is lengthened once by attempts that fail together

An upstream that refuses 20 connections within a millisecond, while it restarts or a link is lost for a moment, got no request for 3 s.

A failure within the backoff leaves it as it is. The new test fails before (3 s + 1 ms instead of 200 ms) and passes after.

--- a/pick.c
+++ b/pick.c
@@ -170,14 +170,17 @@
   return l->reject_from + (double) (now - l->rejected_at) / REJECT_RAISE_PERIOD;
 }
 
-/* Starts the next backoff of L, which was unreachable at NOW. */
+/* Starts the next backoff of L, which was unreachable at NOW.  Within one, the
+ * attempt has begun before it and fails for the same cause. */
 static void
 back_off (CcTargetLoad *l, gint64 now)
 {
+  l->unreached_at = now;
+  if (l->avoid_span > 0 && now < l->avoid_until)
+    return;
   l->avoid_span =
       l->avoid_span == 0 ? BACKOFF_FIRST : MIN (2 * l->avoid_span, BACKOFF_MAX);
   l->avoid_until = now + l->avoid_span;
-  l->unreached_at = now;
 }
 
 /* Adds an attempt to the failure rate of L; FAILED is 1 if it failed, else 0.
--- a/test/test_pick.c
+++ b/test/test_pick.c
@@ -331,6 +331,25 @@
   assert_int_equal (l.avoid_span, 0);
 }
 
+/* Failure: a server is away for a moment, each of the attempts that find it so
+ * together lengthens its backoff, and it is left alone long after its return.
+ */
+static void
+attempts_that_fail_together_lengthen_a_backoff_once (void **state)
+{
+  CcPickResult lost = { .end = CC_PICK_UNREACHABLE };
+  CcTargetLoad one = { .slots = 4 }, many = { .slots = 4 };
+
+  (void) state;
+  cc_pick_sent (&one, &typical, 0);
+  cc_pick_ended (&one, &lost, CC_SECOND);
+  for (guint i = 0; i < 20; i++)
+    cc_pick_sent (&many, &typical, 0);
+  for (guint i = 0; i < 20; i++)
+    cc_pick_ended (&many, &lost, CC_SECOND + i);
+  assert_int_equal (many.avoid_until, one.avoid_until);
+}
+
 /* Backlog. */
 
 typedef struct
@@ -405,6 +424,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (requests_go_where_they_are_answered_in_time),
     cmocka_unit_test (an_unreachable_server_is_tried_again_later),
+    cmocka_unit_test (attempts_that_fail_together_lengthen_a_backoff_once),
     cmocka_unit_test (what_would_be_late_is_refused_at_once),
     cmocka_unit_test (returns_are_spread_and_in_time),
   };
