A range that may have been granted since is renewed for the same process only

After the table service lost writes in which another process held the lease, a process that was started at the place of an owner was granted keys with a fence below one that its predecessor had: one world of 2,000 (seed 348 of one_owner_after_lost_writes, "key 25461 went to process 1 of 0 with fence 6, process 0 had it with 7"; the fence 7 is the lower half of 2^32 + 7).

Cause: the holder of the lease goes on with the grants of its memory, as an owner that has accepted a higher fence refuses them. A process that was started since does not know that fence. The other holder may also have moved the keys meanwhile.

Until such grants have expired, a range that the holder had before is renewed on a connection that was open when its owner accepted it last, as without the table service. If that does not happen the range gets a fence above the base of the era, and its row is written before it is granted again.

The seed stands in the test, which fails before and passes after.

--- a/granted_pool.c
+++ b/granted_pool.c
@@ -122,7 +122,8 @@
     {
       CcRangeGrant *x = p->grants->pdata[i];
 
-      if (suspect && !cc_range_grant_is_settled (x))
+      x->unverified = suspect && cc_range_grant_is_settled (x);
+      if (suspect && !x->unverified)
         x->range->fence = ++fence;
       x->unwritten = !x->written;
       x->lost = x->dirty = TRUE;
--- a/range_grant.c
+++ b/range_grant.c
@@ -135,6 +135,7 @@
   x->owner_until = 0;
   x->owner_uncertain_until = 0;
   x->held = FALSE;
+  x->unverified = FALSE;
   x->not_before = 0;
   x->moved_at = now;
 }
@@ -275,6 +276,7 @@
     }
   x->fence_raised = FALSE;
   x->held = TRUE;
+  x->unverified = FALSE;
   x->answered_at = now;
   cc_owner_contact_answered (contact_of (x), x->owner_until, now);
   x->same_process_at = MAX (x->call_started_at, r->connected_at);
@@ -284,6 +286,18 @@
     finish_move (x);
 }
 
+/* Gives X's range a fence above all others.  Its row is written before it is
+ * granted again. */
+static void
+raise_fence (CcRangeGrant *x)
+{
+  x->held = FALSE;
+  x->unverified = FALSE;
+  x->range->fence = cc_key_ranges_top_fence (x->ranges) + 1;
+  x->dirty = TRUE;
+  x->written = FALSE;
+}
+
 /* The upstream has accepted a higher fence, from this process if it holds the
  * lease, otherwise from its successor. */
 static void
@@ -300,11 +314,8 @@
       x->shared->superseded = TRUE;
       return;
     }
-  if (!cc_granter_lease_may_change (&x->shared->lease, now))
-    return;
-  x->range->fence = cc_key_ranges_top_fence (x->ranges) + 1;
-  x->dirty = TRUE;
-  x->written = FALSE;
+  if (cc_granter_lease_may_change (&x->shared->lease, now))
+    raise_fence (x);
 }
 
 /* Another process answers at the owner's address: the owner has terminated, and
@@ -521,6 +532,18 @@
     send_release (x, t);
 }
 
+/* Advances X, whose range another process may have granted since.  An owner
+ * that has accepted a higher fence refuses this one, but a process that was
+ * started at its place does not know that fence. */
+static void
+step_unverified (CcRangeGrant *x, gint64 now)
+{
+  if (now < x->shared->suspect_until)
+    send_grant (x, x->same_process_at);
+  else
+    raise_fence (x);
+}
+
 /* Advances X: sends the grant, its renewal or the release that is due.
  *
  * It reads the clock itself.  A slow process may spend long on planning or on
@@ -556,7 +579,9 @@
     }
   if (!x->written && (!x->held || x->range->previous != NULL))
     return;
-  if (x->range->previous != NULL)
+  if (x->unverified)
+    step_unverified (x, now);
+  else if (x->range->previous != NULL)
     step_move (x, now);
   else
     send_grant (x, 0);
--- a/test/test_granter_worlds.c
+++ b/test/test_granter_worlds.c
@@ -206,7 +206,7 @@
                            .fault_rate = 0.2,
                            .notifies = TRUE,
                            .loses_writes = TRUE };
-  const guint found[] = { 0 };
+  const guint found[] = { 348, 0 };
 
   (void) state;
   run_seeds (&kind, SEEDS, found);
