Tests: a request whose connection has no known peer ends no test program

leaving_is_learned_from_answers ended once by a segmentation fault. libsoup names no remote host for a connection that was reset before it was accepted (traced earlier, by a trial), and on_arrival of test_notices_fleet and of test_named_limit looked for a dot in that NULL. Such an arrival now counts for no gateway, as one from an address outside the fleet did.

--- a/test/test_answers_fleet.c
+++ b/test/test_answers_fleet.c
@@ -398,7 +398,8 @@
   if (r->end != CC_HTTP_ANSWERED)
     note_fault (job, "no answer: %s", r->why);
   else if (seen == 0)
-    note_fault (job, "never arrived: %u", r->status);
+    note_fault (job, "never arrived: %u, %s", r->status,
+                cc_http_header (r, CC_HDR_REASON));
   else if (seen > 1 && g_str_equal (job->of->method, "POST"))
     note_fault (job, "sent to %d upstreams", seen);
   else if (job->sent == job->size)
--- a/test/test_named_limit.c
+++ b/test/test_named_limit.c
@@ -123,15 +123,17 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* A request arrives at S from the gateway at PEER. */
+/* A request arrives at S from the gateway at PEER; NULL: its connection was
+ * reset before it was accepted. */
 static void
 on_arrival (SoakServer *s, const char *id, const char *peer)
 {
-  const char *last = strrchr (peer, '.');
-  Arrival a = { cc_clock_now (),
-                (guint) g_ascii_strtoull (last + 1, NULL, 10) - 1 };
+  const char *last = peer != NULL ? strrchr (peer, '.') : NULL;
+  Arrival a = { cc_clock_now (), DEMO_GATEWAYS };
 
   (void) id;
+  if (last != NULL)
+    a.gateway = (guint) g_ascii_strtoull (last + 1, NULL, 10) - 1;
   for (guint i = 0; i < DEMO_SERVERS; i++)
     if (demo_fleet_server (i) == s && a.gateway < DEMO_GATEWAYS)
       {
--- a/test/test_notices_fleet.c
+++ b/test/test_notices_fleet.c
@@ -101,10 +101,14 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Returns the index of the gateway at PEER; DEMO_GATEWAYS if PEER is NULL, as
+ * for a connection that was reset before it was accepted. */
 static guint
 gateway_of (const char *peer)
 {
-  return (guint) g_ascii_strtoull (strrchr (peer, '.') + 1, NULL, 10) - 1;
+  return peer == NULL
+             ? DEMO_GATEWAYS
+             : (guint) g_ascii_strtoull (strrchr (peer, '.') + 1, NULL, 10) - 1;
 }
 
 /* Returns the index of S; DEMO_SERVERS: it is none of the fleet's. */
