--- a/granted_pool.c
+++ b/granted_pool.c
@@ -114,6 +114,7 @@
 cc_granted_pool_rows_lost (CcGrantedPool *p, guint64 fence_min,
                            gboolean suspect)
 {
+  gint64 now = cc_clock_now ();
   guint64 fence;
 
   p->ranges.fence_min = fence_min;
@@ -122,8 +123,8 @@
     {
       CcRangeGrant *x = p->grants->pdata[i];
 
-      x->unverified = suspect && cc_range_grant_is_settled (x);
-      if (suspect && !x->unverified)
+      x->unverified_at = suspect && cc_range_grant_is_settled (x) ? now : 0;
+      if (suspect && x->unverified_at == 0)
         x->range->fence = ++fence;
       x->unwritten = !x->written;
       x->lost = x->dirty = TRUE;
@@ -201,7 +202,7 @@
 
       if (!cc_range_grant_is_settled (x))
         continue;
-      if (x->answered_at <= since)
+      if (x->answered_at <= since || x->unverified_at != 0)
         return FALSE;
       held++;
     }
--- a/range_grant.c
+++ b/range_grant.c
@@ -135,7 +135,7 @@
   x->owner_until = 0;
   x->owner_uncertain_until = 0;
   x->held = FALSE;
-  x->unverified = FALSE;
+  x->unverified_at = 0;
   x->not_before = 0;
   x->moved_at = now;
 }
@@ -159,6 +159,7 @@
   x->owner_until = source->owner_until;
   x->owner_uncertain_until = source->owner_uncertain_until;
   x->unnamed_until = source->unnamed_until;
+  x->unverified_at = source->unverified_at;
   x->moving = source->moving;
   x->moved_at = now;
 }
@@ -276,7 +277,8 @@
     }
   x->fence_raised = FALSE;
   x->held = TRUE;
-  x->unverified = FALSE;
+  if (x->call_started_at >= x->unverified_at)
+    x->unverified_at = 0;
   x->answered_at = now;
   cc_owner_contact_answered (contact_of (x), x->owner_until, now);
   x->same_process_at = MAX (x->call_started_at, r->connected_at);
@@ -292,7 +294,7 @@
 raise_fence (CcRangeGrant *x)
 {
   x->held = FALSE;
-  x->unverified = FALSE;
+  x->unverified_at = 0;
   x->range->fence = cc_key_ranges_top_fence (x->ranges) + 1;
   x->dirty = TRUE;
   x->written = FALSE;
@@ -579,7 +581,7 @@
     }
   if (!x->written && (!x->held || x->range->previous != NULL))
     return;
-  if (x->unverified)
+  if (x->unverified_at != 0)
     step_unverified (x, now);
   else if (x->range->previous != NULL)
     step_move (x, now);
--- a/range_grant.h
+++ b/range_grant.h
@@ -56,8 +56,8 @@
   gint64 replaced_until; /* OWNER_UNTIL of owners that were replaced before
                             their move had finished */
   gboolean unwritten;   /* the row was not written when the service lost rows */
-  gboolean unverified;  /* another process may have granted RANGE since the
-                           owner's last answer */
+  gint64 unverified_at; /* before then another process may have granted RANGE,
+                           and no later call has been accepted, us; 0: not so */
   gint64 unnamed_until; /* upstreams that no row names may hold the keys until
                            then, us */
   gint64 not_before;    /* no call before, us */
