test_granter_worlds: the copy of a move in three functions

play_copy_of_a_move kept its state in a time that could not come; it says now whether the process has ended.

--- a/test/test_granter_worlds.c
+++ b/test/test_granter_worlds.c
@@ -257,13 +257,33 @@
 
 #define LOAD_STEP 600 /* keys are moved for their load from then on */
 
+/* Copies the table, which is lost later and comes back from the copy.  Returns
+ * when it is lost, us. */
+static gint64
+copy_table (void)
+{
+  gint64 lost = g_rand_int_range (world.rand, 500, 6000) * CC_MS;
+
+  world_lose_writes (lost, g_rand_int_range (world.rand, 0, 2000) * CC_MS);
+  return cc_clock_now () + lost;
+}
+
+/* Ends the process HOLDER, which is started again a while later. */
+static void
+end_process (guint holder)
+{
+  world_restart_process (holder);
+  world.processes[holder].paused_until =
+      cc_clock_now () + g_rand_int_range (world.rand, 100, 5000) * CC_MS;
+}
+
 /* Plays KIND while keys are moved for their load.  The table is copied during a
- * move, and as it comes back from the copy later, the process that holds the
- * lease ends. */
+ * move, and as it is lost the process that holds the lease ends. */
 static void
 play_copy_of_a_move (const WorldKind *kind)
 {
-  gint64 lost, ends = G_MAXINT64;
+  gint64 lost_at = 0; /* 0: there is no copy yet */
+  gboolean ended = FALSE;
 
   world_begin_kind (kind);
   for (guint i = 0; i < 3000 && world.failure[0] == '\0'; i++)
@@ -272,22 +292,13 @@
         for (guint k = 0; k < GRANTERS; k++)
           cc_granter_add_load (world.processes[k].granter, POOL,
                                i * 37 % CC_KEYS, 5000);
-      if (i > LOAD_STEP && ends == G_MAXINT64 && is_move_written ())
+      if (i > LOAD_STEP && lost_at == 0 && is_move_written ())
+        lost_at = copy_table ();
+      if (lost_at != 0 && !ended && cc_clock_now () >= lost_at &&
+          world_holder () >= 0)
         {
-          lost = g_rand_int_range (world.rand, 500, 6000) * CC_MS;
-          ends = cc_clock_now () + lost;
-          world_lose_writes (lost,
-                             g_rand_int_range (world.rand, 0, 2000) * CC_MS);
-        }
-      if (cc_clock_now () >= ends && world_holder () >= 0)
-        {
-          guint holder = (guint) world_holder ();
-
-          world_restart_process (holder);
-          world.processes[holder].paused_until =
-              cc_clock_now () +
-              g_rand_int_range (world.rand, 100, 5000) * CC_MS;
-          ends = G_MAXINT64 - 1;
+          end_process ((guint) world_holder ());
+          ended = TRUE;
         }
       world_step (i);
     }
