--- a/review/rig-2/smuggle.c
+++ b/review/rig-2/smuggle.c
@@ -1,7 +1,8 @@
-/* A client sends a request whose body is the text of another request, and
- * writes a blank before the colon of Content-Length (RFC 9112, 5.1: a server
- * must refuse such a message with 400).  Broken if a server runs the request
- * that stands in the body, or runs the outer one with another body. */
+/* A client sends a request whose body is the text of another request, and tells
+ * the length of the body in a way in which a server must refuse the message
+ * with 400 (RFC 9112): by turns with two lengths that differ (6.3), and with a
+ * blank before the colon (5.1).  Broken if a server runs the request that
+ * stands in the body, or runs the outer one with another body. */
 #include "stand.h"
 
 #include <stdio.h>
@@ -60,6 +61,7 @@
     }
   for (int i = 0; i < REQUESTS; i++)
     {
+      bool two = i % 4 < 2;
       char inner[512], outer[2048], id[256];
       int fd = client_connect (1 + i % 2), size, status;
 
@@ -71,10 +73,14 @@
       size = snprintf (outer, sizeof outer,
                        "POST /xapu221/outer HTTP/1.1\r\nHost: hulo84.example"
                        "\r\nX-Request-Id: outer-%d\r\nX-Deadline-Ms: 1200\r\n"
-                       "Content-Length%s: %zu\r\n\r\n%s",
-                       i, trouble ? " " : "", strlen (inner), inner);
+                       "Content-Length%s: %zu\r\n%s\r\n%s",
+                       i, trouble && !two ? " " : "", strlen (inner),
+                       trouble && two ? "Content-Length: 0\r\n" : "", inner);
       record ("sent     outer-%d to gateway %d, with inner-%d as its body%s", i,
-              1 + i % 2, i, trouble ? ", blank before a colon" : "");
+              1 + i % 2, i,
+              !trouble ? ""
+              : two    ? ", two lengths"
+                       : ", blank before a colon");
       if (fd < 0 || !client_send (fd, outer, (size_t) size))
         {
           record ("a connection failed");
