review/7: a method that the parser doesn't know changes paths

Cause: the parser that records targets fails for good at such a method, and the normal form of each later path of the connection is sent on.

--- a/review/rig-2/smuggle.c
+++ b/review/rig-2/smuggle.c
@@ -1,8 +1,9 @@
 /* A client sends a request whose body is the text of another request, and tells
  * the length of the body in a way in which a server must refuse the message
- * with 400 (RFC 9112): by turns with two lengths that differ (6.3), and with a
- * blank before the colon (5.1).  Broken if a server runs the request that
- * stands in the body, or runs the outer one with another body. */
+ * (RFC 9112): by turns with two lengths that differ (6.3), with a blank before
+ * the colon (5.1), and with a chunk whose size is no number (7.1).  Broken if a
+ * server runs the request that stands in the body, or runs the outer one with
+ * another body. */
 #include "stand.h"
 
 #include <stdio.h>
@@ -10,9 +11,21 @@
 #include <string.h>
 #include <unistd.h>
 
-#define REQUESTS 20
+#define REQUESTS 21
 #define SERVERS 3
 
+typedef enum
+{
+  TWO_LENGTHS,
+  BLANK,
+  CHUNK_SIZE,
+  FORMS
+} Form;
+
+static const char *const form_names[] = { "two lengths",
+                                          "a blank before the colon",
+                                          "a chunk without a size" };
+
 static Server servers[SERVERS];
 
 static void
@@ -32,6 +45,46 @@
     }
 }
 
+/* Writes the outer request NUMBER with the body INNER to OUTER: as FORM tells
+ * its length, or properly.  Returns its size. */
+static int
+write_outer (char *outer, size_t size, int number, Form form, bool proper,
+             const char *inner)
+{
+  size_t length = strlen (inner);
+  int n = snprintf (outer, size,
+                    "POST /xapu221/outer HTTP/1.1\r\nHost: hulo84.example\r\n"
+                    "X-Request-Id: outer-%d\r\nX-Deadline-Ms: 1200\r\n",
+                    number);
+
+  outer += n;
+  size -= (size_t) n;
+  switch (form)
+    {
+    case TWO_LENGTHS:
+      n += snprintf (outer, size, "Content-Length: %zu\r\n%s\r\n%s", length,
+                     proper ? "" : "Content-Length: 0\r\n", inner);
+      break;
+    case BLANK:
+      n += snprintf (outer, size, "Content-Length%s: %zu\r\n\r\n%s",
+                     proper ? "" : " ", length, inner);
+      break;
+    case CHUNK_SIZE:
+      n += proper ? snprintf (outer, size,
+                              "Transfer-Encoding: chunked\r\n\r\n%zx\r\n%s"
+                              "\r\n0\r\n\r\n",
+                              length, inner)
+                  : snprintf (outer, size,
+                              "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n%s"
+                              "\r\n0\r\n\r\n",
+                              inner);
+      break;
+    case FORMS:
+      break;
+    }
+  return n;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -61,7 +114,7 @@
     }
   for (int i = 0; i < REQUESTS; i++)
     {
-      bool two = i % 4 < 2;
+      Form form = i % FORMS;
       char inner[512], outer[2048], id[256];
       int fd = client_connect (1 + i % 2), size, status;
 
@@ -70,17 +123,10 @@
                 "X-Request-Id: inner-%d\r\nX-Deadline-Ms: 1200\r\n"
                 "Content-Length: 0\r\n\r\n",
                 i);
-      size = snprintf (outer, sizeof outer,
-                       "POST /xapu221/outer HTTP/1.1\r\nHost: hulo84.example"
-                       "\r\nX-Request-Id: outer-%d\r\nX-Deadline-Ms: 1200\r\n"
-                       "Content-Length%s: %zu\r\n%s\r\n%s",
-                       i, trouble && !two ? " " : "", strlen (inner),
-                       trouble && two ? "Content-Length: 0\r\n" : "", inner);
-      record ("sent     outer-%d to gateway %d, with inner-%d as its body%s", i,
-              1 + i % 2, i,
-              !trouble ? ""
-              : two    ? ", two lengths"
-                       : ", blank before a colon");
+      size = write_outer (outer, sizeof outer, i, form, !trouble, inner);
+      record ("sent     outer-%d to gateway %d, with inner-%d as its body%s%s",
+              i, 1 + i % 2, i, trouble ? ", " : "",
+              trouble ? form_names[form] : "");
       if (fd < 0 || !client_send (fd, outer, (size_t) size))
         {
           record ("a connection failed");
--- a/review/rig-2/stand.c
+++ b/review/rig-2/stand.c
@@ -224,7 +224,7 @@
   head = (size_t) (end - s->bytes) + 4;
   memset (r, 0, offsetof (Request, body));
   snprintf (r->head, sizeof r->head, "%.*s", (int) head, s->bytes);
-  if (sscanf (r->head, "%63[A-Z] %1023s HTTP/1.1", r->method, r->path) != 2)
+  if (sscanf (r->head, "%63[A-Z-] %1023s HTTP/1.1", r->method, r->path) != 2)
     return false;
   header (r->head, "X-Request-Id", r->id, sizeof r->id);
   header (r->head, "X-Target-Instance", r->target, sizeof r->target);
@@ -668,7 +668,7 @@
   struct
   {
     char id[256];
-    char *body;
+    char *path, *body;
   } runs[RUNS_MAX];
   int count;
 } ran = { .lock = PTHREAD_MUTEX_INITIALIZER };
@@ -680,6 +680,7 @@
   if (ran.count < RUNS_MAX)
     {
       snprintf (ran.runs[ran.count].id, sizeof ran.runs[0].id, "%s", r->id);
+      ran.runs[ran.count].path = strdup (r->path);
       ran.runs[ran.count++].body = strdup (r->body);
     }
   pthread_mutex_unlock (&ran.lock);
@@ -712,6 +713,19 @@
   return body;
 }
 
+const char *
+path_of (const char *id)
+{
+  const char *path = NULL;
+
+  pthread_mutex_lock (&ran.lock);
+  for (int i = 0; i < ran.count; i++)
+    if (strcmp (ran.runs[i].id, id) == 0)
+      path = ran.runs[i].path;
+  pthread_mutex_unlock (&ran.lock);
+  return path;
+}
+
 /* Reads requests strictly: what is no request ends the connection. */
 static void
 serve_server (int fd, void *data)
--- a/review/rig-2/stand.h
+++ b/review/rig-2/stand.h
@@ -62,6 +62,8 @@
 int runs_of (const char *id);
 /* The body with which the request ID ran last, or NULL. */
 const char *body_of (const char *id);
+/* The same for its path. */
+const char *path_of (const char *id);
 
 /* ---- gateways ---- */
 
