--- a/review/rig-2/stand.c
+++ b/review/rig-2/stand.c
@@ -726,6 +726,20 @@
   return path;
 }
 
+size_t
+answer_body (const char *id, size_t size, char *body)
+{
+  size_t n = (size_t) snprintf (body, TEXT_MAX, "done %s", id);
+
+  while (n < size && n + 1 < TEXT_MAX)
+    {
+      body[n] = (char) ('a' + n % 26);
+      n++;
+    }
+  body[n] = '\0';
+  return n;
+}
+
 /* Reads requests strictly: what is no request ends the connection. */
 static void
 serve_server (int fd, void *data)
@@ -733,11 +747,13 @@
   const Server *server = data;
   Stream *s = calloc (1, sizeof *s);
   Request *r = malloc (sizeof *r);
+  char *body = malloc (TEXT_MAX);
 
   s->fd = fd;
   while (read_request (s, r))
     {
-      char answer[1024], body[320] = "";
+      char answer[1024];
+      size_t length = 0;
       int n, status = 200;
       const char *more = "";
 
@@ -755,21 +771,22 @@
         {
           note_run (server, r);
           sleep_ms (server->work_ms);
-          snprintf (body, sizeof body, "done %s", r->id);
+          length = answer_body (r->id, server->answer_size, body);
           more = "X-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
                  "X-Server-Load: 0,0,4\r\n";
         }
       n = snprintf (answer, sizeof answer,
                     "HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Instance-Id: "
-                    "%s\r\n%sContent-Length: %zu\r\n\r\n%s",
+                    "%s\r\n%sContent-Length: %zu\r\n\r\n",
                     status, status == 200 ? "OK" : "Refused", r->id, server->id,
-                    more, strlen (body), body);
-      if (!write_all (fd, answer, (size_t) n))
+                    more, length);
+      if (!write_all (fd, answer, (size_t) n) || !write_all (fd, body, length))
         break;
     }
   if (s->size > 0)
     record ("server   %s got bytes that are no request: %.60s", server->id,
             s->bytes);
+  free (body);
   free (r);
   free (s);
 }
@@ -925,18 +942,17 @@
 }
 
 int
-client_read (int fd, int ms, char *id, size_t id_size)
+client_answer (int fd, int ms, Answer *a)
 {
   int64_t until = now_ms () + ms;
   char text[TEXT_MAX], length[32];
-  size_t size = 0;
+  size_t size = 0, rest;
 
-  id[0] = '\0';
-  for (;;)
+  memset (a, 0, offsetof (Answer, body));
+  do
     {
       struct pollfd p = { fd, POLLIN, 0 };
       int left = (int) (until - now_ms ());
-      char *end;
       ssize_t n;
 
       /* One byte at a time, so that a later answer stays in the socket. */
@@ -947,14 +963,41 @@
         return 0;
       size += (size_t) n;
       text[size] = '\0';
-      end = size >= 4 ? strstr (text + size - 4, "\r\n\r\n") : NULL;
-      if (end == NULL && size + 1 < sizeof text)
-        continue;
-      header (text, "X-Request-Id", id, id_size);
-      header (text, "Content-Length", length, sizeof length);
-      for (long rest = atol (length); rest > 0; rest--)
-        if (poll (&p, 1, left) <= 0 || recv (fd, text + size, 1, 0) <= 0)
-          return 0;
-      return atoi (text + strlen ("HTTP/1.1 "));
+      if (size + 1 == sizeof text)
+        return -1;
     }
+  while (size < 4 || strcmp (text + size - 4, "\r\n\r\n") != 0);
+  header (text, "X-Request-Id", a->id, sizeof a->id);
+  header (text, "X-Response-Signature", a->signature, sizeof a->signature);
+  header (text, "Content-Length", length, sizeof length);
+  rest = (size_t) atol (length);
+  if (rest >= sizeof a->body)
+    return -1;
+  while (a->length < rest)
+    {
+      struct pollfd p = { fd, POLLIN, 0 };
+      int left = (int) (until - now_ms ());
+      ssize_t n;
+
+      if (left <= 0 || poll (&p, 1, left) <= 0)
+        return -1;
+      n = recv (fd, a->body + a->length, rest - a->length, 0);
+      if (n <= 0)
+        return 0;
+      a->length += (size_t) n;
+    }
+  a->body[a->length] = '\0';
+  a->status = atoi (text + strlen ("HTTP/1.1 "));
+  return a->status;
+}
+
+int
+client_read (int fd, int ms, char *id, size_t id_size)
+{
+  Answer *a = malloc (sizeof *a);
+  int result = client_answer (fd, ms, a);
+
+  snprintf (id, id_size, "%s", a->id);
+  free (a);
+  return result;
 }
--- a/review/rig-2/stand.h
+++ b/review/rig-2/stand.h
@@ -35,8 +35,19 @@
   char ip[32];
   int port;
   int work_ms;
+  size_t answer_size; /* bytes of its answers; 0: as short as possible */
 } Server;
 
+/* One answer as a client has read it. */
+typedef struct
+{
+  int status;
+  char id[256];        /* X-Request-Id; "": none */
+  char signature[128]; /* X-Response-Signature; "": none */
+  size_t length;       /* of the body, bytes */
+  char body[TEXT_MAX];
+} Answer;
+
 /* ---- record and time ---- */
 
 void record_open (const char *path);
@@ -58,6 +69,9 @@
 /* ---- servers ---- */
 
 void server_start (Server *s);
+/* Writes the body of the answer to the request ID, SIZE bytes or as short as
+ * possible, to BODY.  Returns its length. */
+size_t answer_body (const char *id, size_t size, char *body);
 /* The number of times that a request with ID has run. */
 int runs_of (const char *id);
 /* The body with which the request ID ran last, or NULL. */
@@ -81,5 +95,7 @@
 /* Reads one answer within MS.  Returns its status, 0 if the connection ended,
  * -1 if no complete answer came in time.  ID gets its X-Request-Id. */
 int client_read (int fd, int ms, char *id, size_t id_size);
+/* The same, with the whole answer. */
+int client_answer (int fd, int ms, Answer *a);
 
 #endif
