--- a/review/rig-2/stand.c
+++ b/review/rig-2/stand.c
@@ -669,6 +669,7 @@
   {
     char id[256];
     char *path, *body;
+    const char *service;
   } runs[RUNS_MAX];
   int count;
 } ran = { .lock = PTHREAD_MUTEX_INITIALIZER };
@@ -681,6 +682,7 @@
     {
       snprintf (ran.runs[ran.count].id, sizeof ran.runs[0].id, "%s", r->id);
       ran.runs[ran.count].path = strdup (r->path);
+      ran.runs[ran.count].service = s->service;
       ran.runs[ran.count++].body = strdup (r->body);
     }
   pthread_mutex_unlock (&ran.lock);
@@ -726,6 +728,19 @@
   return path;
 }
 
+const char *
+service_of (const char *id)
+{
+  const char *service = NULL;
+
+  pthread_mutex_lock (&ran.lock);
+  for (int i = 0; i < ran.count; i++)
+    if (strcmp (ran.runs[i].id, id) == 0)
+      service = ran.runs[i].service;
+  pthread_mutex_unlock (&ran.lock);
+  return service;
+}
+
 size_t
 answer_body (const char *id, size_t size, char *body)
 {
--- a/review/rig-2/stand.h
+++ b/review/rig-2/stand.h
@@ -78,6 +78,8 @@
 const char *body_of (const char *id);
 /* The same for its path. */
 const char *path_of (const char *id);
+/* The service of the server at which it ran last, or NULL. */
+const char *service_of (const char *id);
 
 /* ---- gateways ---- */
 
